--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+STAMP = $(VENV)/.installed
+
+.PHONY: setup demo test lint format lock
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $(STAMP)
+
+demo: setup
+	$(BIN)/dandelioncleat demo
+
+test: setup
+	$(BIN)/python -m pytest -n 6 --dist loadfile
+
+lint: setup
+	$(BIN)/ruff format --check src tests
+	$(BIN)/ruff check src tests
+	$(BIN)/flake8 src
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+
+format: setup
+	$(BIN)/ruff check --fix src tests
+	$(BIN)/ruff format src tests
+
+lock: setup
+	$(BIN)/pip-compile --quiet --strip-extras --extra dev --allow-unsafe \
+		--no-emit-index-url --no-emit-find-links --no-emit-trusted-host \
+		--output-file requirements.lock pyproject.toml
--- /dev/null
+++ b/src/dandelioncleat/__init__.py
@@ -0,0 +1,1 @@
+"""A router fleet for prepaid token budgets."""
--- /dev/null
+++ b/src/dandelioncleat/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports by libraries."""
--- /dev/null
+++ b/src/dandelioncleat/adapters/frames/__init__.py
@@ -0,0 +1,1 @@
+"""Cap'n Proto frames between the system's processes."""
--- /dev/null
+++ b/src/dandelioncleat/app/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that connect the decisions to the ports."""
--- /dev/null
+++ b/src/dandelioncleat/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of cost against size."""
--- /dev/null
+++ b/src/dandelioncleat/core/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: folds, grants, placement, admission. No I/O."""
--- /dev/null
+++ b/src/dandelioncleat/core/failure.py
@@ -0,0 +1,52 @@
+"""Errors that carry the step and the peer at which they arose."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class Code(StrEnum):
+    """The reasons for which a request or a message is refused."""
+
+    BUDGET = 'budget'
+    CAPACITY = 'capacity'
+    CONFLICT = 'conflict'
+    CREDENTIAL = 'credential'
+    DEADLINE = 'deadline'
+    FENCED = 'fenced'
+    INVALID = 'invalid'
+    LEAVING = 'leaving'
+    LOG = 'log'
+    NOT_FOUND = 'not_found'
+    NOT_HOME = 'not_home'
+    NOT_READY = 'not_ready'
+    POISON = 'poison'
+    SEALED = 'sealed'
+    TARGET = 'target'
+    TOO_LARGE = 'too_large'
+    UNKNOWN = 'unknown'
+    UNREACHABLE = 'unreachable'
+
+
+class Failure(NamedTuple):
+    """States why, at which step and at which peer something failed."""
+
+    code: Code
+    step: str
+    peer: str
+    text: str
+
+
+class FailureError(Exception):
+    """Raises a failure through code that cannot return it."""
+
+    def __init__(self, failure: Failure) -> None:
+        """Keep the failure."""
+        super().__init__(f'{failure.step} at {failure.peer}: {failure.text}')
+        self.failure = failure
+
+
+def failure_error(
+    code: Code, *, step: str, peer: str, text: str
+) -> FailureError:
+    """Return an error for a failure with these parts."""
+    return FailureError(Failure(code, step, peer, text))
--- /dev/null
+++ b/src/dandelioncleat/core/message.py
@@ -0,0 +1,243 @@
+"""Messages between processes; each answers a call or is part of a stream."""
+
+from msgspec import Struct
+
+from dandelioncleat.core.failure import Code, Failure
+from dandelioncleat.core.identity import (
+    BudgetId,
+    Digest,
+    Draw,
+    Incarnation,
+    RequestKey,
+    RunId,
+)
+
+
+class Message(Struct, frozen=True):
+    """Is the base of every message."""
+
+
+class Attach(Message, frozen=True):
+    """Asks the home of a key to begin a run on ``executor`` or find one."""
+
+    request: RequestKey
+    service: str
+    body: Digest
+    idempotent: bool
+    executor: Incarnation
+
+
+class Begin(Message, frozen=True):
+    """Permits the asking router to dispatch this run to its executor."""
+
+    run: RunId
+    executor: Incarnation
+
+
+class Placed(Message, frozen=True):
+    """Names the run that serves the key already, and its executor."""
+
+    run: RunId
+    executor: Incarnation
+
+
+class NotHome(Message, frozen=True):
+    """Names the sidecar that owns the key's slot instead; may be empty."""
+
+    owner: Incarnation
+
+
+class Refusal(Message, frozen=True):
+    """Declines a message; the work it asked for did not and will not run.
+
+    ``ran`` is true where that cannot be promised.
+    """
+
+    code: Code
+    step: str
+    peer: str
+    text: str
+    retry_after_ms: int = 0
+    ran: bool = False
+
+
+class Accepted(Message, frozen=True):
+    """Confirms a message that has no other answer."""
+
+
+class Dispatch(Message, frozen=True):
+    """Orders an executor to run a request within the tokens of its draws.
+
+    ``cap`` bounds the generated tokens, ``deadline_ms`` is the time left.
+    ``prompt_bound`` is an upper bound of the prompt's tokens, or the price
+    of a plain service's call.
+    """
+
+    run: RunId
+    executor: Incarnation
+    router: Incarnation
+    service: str
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    digest: Digest
+    idempotent: bool
+    budget: BudgetId
+    draws: tuple[Draw, ...]
+    prompt_bound: int
+    cap: int
+    priority: int
+    deadline_ms: int
+
+
+class Resume(Message, frozen=True):
+    """Asks an executor for a run's answer from byte ``start`` on."""
+
+    run: RunId
+    executor: Incarnation
+    start: int
+
+
+class Chunk(Message, frozen=True):
+    """Carries the next part of an answer, which begins at byte ``start``."""
+
+    run: RunId
+    start: int
+    data: bytes
+    tokens: int
+
+
+class Finished(Message, frozen=True):
+    """Ends an answer of ``size`` bytes; ``tokens`` is what is billed.
+
+    ``complete`` is false for a run that was cut or cancelled.
+    """
+
+    run: RunId
+    status: int
+    content_type: str
+    size: int
+    prompt_tokens: int
+    output_tokens: int
+    tokens: int
+    reason: str
+    complete: bool
+
+
+class SealRun(Message, frozen=True):
+    """Asks an executor never to run this run."""
+
+    run: RunId
+    executor: Incarnation
+
+
+class Sealed(Message, frozen=True):
+    """States whether the run had begun when the executor sealed it."""
+
+    run: RunId
+    ran: bool
+
+
+class Cancel(Message, frozen=True):
+    """Stops a run whose caller went away; what ran is billed."""
+
+    run: RunId
+
+
+class Report(Message, frozen=True):
+    """Tells a home how a run ended; ``ran`` is false for a sealed one."""
+
+    run: RunId
+    status: int
+    ran: bool
+
+
+class WatchLoad(Message, frozen=True):
+    """Asks a sidecar for its target's load, now and at each change."""
+
+
+class Load(Message, frozen=True):
+    """Describes a target's load; ``age_ms`` is the age of the engine's report.
+
+    ``demand_tokens`` are the KV tokens of running and queued requests.
+    ``prefixes`` are digests of cached prompt prefixes, newest last.
+    """
+
+    target: str
+    sidecar: Incarnation
+    leaving: bool
+    slots: int
+    running: int
+    queued: int
+    demand_tokens: int
+    kv_tokens: int
+    age_ms: int
+    prefixes: tuple[Digest, ...]
+
+
+class AskPart(Message, frozen=True):
+    """Asks another router for spare tokens of its grants of a budget."""
+
+    budget: BudgetId
+    tokens: int
+    holder: Incarnation
+
+
+class Part(Message, frozen=True):
+    """Passes spare tokens; the sender has deducted them already."""
+
+    budget: BudgetId
+    draws: tuple[Draw, ...]
+
+
+class AppendEnvelope(Message, frozen=True):
+    """Asks a follower of a stream to append an entry for its producer."""
+
+    stream: str
+    data: bytes
+
+
+class Verdicts(Message, frozen=True):
+    """Returns the encoded verdicts of an appended envelope, in order."""
+
+    data: bytes
+
+
+class AskConfiguration(Message, frozen=True):
+    """Asks for the configuration entries after a version."""
+
+    version: int
+
+
+class ConfigurationEntries(Message, frozen=True):
+    """Carries accepted patches in order, each as its encoded change."""
+
+    version: int
+    entries: tuple[bytes, ...]
+
+
+class AskStatus(Message, frozen=True):
+    """Asks a process what it is and which configuration is in force."""
+
+
+class Status(Message, frozen=True):
+    """Describes a process; ``details`` is a JSON object for display."""
+
+    incarnation: Incarnation
+    role: str
+    state: str
+    version: int
+    digest: Digest
+    details: bytes
+
+
+def refusal(failure: Failure, *, ran: bool = False) -> Refusal:
+    """Return the refusal that reports a failure to a peer."""
+    return Refusal(
+        failure.code,
+        failure.step,
+        failure.peer,
+        failure.text,
+        ran=ran,
+    )
--- /dev/null
+++ b/src/dandelioncleat/core/record.py
@@ -0,0 +1,189 @@
+"""Records of the log streams, one union type for each kind of stream.
+
+Every record is encoded as an array with its class name as tag, so that a
+record is short in the log and a decoder rejects what it does not know.
+"""
+
+from msgspec import Struct
+
+from dandelioncleat.core.identity import (
+    BudgetId,
+    Digest,
+    Draw,
+    GrantId,
+    Incarnation,
+    RequestKey,
+    RunId,
+)
+
+
+class Record(Struct, frozen=True, array_like=True, tag=True):
+    """Is the base of every record; it holds the encoding options."""
+
+
+class TopUp(Record, frozen=True):
+    """Adds prepaid tokens to a budget, once for each reference."""
+
+    budget: BudgetId
+    tokens: int
+    reference: str
+
+
+class RequestGrant(Record, frozen=True):
+    """Asks for tokens to spend; fewer than ``least`` are of no use."""
+
+    grant: GrantId
+    budget: BudgetId
+    tokens: int
+    least: int
+
+
+class ReturnGrant(Record, frozen=True):
+    """Gives unspent tokens of a grant back to its budget."""
+
+    grant: GrantId
+    tokens: int
+
+
+class Bill(Record, frozen=True):
+    """States the tokens that one run of a request consumed."""
+
+    budget: BudgetId
+    run: RunId
+    draws: tuple[Draw, ...]
+    tokens: int
+    source: Incarnation
+
+
+class CompleteRetirement(Record, frozen=True):
+    """Frees what is left of a retired holder once all sidecars drained it."""
+
+    holder: Incarnation
+
+
+class ReleaseHolder(Record, frozen=True):
+    """Frees a stranded holder on the word of an operator."""
+
+    holder: Incarnation
+    operator: str
+
+
+LedgerRecord = (
+    TopUp
+    | RequestGrant
+    | ReturnGrant
+    | Bill
+    | CompleteRetirement
+    | ReleaseHolder
+)
+
+
+class Join(Record, frozen=True):
+    """Announces a process before it sends or takes any work."""
+
+    incarnation: Incarnation
+    role: str
+    data_centre: str
+    address: str
+    target: str = ''
+    service: str = ''
+
+
+class Leave(Record, frozen=True):
+    """Announces that a process takes no new work."""
+
+    incarnation: Incarnation
+
+
+class End(Record, frozen=True):
+    """States that a process stopped with all its work billed."""
+
+    incarnation: Incarnation
+
+
+class Retire(Record, frozen=True):
+    """Fences every grant of a holder."""
+
+    holder: Incarnation
+    reason: str
+
+
+class Drained(Record, frozen=True):
+    """States that a sidecar refuses a retired holder and billed its work."""
+
+    holder: Incarnation
+    sidecar: Incarnation
+
+
+class Replace(Record, frozen=True):
+    """Lets a sidecar answer for a predecessor that its engine fences off."""
+
+    predecessor: Incarnation
+    successor: Incarnation
+
+
+class Crash(Record, frozen=True):
+    """Names the requests that were running when a target crashed."""
+
+    target: str
+    digests: tuple[Digest, ...]
+    crash: str
+
+
+class Absolve(Record, frozen=True):
+    """Lifts the quarantine of a request on the word of an operator."""
+
+    digest: Digest
+    operator: str
+
+
+FleetRecord = Join | Leave | End | Retire | Drained | Replace | Crash | Absolve
+
+
+class TakeSlots(Record, frozen=True):
+    """Claims ownership of slots whose epochs are as stated."""
+
+    owner: Incarnation
+    slots: tuple[int, ...]
+    epochs: tuple[int, ...]
+
+
+class Claim(Record, frozen=True):
+    """Reserves a non-idempotent request for one run on one executor."""
+
+    request: RequestKey
+    body: Digest
+    slot: int
+    epoch: int
+    run: RunId
+    executor: Incarnation
+
+
+class Seal(Record, frozen=True):
+    """Closes a request that did not run, so that it never will."""
+
+    request: RequestKey
+    slot: int
+    epoch: int
+
+
+class Outcome(Record, frozen=True):
+    """States how a claimed run ended; ``status`` is the HTTP status."""
+
+    run: RunId
+    status: int
+
+
+ClaimRecord = TakeSlots | Claim | Seal | Outcome
+
+
+class Patch(Record, frozen=True):
+    """Changes the configuration that has the version ``against``."""
+
+    patch: str
+    against: int
+    operator: str
+    body: bytes
+
+
+ConfigurationRecord = Patch
--- /dev/null
+++ b/src/dandelioncleat/core/request.py
@@ -0,0 +1,72 @@
+"""A caller's request and the answer that it receives."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from dandelioncleat.core.failure import Failure
+from dandelioncleat.core.identity import BudgetId, Digest, RequestKey
+
+
+class CallerRequest(NamedTuple):
+    """An authenticated request, independent of the caller's protocol.
+
+    ``path`` is the path at the target. ``prompt_bound`` is an upper bound of
+    the prompt's tokens, or the price of a plain service's call; ``cap``
+    bounds the generated tokens. ``prefixes`` are digests of ever longer
+    prefixes of the prompt. A smaller ``priority`` goes first.
+    """
+
+    request: RequestKey
+    budget: BudgetId
+    service: str
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    digest: Digest
+    idempotent: bool
+    prompt_bound: int
+    cap: int
+    priority: int
+    deadline_s: float
+    prefixes: tuple[Digest, ...] = ()
+
+
+class Outcome(StrEnum):
+    """What a caller is told of its request."""
+
+    ANSWERED = 'answered'
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+
+
+class AnswerPiece(NamedTuple):
+    """The next part of an answer."""
+
+    data: bytes
+    tokens: int
+
+
+class AnswerEnd(NamedTuple):
+    """Ends every answer, whole or refused.
+
+    ``status`` is the target's HTTP status, 0 if there is none; ``reason`` is
+    the target's reason for the end. ``failure`` is set unless the outcome is
+    ``answered``. ``retry_after_s`` is 0 where a retry would not help.
+    """
+
+    outcome: Outcome
+    request: RequestKey
+    version: int
+    target: str = ''
+    status: int = 0
+    content_type: str = ''
+    reason: str = ''
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    billed_tokens: int = 0
+    failure: Failure | None = None
+    retry_after_s: float = 0
+
+
+AnswerEvent = AnswerPiece | AnswerEnd
--- /dev/null
+++ b/src/dandelioncleat/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The router and sidecar processes, and their settings."""
--- /dev/null
+++ b/src/dandelioncleat/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A demonstration of the whole system in one process."""
--- /dev/null
+++ b/src/dandelioncleat/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The commands that operators use."""
--- /dev/null
+++ b/src/dandelioncleat/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Protocols through which the application meets the outside."""
--- /dev/null
+++ b/src/dandelioncleat/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of recorded traces against their stated outcomes."""
--- /dev/null
+++ b/src/dandelioncleat/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and its targets."""
