Count the crashes at which each request digest was running

A request that crashes its target is sent again by its caller, so that the count has to be kept by the digest of the body and not by the key. Before, crash records had no effect; now they are counted once for each crash id within a fixed memory, the same for every reader of the stream.

--- /dev/null
+++ b/src/dandelioncleat/core/poison.py
@@ -0,0 +1,68 @@
+"""Requests that were running when targets crashed, counted by digest."""
+
+from typing import Any, NamedTuple, TypeVar
+
+from dandelioncleat.core.identity import Digest
+from dandelioncleat.core.record import Crash
+
+KeyT = TypeVar('KeyT')
+
+MAX_CRASHES = 4096
+MAX_DIGESTS = 16384
+
+
+class QuarantineState(NamedTuple):
+    """The whole state as plain data, oldest entries first."""
+
+    crashes: tuple[str, ...] = ()
+    counts: tuple[tuple[Digest, int], ...] = ()
+
+
+class Quarantine:
+    """Counts the crashes at which each digest was running.
+
+    The memory is bounded; the digests whose last crash is the longest ago
+    are forgotten first, so that equal streams still give equal counts.
+    """
+
+    def __init__(self, state: QuarantineState | None = None) -> None:
+        """Start empty, or from a state that ``snapshot`` returned."""
+        known = state or QuarantineState()
+        self._crashes: dict[str, None] = dict.fromkeys(known.crashes)
+        self._count_by_digest: dict[Digest, int] = dict(known.counts)
+
+    def record(self, crash: Crash) -> bool:
+        """Count a crash once; return whether it was new."""
+        if crash.crash in self._crashes:
+            return False
+        self._crashes[crash.crash] = None
+        for digest in dict.fromkeys(crash.digests):
+            count = self._count_by_digest.pop(digest, 0)
+            self._count_by_digest[digest] = count + 1
+        _forget_oldest(self._crashes, MAX_CRASHES)
+        _forget_oldest(self._count_by_digest, MAX_DIGESTS)
+        return True
+
+    def absolve(self, digest: Digest) -> bool:
+        """Forget the crashes of a digest; return whether there were any."""
+        return self._count_by_digest.pop(digest, 0) > 0
+
+    def crashes(self, digest: Digest) -> int:
+        """Return the number of crashes at which a digest was running."""
+        return self._count_by_digest.get(digest, 0)
+
+    def is_poison(self, digest: Digest, limit: int) -> bool:
+        """Return whether a digest has reached the limit of crashes."""
+        return self.crashes(digest) >= limit
+
+    def snapshot(self) -> QuarantineState:
+        """Return the whole state for a checkpoint."""
+        return QuarantineState(
+            tuple(self._crashes),
+            tuple(self._count_by_digest.items()),
+        )
+
+
+def _forget_oldest(entries: dict[KeyT, Any], limit: int) -> None:
+    while len(entries) > limit:
+        entries.pop(next(iter(entries)))
