--- /dev/null
+++ b/tests/builders/__init__.py
@@ -0,0 +1,1 @@
+"""Builders of test data."""
