Choose targets, bound the queue and the retries

Cause: the router needs pure decisions for placement, admission and retry. After: policies by name over candidates, a bounded priority queue that gives up at once, and a retry budget. An Attach without executor only finds a run, so that a refused retry learns of an earlier one; a request says whether its key is fresh.

--- /dev/null
+++ b/src/dandelioncleat/core/admission.py
@@ -0,0 +1,141 @@
+"""A bounded queue of the requests of one service that wait for a slot."""
+
+from typing import NamedTuple
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from dandelioncleat.core.failure import Code, Failure
+
+LEAST_RETRY_AFTER_S = 1.0
+MEAN_WEIGHT = 0.1
+
+
+class Waiting(NamedTuple):
+    """A request that waits; ``deadline`` is a time of the event loop in s."""
+
+    ticket: int
+    organisation: str
+    priority: int
+    deadline: float
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Return the place in the order in which requests are served."""
+        return (self.priority, self.ticket)
+
+
+class AdmissionQueue:
+    """Orders waiting requests by priority and gives up the last ones.
+
+    A request is given up as soon as it is clear that it cannot be served
+    in time; it is not held until its deadline.
+    """
+
+    def __init__(self, limit: int) -> None:
+        """Take the greatest number of waiting requests."""
+        self.limit = limit
+        self.service_time_s: float = 0
+        self._waiting: dict[int, Waiting] = {}
+
+    def __len__(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self._waiting)
+
+    def offer(
+        self,
+        waiting: Waiting,
+        *,
+        now: float,
+        slots: int,
+    ) -> Result[Waiting | None, Failure]:
+        """Queue a request; return the one that is given up for it, if any.
+
+        :param now: time of the event loop in seconds
+        :param slots: slots of all targets that may serve the queue
+        """
+        if now + self.wait_s(waiting, slots=slots) > waiting.deadline:
+            return Failed(_given_up('the wait would pass the deadline'))
+        if len(self._waiting) < self.limit:
+            self._waiting[waiting.ticket] = waiting
+            return Success(None)
+        last = max(
+            self._waiting.values(),
+            key=_rank,
+            default=waiting,
+        )
+        if last.rank <= waiting.rank:
+            return Failed(_given_up('the queue is full'))
+        self.remove(last.ticket)
+        self._waiting[waiting.ticket] = waiting
+        return Success(last)
+
+    def in_order(self) -> list[Waiting]:
+        """Return the waiting requests, the next one first."""
+        return sorted(self._waiting.values(), key=_rank)
+
+    def remove(self, ticket: int) -> None:
+        """Drop a request that was served, given up or left."""
+        self._waiting.pop(ticket, None)
+
+    def note_service_time(self, seconds: float) -> None:
+        """Let a finished request count towards the mean service time."""
+        if self.service_time_s == 0:
+            self.service_time_s = seconds
+            return
+        change = seconds - self.service_time_s
+        self.service_time_s += MEAN_WEIGHT * change
+
+    def wait_s(self, waiting: Waiting, *, slots: int) -> float:
+        """Estimate the wait of a request behind those of its rank or above.
+
+        A queue without slots has no estimate: a target may come at any time.
+        """
+        if slots == 0:
+            return 0
+        ahead = sum(
+            1 for other in self._waiting.values() if other.rank < waiting.rank
+        )
+        return (ahead + 1) * self.service_time_s / slots
+
+    def retry_after_s(self, *, slots: int) -> float:
+        """Return after what time a refused request may find room."""
+        backlog = len(self._waiting) + 1
+        wait_s = backlog * self.service_time_s / max(slots, 1)
+        return max(LEAST_RETRY_AFTER_S, wait_s)
+
+
+class RunningCounts:
+    """Counts running requests of each organisation against its limit."""
+
+    def __init__(self) -> None:
+        """Start with nothing running."""
+        self._running_by_organisation: dict[str, int] = {}
+
+    def begin(
+        self,
+        organisation: str,
+        limit: int,
+    ) -> Result[int, Failure]:
+        """Count a request; a ``limit`` of 0 means none."""
+        running = self._running_by_organisation.get(organisation, 0)
+        if limit and running >= limit:
+            return Failed(_given_up(f'{running} requests are running already'))
+        self._running_by_organisation[organisation] = running + 1
+        return Success(running + 1)
+
+    def end(self, organisation: str) -> None:
+        """Count a request as ended."""
+        running = self._running_by_organisation.get(organisation, 0) - 1
+        if running > 0:
+            self._running_by_organisation[organisation] = running
+        else:
+            self._running_by_organisation.pop(organisation, None)
+
+
+def _rank(waiting: Waiting) -> tuple[int, int]:
+    return waiting.rank
+
+
+def _given_up(text: str) -> Failure:
+    return Failure(Code.CAPACITY, 'admission', '', text)
--- a/src/dandelioncleat/core/message.py
+++ b/src/dandelioncleat/core/message.py
@@ -18,7 +18,11 @@
 
 
 class Attach(Message, frozen=True):
-    """Asks the home of a key to begin a run on ``executor`` or find one."""
+    """Asks the home of a key to begin a run on ``executor`` or find one.
+
+    An empty ``executor`` only asks for a run that exists; the home refuses
+    with code ``not_found`` if there is none.
+    """
 
     request: RequestKey
     service: str
--- /dev/null
+++ b/src/dandelioncleat/core/placement.py
@@ -0,0 +1,203 @@
+"""Chooses a target for a request from what is known of the targets."""
+
+import random
+from collections.abc import Callable, Container, Iterable, Sequence
+from functools import partial
+from hashlib import blake2b
+from typing import NamedTuple
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from dandelioncleat.core.failure import Code, Failure
+from dandelioncleat.core.identity import Digest, Incarnation
+
+DEFAULT_POLICY = 'two_choices'
+PREFIX_WEIGHT = 0.3
+PREFIX_AGE_S = 30.0
+
+
+class Candidate(NamedTuple):
+    """A target that may take new work.
+
+    ``occupancy`` estimates its running and queued requests now;
+    ``demand_tokens`` their KV tokens, of which ``kv_tokens`` fit. ``age_s``
+    is the age of the load report, in seconds.
+    """
+
+    sidecar: Incarnation
+    target: str
+    data_centre: str
+    slots: int
+    occupancy: float
+    demand_tokens: int = 0
+    kv_tokens: int = 0
+    age_s: float = 0
+    prefixes: Container[Digest] = ()
+
+
+class Situation(NamedTuple):
+    """What a decision depends on besides the candidates.
+
+    ``turn`` counts the decisions of this router for the service.
+    """
+
+    data_centre: str
+    prefixes: tuple[Digest, ...]
+    turn: int
+    random: random.Random
+
+
+Policy = Callable[[Sequence[Candidate], Situation], Candidate]
+
+
+def has_room(candidate: Candidate) -> bool:
+    """Return whether a target has a free slot by the estimate."""
+    return candidate.occupancy < candidate.slots
+
+
+def relative_load(candidate: Candidate) -> float:
+    """Return the estimated share of a target's slots in use."""
+    return candidate.occupancy / max(candidate.slots, 1)
+
+
+def relative_demand(candidate: Candidate) -> float:
+    """Return the KV demand of a target as a share of its memory.
+
+    The measure is that of KunServe: the KV tokens of running and of queued
+    requests. Where an engine reports no memory the slots stand in for it.
+    """
+    if candidate.kv_tokens <= 0:
+        return relative_load(candidate)
+    return candidate.demand_tokens / candidate.kv_tokens
+
+
+def affinity(candidate: Candidate, prefixes: tuple[Digest, ...]) -> float:
+    """Return how much of a prompt a target has cached, from 0 to 1.
+
+    The value fades with the age of the report, so that late or missing
+    cache events weaken it and never strengthen it.
+    """
+    longest = 0
+    for length, prefix in enumerate(prefixes, start=1):
+        if prefix in candidate.prefixes:
+            longest = length
+    if longest == 0:
+        return 0
+    freshness = max(0, 1 - candidate.age_s / PREFIX_AGE_S)
+    return freshness * longest / len(prefixes)
+
+
+def two_choices(
+    candidates: Sequence[Candidate],
+    situation: Situation,
+) -> Candidate:
+    """Take the better of two random targets and the one with the prefix."""
+    return _better_of_few(candidates, situation, relative_load)
+
+
+def kv_demand(
+    candidates: Sequence[Candidate],
+    situation: Situation,
+) -> Candidate:
+    """Do as ``two_choices``, by KV demand in place of used slots."""
+    return _better_of_few(candidates, situation, relative_demand)
+
+
+def round_robin(
+    candidates: Sequence[Candidate],
+    situation: Situation,
+) -> Candidate:
+    """Take the targets in turn, whatever their load."""
+    return candidates[situation.turn % len(candidates)]
+
+
+def least_reported_load(
+    candidates: Sequence[Candidate],
+    situation: Situation,
+) -> Candidate:
+    """Take the least loaded of all targets."""
+    return min(candidates, key=relative_load)
+
+
+POLICIES_BY_NAME: dict[str, Policy] = {
+    'two_choices': two_choices,
+    'kv_demand': kv_demand,
+    'round_robin': round_robin,
+    'least_reported_load': least_reported_load,
+}
+
+
+def choose(
+    policy: str,
+    candidates: Sequence[Candidate],
+    situation: Situation,
+) -> Result[Candidate, Failure]:
+    """Choose a target with a free slot, in the own data centre if one has.
+
+    :param policy: name of a policy; an unknown one means the default
+    """
+    free = [candidate for candidate in candidates if has_room(candidate)]
+    if not free:
+        return Failed(no_capacity('no target has a free slot'))
+    own = [
+        candidate
+        for candidate in free
+        if candidate.data_centre == situation.data_centre
+    ]
+    chosen = POLICIES_BY_NAME.get(policy, two_choices)
+    return Success(chosen(own or free, situation))
+
+
+def no_capacity(text: str) -> Failure:
+    """Return the failure of a request that found no room."""
+    return Failure(Code.CAPACITY, 'placement', '', text)
+
+
+def subset(
+    router: str,
+    names: Iterable[str],
+    size: int,
+) -> tuple[str, ...]:
+    """Return the ``size`` names that rank first for a router.
+
+    Rendezvous hashing: a name that comes or goes changes the subset of a
+    router by at most that name and its substitute.
+    """
+    ranked = sorted(names, key=lambda name: (_weight(router, name), name))
+    return tuple(ranked[:size])
+
+
+def _weight(router: str, name: str) -> bytes:
+    return blake2b(
+        f'{router}\0{name}'.encode(),
+        digest_size=8,
+    ).digest()
+
+
+def _better_of_few(
+    candidates: Sequence[Candidate],
+    situation: Situation,
+    load: Callable[[Candidate], float],
+) -> Candidate:
+    count = min(2, len(candidates))
+    few = situation.random.sample(candidates, count)
+    if situation.prefixes:
+        few.append(
+            max(
+                candidates,
+                key=lambda each: affinity(each, situation.prefixes),
+            )
+        )
+
+    return min(few, key=partial(_score, situation=situation, load=load))
+
+
+def _score(
+    candidate: Candidate,
+    *,
+    situation: Situation,
+    load: Callable[[Candidate], float],
+) -> float:
+    bonus = PREFIX_WEIGHT * affinity(candidate, situation.prefixes)
+    return load(candidate) - bonus
--- a/src/dandelioncleat/core/request.py
+++ b/src/dandelioncleat/core/request.py
@@ -13,7 +13,10 @@
     ``path`` is the path at the target. ``prompt_bound`` is an upper bound of
     the prompt's tokens, or the price of a plain service's call; ``cap``
     bounds the generated tokens. ``prefixes`` are digests of ever longer
-    prefixes of the prompt. A smaller ``priority`` goes first.
+    prefixes of the prompt. A smaller ``priority`` goes first. ``deadline_s``
+    is the time that the caller allows, in seconds from the arrival.
+    ``fresh_key`` says that the router made the key, so that no earlier run
+    of the request can exist.
     """
 
     request: RequestKey
@@ -30,6 +33,7 @@
     priority: int
     deadline_s: float
     prefixes: tuple[Digest, ...] = ()
+    fresh_key: bool = False
 
 
 class Outcome(StrEnum):
--- /dev/null
+++ b/src/dandelioncleat/core/retry.py
@@ -0,0 +1,60 @@
+"""Bounds how often a router repeats what failed."""
+
+import random
+
+from dandelioncleat.core.failure import Code
+
+LEAST_RETRIES = 10.0
+MOST_RETRIES = 100.0
+FIRST_DELAY_S = 0.02
+LONGEST_DELAY_S = 1.0
+
+ELSEWHERE_CODES = frozenset(
+    (
+        Code.CAPACITY,
+        Code.LEAVING,
+        Code.NOT_READY,
+        Code.TARGET,
+        Code.UNREACHABLE,
+        Code.SEALED,
+        Code.NOT_FOUND,
+    )
+)
+"""Refusals of an executor after which another one may do better."""
+
+
+class RetryBudget:
+    """Allows retries up to a share of the requests.
+
+    Each request adds the share, each retry takes one. The initial balance
+    lets a router with few requests retry too.
+    """
+
+    def __init__(self) -> None:
+        """Start with the least balance."""
+        self.balance = LEAST_RETRIES
+        self.refused = 0
+
+    def note_request(self, share: float) -> None:
+        """Count a request.
+
+        :param share: retries for each request, from the configuration
+        """
+        self.balance = min(MOST_RETRIES, self.balance + share)
+
+    def take(self) -> bool:
+        """Take one retry; return whether there was one."""
+        if self.balance < 1:
+            self.refused += 1
+            return False
+        self.balance -= 1
+        return True
+
+
+def backoff_s(attempt: int, source: random.Random) -> float:
+    """Return the delay before a retry, in seconds, half of it random.
+
+    :param attempt: number of the attempt that failed, from 1
+    """
+    full_s: float = min(LONGEST_DELAY_S, FIRST_DELAY_S * 2**attempt)
+    return full_s * (1 + source.random()) / 2
