Carry messages between processes in Cap'n Proto frames over WebSockets

Cause: the parts talk by messages and need one connection that the library keeps alive and frames. Ruled out: Cap'n Proto's own RPC, whose event loop cannot run on virtual time; bare TCP, which would need framing of our own. Before: no transport.

--- /dev/null
+++ b/src/dandelioncleat/adapters/frames/codec.py
@@ -0,0 +1,112 @@
+"""Encodes and decodes the frames of connections between processes."""
+
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+import capnp
+
+from dandelioncleat.adapters.frames._conversion import (
+    read_fields,
+    write_fields,
+)
+from dandelioncleat.adapters.frames._schema import schema
+from dandelioncleat.core.failure import Code, failure_error
+from dandelioncleat.core.message import Message
+
+
+class FrameKind(StrEnum):
+    """What a frame does to its call."""
+
+    CALL = 'call'
+    REPLY = 'reply'
+    END = 'end'
+    FAILED = 'failed'
+    CANCEL = 'cancel'
+
+
+class Frame(NamedTuple):
+    """One frame; ``call`` numbers the calls of a connection."""
+
+    call: int
+    kind: FrameKind
+    version: int
+    traceparent: str = ''
+    body: Message | None = None
+
+
+def _field_name(message_type: type[Message]) -> str:
+    name = message_type.__name__
+    return name[0].lower() + name[1:]
+
+
+_TYPES_BY_FIELD: dict[str, type[Message]] = {
+    _field_name(message_type): message_type
+    for message_type in Message.__subclasses__()
+}
+
+# What the library raises for bytes of another form.
+_MALFORMED = (
+    capnp.KjException,
+    KeyError,
+    RuntimeError,
+    TypeError,
+    ValueError,
+)
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Encode a frame."""
+    written: dict[str, Any] = {
+        'call': frame.call,
+        'kind': frame.kind.value,
+        'version': frame.version,
+    }
+    if frame.traceparent:
+        written['traceparent'] = frame.traceparent
+    body = frame.body
+    if body is not None:
+        message_type = type(body)
+        written['body'] = {
+            _field_name(message_type): write_fields(message_type, body),
+        }
+    encoded: bytes = schema.Frame.new_message(**written).to_bytes()
+    return encoded
+
+
+def decode_frame(data: bytes, *, peer: str) -> Frame:
+    """Decode a frame.
+
+    :raises FailureError: with code ``invalid`` for bytes of another form
+    """
+    try:
+        return _decode(data)
+    except _MALFORMED as error:
+        raise failure_error(
+            Code.INVALID,
+            step='decode frame',
+            peer=peer,
+            text=str(error)[:200],
+        ) from error
+
+
+def _decode(data: bytes) -> Frame:
+    with schema.Frame.from_bytes(data) as reader:
+        return Frame(
+            reader.call,
+            FrameKind(str(reader.kind)),
+            reader.version,
+            reader.traceparent,
+            _read_body(reader.body),
+        )
+
+
+def _read_body(reader: Any) -> Message | None:
+    field = reader.which()
+    if field == 'none':
+        return None
+    field = str(field)
+    body: Message = read_fields(
+        _TYPES_BY_FIELD[field],
+        getattr(reader, field),
+    )
+    return body
--- /dev/null
+++ b/src/dandelioncleat/adapters/websocket_peers.py
@@ -0,0 +1,130 @@
+"""Calls to other processes over WebSocket connections of aiohttp."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import aclosing
+
+import aiohttp
+
+from dandelioncleat.adapters._peer_connection import (
+    PeerConnection,
+    unreachable,
+)
+from dandelioncleat.core.failure import FailureError
+from dandelioncleat.core.identity import Incarnation
+from dandelioncleat.core.message import Message
+
+HEARTBEAT_S = 4.0
+CONNECT_TIMEOUT_S = 2.0
+PEERS_PATH = '/peers'
+INCARNATION_HEADER = 'X-Incarnation'
+MAX_FRAME_BYTES = 32 * 1024 * 1024
+
+
+class WebSocketPeers:
+    """Keeps one connection to each address that is called."""
+
+    def __init__(
+        self,
+        *,
+        incarnation: Incarnation,
+        fleet_secret: str,
+        version: Callable[[], int],
+        on_version: Callable[[str, int], None],
+    ) -> None:
+        """Take this process's identity and its configuration version.
+
+        :param on_version: told the address and version of each frame
+        """
+        self._headers = {
+            INCARNATION_HEADER: incarnation,
+            'Authorization': f'Bearer {fleet_secret}',
+        }
+        self._version = version
+        self._on_version = on_version
+        self._session: aiohttp.ClientSession | None = None
+        self._connections_by_address: dict[str, PeerConnection] = {}
+        self._locks_by_address: dict[str, asyncio.Lock] = {}
+
+    async def stream(
+        self,
+        address: str,
+        message: Message,
+        *,
+        traceparent: str = '',
+    ) -> AsyncIterator[Message]:
+        """Send a message and yield its replies until the last."""
+        connection = await self._connection(address)
+        replies = connection.call(message, traceparent)
+        async with aclosing(replies):
+            async for reply in replies:
+                yield reply
+
+    async def call(
+        self,
+        address: str,
+        message: Message,
+        *,
+        timeout_s: float,
+        traceparent: str = '',
+    ) -> Message:
+        """Send a message and return its only reply."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._first_reply(address, message, traceparent)
+        except TimeoutError as error:
+            raise unreachable('call', address, 'timed out') from error
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for connection in tuple(self._connections_by_address.values()):
+            await connection.close()
+        self._connections_by_address.clear()
+        if self._session is not None:
+            await self._session.close()
+
+    async def _first_reply(
+        self,
+        address: str,
+        message: Message,
+        traceparent: str,
+    ) -> Message:
+        replies = self.stream(address, message, traceparent=traceparent)
+        async with aclosing(replies):  # type: ignore[type-var]
+            async for reply in replies:
+                return reply
+        raise unreachable('call', address, 'ended without a reply')
+
+    async def _connection(self, address: str) -> PeerConnection:
+        lock = self._locks_by_address.setdefault(address, asyncio.Lock())
+        async with lock:
+            connection = self._connections_by_address.get(address)
+            if connection is None or connection.closed:
+                connection = await self._connect(address)
+                self._connections_by_address[address] = connection
+            return connection
+
+    async def _connect(self, address: str) -> PeerConnection:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(headers=self._headers)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                socket = await self._session.ws_connect(
+                    f'http://{address}{PEERS_PATH}',
+                    heartbeat=HEARTBEAT_S,
+                    max_msg_size=MAX_FRAME_BYTES,
+                )
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            text = str(error) or 'timed out'
+            raise unreachable('connect', address, text) from error
+        return PeerConnection(
+            socket,
+            address=address,
+            version=self._version,
+            on_version=self._on_version,
+        )
+
+
+def is_unreachable(error: FailureError) -> bool:
+    """Return whether a call failed for want of a connection."""
+    return error.failure.code == 'unreachable'
--- /dev/null
+++ b/tests/test_codec.py
@@ -0,0 +1,67 @@
+"""Tests of the frame codec, on made and on damaged frames."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from dandelioncleat.adapters.frames.codec import (
+    Frame,
+    FrameKind,
+    decode_frame,
+    encode_frame,
+)
+from dandelioncleat.core.failure import FailureError
+from dandelioncleat.core.message import Message
+from tests.builders.message import chunk
+
+MESSAGE_TYPES = tuple(Message.__subclasses__())
+
+
+def texts() -> st.SearchStrategy[str]:
+    return st.text(st.characters(exclude_categories=['Cs']), max_size=20)
+
+
+def messages() -> st.SearchStrategy[Message]:
+    st.register_type_strategy(str, texts())
+    st.register_type_strategy(int, st.integers(0, 2**40))
+    return st.one_of([st.from_type(kind) for kind in MESSAGE_TYPES])
+
+
+class CodecTest(TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(messages())
+    def test_every_message_survives(self, message: Message) -> None:
+        frame = Frame(7, FrameKind.REPLY, 3, 'trace', message)
+        self.assertThat(
+            decode_frame(encode_frame(frame), peer='peer'),
+            Equals(frame),
+        )
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(st.binary(max_size=300))
+    def test_other_bytes_are_a_failure_or_a_frame(self, data: bytes) -> None:
+        try:
+            frame = decode_frame(data, peer='peer')
+        except FailureError as error:
+            self.assertThat(error.failure.peer, Equals('peer'))
+        else:
+            self.assertIsInstance(frame, Frame)
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(st.integers(0, 200), st.integers(0, 255))
+    def test_a_damaged_frame_is_a_failure_or_a_frame(
+        self,
+        position: int,
+        value: int,
+    ) -> None:
+        data = bytearray(
+            encode_frame(Frame(1, FrameKind.REPLY, 1, '', chunk()))
+        )
+        data[position % len(data)] = value
+        try:
+            frame = decode_frame(bytes(data), peer='peer')
+        except FailureError as error:
+            self.assertThat(error.failure.step, Equals('decode frame'))
+        else:
+            self.assertIsInstance(frame, Frame)
