--- a/src/dandelioncleat/adapters/peer_server.py
+++ b/src/dandelioncleat/adapters/peer_server.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from contextlib import aclosing, suppress
 from typing import NamedTuple
+from weakref import WeakSet
 
 from aiohttp import WSMsgType, web
 
@@ -25,6 +26,8 @@
 from dandelioncleat.core.message import Message, refusal
 from dandelioncleat.ports.peer import CallContext, PeerHandler
 
+_SOCKETS = web.AppKey('peer_sockets', WeakSet[web.WebSocketResponse])
+
 
 class PeerServer(NamedTuple):
     """Answers connections that present the fleet's secret."""
@@ -45,6 +48,7 @@
             max_msg_size=MAX_FRAME_BYTES,
         )
         await socket.prepare(request)
+        request.app[_SOCKETS].add(socket)
         sender = Incarnation(request.headers.get(INCARNATION_HEADER, ''))
         await _Conversation(self, socket, sender).run()
         return socket
@@ -131,6 +135,14 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+async def _close_sockets(application: web.Application) -> None:
+    for socket in tuple(application[_SOCKETS]):
+        await socket.close(message=b'stopping')
+
+
 def add_peer_routes(application: web.Application, server: PeerServer) -> None:
     """Serve the calls of other processes from an application."""
+    sockets: WeakSet[web.WebSocketResponse] = WeakSet()
+    application[_SOCKETS] = sockets
+    application.on_shutdown.append(_close_sockets)
     application.router.add_get(PEERS_PATH, server.accept)
