--- a/src/dandelioncleat/adapters/peer_server.py
+++ b/src/dandelioncleat/adapters/peer_server.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from contextlib import aclosing, suppress
 from typing import NamedTuple
-from weakref import WeakSet
 
 from aiohttp import WSMsgType, web
 
@@ -26,7 +25,7 @@
 from dandelioncleat.core.message import Message, refusal
 from dandelioncleat.ports.peer import CallContext, PeerHandler
 
-_SOCKETS = web.AppKey('peer_sockets', WeakSet[web.WebSocketResponse])
+_SOCKETS = web.AppKey('peer_sockets', set[web.WebSocketResponse])
 
 
 class PeerServer(NamedTuple):
@@ -51,6 +50,7 @@
         request.app[_SOCKETS].add(socket)
         sender = Incarnation(request.headers.get(INCARNATION_HEADER, ''))
         await _Conversation(self, socket, sender).run()
+        request.app[_SOCKETS].discard(socket)
         return socket
 
 
@@ -142,7 +142,7 @@
 
 def add_peer_routes(application: web.Application, server: PeerServer) -> None:
     """Serve the calls of other processes from an application."""
-    sockets: WeakSet[web.WebSocketResponse] = WeakSet()
+    sockets: set[web.WebSocketResponse] = set()
     application[_SOCKETS] = sockets
     application.on_shutdown.append(_close_sockets)
     application.router.add_get(PEERS_PATH, server.accept)
