--- a/src/dandelioncleat/adapters/peer_server.py
+++ b/src/dandelioncleat/adapters/peer_server.py
@@ -4,7 +4,6 @@
 import hmac
 from collections.abc import Callable
 from contextlib import aclosing, suppress
-from typing import NamedTuple
 
 from aiohttp import WSMsgType, web
 
@@ -25,34 +24,46 @@
 from dandelioncleat.core.message import Message, refusal
 from dandelioncleat.ports.peer import CallContext, PeerHandler
 
-_SOCKETS = web.AppKey('peer_sockets', set[web.WebSocketResponse])
 
-
-class PeerServer(NamedTuple):
+class PeerServer:
     """Answers connections that present the fleet's secret."""
 
-    handler: PeerHandler
-    fleet_secret: str
-    version: Callable[[], int]
-    on_version: Callable[[str, int], None]
+    def __init__(
+        self,
+        handler: PeerHandler,
+        *,
+        fleet_secret: str,
+        version: Callable[[], int],
+        on_version: Callable[[str, int], None],
+    ) -> None:
+        """Take the handler of calls and this process's version."""
+        self.handler = handler
+        self.version = version
+        self.on_version = on_version
+        self._expected = f'Bearer {fleet_secret}'.encode()
+        self._sockets: set[web.WebSocketResponse] = set()
 
     async def accept(self, request: web.Request) -> web.StreamResponse:
         """Serve one connection until it closes."""
-        expected = f'Bearer {self.fleet_secret}'.encode()
         given = request.headers.get('Authorization', '').encode()
-        if not hmac.compare_digest(expected, given):
+        if not hmac.compare_digest(self._expected, given):
             raise web.HTTPUnauthorized(text='wrong fleet secret')
         socket = web.WebSocketResponse(
             heartbeat=HEARTBEAT_S,
             max_msg_size=MAX_FRAME_BYTES,
         )
         await socket.prepare(request)
-        request.app[_SOCKETS].add(socket)
+        self._sockets.add(socket)
         sender = Incarnation(request.headers.get(INCARNATION_HEADER, ''))
         await _Conversation(self, socket, sender).run()
-        request.app[_SOCKETS].discard(socket)
+        self._sockets.discard(socket)
         return socket
 
+    async def close(self, _application: web.Application) -> None:
+        """Close every connection, so that the callers see the cut."""
+        for socket in tuple(self._sockets):
+            await socket.close(message=b'stopping')
+
 
 class _Conversation:
     """Runs the calls of one connection, a task for each."""
@@ -135,14 +146,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-async def _close_sockets(application: web.Application) -> None:
-    for socket in tuple(application[_SOCKETS]):
-        await socket.close(message=b'stopping')
-
-
 def add_peer_routes(application: web.Application, server: PeerServer) -> None:
     """Serve the calls of other processes from an application."""
-    sockets: set[web.WebSocketResponse] = set()
-    application[_SOCKETS] = sockets
-    application.on_shutdown.append(_close_sockets)
+    application.on_shutdown.append(server.close)
     application.router.add_get(PEERS_PATH, server.accept)
--- a/tests/builders/peers.py
+++ b/tests/builders/peers.py
@@ -62,7 +62,12 @@
     secret: str = SECRET,
 ) -> AsyncIterator[tuple[WebSocketPeers, str, web.AppRunner]]:
     application = web.Application()
-    server = PeerServer(handler, SECRET, lambda: 5, lambda *_: None)
+    server = PeerServer(
+        handler,
+        fleet_secret=SECRET,
+        version=lambda: 5,
+        on_version=lambda *_: None,
+    )
     add_peer_routes(application, server)
     runner = web.AppRunner(application)
     await runner.setup()
