Decide on patches in log order and keep processes on the newest version

Operators race, and an upgrade that stops halfway must leave nothing. A patch is now judged as a whole, with every error, by a fold that all processes share: the first valid patch against a version makes the next one. Repeats have the verdict of the first.

--- /dev/null
+++ b/src/dandelioncleat/app/configuration.py
@@ -0,0 +1,73 @@
+"""Keeps a process on the newest configuration and never on an older one."""
+
+import asyncio
+from collections.abc import Callable
+
+from dandelioncleat.app.stream import StreamFollower
+from dandelioncleat.core.configuration import Configuration
+from dandelioncleat.core.configuration_history import ConfigurationFold
+from dandelioncleat.core.envelope import configuration_codec
+from dandelioncleat.core.identity import Incarnation
+from dandelioncleat.core.patch_verdict import AnyPatchVerdict
+from dandelioncleat.core.record import Patch
+from dandelioncleat.ports.log import Log
+
+CONFIGURATION_STREAM = 'configuration'
+
+
+class ConfigurationKeeper:
+    """Follows the configuration stream and submits patches to it."""
+
+    def __init__(self, *, log: Log, producer: Incarnation) -> None:
+        """Take the log and the process that appends to it."""
+        self.fold = ConfigurationFold()
+        self.highest_told = 0
+        self.told_by = producer
+        self._follower = StreamFollower(
+            log=log,
+            name=CONFIGURATION_STREAM,
+            fold=self.fold,
+            codec=configuration_codec(),
+            producer=producer,
+        )
+
+    @property
+    def current(self) -> Configuration:
+        """Return the newest version that this process knows."""
+        return self.fold.current
+
+    @property
+    def caught_up(self) -> asyncio.Event:
+        """Return the event of having read the stream to its end once."""
+        return self._follower.caught_up
+
+    @property
+    def log_failing(self) -> bool:
+        """Return whether the last read or append failed."""
+        return self._follower.log_failing
+
+    @property
+    def ready(self) -> bool:
+        """Return whether no newer version is known of than is in force."""
+        if not self.caught_up.is_set():
+            return False
+        return self.current.version >= self.highest_told
+
+    def tell(self, version: int, peer: Incarnation) -> None:
+        """Take note of the version that a peer has in force."""
+        if version > self.highest_told:
+            self.highest_told = version
+            self.told_by = peer
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after entries of the stream were applied."""
+        self._follower.on_change(listener)
+
+    async def submit(self, patch: Patch) -> AnyPatchVerdict:
+        """Append a patch and return its verdict once it is read back."""
+        verdicts = await self._follower.submit(patch)
+        return verdicts[0]
+
+    async def run(self) -> None:
+        """Follow the stream until cancelled."""
+        await self._follower.run()
--- /dev/null
+++ b/src/dandelioncleat/core/patch_verdict.py
@@ -0,0 +1,47 @@
+"""What becomes of a submitted patch."""
+
+from msgspec import Struct
+
+from dandelioncleat.core.defect import Defect
+from dandelioncleat.core.identity import Digest
+
+
+class PatchVerdict(Struct, frozen=True, tag_field='verdict'):
+    """Is the base of every verdict."""
+
+
+class PatchAccepted(PatchVerdict, frozen=True, tag='accepted'):
+    """The patch made this version."""
+
+    version: int
+    digest: Digest
+
+
+class PatchConflict(PatchVerdict, frozen=True, tag='conflict'):
+    """The patch is against a version that is not the newest.
+
+    ``winner`` is the patch that won against the same version, by
+    ``operator``; both are empty where that is not known any more or where
+    the version does not exist yet.
+    """
+
+    against: int
+    current: int
+    winner: str
+    operator: str
+
+
+class PatchInvalid(PatchVerdict, frozen=True, tag='invalid'):
+    """The patch is wrong in these places; nothing of it was taken."""
+
+    against: int
+    defects: tuple[Defect, ...]
+
+
+class PatchReused(PatchVerdict, frozen=True, tag='reused'):
+    """The patch's id belongs to another patch, submitted earlier."""
+
+    patch: str
+
+
+AnyPatchVerdict = PatchAccepted | PatchConflict | PatchInvalid | PatchReused
