--- a/src/dandelioncleat/__main__.py
+++ b/src/dandelioncleat/__main__.py
@@ -4,19 +4,25 @@
 import sys
 from collections.abc import Sequence
 
+from dandelioncleat.daemons import settings_command
+
 
 def new_parser() -> argparse.ArgumentParser:
     """Return the parser of the whole command line."""
-    return argparse.ArgumentParser(
+    parser = argparse.ArgumentParser(
         prog='dandelioncleat',
         description='A router fleet for prepaid token budgets.',
     )
+    subparsers = parser.add_subparsers(required=True, metavar='COMMAND')
+    settings_command.add_parser(subparsers)
+    return parser
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run a command and return its exit code."""
-    new_parser().parse_args(arguments)
-    return 0
+    parsed = new_parser().parse_args(arguments)
+    exit_code: int = parsed.run(parsed)
+    return exit_code
 
 
 if __name__ == '__main__':
