--- /dev/null
+++ b/src/dandelioncleat/standin/_signal.py
@@ -0,0 +1,23 @@
+"""Wakes every task that waits for the next change of something."""
+
+import asyncio
+
+
+class Signal:
+    """Lets tasks wait for the next call of ``notify``."""
+
+    def __init__(self) -> None:
+        self._event = asyncio.Event()
+
+    def notify(self) -> None:
+        """Wake all that wait now."""
+        self._event.set()
+        self._event = asyncio.Event()
+
+    async def wait(self, timeout_s: float | None = None) -> None:
+        """Wait for the next change, or for as long as the timeout."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._event.wait()
+        except TimeoutError:
+            return
--- a/src/dandelioncleat/standin/log.py
+++ b/src/dandelioncleat/standin/log.py
@@ -9,6 +9,7 @@
 
 from dandelioncleat.core.failure import Code, FailureError, failure_error
 from dandelioncleat.ports.log import Entry, Page
+from dandelioncleat.standin._signal import Signal
 
 PEER = 'log'
 
@@ -65,7 +66,7 @@
     def outage(self, outage: bool) -> None:
         self._outage = outage
         for stream in self._streams_by_name.values():
-            stream.wake()
+            stream.changed.notify()
 
     def on_append(self, listener: AppendListener) -> None:
         """Call ``listener`` with each entry, also one whose answer is lost."""
@@ -103,7 +104,7 @@
         await self._delay()
         kept = self._stream(stream)
         if start >= kept.end and wait_s > 0:
-            await kept.wait(wait_s)
+            await kept.changed.wait(wait_s)
         self._check_outage('read')
         kept.trim(self.retention, self._now())
         page = kept.page(start, limit)
@@ -128,26 +129,15 @@
     def __init__(self) -> None:
         self.end = 0
         self._entries: deque[Entry] = deque()
-        self._changed = asyncio.Event()
+        self.changed = Signal()
 
     def append(self, appended_at: float, data: bytes) -> Entry:
         entry = Entry(self.end, appended_at, data)
         self._entries.append(entry)
         self.end += 1
-        self.wake()
+        self.changed.notify()
         return entry
 
-    def wake(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    async def wait(self, timeout_s: float) -> None:
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._changed.wait()
-        except TimeoutError:
-            return
-
     def trim(self, retention: Retention, now: float) -> None:
         if retention.entries:
             while len(self._entries) > retention.entries:
--- /dev/null
+++ b/src/dandelioncleat/standin/service.py
@@ -0,0 +1,224 @@
+"""A plain service that counts how often it ran each call."""
+
+import asyncio
+from collections import Counter
+from typing import NamedTuple
+
+import msgspec
+
+from dandelioncleat.core.identity import RequestKey, RunId, request_key_of
+from dandelioncleat.ports.target import TargetLoad
+from dandelioncleat.standin._lag import LaggingState
+from dandelioncleat.standin._signal import Signal
+from dandelioncleat.standin.prompt import is_poison
+from dandelioncleat.standin.refusal import CrashedError, DownError, FencedError
+
+REPEATABLE_METHODS = frozenset(('GET', 'HEAD'))
+CREATED = 201
+FOUND = 200
+
+
+class ServiceSettings(NamedTuple):
+    """The size of a plain service.
+
+    :param slots: calls that run at a time
+    :param service_ms: duration of a call in milliseconds
+    :param checks_fencing: whether an old fencing number is refused
+    :param restart_s: seconds from a crash until the service is back
+    """
+
+    slots: int = 16
+    service_ms: float = 5
+    checks_fencing: bool = False
+    restart_s: float = 1
+
+
+class ServiceCall(NamedTuple):
+    """A call to the service."""
+
+    run: RunId
+    method: str
+    path: str
+    body: bytes
+    fence: int = 0
+
+
+class ServiceAnswer(NamedTuple):
+    """The answer to a call; its body repeats what was asked."""
+
+    status: int
+    body: bytes
+
+
+class ServiceRun:
+    """One run of a call; a judge reads it as the truth.
+
+    ``took_effect`` is set at the moment from which the call counts as run.
+    """
+
+    def __init__(self, call: ServiceCall, opened_at: float) -> None:
+        """Wait for a slot."""
+        self.run = call.run
+        self.method = call.method
+        self.path = call.path
+        self.opened_at = opened_at
+        self.started_at: float = -1
+        self.ended_at: float = -1
+        self.took_effect = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the call may run more than once."""
+        return self.method in REPEATABLE_METHODS
+
+
+class PlainService:
+    """Runs calls on the running loop's time, and records what ran.
+
+    ``queued`` calls wait for a slot.
+    """
+
+    def __init__(self, settings: ServiceSettings) -> None:
+        """Start with nothing running."""
+        self.settings = settings
+        self.runs: list[ServiceRun] = []
+        self.crashes = 0
+        self.fence_number = 0
+        self.load_reports = LaggingState[TargetLoad](now=_now)
+        self._crashed = Signal()
+        self._down_until: float = 0
+        self._running = 0
+        self.queued = 0
+        self._slot_free = asyncio.Semaphore(settings.slots)
+
+    @property
+    def down(self) -> bool:
+        """Whether the service has crashed and is not back."""
+        return _now() < self._down_until
+
+    async def call(self, call: ServiceCall) -> ServiceAnswer:
+        """Run a call and return its answer.
+
+        Raises one of the errors of ``standin.refusal``. A call whose caller
+        leaves while it waits for a slot does not run; later, it runs on.
+        """
+        self._check_order(call.fence)
+        run = ServiceRun(call, _now())
+        self.runs.append(run)
+        crashes = self.crashes
+        with _Queued(self):
+            await self._slot_free.acquire()
+        task = asyncio.ensure_future(self._run(run, call, crashes))
+        task.add_done_callback(_take_error)
+        return await asyncio.shield(task)
+
+    def counts(self) -> Counter[RequestKey]:
+        """Count the runs of each request, repeatable calls left out."""
+        return Counter(
+            request_key_of(run.run)
+            for run in self.runs
+            if run.took_effect and not run.repeatable
+        )
+
+    def fence(self, number: int) -> bool:
+        """Raise the fencing number; return whether orders are checked."""
+        if self.settings.checks_fencing:
+            if number < self.fence_number:
+                raise FencedError(self.fence_number)
+            self.fence_number = number
+        return self.settings.checks_fencing
+
+    def load(self) -> TargetLoad:
+        """Return the newest load report."""
+        age_s, report = self.load_reports.read(self._load())
+        return report._replace(age_s=age_s)
+
+    def crash(self, down_s: float | None = None) -> None:
+        """Break every call in progress and restart after a while.
+
+        :param down_s: seconds until then; by default ``restart_s``
+        """
+        self.crashes += 1
+        if down_s is None:
+            down_s = self.settings.restart_s
+        self._down_until = _now() + down_s
+        self._crashed.notify()
+
+    async def _run(
+        self,
+        run: ServiceRun,
+        call: ServiceCall,
+        crashes: int,
+    ) -> ServiceAnswer:
+        if self.crashes == crashes:
+            await self._take_effect(run, call)
+        self._slot_free.release()
+        self.load_reports.note(self._load())
+        if self.crashes > crashes:
+            raise CrashedError
+        return _answer(call)
+
+    async def _take_effect(self, run: ServiceRun, call: ServiceCall) -> None:
+        self._running += 1
+        self.load_reports.note(self._load())
+        run.started_at = _now()
+        run.took_effect = True
+        if is_poison(call.body):
+            self.crash()
+        else:
+            await self._crashed.wait(self.settings.service_ms / 1000)
+        run.ended_at = _now()
+        self._running -= 1
+
+    def _check_order(self, fence: int) -> None:
+        if self.down:
+            raise DownError
+        if self.settings.checks_fencing and fence < self.fence_number:
+            raise FencedError(self.fence_number)
+
+    def _load(self) -> TargetLoad:
+        return TargetLoad(
+            slots=self.settings.slots,
+            running=self._running,
+            queued=self.queued,
+            demand_tokens=self._running + self.queued,
+            kv_tokens=0,
+            age_s=0,
+        )
+
+
+class _Queued:
+    """Counts a call as queued for the length of a block."""
+
+    def __init__(self, service: PlainService) -> None:
+        self._service = service
+
+    def __enter__(self) -> None:
+        self._service.queued += 1
+
+    def __exit__(self, *error: object) -> None:
+        self._service.queued -= 1
+
+
+def _take_error(task: 'asyncio.Future[ServiceAnswer]') -> None:
+    # The caller may have left; its error is then nobody's.
+    if not task.cancelled():
+        task.exception()
+
+
+def _answer(call: ServiceCall) -> ServiceAnswer:
+    repeatable = call.method in REPEATABLE_METHODS
+    echo = {
+        'organisation': call.run.organisation,
+        'key': call.run.key,
+        'method': call.method,
+        'path': call.path,
+        'echo': call.body.decode(errors='replace'),
+    }
+    return ServiceAnswer(
+        FOUND if repeatable else CREATED, msgspec.json.encode(echo)
+    )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/dandelioncleat/standin/weight_store.py
@@ -0,0 +1,34 @@
+"""The weight store: downloads share a rate, first come first served."""
+
+import asyncio
+
+
+class WeightStore:
+    """Serves named weights at a limited rate.
+
+    :param bytes_s: bytes per second, in total
+    """
+
+    def __init__(
+        self,
+        *,
+        bytes_s: float,
+        sizes_by_name: dict[str, int],
+    ) -> None:
+        """Take the sizes of all weights in bytes."""
+        self.downloads = 0
+        self._bytes_s = bytes_s
+        self._sizes_by_name = sizes_by_name
+        self._free_at: float = 0
+
+    async def fetch(self, name: str) -> int:
+        """Wait until a download is done and return its size in bytes.
+
+        Raises ``KeyError`` for an unknown name.
+        """
+        size = self._sizes_by_name[name]
+        now = asyncio.get_running_loop().time()
+        self._free_at = max(self._free_at, now) + size / self._bytes_s
+        await asyncio.sleep(self._free_at - now)
+        self.downloads += 1
+        return size
