Place requests at homes and claim non-idempotent ones in the log

A retry reaches any router, and the owner of a slot may be paused or parted, so that neither may decide alone where a request runs. Before, nothing kept a key.

--- /dev/null
+++ b/src/dandelioncleat/core/home.py
@@ -0,0 +1,146 @@
+"""The home of a request's key: where it runs and how it ended."""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from functools import partial
+from typing import NamedTuple
+
+import xxhash
+
+from dandelioncleat.core.failure import Code
+from dandelioncleat.core.identity import (
+    Digest,
+    Incarnation,
+    RequestKey,
+    RunId,
+    request_key_of,
+)
+from dandelioncleat.core.message import (
+    Attach,
+    Begin,
+    Placed,
+    Refusal,
+    Report,
+)
+from dandelioncleat.core.slot import key_bytes
+
+MAX_KEYS = 100_000
+ATTACH_STEP = 'attach'
+
+
+def home_order(
+    request: RequestKey,
+    members: Iterable[Incarnation],
+) -> tuple[Incarnation, ...]:
+    """Order a service's sidecars as homes of a request, the first best.
+
+    The order of the others stays the same when one comes or goes.
+    """
+    key = key_bytes(request)
+    return tuple(sorted(members, key=partial(_rank, key)))
+
+
+class Placement(NamedTuple):
+    """What a home remembers of a request.
+
+    ``status`` is the HTTP status of a finished run, ``None`` before that.
+    ``open`` is false if the run never ran or its answer was lost, so that
+    another run may begin.
+    """
+
+    body: Digest
+    run: RunId
+    executor: Incarnation
+    attached_at: float
+    status: int | None = None
+    open: bool = True
+
+
+class Home:
+    """Places the idempotent requests whose home this process is."""
+
+    def __init__(
+        self,
+        incarnation: Incarnation,
+        *,
+        max_keys: int = MAX_KEYS,
+    ) -> None:
+        """Take the process's name and the number of keys to remember."""
+        self._incarnation = incarnation
+        self._max_keys = max_keys
+        self._placement_by_request: OrderedDict[RequestKey, Placement] = (
+            OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        """Return the number of requests that are remembered."""
+        return len(self._placement_by_request)
+
+    def attach(self, attach: Attach, now: float) -> Begin | Placed | Refusal:
+        """Begin a run of a request, or find the one that serves it.
+
+        :param now: monotonic time in seconds
+        """
+        known = self._placement_by_request.get(attach.request)
+        if known is None:
+            return self._begin(attach, 1, now)
+        if known.body != attach.body:
+            return conflict(self._incarnation)
+        if known.open:
+            self._keep(attach.request, known._replace(attached_at=now))
+            return Placed(known.run, known.executor)
+        return self._begin(attach, known.run.attempt + 1, now)
+
+    def report(self, report: Report) -> None:
+        """Note how a run ended; reports of earlier runs have no effect."""
+        request = request_key_of(report.run)
+        known = self._placement_by_request.get(request)
+        if known is None or known.run != report.run:
+            return
+        if known.status is not None and report.ran and report.status:
+            return
+        answered = report.ran and report.status > 0
+        self._placement_by_request[request] = known._replace(
+            status=report.status if answered else None,
+            open=answered,
+        )
+
+    def expire(self, before: float) -> None:
+        """Forget the requests that were last attached before a time."""
+        while self._placement_by_request:
+            request, oldest = next(iter(self._placement_by_request.items()))
+            if oldest.attached_at >= before:
+                return
+            self._placement_by_request.pop(request)
+
+    def _begin(self, attach: Attach, attempt: int, now: float) -> Begin:
+        run = RunId(
+            attach.request.organisation,
+            attach.request.key,
+            self._incarnation,
+            attempt,
+        )
+        placement = Placement(attach.body, run, attach.executor, now)
+        self._keep(attach.request, placement)
+        return Begin(run, attach.executor)
+
+    def _keep(self, request: RequestKey, placement: Placement) -> None:
+        self._placement_by_request[request] = placement
+        self._placement_by_request.move_to_end(request)
+        if len(self._placement_by_request) > self._max_keys:
+            self._placement_by_request.popitem(last=False)
+
+
+def conflict(home: Incarnation) -> Refusal:
+    """Refuse a key that came back with another body."""
+    return Refusal(
+        Code.CONFLICT,
+        ATTACH_STEP,
+        home,
+        'the key was used with another request',
+    )
+
+
+def _rank(key: bytes, member: Incarnation) -> tuple[int, Incarnation]:
+    weight = xxhash.xxh3_64_intdigest(b'\0'.join((member.encode(), key)))
+    return -weight, member
--- a/src/dandelioncleat/core/poison.py
+++ b/src/dandelioncleat/core/poison.py
@@ -27,9 +27,9 @@
 
     def __init__(self, state: QuarantineState | None = None) -> None:
         """Start empty, or from a state that ``snapshot`` returned."""
-        known = state or QuarantineState()
-        self._crashes: dict[str, None] = dict.fromkeys(known.crashes)
-        self._count_by_digest: dict[Digest, int] = dict(known.counts)
+        self._crashes: dict[str, None] = {}
+        self._count_by_digest: dict[Digest, int] = {}
+        self.restore(state or QuarantineState())
 
     def record(self, crash: Crash) -> bool:
         """Count a crash once; return whether it was new."""
@@ -62,6 +62,11 @@
             tuple(self._count_by_digest.items()),
         )
 
+    def restore(self, state: QuarantineState) -> None:
+        """Replace the state by that of a checkpoint."""
+        self._crashes = dict.fromkeys(state.crashes)
+        self._count_by_digest = dict(state.counts)
+
 
 def _forget_oldest(entries: dict[KeyT, Any], limit: int) -> None:
     while len(entries) > limit:
--- a/src/dandelioncleat/core/record.py
+++ b/src/dandelioncleat/core/record.py
@@ -141,11 +141,18 @@
 
 
 class TakeSlots(Record, frozen=True):
-    """Claims ownership of slots whose epochs are as stated."""
+    """Claims ownership of slots whose epochs are as stated.
+
+    ``window_s`` is how long claims of the slots are remembered, in seconds.
+    ``guarded`` says that the owner may run requests without a claim while
+    the log is out, for at most ``window_s`` since it last read the log.
+    """
 
     owner: Incarnation
     slots: tuple[int, ...]
     epochs: tuple[int, ...]
+    window_s: float = 3600.0
+    guarded: bool = False
 
 
 class Claim(Record, frozen=True):
@@ -160,11 +167,15 @@
 
 
 class Seal(Record, frozen=True):
-    """Closes a request that did not run, so that it never will."""
+    """Closes a claimed attempt that its executor sealed before it ran.
+
+    The attempt never will run, so that the request may be claimed again.
+    """
 
     request: RequestKey
     slot: int
     epoch: int
+    attempt: int
 
 
 class Outcome(Record, frozen=True):
--- /dev/null
+++ b/src/dandelioncleat/core/run.py
@@ -0,0 +1,226 @@
+"""The runs of an executor: their states and their bounded answers."""
+
+from collections import OrderedDict
+from enum import StrEnum
+from typing import NamedTuple
+
+import msgspec
+import xxhash
+from transitions import Machine
+
+from dandelioncleat.core.answer import Answer
+from dandelioncleat.core.identity import RunId, request_key_of
+from dandelioncleat.core.message import Chunk, Dispatch, Finished
+from dandelioncleat.core.slot import key_bytes
+
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+MAX_ENDED_RUNS = 10_000
+MAX_TRACES = 200_000
+
+
+class RunState(StrEnum):
+    """The states of a run; the last four are final."""
+
+    DISPATCHED = 'dispatched'
+    RUNNING = 'running'
+    FINISHED = 'finished'
+    CUT = 'cut'
+    CANCELLED = 'cancelled'
+    SEALED = 'sealed'
+
+
+OPEN_STATES = (RunState.DISPATCHED, RunState.RUNNING)
+UNSEEN_STATES = (RunState.DISPATCHED, RunState.SEALED)
+
+_MACHINE = Machine(
+    model=None,
+    states=list(RunState),
+    initial=RunState.DISPATCHED,
+    auto_transitions=False,
+    transitions=[
+        ['start', RunState.DISPATCHED, RunState.RUNNING],
+        ['finish', RunState.RUNNING, RunState.FINISHED],
+        ['cut', RunState.RUNNING, RunState.CUT],
+        ['cancel', RunState.RUNNING, RunState.CANCELLED],
+        ['seal', list(OPEN_STATES), RunState.SEALED],
+    ],
+)
+
+
+class Ending(NamedTuple):
+    """How a run ended; ``status`` 0 means that no status is known."""
+
+    status: int
+    content_type: str
+    prompt_tokens: int
+    output_tokens: int
+    tokens: int
+    reason: str
+
+
+class Run:
+    """One run of a request, with its answer so far."""
+
+    def __init__(self, dispatch: Dispatch) -> None:
+        """Take the order to run."""
+        self.dispatch = dispatch
+        self.state: RunState = RunState.DISPATCHED
+        self.answer = Answer()
+        self.ending: Ending | None = None
+
+    @property
+    def id(self) -> RunId:
+        """Return the run's name."""
+        return self.dispatch.run
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the run has not ended."""
+        return self.state in OPEN_STATES
+
+    @property
+    def began(self) -> bool:
+        """Return whether the target may have seen the request."""
+        return self.state not in UNSEEN_STATES
+
+    def start(self) -> None:
+        """Note that the request goes to the target."""
+        self._change('start')
+
+    def finish(self, ending: Ending) -> None:
+        """Note that the answer is whole."""
+        self._change('finish')
+        self.ending = ending
+
+    def cut(self, ending: Ending) -> None:
+        """Note that the target stopped before the answer was whole."""
+        self._change('cut')
+        self.ending = ending
+
+    def cancel(self, ending: Ending) -> None:
+        """Note that the run was stopped on demand."""
+        self._change('cancel')
+        self.ending = ending
+
+    def seal(self) -> None:
+        """Note that the request never will reach the target."""
+        self._change('seal')
+
+    def chunk(self, start: int) -> Chunk | None:
+        """Return the answer from a byte on, ``None`` if there is no more."""
+        part = self.answer.part(start)
+        if part is None:
+            return None
+        return Chunk(self.id, start, part.data, part.tokens)
+
+    def finished(self) -> Finished | None:
+        """Return the message that ends the answer, if it has ended."""
+        ending = self.ending
+        if ending is None:
+            return None
+        return Finished(
+            run=self.id,
+            status=ending.status,
+            content_type=ending.content_type,
+            size=self.answer.size,
+            prompt_tokens=ending.prompt_tokens,
+            output_tokens=ending.output_tokens,
+            tokens=ending.tokens,
+            reason=ending.reason,
+            complete=self.state is RunState.FINISHED,
+        )
+
+    def forget_body(self) -> None:
+        """Free the memory of the request's body."""
+        self.dispatch = msgspec.structs.replace(self.dispatch, body=b'')
+
+    def _change(self, trigger: str) -> None:
+        _MACHINE.events[trigger].trigger(self)
+
+
+class Trace(NamedTuple):
+    """What is left of a run whose details were forgotten."""
+
+    began: bool
+
+
+class Runs:
+    """Remembers runs; the answers of ended ones within a bound of bytes.
+
+    Of ended runs past the bound only a trace is kept, and past the bound
+    of traces nothing; ``complete`` is false from then on.
+    """
+
+    def __init__(
+        self,
+        *,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+        max_ended: int = MAX_ENDED_RUNS,
+        max_traces: int = MAX_TRACES,
+    ) -> None:
+        """Take the bounds of ended runs: bytes of answers, and their number."""
+        self.open_by_id: dict[RunId, Run] = {}
+        self.complete = True
+        self._ended_by_id: OrderedDict[RunId, Run] = OrderedDict()
+        self._began_by_hash: OrderedDict[int, bool] = OrderedDict()
+        self._kept: OrderedDict[RunId, Run] = OrderedDict()
+        self._kept_bytes = 0
+        self._max_answer_bytes = max_answer_bytes
+        self._max_ended = max_ended
+        self._max_traces = max_traces
+
+    @property
+    def running(self) -> int:
+        """Return the number of runs at the target."""
+        return sum(run.began for run in self.open_by_id.values())
+
+    def add(self, run: Run) -> None:
+        """Remember a run that was dispatched."""
+        self.open_by_id[run.id] = run
+
+    def get(self, run: RunId) -> Run | Trace | None:
+        """Return a run that is open or remembered, or its trace."""
+        known = self.open_by_id.get(run) or self._ended_by_id.get(run)
+        if known is not None:
+            return known
+        began = self._began_by_hash.get(_hash_of(run))
+        return None if began is None else Trace(began)
+
+    def mark_sealed(self, run: RunId) -> None:
+        """Remember that a run that was never seen will not begin."""
+        self._keep_trace(run, began=False)
+
+    def end(self, run: Run) -> None:
+        """Move a run that has ended to the bounded memory."""
+        run.forget_body()
+        self.open_by_id.pop(run.id, None)
+        self._ended_by_id[run.id] = run
+        self._kept[run.id] = run
+        self._kept_bytes += run.answer.size
+        self._shrink()
+
+    def _shrink(self) -> None:
+        while len(self._ended_by_id) > self._max_ended:
+            run_id, ended = self._ended_by_id.popitem(last=False)
+            self._keep_trace(run_id, began=ended.began)
+            self._forget_answer(run_id)
+        while self._kept_bytes > self._max_answer_bytes:
+            self._forget_answer(next(iter(self._kept)))
+
+    def _forget_answer(self, run_id: RunId) -> None:
+        run = self._kept.pop(run_id, None)
+        if run is not None:
+            self._kept_bytes -= run.answer.size
+            run.answer.forget()
+
+    def _keep_trace(self, run_id: RunId, *, began: bool) -> None:
+        self._began_by_hash[_hash_of(run_id)] = began
+        if len(self._began_by_hash) > self._max_traces:
+            self._began_by_hash.popitem(last=False)
+            self.complete = False
+
+
+def _hash_of(run: RunId) -> int:
+    request = key_bytes(request_key_of(run))
+    suffix = f'{run.home}#{run.attempt}'.encode()
+    return xxhash.xxh3_64_intdigest(b'\0'.join((suffix, request)))
