Decide on grants, bills and retirements in log order

The ledger folds top-ups, grants, returns and bills so that what is granted and billed never passes what was prepaid. A router reserves from a wallet and refills it from the ledger, from returns and from other routers. The follower of a stream hands its appends to a class of its own.

--- /dev/null
+++ b/src/dandelioncleat/app/_part_seeker.py
@@ -0,0 +1,76 @@
+"""Asks other routers for spare tokens of their grants."""
+
+import xxhash
+
+from dandelioncleat.app._purse import Purse
+from dandelioncleat.app.fleet import FleetKeeper
+from dandelioncleat.core.failure import FailureError
+from dandelioncleat.core.fleet import ROUTER, Member
+from dandelioncleat.core.identity import Draw, Incarnation
+from dandelioncleat.core.message import AskPart, Message, Part
+from dandelioncleat.ports.peer import Peers
+
+PEER_TIMEOUT_S = 0.5
+
+
+class PartSeeker:
+    """Collects parts of other routers' grants for a purse."""
+
+    def __init__(
+        self,
+        *,
+        incarnation: Incarnation,
+        fleet: FleetKeeper,
+        peers: Peers,
+    ) -> None:
+        """Take the router's name and how to reach the others."""
+        self._incarnation = incarnation
+        self._fleet = fleet
+        self._peers = peers
+
+    async def seek(self, purse: Purse) -> None:
+        """Ask one router after the other until the purse suffices."""
+        for member in self._routers_in_order(purse):
+            if not purse.need:
+                return
+            ask = AskPart(purse.budget, purse.need, self._incarnation)
+            answer = await self._call(member, ask)
+            if isinstance(answer, Part):
+                purse.add(*self._usable(answer.draws))
+
+    async def _call(self, member: Member, ask: AskPart) -> Message | None:
+        try:
+            return await self._peers.call(
+                member.join.address,
+                ask,
+                timeout_s=PEER_TIMEOUT_S,
+            )
+        except FailureError:
+            return None
+
+    def _usable(self, draws: tuple[Draw, ...]) -> tuple[Draw, ...]:
+        is_retired = self._fleet.fold.is_retired
+        return tuple(
+            draw for draw in draws if not is_retired(draw.grant.holder)
+        )
+
+    def _routers_in_order(self, purse: Purse) -> list[Member]:
+        own = self._fleet.fold.members_by_incarnation.get(self._incarnation)
+        data_centre = own.join.data_centre if own else ''
+        others = (
+            member
+            for member in self._fleet.fold.live(ROUTER)
+            if member.join.incarnation != self._incarnation
+        )
+        return sorted(
+            others,
+            key=lambda member: (
+                member.join.data_centre != data_centre,
+                _weight(purse, member),
+            ),
+        )
+
+
+def _weight(purse: Purse, member: Member) -> int:
+    router = member.join.incarnation
+    return xxhash.xxh64_intdigest(f'{purse.budget} {router}'.encode())
--- /dev/null
+++ b/src/dandelioncleat/app/_purses.py
@@ -0,0 +1,121 @@
+"""All purses of a router, and what is done to them as time passes."""
+
+import asyncio
+from collections.abc import Callable
+
+from dandelioncleat.app._purse import Purse
+from dandelioncleat.app._refill import Refiller
+from dandelioncleat.app._shards import Shards
+from dandelioncleat.app._task_scope import TaskScope
+from dandelioncleat.app.fleet import FleetKeeper
+from dandelioncleat.core.configuration import Configuration
+from dandelioncleat.core.grant_policy import renews, surplus, transfers
+from dandelioncleat.core.identity import BudgetId, Incarnation
+from dandelioncleat.core.ledger_verdict import Denied, LedgerVerdict
+from dandelioncleat.core.record import LedgerRecord, RequestGrant, TopUp
+
+RENEW_INTERVAL_S = 1.0
+INITIAL_REFERENCE = 'initial'
+
+
+class Purses:
+    """Renews, returns and drops tokens of the purses that it keeps."""
+
+    def __init__(
+        self,
+        *,
+        incarnation: Incarnation,
+        configuration: Callable[[], Configuration],
+        shards: Shards,
+        fleet: FleetKeeper,
+        refiller: Refiller,
+        scope: TaskScope,
+    ) -> None:
+        """Take the router's name and where tokens come from."""
+        self.by_budget: dict[BudgetId, Purse] = {}
+        self._incarnation = incarnation
+        self._configuration = configuration
+        self._shards = shards
+        self._fleet = fleet
+        self._refiller = refiller
+        self._scope = scope
+        shards.on_record(self._note_record)
+        shards.on_change(self._wake)
+        fleet.on_change(self.drop_retired)
+
+    def of(self, budget: BudgetId) -> Purse:
+        """Return the purse of a budget; make it if there is none."""
+        purse = self.by_budget.get(budget)
+        if purse is None:
+            purse = Purse(budget, asyncio.get_running_loop().time())
+            self.by_budget[budget] = purse
+        return purse
+
+    def refill(self, purse: Purse) -> None:
+        """Get tokens for the requests that wait."""
+        if purse.refilling is None or purse.refilling.done():
+            purse.refilling = self._scope.spawn(self._refiller.fill(purse))
+
+    def renew(self, purse: Purse) -> None:
+        """Ask for more tokens early if few are held."""
+        now = asyncio.get_running_loop().time()
+        if now < purse.renew_after:
+            return
+        demand = self._refiller.demand(purse)
+        if demand.left > 0 and renews(self._refiller.policy, demand):
+            purse.renew_after = now + RENEW_INTERVAL_S
+            self._refiller.start_asking(purse)
+
+    def add_initial_budgets(self) -> None:
+        """Append the first top-up of each organisation that lacks it."""
+        organisations = self._configuration().organisations_by_name
+        for name, organisation in organisations.items():
+            budget = BudgetId(name)
+            shard = self._shards.of(budget)
+            is_known = shard.fold.has_reference(budget, INITIAL_REFERENCE)
+            if organisation.budget and shard.is_available and not is_known:
+                top_up = TopUp(budget, organisation.budget, INITIAL_REFERENCE)
+                self._scope.spawn(shard.follower.submit(top_up))
+
+    def return_surplus(self) -> None:
+        """Return tokens that the recent rate does not need."""
+        for purse in self.by_budget.values():
+            demand = self._refiller.demand(purse)
+            tokens = surplus(self._refiller.policy, demand)
+            if tokens > 0 and self._shards.of(purse.budget).is_available:
+                self._scope.spawn(self._refiller.give_back(purse, tokens))
+
+    async def return_all(self) -> None:
+        """Return all spendable tokens and wait for the ledger."""
+        async with asyncio.TaskGroup() as group:
+            for purse in tuple(self.by_budget.values()):
+                group.create_task(
+                    self._refiller.give_back(purse, purse.wallet.spendable),
+                )
+
+    def drop_retired(self) -> None:
+        """Drop the tokens of retired holders, which sidecars refuse."""
+        for holder in self._fleet.fold.retired_by_holder:
+            for purse in self.by_budget.values():
+                purse.wallet.drop_holder(holder)
+
+    def _wake(self) -> None:
+        for purse in self.by_budget.values():
+            if purse.is_waited_for:
+                purse.serve()
+
+    def _note_record(
+        self,
+        record: LedgerRecord,
+        verdict: LedgerVerdict,
+    ) -> None:
+        # A denied grant is the sign that another router is short.
+        if isinstance(record, RequestGrant) and isinstance(verdict, Denied):
+            purse = self.by_budget.get(record.budget)
+            if purse and record.grant.holder != self._incarnation:
+                self._help(purse)
+
+    def _help(self, purse: Purse) -> None:
+        spare = purse.wallet.spendable
+        if spare and self._scope.is_open and transfers(self._refiller.policy):
+            self._scope.spawn(self._refiller.give_back(purse, spare))
--- /dev/null
+++ b/src/dandelioncleat/app/_second_source.py
@@ -0,0 +1,76 @@
+"""Bills that another process sends first, kept until its bill appears."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from dandelioncleat.app._shards import Shards
+from dandelioncleat.app.billing import BillSender
+from dandelioncleat.core.configuration import Configuration
+from dandelioncleat.core.identity import Incarnation, RunId
+from dandelioncleat.core.ledger_verdict import LedgerVerdict
+from dandelioncleat.core.record import Bill, LedgerRecord
+from dandelioncleat.ports.log import Log
+
+DELAY_S = 2.0
+
+
+class _HeldBill(NamedTuple):
+    """A bill and the time from which on it is sent, in seconds."""
+
+    due: float
+    bill: Bill
+
+
+class SecondSource:
+    """Sends a router's bill of a run unless the executor's bill appears."""
+
+    def __init__(
+        self,
+        *,
+        log: Log,
+        incarnation: Incarnation,
+        configuration: Callable[[], Configuration],
+        shards: Shards,
+    ) -> None:
+        """Take the log and the shards in which bills appear."""
+        self.sender = BillSender(
+            log=log,
+            incarnation=incarnation,
+            configuration=configuration,
+        )
+        self._shards = shards
+        self._held_by_run: dict[RunId, _HeldBill] = {}
+        shards.on_record(self._note_record)
+
+    def hold(self, bill: Bill) -> None:
+        """Keep a bill for a while, then send it."""
+        due = asyncio.get_running_loop().time() + DELAY_S
+        self._held_by_run[bill.run] = _HeldBill(due, bill)
+
+    def send_due(self) -> None:
+        """Send what is due, once the ledger is read up to now."""
+        now = asyncio.get_running_loop().time()
+        for held in tuple(self._held_by_run.values()):
+            shard = self._shards.of(held.bill.budget)
+            if held.due <= now and shard.is_available:
+                self._send(held.bill)
+
+    async def flush(self) -> None:
+        """Send all bills and wait until they are in the log."""
+        for held in tuple(self._held_by_run.values()):
+            self._send(held.bill)
+        await self.sender.flush()
+
+    def _send(self, bill: Bill) -> None:
+        self._held_by_run.pop(bill.run, None)
+        if not self._shards.of(bill.budget).fold.knows_run(bill.run):
+            self.sender.submit(bill)
+
+    def _note_record(
+        self,
+        record: LedgerRecord,
+        verdict: LedgerVerdict,
+    ) -> None:
+        if isinstance(record, Bill):
+            self._held_by_run.pop(record.run, None)
--- /dev/null
+++ b/src/dandelioncleat/app/_task_scope.py
@@ -0,0 +1,36 @@
+"""A place for tasks that a component starts while it runs."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from dandelioncleat.core.failure import Code, failure_error
+
+
+class TaskScope:
+    """Starts tasks in the group of the component's ``run``."""
+
+    def __init__(self) -> None:
+        """Start closed."""
+        self._group: asyncio.TaskGroup | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether tasks can be started."""
+        return self._group is not None
+
+    def open(self, group: asyncio.TaskGroup) -> None:
+        """Start tasks in ``group`` from now on."""
+        self._group = group
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Start a task."""
+        if self._group is None:
+            work.close()
+            raise failure_error(
+                Code.NOT_READY,
+                step='spawn',
+                peer='',
+                text='the component does not run',
+            )
+        return self._group.create_task(work)
--- /dev/null
+++ b/src/dandelioncleat/app/budgets.py
@@ -0,0 +1,220 @@
+"""The budgets at one router: reserve before a run, settle after it."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from dandelioncleat.app._part_seeker import PartSeeker
+from dandelioncleat.app._purse import Purse
+from dandelioncleat.app._purses import Purses
+from dandelioncleat.app._refill import Refiller
+from dandelioncleat.app._second_source import SecondSource
+from dandelioncleat.app._shards import Shards
+from dandelioncleat.app._task_scope import TaskScope
+from dandelioncleat.app.fleet import FleetKeeper
+from dandelioncleat.core.account import Balance
+from dandelioncleat.core.configuration import Configuration
+from dandelioncleat.core.failure import Code, failure_error
+from dandelioncleat.core.grant_policy import spare_part
+from dandelioncleat.core.identity import BudgetId, Draw, Incarnation
+from dandelioncleat.core.message import AskPart, Part, Refusal
+from dandelioncleat.core.record import Bill
+from dandelioncleat.ports.log import Log
+from dandelioncleat.ports.peer import Peers
+
+TICK_S = 1.0
+
+
+class BudgetState(NamedTuple):
+    """A budget in the ledger and what this router holds of it."""
+
+    balance: Balance
+    spendable: int
+    reserved: int
+
+
+class Budgets:
+    """Holds grants of budgets and spends from them."""
+
+    def __init__(
+        self,
+        *,
+        log: Log,
+        incarnation: Incarnation,
+        configuration: Callable[[], Configuration],
+        fleet: FleetKeeper,
+        peers: Peers,
+    ) -> None:
+        """Take the router's name and the processes that it talks to."""
+        self._incarnation = incarnation
+        self._fleet = fleet
+        self._scope = TaskScope()
+        self._shards = Shards(
+            log=log,
+            producer=incarnation,
+            configuration=configuration,
+        )
+        self._refiller = Refiller(
+            incarnation=incarnation,
+            configuration=configuration,
+            shards=self._shards,
+            fleet=fleet,
+            seeker=PartSeeker(
+                incarnation=incarnation,
+                fleet=fleet,
+                peers=peers,
+            ),
+            scope=self._scope,
+        )
+        self._purses = Purses(
+            incarnation=incarnation,
+            configuration=configuration,
+            shards=self._shards,
+            fleet=fleet,
+            refiller=self._refiller,
+            scope=self._scope,
+        )
+        self._bills = SecondSource(
+            log=log,
+            incarnation=incarnation,
+            configuration=configuration,
+            shards=self._shards,
+        )
+
+    @property
+    def caught_up(self) -> bool:
+        """Return whether every ledger shard was read to its end once."""
+        return self._shards.are_caught_up
+
+    @property
+    def is_fenced(self) -> bool:
+        """Return whether this router's own grants are refused."""
+        return self._fleet.fold.is_retired(self._incarnation)
+
+    async def reserve(
+        self,
+        budget: BudgetId,
+        tokens: int,
+        *,
+        timeout_s: float,
+    ) -> tuple[Draw, ...]:
+        """Reserve tokens for a run, in time or not at all.
+
+        Raises ``FailureError`` with code ``budget`` where too little is
+        left, and with code ``log`` where that cannot be found out.
+        """
+        self._check_usable()
+        purse = self._purses.of(budget)
+        purse.used_at = asyncio.get_running_loop().time()
+        draws = purse.reserve(tokens)
+        if draws is None:
+            draws = await self._wait(purse, tokens, timeout_s)
+        self._purses.renew(purse)
+        return draws
+
+    def settle(
+        self,
+        budget: BudgetId,
+        draws: tuple[Draw, ...],
+        tokens: int,
+    ) -> None:
+        """End a reservation of which ``tokens`` were spent."""
+        now = asyncio.get_running_loop().time()
+        self._purses.of(budget).settle(draws, tokens, now)
+        self._purses.drop_retired()
+
+    def forfeit(self, budget: BudgetId, draws: tuple[Draw, ...]) -> None:
+        """End a reservation whose spending is unknown; it stays charged."""
+        now = asyncio.get_running_loop().time()
+        self._purses.of(budget).forfeit(draws, now)
+
+    async def bill(self, bill: Bill) -> None:
+        """Queue a bill of a run that this router streamed.
+
+        The executor bills first; this bill is sent only if the executor's
+        does not appear in the ledger.
+        """
+        self._bills.hold(bill)
+
+    def pass_part(self, ask: AskPart) -> Part | Refusal:
+        """Pass spare tokens to another router; they are deducted at once."""
+        purse = self._purses.of(ask.budget)
+        demand = self._refiller.demand(purse)
+        spare = spare_part(self._refiller.policy, demand, ask.tokens)
+        is_trusted = not self._fleet.fold.is_retired(ask.holder)
+        if spare > 0 and is_trusted and not self.is_fenced:
+            return Part(ask.budget, purse.wallet.take(spare))
+        return Refusal(
+            Code.BUDGET,
+            'pass_part',
+            self._incarnation,
+            f'no tokens of {ask.budget} to spare',
+        )
+
+    async def return_all(self) -> None:
+        """Send the held bills and return all spendable tokens."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._bills.flush())
+            group.create_task(self._purses.return_all())
+
+    def balances(self) -> dict[BudgetId, BudgetState]:
+        """Return the state of every budget in the ledger, by budget."""
+        return {
+            budget: self._state(budget, account.balance)
+            for shard in self._shards.by_number.values()
+            for budget, account in shard.fold.accounts.by_budget.items()
+        }
+
+    async def run(self) -> None:
+        """Follow the ledger and keep the grants until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            self._scope.open(group)
+            group.create_task(self._bills.sender.run())
+            while True:
+                self._shards.start(group)
+                self._bills.send_due()
+                if not self.is_fenced:
+                    self._purses.add_initial_budgets()
+                    self._purses.return_surplus()
+                await asyncio.sleep(TICK_S)
+
+    async def _wait(
+        self,
+        purse: Purse,
+        tokens: int,
+        timeout_s: float,
+    ) -> tuple[Draw, ...]:
+        waiter = purse.new_waiter(tokens)
+        self._purses.refill(purse)
+        try:
+            return await purse.wait(waiter, timeout_s)
+        except TimeoutError as error:
+            raise failure_error(
+                Code.LOG,
+                step='reserve',
+                peer='ledger',
+                text=f'no grant of {purse.budget} in {timeout_s} s',
+            ) from error
+
+    def _check_usable(self) -> None:
+        if self.is_fenced:
+            raise failure_error(
+                Code.FENCED,
+                step='reserve',
+                peer=self._incarnation,
+                text='the grants of this process are retired',
+            )
+        if not self._scope.is_open:
+            raise failure_error(
+                Code.NOT_READY,
+                step='reserve',
+                peer=self._incarnation,
+                text='the budgets are not followed yet',
+            )
+
+    def _state(self, budget: BudgetId, balance: Balance) -> BudgetState:
+        purse = self._purses.by_budget.get(budget)
+        if purse is None:
+            return BudgetState(balance, 0, 0)
+        wallet = purse.wallet
+        return BudgetState(balance, wallet.spendable, wallet.reserved)
--- a/src/dandelioncleat/app/stream.py
+++ b/src/dandelioncleat/app/stream.py
@@ -6,10 +6,11 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any, Generic, NamedTuple, TypeVar
+from typing import Generic, TypeVar
 
 import msgspec
 
+from dandelioncleat.app._appender import RETRY_DELAY_S, Appender
 from dandelioncleat.core.deduplication import SequenceMarks
 from dandelioncleat.core.envelope import Codec, Envelope
 from dandelioncleat.core.failure import FailureError
@@ -21,7 +22,6 @@
 VerdictT = TypeVar('VerdictT')
 
 READ_WAIT_S = 10.0
-RETRY_DELAY_S = 0.25
 
 
 class StreamFollower(Generic[RecordT, VerdictT]):
@@ -42,84 +42,62 @@
         self.position = 0
         self.caught_up = asyncio.Event()
         self.undecodable_entries = 0
-        self.log_failing = False
+        self.marks = SequenceMarks()
         self._log = log
         self._codec = codec
-        self._producer = producer
-        self._marks = SequenceMarks()
-        self._sequence = 0
-        self._pending: list[_Submission[RecordT, VerdictT]] = []
-        self._in_flight: _Flight[RecordT, VerdictT] | None = None
-        self._work = asyncio.Event()
+        self._failing_since: float | None = None
+        self._appender: Appender[RecordT, VerdictT] = Appender(
+            log=log,
+            name=name,
+            codec=codec,
+            producer=producer,
+            on_failure=self._note_failure,
+        )
         self._listeners: list[Callable[[], None]] = []
+        self._record_listeners: list[Callable[[RecordT, VerdictT], None]] = []
+
+    @property
+    def log_failing(self) -> bool:
+        """Return whether the last call to the log failed."""
+        return self._failing_since is not None
+
+    def failing_for_s(self) -> float:
+        """Return for how many seconds every call to the log has failed."""
+        if self._failing_since is None:
+            return 0
+        return asyncio.get_running_loop().time() - self._failing_since
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each page of entries was applied."""
         self._listeners.append(listener)
 
+    def on_record(
+        self,
+        listener: Callable[[RecordT, VerdictT], None],
+    ) -> None:
+        """Call ``listener`` with each record that was applied."""
+        self._record_listeners.append(listener)
+
     async def submit(self, *records: RecordT) -> tuple[VerdictT, ...]:
         """Append records and return their verdicts once read back.
 
         A caller that stops waiting does not take the records back.
         """
-        future: asyncio.Future[tuple[VerdictT, ...]] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self._pending.append(_Submission(records, future))
-        self._work.set()
-        return await future
-
-    async def read_forever(self) -> None:
-        """Read the stream until cancelled."""
-        while True:
-            try:
-                await self._read_page()
-            except FailureError:
-                self.log_failing = True
-                await asyncio.sleep(RETRY_DELAY_S)
-
-    async def append_forever(self) -> None:
-        """Append what is submitted until cancelled, one entry at a time."""
-        while True:
-            await self._work.wait()
-            self._work.clear()
-            if self._in_flight is None and self._pending:
-                self._in_flight = self._next_flight()
-            if self._in_flight is not None:
-                await self._append_flight(self._in_flight)
-                self._work.set()
+        return await self._appender.submit(records)
 
     async def run(self) -> None:
         """Read and append until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self.read_forever())
-            group.create_task(self.append_forever())
-
-    def _next_flight(self) -> '_Flight[RecordT, VerdictT]':
-        submissions = tuple(self._pending)
-        self._pending.clear()
-        self._sequence += 1
-        records = tuple(
-            record
-            for submission in submissions
-            for record in submission.records
-        )
-        envelope = Envelope(self._producer, self._sequence, records)
-        return _Flight(envelope, submissions, asyncio.Event())
+            group.create_task(self._read_forever())
+            group.create_task(self._appender.run())
 
-    async def _append_flight(
-        self,
-        flight: '_Flight[RecordT, VerdictT]',
-    ) -> None:
-        data = self._codec.encode((flight.envelope,))
-        while not flight.read_back.is_set():
+    async def _read_forever(self) -> None:
+        while True:
             try:
-                await self._log.append(self.name, data)
+                await self._read_page()
             except FailureError:
-                self.log_failing = True
-                await _wait_at_most(flight.read_back, RETRY_DELAY_S)
-                continue
-            await flight.read_back.wait()
+                self._note_failure()
+                await asyncio.sleep(RETRY_DELAY_S)
 
     async def _read_page(self) -> None:
         page = await self._log.read(
@@ -127,7 +105,7 @@
             start=self.position,
             wait_s=READ_WAIT_S if self.caught_up.is_set() else 0,
         )
-        self.log_failing = False
+        self._failing_since = None
         for entry in page.entries:
             self._apply_entry(entry)
             self.position = entry.offset + 1
@@ -144,7 +122,7 @@
             self.undecodable_entries += 1
             return
         for envelope in envelopes:
-            if self._marks.admit(envelope.producer, envelope.sequence):
+            if self.marks.admit(envelope.producer, envelope.sequence):
                 self._apply_envelope(entry, envelope)
 
     def _apply_envelope(
@@ -153,50 +131,27 @@
         envelope: Envelope[RecordT],
     ) -> None:
         verdicts = tuple(
-            self.fold.apply(
-                entry.offset,
-                entry.appended_at,
-                envelope.producer,
-                record,
-            )
+            self._apply_record(entry, envelope.producer, record)
             for record in envelope.records
         )
-        flight = self._in_flight
-        if flight is None or envelope.producer != self._producer:
-            return
-        if envelope.sequence == flight.envelope.sequence:
-            flight.resolve(verdicts)
-            self._in_flight = None
-
-
-class _Submission(NamedTuple, Generic[RecordT, VerdictT]):
-    """Records that a caller handed over and waits for."""
-
-    records: tuple[RecordT, ...]
-    future: 'asyncio.Future[tuple[VerdictT, ...]]'
-
-
-class _Flight(NamedTuple, Generic[RecordT, VerdictT]):
-    """The one envelope that is being appended."""
-
-    envelope: Envelope[RecordT]
-    submissions: tuple[_Submission[RecordT, VerdictT], ...]
-    read_back: asyncio.Event
-
-    def resolve(self, verdicts: tuple[VerdictT, ...]) -> None:
-        """Give every submission its part of the verdicts."""
-        start = 0
-        for submission in self.submissions:
-            end = start + len(submission.records)
-            if not submission.future.done():
-                submission.future.set_result(verdicts[start:end])
-            start = end
-        self.read_back.set()
+        self._appender.read_back(envelope, verdicts)
 
+    def _apply_record(
+        self,
+        entry: Entry,
+        producer: Incarnation,
+        record: RecordT,
+    ) -> VerdictT:
+        verdict = self.fold.apply(
+            entry.offset,
+            entry.appended_at,
+            producer,
+            record,
+        )
+        for listener in self._record_listeners:
+            listener(record, verdict)
+        return verdict
 
-async def _wait_at_most(event: asyncio.Event, timeout_s: float) -> Any:
-    try:
-        await asyncio.wait_for(event.wait(), timeout_s)
-    except TimeoutError:
-        return False
-    return True
+    def _note_failure(self) -> None:
+        if self._failing_since is None:
+            self._failing_since = asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/dandelioncleat/core/grant_policy.py
@@ -0,0 +1,154 @@
+"""Policies that size grants: when to ask, for how much, what to give back."""
+
+from typing import NamedTuple
+
+from msgspec import Struct
+
+from dandelioncleat.core.configuration import BudgetPreference, Policy
+
+REFUSALS_SHARE_FACTOR = 1.6
+MAX_SHARE = 0.9
+SURPLUS_FACTOR = 2.0
+IDLE_RETURN_S = 300.0
+MIN_SURPLUS_SHARE = 0.25
+PART_KEEP_S = 2.0
+
+
+class Demand(NamedTuple):
+    """What a router knows of a budget when it decides.
+
+    :param need: tokens that waiting requests miss
+    :param spendable: tokens held and not reserved
+    :param granted: tokens granted to this router so far
+    :param rate: tokens spent in a second, recently
+    :param idle_s: seconds since a request last reserved tokens
+    :param left: tokens that the ledger can still grant
+    :param topped_up: all prepaid tokens
+    :param routers: live routers
+    """
+
+    need: int
+    spendable: int
+    granted: int
+    rate: float
+    idle_s: float
+    left: int
+    topped_up: int
+    routers: int
+
+
+class Adaptive(Struct, frozen=True):
+    """Holds what the recent rate needs, within a share of what is left.
+
+    :param tokens: size of the first grant, before there is a rate
+    :param share: most of what is left that all routers take together
+    :param hold_s: time for which the held tokens should last
+    """
+
+    tokens: int
+    share: float
+    hold_s: float
+
+
+class Fixed(Struct, frozen=True):
+    """Asks for a set number of tokens whenever a request needs some."""
+
+    tokens: int
+
+
+class StaticSplit(Struct, frozen=True):
+    """Gives each router an equal part of the top-ups and no more."""
+
+
+GrantPolicy = Adaptive | Fixed | StaticSplit
+
+NAMES = ('adaptive', 'fixed', 'static_split')
+
+
+def new_grant_policy(policy: Policy) -> GrantPolicy:
+    """Return the policy that an operator's settings name."""
+    match policy.grant_policy:
+        case 'fixed':
+            return Fixed(policy.grant_tokens)
+        case 'static_split':
+            return StaticSplit()
+        case _:
+            return Adaptive(
+                policy.grant_tokens,
+                _preferred_share(policy),
+                policy.grant_hold_s,
+            )
+
+
+def grant_size(policy: GrantPolicy, demand: Demand) -> int:
+    """Return the tokens to ask for; at least what is needed, or 0."""
+    match policy:
+        case Adaptive():
+            target = _target(policy, demand)
+            return max(demand.need, target - demand.spendable)
+        case Fixed():
+            return max(demand.need, policy.tokens)
+        case StaticSplit():
+            return _static_rest(demand)
+
+
+def renews(policy: GrantPolicy, demand: Demand) -> bool:
+    """Return whether to ask for tokens before any request waits."""
+    match policy:
+        case Adaptive():
+            return 2 * demand.spendable < _target(policy, demand)
+        case Fixed() | StaticSplit():
+            return False
+
+
+def surplus(policy: GrantPolicy, demand: Demand) -> int:
+    """Return the spendable tokens that should go back to the ledger."""
+    match policy:
+        case Adaptive():
+            tokens = demand.spendable - _kept(policy, demand)
+            is_worth_it = tokens > MIN_SURPLUS_SHARE * demand.spendable
+            return tokens if is_worth_it else 0
+        case Fixed() | StaticSplit():
+            return 0
+
+
+def spare_part(policy: GrantPolicy, demand: Demand, asked: int) -> int:
+    """Return the tokens to pass to a peer that asked for some."""
+    match policy:
+        case Adaptive():
+            kept = min(demand.spendable // 2, int(demand.rate * PART_KEEP_S))
+            return max(0, min(asked, demand.spendable - kept - demand.need))
+        case Fixed() | StaticSplit():
+            return 0
+
+
+def transfers(policy: GrantPolicy) -> bool:
+    """Return whether routers pass tokens on to each other when short."""
+    return isinstance(policy, Adaptive)
+
+
+def _preferred_share(policy: Policy) -> float:
+    match policy.preference:
+        case BudgetPreference.REFUSALS:
+            return min(MAX_SHARE, policy.grant_share * REFUSALS_SHARE_FACTOR)
+        case BudgetPreference.LEDGER:
+            return policy.grant_share
+
+
+def _target(policy: Adaptive, demand: Demand) -> int:
+    wanted = max(demand.rate * policy.hold_s, policy.tokens)
+    available = demand.left + demand.spendable
+    bound = policy.share * available / max(demand.routers, 1)
+    return int(min(wanted, bound))
+
+
+def _kept(policy: Adaptive, demand: Demand) -> int:
+    needed = demand.rate * policy.hold_s
+    if demand.idle_s < IDLE_RETURN_S:
+        return int(SURPLUS_FACTOR * max(policy.tokens, needed))
+    return int(needed)
+
+
+def _static_rest(demand: Demand) -> int:
+    part = demand.topped_up // max(demand.routers, 1)
+    return max(0, part - demand.granted)
