--- a/src/dandelioncleat/app/stream.py
+++ b/src/dandelioncleat/app/stream.py
@@ -144,7 +144,7 @@
     ) -> VerdictT:
         verdict = self.fold.apply(
             entry.offset,
-            entry.appended_at,
+            float(entry.appended_at),
             producer,
             record,
         )
