Test the budgets of racing, parted and stopped routers on virtual time

A call on a memory network was not entered with its endpoint, so that its end raised ValueError; it is entered now. Four routers spend a budget of 1,003 tokens in requests of ten to 1,000 exactly, with no other refusals.

--- a/src/dandelioncleat/adapters/memory_peers.py
+++ b/src/dandelioncleat/adapters/memory_peers.py
@@ -90,6 +90,7 @@
         endpoint = await self._reach(address)
         context = CallContext(self._incarnation, self._version(), traceparent)
         queue: asyncio.Queue[_Sent] = asyncio.Queue()
+        endpoint.calls.append(queue)
         pump = asyncio.create_task(
             self._pump(
                 address, endpoint.handler.answer(message, context), queue
--- a/src/dandelioncleat/app/_shards.py
+++ b/src/dandelioncleat/app/_shards.py
@@ -63,10 +63,14 @@
     def on_record(self, listener: RecordListener) -> None:
         """Call ``listener`` with each record of every shard."""
         self._listeners.append(listener)
+        for shard in self.by_number.values():
+            shard.follower.on_record(listener)
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after entries of a shard were applied."""
         self._change_listeners.append(listener)
+        for shard in self.by_number.values():
+            shard.follower.on_change(listener)
 
     def of(self, budget: BudgetId) -> Shard:
         """Return the shard of a budget; follow it from now on."""
--- a/src/dandelioncleat/app/budgets.py
+++ b/src/dandelioncleat/app/budgets.py
@@ -49,7 +49,7 @@
         self._incarnation = incarnation
         self._fleet = fleet
         self._scope = TaskScope()
-        self._shards = Shards(
+        self.shards = Shards(
             log=log,
             producer=incarnation,
             configuration=configuration,
@@ -57,7 +57,7 @@
         self._refiller = Refiller(
             incarnation=incarnation,
             configuration=configuration,
-            shards=self._shards,
+            shards=self.shards,
             fleet=fleet,
             seeker=PartSeeker(
                 incarnation=incarnation,
@@ -69,7 +69,7 @@
         self._purses = Purses(
             incarnation=incarnation,
             configuration=configuration,
-            shards=self._shards,
+            shards=self.shards,
             fleet=fleet,
             refiller=self._refiller,
             scope=self._scope,
@@ -78,13 +78,13 @@
             log=log,
             incarnation=incarnation,
             configuration=configuration,
-            shards=self._shards,
+            shards=self.shards,
         )
 
     @property
     def caught_up(self) -> bool:
         """Return whether every ledger shard was read to its end once."""
-        return self._shards.are_caught_up
+        return self.shards.are_caught_up
 
     @property
     def is_fenced(self) -> bool:
@@ -161,7 +161,7 @@
         """Return the state of every budget in the ledger, by budget."""
         return {
             budget: self._state(budget, account.balance)
-            for shard in self._shards.by_number.values()
+            for shard in self.shards.by_number.values()
             for budget, account in shard.fold.accounts.by_budget.items()
         }
 
@@ -171,7 +171,7 @@
             self._scope.open(group)
             group.create_task(self._bills.sender.run())
             while True:
-                self._shards.start(group)
+                self.shards.start(group)
                 self._bills.send_due()
                 if not self.is_fenced:
                     self._purses.add_initial_budgets()
--- /dev/null
+++ b/tests/test_budgets.py
@@ -0,0 +1,292 @@
+"""Tests of the budgets of several routers that share a log."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
+
+from dandelioncleat.adapters.virtual_time import run
+from dandelioncleat.core.failure import Code, FailureError
+from dandelioncleat.core.identity import BudgetId, Draw, GrantId
+from dandelioncleat.core.record import Bill, Retire, TopUp
+from dandelioncleat.standin.log import MemoryLog
+from tests.builders.budgets import BudgetRouter, running_routers
+from tests.builders.ledger import BUDGET, bill_of
+
+Scenario = Callable[[list[BudgetRouter]], Awaitable[None]]
+
+
+class Spender:
+    """Runs requests at routers and counts what they consume."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.consumed = 0
+        self.refusals: list[Code] = []
+        self.generator = random.Random(seed)
+        self.numbers = 0
+
+    async def request(
+        self,
+        router: BudgetRouter,
+        worst: int,
+        *,
+        used: int | None = None,
+        run_s: float = 0.05,
+    ) -> bool:
+        """Reserve, run, bill as a sidecar does, and settle."""
+        try:
+            draws = await router.budgets.reserve(BUDGET, worst, timeout_s=5)
+        except FailureError as error:
+            self.refusals.append(error.failure.code)
+            return False
+        tokens = worst if used is None else used
+        self.consumed += tokens
+        await asyncio.sleep(run_s)
+        self.numbers += 1
+        bill = bill_of(f'key-{self.numbers}', tokens)
+        await router.budgets.bill(with_draws(bill, draws))
+        router.budgets.settle(BUDGET, draws, tokens)
+        return True
+
+
+def with_draws(bill: Bill, draws: tuple[Draw, ...]) -> Bill:
+    return Bill(bill.budget, bill.run, draws, bill.tokens, bill.source)
+
+
+class BudgetsTest(TestCase):
+    def run_routers(
+        self,
+        scenario: Scenario,
+        *,
+        count: int = 3,
+        budget: int = 1000,
+        log: MemoryLog | None = None,
+        **policy: object,
+    ) -> None:
+        async def main() -> None:
+            shared = log or MemoryLog()
+            routers = running_routers(shared, count, budget, **policy)
+            async with asyncio.timeout(20000), routers as started:
+                await scenario(started)
+
+        run(main())
+
+    def left_of(self, router: BudgetRouter) -> int:
+        return router.budgets.balances()[BUDGET].balance.left
+
+    def test_the_initial_budget_is_added_once(self) -> None:
+        async def scenario(routers: list[BudgetRouter]) -> None:
+            await asyncio.sleep(5)
+            for router in routers:
+                balance = router.budgets.balances()[BUDGET].balance
+                self.assertThat(balance.topped_up, Equals(1000))
+
+        self.run_routers(scenario)
+
+    def test_all_routers_spend_a_budget_to_its_last_token(self) -> None:
+        spender = Spender()
+
+        async def scenario(routers: list[BudgetRouter]) -> None:
+            async def caller(router: BudgetRouter) -> None:
+                for _ in range(60):
+                    await spender.request(router, 10, run_s=0.01)
+
+            await asyncio.gather(*[caller(router) for router in routers])
+
+        self.run_routers(scenario, count=4, budget=1003)
+        self.assertThat(spender.consumed, Equals(1000))
+        self.assertThat(set(spender.refusals), Equals({Code.BUDGET}))
+
+    def test_requests_too_large_for_one_share_gather_all_shares(self) -> None:
+        spender = Spender()
+
+        async def scenario(routers: list[BudgetRouter]) -> None:
+            for router in routers:
+                await spender.request(router, 10)
+            await spender.request(routers[0], 900, used=900)
+
+        self.run_routers(scenario)
+        self.assertThat(spender.refusals, HasLength(0))
+
+    def test_two_large_requests_do_not_keep_parts_from_each_other(
+        self,
+    ) -> None:
+        spender = Spender()
+
+        async def scenario(routers: list[BudgetRouter]) -> None:
+            for router in routers:
+                await spender.request(router, 10)
+            await asyncio.gather(
+                spender.request(routers[0], 600),
+                spender.request(routers[1], 600),
+            )
+
+        self.run_routers(scenario)
+        self.assertThat(spender.refusals, Equals([Code.BUDGET]))
+
+    def test_spends_what_is_held_while_the_log_is_out(self) -> None:
+        log = MemoryLog()
+        spender = Spender()
+
+        async def scenario(routers: list[BudgetRouter]) -> None:
+            await spender.request(routers[0], 10)
+            await asyncio.sleep(5)
+            log.outage = True
+            for _ in range(10):
+                await spender.request(routers[0], 10)
+
+        self.run_routers(scenario, log=log)
+        self.assertThat(spender.refusals, HasLength(0))
+
+    def test_peers_pass_parts_while_the_log_is_out(self) -> None:
+        log = MemoryLog()
+        spender = Spender()
+
+        async def scenario(routers: list[BudgetRouter]) -> None:
+            await spender.request(routers[0], 10)
+            await asyncio.sleep(5)
+            log.outage = True
+            await asyncio.sleep(5)
+            await spender.request(routers[1], 50)
+            await spender.request(routers[1], 5000)
+
+        self.run_routers(scenario, log=log)
+        self.assertThat(spender.consumed, Equals(60))
+        self.assertThat(spender.refusals, Equals([Code.LOG]))
+
+    def test_parted_routers_stay_within_top_ups_made_meanwhile(self) -> None:
+        spender = Spender()
+
+        async def scenario(routers: list[BudgetRouter]) -> None:
+            for router in routers:
+                await spender.request(router, 10)
+            routers[0].link.is_cut = True
+            shard = routers[1].budgets.shards.of(BUDGET)
+            await shard.follower.submit(TopUp(BUDGET, 500, 'second'))
+            await asyncio.gather(
+                *[
+                    spender.request(router, 10)
+                    for router in routers
+                    for _ in range(150)
+                ]
+            )
+            routers[0].link.is_cut = False
+            await asyncio.sleep(10)
+            for _ in range(150):
+                await spender.request(routers[0], 10)
+
+        self.run_routers(scenario)
+        self.assertThat(spender.consumed, Equals(1500))
+
+    def test_lost_answers_neither_lose_nor_double_tokens(self) -> None:
+        log = MemoryLog(generator=random.Random(3))
+        spender = Spender()
+
+        async def scenario(routers: list[BudgetRouter]) -> None:
+            log.lost_answer_share = 0.5
+            for _ in range(30):
+                await asyncio.gather(
+                    *[spender.request(router, 10, used=4) for router in routers]
+                )
+            log.lost_answer_share = 0
+            await asyncio.gather(
+                *[router.budgets.return_all() for router in routers]
+            )
+            await asyncio.sleep(10)
+            balance = routers[0].budgets.balances()[BUDGET].balance
+            self.assertThat(balance.billed, Equals(spender.consumed))
+            self.assertThat(balance.outstanding, Equals(0))
+
+        self.run_routers(scenario, log=log)
+        self.assertThat(spender.refusals, HasLength(0))
+
+    def test_a_planned_stop_returns_all_grants(self) -> None:
+        spender = Spender()
+
+        async def scenario(routers: list[BudgetRouter]) -> None:
+            await spender.request(routers[0], 100, used=30)
+            await routers[0].budgets.return_all()
+            await asyncio.sleep(1)
+            self.assertThat(self.left_of(routers[1]), Equals(970))
+
+        self.run_routers(scenario)
+
+    def test_a_retired_router_refuses_requests(self) -> None:
+        async def scenario(routers: list[BudgetRouter]) -> None:
+            retired = routers[0].incarnation
+            await routers[1].fleet.submit(Retire(retired, 'test'))
+            await asyncio.sleep(1)
+            error = await reserve_error(routers[0], 10)
+            self.assertThat(error.failure.code, Equals(Code.FENCED))
+
+        self.run_routers(scenario)
+
+    def test_a_router_drops_parts_of_a_retired_holder(self) -> None:
+        log = MemoryLog()
+        spender = Spender()
+
+        async def scenario(routers: list[BudgetRouter]) -> None:
+            await spender.request(routers[0], 10)
+            part = (Draw(GrantId(routers[0].incarnation, 1), 20),)
+            purse = routers[1].budgets._purses.of(BUDGET)
+            purse.add(*part)
+            await routers[2].fleet.submit(
+                Retire(routers[0].incarnation, 'test')
+            )
+            await asyncio.sleep(1)
+            self.assertThat(purse.wallet.spendable, Equals(0))
+
+        self.run_routers(scenario, log=log)
+
+    def test_the_executor_s_bill_replaces_the_router_s(self) -> None:
+        log = MemoryLog()
+
+        async def scenario(routers: list[BudgetRouter]) -> None:
+            shard = routers[1].budgets.shards.of(BUDGET)
+            await routers[0].budgets.bill(bill_of('k', 10))
+            await shard.follower.submit(bill_of('k', 10))
+            appends = log.appends
+            await asyncio.sleep(10)
+            self.assertThat(log.appends, Equals(appends))
+            await routers[0].budgets.bill(bill_of('k2', 10))
+            await asyncio.sleep(10)
+            self.assertThat(log.appends, Equals(appends + 1))
+            self.assertThat(shard.fold.balance(BUDGET).billed, Equals(20))
+
+        self.run_routers(scenario, log=log)
+
+    def test_spent_budgets_are_refused_without_a_record(self) -> None:
+        log = MemoryLog()
+        spender = Spender()
+
+        async def scenario(routers: list[BudgetRouter]) -> None:
+            await spender.request(routers[0], 1000)
+            await asyncio.sleep(10)
+            appends = log.appends
+            await spender.request(routers[0], 1000)
+            await spender.request(routers[1], 1000)
+            self.assertThat(log.appends, Equals(appends))
+
+        self.run_routers(scenario, log=log)
+        self.assertThat(spender.refusals, Equals([Code.BUDGET] * 2))
+
+    def test_idle_tokens_go_back_to_the_ledger(self) -> None:
+        spender = Spender()
+
+        async def scenario(routers: list[BudgetRouter]) -> None:
+            await spender.request(routers[0], 10)
+            self.assertThat(self.left_of(routers[0]), LessThan(990))
+            await asyncio.sleep(3600)
+            self.assertThat(self.left_of(routers[0]), GreaterThan(980))
+
+        self.run_routers(scenario)
+
+
+async def reserve_error(router: BudgetRouter, tokens: int) -> FailureError:
+    try:
+        await router.budgets.reserve(BudgetId(BUDGET), tokens, timeout_s=5)
+    except FailureError as error:
+        return error
+    raise AssertionError('the reservation was not refused')
