--- /dev/null
+++ b/src/dandelioncleat/adapters/_named_json.py
@@ -0,0 +1,27 @@
+"""Decodes JSON objects into named tuples, whose own form is an array."""
+
+from typing import Any, NamedTuple, TypeVar
+
+import msgspec
+
+NamedT = TypeVar('NamedT', bound=NamedTuple)
+
+_OBJECT_DECODER = msgspec.json.Decoder(dict[str, Any])
+_OBJECTS_DECODER = msgspec.json.Decoder(list[dict[str, Any]])
+
+
+def decode_named(body: bytes, named: type[NamedT]) -> NamedT:
+    """Decode one object; raise ``msgspec.MsgspecError`` on another form."""
+    return _convert(_OBJECT_DECODER.decode(body), named)
+
+
+def decode_all_named(body: bytes, named: type[NamedT]) -> tuple[NamedT, ...]:
+    """Decode a list of objects."""
+    return tuple(
+        _convert(each, named) for each in _OBJECTS_DECODER.decode(body)
+    )
+
+
+def _convert(fields_by_name: dict[str, Any], named: type[NamedT]) -> NamedT:
+    ordered = [fields_by_name.get(name) for name in named._fields]
+    return msgspec.convert(ordered, named)
--- a/src/dandelioncleat/standin/engine.py
+++ b/src/dandelioncleat/standin/engine.py
@@ -14,7 +14,9 @@
 
 from dandelioncleat.core.identity import RunId
 from dandelioncleat.ports.target import TargetLoad
+from dandelioncleat.standin._fence import Fence
 from dandelioncleat.standin._lag import LaggingState
+from dandelioncleat.standin._signal import Signal
 from dandelioncleat.standin.batch import Batch
 from dandelioncleat.standin.engine_run import (
     EngineRun,
@@ -26,7 +28,6 @@
 from dandelioncleat.standin.refusal import (
     CrashedError,
     DownError,
-    FencedError,
     TooLargeError,
 )
 
@@ -84,7 +85,7 @@
         self.settings = settings
         self.runs: list[EngineRun] = []
         self.crashes = 0
-        self.fence_number = 0
+        self._fence = Fence(checks=settings.checks_fencing)
         self.cache_feed = EventFeed(now=_now, generator=random.Random(seed))
         self.load_reports = LaggingState[TargetLoad](now=_now)
         self._cache = PrefixCache(self.cache_feed)
@@ -93,6 +94,7 @@
             kv_tokens=settings.kv_tokens,
             cache=self._cache,
         )
+        self.crashed = Signal()
         self._runs_by_id: dict[RunId, EngineRun] = {}
         self._step: asyncio.TimerHandle | None = None
         self._down_until: float = 0
@@ -100,14 +102,21 @@
     @property
     def down(self) -> bool:
         """Whether the engine has crashed and is not back."""
-        return _now() < self._down_until
+        return self.down_s > 0
+
+    @property
+    def down_s(self) -> float:
+        """Seconds until it is back, 0 if it has not crashed."""
+        return max(0, self._down_until - _now())
 
     def open(self, request: EngineRequest) -> EngineRun:
         """Queue a run, or find the one that has the same id.
 
         Raises one of the errors of ``standin.refusal`` if it will not run.
         """
-        self._check_order(request)
+        if self.down:
+            raise DownError
+        self._fence.check(request.fence)
         known = self._runs_by_id.get(request.run)
         if known is not None:
             return known
@@ -154,11 +163,7 @@
 
     def fence(self, number: int) -> bool:
         """Raise the fencing number; return whether orders are checked."""
-        if self.settings.checks_fencing:
-            if number < self.fence_number:
-                raise FencedError(self.fence_number)
-            self.fence_number = number
-        return self.settings.checks_fencing
+        return self._fence.raise_to(number)
 
     def load(self) -> TargetLoad:
         """Return the newest load report."""
@@ -177,14 +182,9 @@
         for run in (*self._batch.running, *self._batch.queue):
             self._batch.end(run, _now(), 'crash')
         self._cache.clear()
+        self.crashed.notify()
         self.load_reports.note(self._batch.load())
 
-    def _check_order(self, request: EngineRequest) -> None:
-        if self.down:
-            raise DownError
-        if self.settings.checks_fencing and request.fence < self.fence_number:
-            raise FencedError(self.fence_number)
-
     def _remember(self, run: EngineRun) -> None:
         self._runs_by_id[run.run] = run
         oldest = next(iter(self._runs_by_id.values()))
--- a/src/dandelioncleat/standin/refusal.py
+++ b/src/dandelioncleat/standin/refusal.py
@@ -18,6 +18,7 @@
 
     def __init__(self, number: int) -> None:
         """Take the fencing number in force."""
+        self.number = number
         super().__init__(f'the fencing number in force is {number}')
 
 
--- a/src/dandelioncleat/standin/service.py
+++ b/src/dandelioncleat/standin/service.py
@@ -8,10 +8,11 @@
 
 from dandelioncleat.core.identity import RequestKey, RunId, request_key_of
 from dandelioncleat.ports.target import TargetLoad
+from dandelioncleat.standin._fence import Fence
 from dandelioncleat.standin._lag import LaggingState
 from dandelioncleat.standin._signal import Signal
 from dandelioncleat.standin.prompt import is_poison
-from dandelioncleat.standin.refusal import CrashedError, DownError, FencedError
+from dandelioncleat.standin.refusal import CrashedError, DownError
 
 REPEATABLE_METHODS = frozenset(('GET', 'HEAD'))
 CREATED = 201
@@ -83,9 +84,9 @@
         self.settings = settings
         self.runs: list[ServiceRun] = []
         self.crashes = 0
-        self.fence_number = 0
+        self._fence = Fence(checks=settings.checks_fencing)
         self.load_reports = LaggingState[TargetLoad](now=_now)
-        self._crashed = Signal()
+        self.crashed = Signal()
         self._down_until: float = 0
         self._running = 0
         self.queued = 0
@@ -94,7 +95,12 @@
     @property
     def down(self) -> bool:
         """Whether the service has crashed and is not back."""
-        return _now() < self._down_until
+        return self.down_s > 0
+
+    @property
+    def down_s(self) -> float:
+        """Seconds until it is back, 0 if it has not crashed."""
+        return max(0, self._down_until - _now())
 
     async def call(self, call: ServiceCall) -> ServiceAnswer:
         """Run a call and return its answer.
@@ -102,7 +108,9 @@
         Raises one of the errors of ``standin.refusal``. A call whose caller
         leaves while it waits for a slot does not run; later, it runs on.
         """
-        self._check_order(call.fence)
+        if self.down:
+            raise DownError
+        self._fence.check(call.fence)
         run = ServiceRun(call, _now())
         self.runs.append(run)
         crashes = self.crashes
@@ -122,11 +130,7 @@
 
     def fence(self, number: int) -> bool:
         """Raise the fencing number; return whether orders are checked."""
-        if self.settings.checks_fencing:
-            if number < self.fence_number:
-                raise FencedError(self.fence_number)
-            self.fence_number = number
-        return self.settings.checks_fencing
+        return self._fence.raise_to(number)
 
     def load(self) -> TargetLoad:
         """Return the newest load report."""
@@ -142,7 +146,7 @@
         if down_s is None:
             down_s = self.settings.restart_s
         self._down_until = _now() + down_s
-        self._crashed.notify()
+        self.crashed.notify()
 
     async def _run(
         self,
@@ -166,16 +170,10 @@
         if is_poison(call.body):
             self.crash()
         else:
-            await self._crashed.wait(self.settings.service_ms / 1000)
+            await self.crashed.wait(self.settings.service_ms / 1000)
         run.ended_at = _now()
         self._running -= 1
 
-    def _check_order(self, fence: int) -> None:
-        if self.down:
-            raise DownError
-        if self.settings.checks_fencing and fence < self.fence_number:
-            raise FencedError(self.fence_number)
-
     def _load(self) -> TargetLoad:
         return TargetLoad(
             slots=self.settings.slots,
