--- a/src/dandelioncleat/__main__.py
+++ b/src/dandelioncleat/__main__.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 from dandelioncleat.daemons import settings_command
+from dandelioncleat.standin import commands as standin_commands
 
 
 def new_parser() -> argparse.ArgumentParser:
@@ -15,6 +16,7 @@
     )
     subparsers = parser.add_subparsers(required=True, metavar='COMMAND')
     settings_command.add_parser(subparsers)
+    standin_commands.add_parser(subparsers)
     return parser
 
 
--- a/src/dandelioncleat/standin/commands.py
+++ b/src/dandelioncleat/standin/commands.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import time
+from typing import Any
 
 from dandelioncleat.standin.engine import Engine, EngineSettings
 from dandelioncleat.standin.engine_http import new_engine_application
@@ -27,10 +28,8 @@
 WEIGHT_SIZES_BY_NAME = {'small': 1_000_000_000, 'large': 15_000_000_000}
 STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
 
-Subparsers = argparse._SubParsersAction[argparse.ArgumentParser]
 
-
-def add_parser(subparsers: Subparsers) -> None:
+def add_parser(subparsers: Any) -> None:
     """Add the command ``standin`` to a command line."""
     parser = subparsers.add_parser(
         'standin', help='run a small stand-in for the platform or a target'
@@ -41,14 +40,14 @@
     _add_service(kinds)
 
 
-def _add_platform(kinds: Subparsers) -> None:
+def _add_platform(kinds: Any) -> None:
     parser = _new_kind(kinds, 'platform', 'the log, host list, weight store')
     parser.add_argument('--retention-entries', type=int, default=0)
     parser.add_argument('--retention-age-s', type=float, default=0)
     parser.set_defaults(start=_start_platform)
 
 
-def _add_engine(kinds: Subparsers) -> None:
+def _add_engine(kinds: Any) -> None:
     parser = _new_kind(kinds, 'engine', 'a model engine')
     defaults = EngineSettings()
     parser.add_argument('--slots', type=int, default=defaults.slots)
@@ -64,7 +63,7 @@
     parser.set_defaults(start=_start_engine)
 
 
-def _add_service(kinds: Subparsers) -> None:
+def _add_service(kinds: Any) -> None:
     parser = _new_kind(kinds, 'service', 'a plain service')
     defaults = ServiceSettings()
     parser.add_argument('--slots', type=int, default=defaults.slots)
@@ -74,11 +73,11 @@
 
 
 def _new_kind(
-    kinds: Subparsers,
+    kinds: Any,
     name: str,
     text: str,
 ) -> argparse.ArgumentParser:
-    parser = kinds.add_parser(name, help=text)
+    parser: argparse.ArgumentParser = kinds.add_parser(name, help=text)
     parser.add_argument('--host', default=LOOPBACK)
     parser.add_argument('--port', type=int, default=0, help='0 takes any')
     parser.set_defaults(run=run_standin)
