Run the orders of routers beside a target and bill each once

An executor decides with its own eyes: an order may be late, for an earlier process, drawn on a retired holder's grant, sealed or known to crash targets. Before, nothing ran orders. Now each run moves from its order to its bill in one task; readers follow the answer from any byte, so that a router's death cuts nothing; cut and cancelled runs are billed what they consumed.

--- /dev/null
+++ b/src/dandelioncleat/app/run_book.py
@@ -0,0 +1,165 @@
+"""The runs of an executor and the readers of their answers."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from typing import NamedTuple
+
+from dandelioncleat.app.active_run import RESUME_STEP, ActiveRun
+from dandelioncleat.core.failure import Code
+from dandelioncleat.core.identity import Incarnation, RunId
+from dandelioncleat.core.message import Message, Refusal
+from dandelioncleat.core.run import Run, Runs, Trace
+
+ABANDON_S = 30.0
+
+
+class Progress(NamedTuple):
+    """The numbers of runs at the target and in its queue."""
+
+    running: int
+    queued: int
+
+
+class RunBook:
+    """Keeps runs, and tells who waits when one starts or ends."""
+
+    def __init__(
+        self,
+        incarnation: Incarnation,
+        *,
+        on_abandoned: Callable[[ActiveRun], None],
+    ) -> None:
+        """Take the executor's name and what to do with runs nobody reads."""
+        self.runs = Runs()
+        self.active_by_id: dict[RunId, ActiveRun] = {}
+        self._incarnation = incarnation
+        self._on_abandoned = on_abandoned
+        self._arrived = asyncio.Event()
+        self._changed = asyncio.Event()
+        self._listeners: list[Callable[[], None]] = []
+
+    @property
+    def progress(self) -> Progress:
+        """Return how many runs are open."""
+        running = self.runs.running
+        return Progress(running, len(self.runs.open_by_id) - running)
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` when a run starts or ends."""
+        self._listeners.append(listener)
+
+    def add(self, active: ActiveRun) -> None:
+        """Keep a new run."""
+        self.runs.add(active.run)
+        self.active_by_id[active.run.id] = active
+        self._arrived.set()
+
+    def end(self, active: ActiveRun) -> None:
+        """Move a run that has ended to the bounded memory."""
+        active.cancel_timers()
+        self.runs.end(active.run)
+        active.notify()
+        if not active.readers:
+            self.active_by_id.pop(active.run.id, None)
+
+    def note_change(self) -> None:
+        """Tell those who wait for runs to start or end."""
+        self._changed.set()
+        for listener in self._listeners:
+            listener()
+
+    async def follow(self, run_id: RunId, start: int) -> AsyncIterator[Message]:
+        """Yield a run's answer from a byte on, and its end."""
+        known = self.runs.get(run_id)
+        if not isinstance(known, Run):
+            yield self._forgotten(known)
+            return
+        active = self.active_by_id.get(run_id)
+        if active is None:
+            active = ActiveRun(known, deadline_at=0)
+            self.active_by_id[run_id] = active
+        active.readers += 1
+        try:
+            async for message in active.read(start):
+                yield message
+        finally:
+            self._leave(active)
+
+    async def wait_for_order(self, run: RunId, wait_s: float) -> None:
+        """Let an order that is on its way arrive."""
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + wait_s
+        while self.runs.get(run) is None:
+            self._arrived.clear()
+            try:
+                async with asyncio.timeout_at(limit):
+                    await self._arrived.wait()
+            except TimeoutError:
+                return
+
+    async def wait_until(
+        self,
+        condition: Callable[[], bool],
+        limit_s: float | None = None,
+    ) -> bool:
+        """Wait for runs to change until a condition holds.
+
+        :param limit_s: time in seconds after which ``False`` is returned
+        """
+        try:
+            async with asyncio.timeout(limit_s):
+                while not condition():
+                    self._changed.clear()
+                    await self._changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def open_runs(self) -> tuple[ActiveRun, ...]:
+        """Return the runs that have not ended."""
+        return tuple(
+            active
+            for active in self.active_by_id.values()
+            if active.run.is_open
+        )
+
+    def open_runs_of(
+        self,
+        holders: frozenset[Incarnation],
+    ) -> tuple[ActiveRun, ...]:
+        """Return the open runs that draw on grants of these holders."""
+        return tuple(
+            active
+            for active in self.open_runs()
+            if _draws_on(active.run, holders)
+        )
+
+    def _leave(self, active: ActiveRun) -> None:
+        active.readers -= 1
+        if active.readers:
+            return
+        if active.run.is_open:
+            active.timers.append(
+                asyncio.get_running_loop().call_later(
+                    ABANDON_S,
+                    self._abandon,
+                    active,
+                ),
+            )
+        else:
+            self.active_by_id.pop(active.run.id, None)
+            self.note_change()
+
+    def _abandon(self, active: ActiveRun) -> None:
+        if not active.readers:
+            self._on_abandoned(active)
+
+    def _forgotten(self, trace: Trace | None) -> Refusal:
+        ran = trace is None or trace.began
+        code = Code.NOT_FOUND if ran else Code.SEALED
+        text = 'the run is not known here' if ran else 'the run is sealed'
+        return Refusal(code, RESUME_STEP, self._incarnation, text, ran=ran)
+
+
+def _draws_on(run: Run, holders: frozenset[Incarnation]) -> bool:
+    return any(draw.grant.holder in holders for draw in run.dispatch.draws)
--- /dev/null
+++ b/src/dandelioncleat/app/run_scheduler.py
@@ -0,0 +1,168 @@
+"""Starts runs as the target has slots, and ends and bills them."""
+
+import asyncio
+
+from dandelioncleat.app._target_answer import bill_of
+from dandelioncleat.app._target_runner import TargetRunner, give_up
+from dandelioncleat.app._task_scope import TaskScope
+from dandelioncleat.app.active_run import ActiveRun
+from dandelioncleat.app.crash_watch import CrashWatch
+from dandelioncleat.app.executor_parts import ExecutorParts
+from dandelioncleat.app.run_book import RunBook
+from dandelioncleat.core.configuration import Service, ServiceKind
+from dandelioncleat.core.dispatch_check import start_failure
+from dandelioncleat.core.failure import Code, Failure
+from dandelioncleat.core.message import Dispatch
+from dandelioncleat.core.run import Run, RunState
+from dandelioncleat.core.run_queue import RunQueue
+
+AFTER_DEADLINE_S = 30.0
+MS_PER_S = 1000
+
+
+class RunScheduler:
+    """Gives the target's slots to runs and sees each to its end."""
+
+    def __init__(
+        self,
+        parts: ExecutorParts,
+        crashes: CrashWatch,
+        tasks: TaskScope,
+    ) -> None:
+        """Take the executor's surroundings."""
+        self.fence = 0
+        self.book = RunBook(
+            parts.place.incarnation,
+            on_abandoned=self.stop,
+        )
+        self._parts = parts
+        self._crashes = crashes
+        self._tasks = tasks
+        self._queue = RunQueue()
+        self._closed = False
+        self._runner = TargetRunner(
+            client=parts.client,
+            crashes=crashes,
+            tasks=tasks,
+            fence=lambda: self.fence,
+        )
+
+    def is_full(self, service: Service) -> bool:
+        """Return whether neither a slot nor a place in the queue is free."""
+        if self._has_slot():
+            return False
+        return len(self._queue) >= service.queue_limit
+
+    def accept(self, dispatch: Dispatch) -> ActiveRun:
+        """Queue an order and start it if there is a slot."""
+        loop = asyncio.get_running_loop()
+        deadline_at = loop.time() + dispatch.deadline_ms / MS_PER_S
+        active = ActiveRun(Run(dispatch), deadline_at=deadline_at)
+        self.book.add(active)
+        self._queue.push(active.run)
+        timer = loop.call_at(deadline_at, self._pass_deadline, active)
+        active.timers.append(timer)
+        self.fill()
+        return active
+
+    def fill(self) -> None:
+        """Start runs while the target has slots."""
+        while not self._closed and self._has_slot():
+            run = self._queue.pop(self._may_start)
+            if run is None:
+                return
+            active = self.book.active_by_id[run.id]
+            # What was true when the run was queued may have changed.
+            orders = self._parts.orders(self._crashes.is_poison)
+            failure = start_failure(run.dispatch, orders)
+            if failure is None:
+                self._start(active)
+            else:
+                self.seal(active, failure)
+
+    def seal(self, active: ActiveRun, failure: Failure) -> None:
+        """End a run that has not started."""
+        active.run.seal(failure)
+        self._end(active)
+
+    def stop(self, active: ActiveRun, reason: str = 'abandoned') -> None:
+        """Stop a run; one that may not be repeated runs to its end."""
+        run = active.run
+        if run.state is RunState.DISPATCHED:
+            self.seal(active, self._parts.failure(Code.SEALED, reason))
+        elif run.is_open and run.dispatch.idempotent:
+            self._halt(active, reason)
+
+    async def abort(self, active: ActiveRun) -> None:
+        """End a run at once, whatever the target does."""
+        active.stop_reason = active.stop_reason or 'stopped'
+        if active.task is not None:
+            active.task.cancel()
+            await asyncio.gather(active.task, return_exceptions=True)
+
+    def _has_slot(self) -> bool:
+        return self.book.runs.running < self._parts.slots()
+
+    def _may_start(self, run: Run) -> bool:
+        """Keep suspects of a crash apart, so that the next tells them."""
+        if not self._crashes.is_suspect(run.dispatch.digest):
+            return True
+        return not any(
+            other.began and self._crashes.is_suspect(other.dispatch.digest)
+            for other in self.book.runs.open_by_id.values()
+        )
+
+    def _start(self, active: ActiveRun) -> None:
+        active.run.start()
+        self._parts.telemetry.count('sidecar.runs_started')
+        active.task = self._tasks.spawn(self._execute(active))
+        self.book.note_change()
+
+    async def _execute(self, active: ActiveRun) -> None:
+        service = self._parts.service()
+        if service is None:
+            service = Service(self._parts.place.service, ServiceKind.MODEL)
+        try:
+            await self._runner.execute(active, service)
+        except asyncio.CancelledError:
+            if not active.stop_reason:
+                # The process ends; nothing may start any more.
+                self._closed = True
+                raise
+            bound = active.run.dispatch.prompt_bound
+            give_up(active, service, prompt_tokens=bound)
+        self._end(active)
+
+    def _end(self, active: ActiveRun) -> None:
+        run = active.run
+        self.book.end(active)
+        bill = bill_of(run, self._parts.place.incarnation)
+        if bill is not None:
+            self._parts.bills.submit(bill)
+            self._parts.telemetry.count('sidecar.tokens_billed', bill.tokens)
+        self._parts.telemetry.count('sidecar.runs_ended', state=run.state.value)
+        self._parts.on_ended(run)
+        self.book.note_change()
+        self.fill()
+
+    def _halt(self, active: ActiveRun, reason: str) -> None:
+        if active.run.is_open and not active.stop_reason:
+            active.halting = self._tasks.spawn(
+                self._runner.halt(active, reason),
+            )
+
+    def _pass_deadline(self, active: ActiveRun) -> None:
+        run = active.run
+        if run.state is RunState.DISPATCHED:
+            text = 'the deadline has passed'
+            self.seal(active, self._parts.failure(Code.DEADLINE, text))
+        elif run.dispatch.idempotent:
+            self._halt(active, 'deadline')
+        else:
+            timer = asyncio.get_running_loop().call_later(
+                AFTER_DEADLINE_S,
+                self._halt,
+                active,
+                'deadline',
+            )
+            active.timers.append(timer)
--- a/src/dandelioncleat/app/stream.py
+++ b/src/dandelioncleat/app/stream.py
@@ -25,7 +25,11 @@
 
 
 class StreamFollower(Generic[RecordT, VerdictT]):
-    """Keeps a fold current with its stream and appends records to it."""
+    """Keeps a fold current with its stream and appends records to it.
+
+    ``current_at`` is the last time of the event loop, in seconds, at which
+    the fold is known to have been current.
+    """
 
     def __init__(
         self,
@@ -43,6 +47,7 @@
         self.caught_up = asyncio.Event()
         self.undecodable_entries = 0
         self.marks = SequenceMarks()
+        self.current_at = float('-inf')
         self._log = log
         self._codec = codec
         self._failing_since: float | None = None
@@ -100,6 +105,7 @@
                 await asyncio.sleep(RETRY_DELAY_S)
 
     async def _read_page(self) -> None:
+        asked_at = asyncio.get_running_loop().time()
         page = await self._log.read(
             self.name,
             start=self.position,
@@ -111,6 +117,7 @@
             self.position = entry.offset + 1
         if self.position >= page.end:
             self.caught_up.set()
+            self.current_at = asked_at
         if page.entries:
             for listener in self._listeners:
                 listener()
--- /dev/null
+++ b/src/dandelioncleat/core/dispatch_check.py
@@ -0,0 +1,125 @@
+"""Whether an executor may run what it is ordered to run."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from dandelioncleat.core.configuration import Service, ServiceKind
+from dandelioncleat.core.failure import Code, Failure
+from dandelioncleat.core.identity import (
+    Digest,
+    Incarnation,
+    organisation_of,
+)
+from dandelioncleat.core.message import Dispatch
+
+DISPATCH_STEP = 'dispatch'
+
+
+class Orders(NamedTuple):
+    """What an executor knows when an order arrives.
+
+    ``service`` is ``None`` until the configuration names it; ``closed`` is
+    the code with which all new work is refused, if any.
+    """
+
+    incarnation: Incarnation
+    service: Service | None
+    closed: Code | None
+    is_retired: Callable[[Incarnation], bool]
+    is_poison: Callable[[Digest], bool]
+
+
+def check_dispatch(
+    dispatch: Dispatch,
+    orders: Orders,
+) -> Result[Dispatch, Failure]:
+    """Return the order if it may run, else why it may not."""
+    checks = (
+        _executor_failure,
+        _closed_failure,
+        _fence_failure,
+        _poison_failure,
+        _token_failure,
+        _deadline_failure,
+    )
+    for check in checks:
+        failure = check(dispatch, orders)
+        if failure is not None:
+            return Failed(failure)
+    return Success(dispatch)
+
+
+def start_failure(dispatch: Dispatch, orders: Orders) -> Failure | None:
+    """Return why an order that has waited may not start any more."""
+    fenced = _fence_failure(dispatch, orders)
+    return fenced or _poison_failure(dispatch, orders)
+
+
+def worst_case_tokens(dispatch: Dispatch, service: Service) -> int:
+    """Return the most tokens that a run of an order can consume."""
+    if service.kind is ServiceKind.MODEL:
+        return dispatch.prompt_bound + dispatch.cap
+    return dispatch.prompt_bound
+
+
+def drawn_tokens(dispatch: Dispatch) -> int:
+    """Return the tokens that the draws of an order allow."""
+    return sum(draw.tokens for draw in dispatch.draws)
+
+
+def _executor_failure(dispatch: Dispatch, orders: Orders) -> Failure | None:
+    if dispatch.executor != orders.incarnation:
+        return _failure(Code.FENCED, orders, 'the order is for another process')
+    return None
+
+
+def _closed_failure(dispatch: Dispatch, orders: Orders) -> Failure | None:
+    if orders.closed is not None:
+        return _failure(orders.closed, orders, 'the target takes no new work')
+    if orders.service is None:
+        return _failure(Code.NOT_READY, orders, 'the service is not configured')
+    if dispatch.service != orders.service.name:
+        return _failure(Code.INVALID, orders, 'the target has another service')
+    return None
+
+
+def _fence_failure(dispatch: Dispatch, orders: Orders) -> Failure | None:
+    for draw in dispatch.draws:
+        if orders.is_retired(draw.grant.holder):
+            holder = draw.grant.holder
+            return _failure(Code.FENCED, orders, f'{holder} is retired')
+    return None
+
+
+def _poison_failure(dispatch: Dispatch, orders: Orders) -> Failure | None:
+    if orders.is_poison(dispatch.digest):
+        return _failure(Code.POISON, orders, 'the request crashed targets')
+    return None
+
+
+def _token_failure(dispatch: Dispatch, orders: Orders) -> Failure | None:
+    if organisation_of(dispatch.budget) != dispatch.run.organisation:
+        return _failure(Code.INVALID, orders, 'the budget is of another')
+    amounts = [draw.tokens for draw in dispatch.draws]
+    amounts.extend((dispatch.prompt_bound, dispatch.cap))
+    if min(amounts) < 0:
+        return _failure(Code.INVALID, orders, 'an amount of tokens is negative')
+    service = orders.service
+    if service is None:
+        return None
+    if worst_case_tokens(dispatch, service) > drawn_tokens(dispatch):
+        return _failure(Code.INVALID, orders, 'the draws are too small')
+    return None
+
+
+def _deadline_failure(dispatch: Dispatch, orders: Orders) -> Failure | None:
+    if dispatch.deadline_ms <= 0:
+        return _failure(Code.DEADLINE, orders, 'the deadline has passed')
+    return None
+
+
+def _failure(code: Code, orders: Orders, text: str) -> Failure:
+    return Failure(code, DISPATCH_STEP, orders.incarnation, text)
--- a/src/dandelioncleat/core/run.py
+++ b/src/dandelioncleat/core/run.py
@@ -9,6 +9,7 @@
 from transitions import Machine
 
 from dandelioncleat.core.answer import Answer
+from dandelioncleat.core.failure import Failure
 from dandelioncleat.core.identity import RunId, request_key_of
 from dandelioncleat.core.message import Chunk, Dispatch, Finished
 from dandelioncleat.core.slot import key_bytes
@@ -67,6 +68,7 @@
         self.state: RunState = RunState.DISPATCHED
         self.answer = Answer()
         self.ending: Ending | None = None
+        self.sealed_for: Failure | None = None
 
     @property
     def id(self) -> RunId:
@@ -102,9 +104,10 @@
         self._change('cancel')
         self.ending = ending
 
-    def seal(self) -> None:
-        """Note that the request never will reach the target."""
+    def seal(self, failure: Failure) -> None:
+        """Note that the request never will reach the target, and why."""
         self._change('seal')
+        self.sealed_for = failure
 
     def chunk(self, start: int) -> Chunk | None:
         """Return the answer from a byte on, ``None`` if there is no more."""
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -4,9 +4,12 @@
 from testtools import TestCase
 from transitions import MachineError
 
+from dandelioncleat.core.failure import Code, Failure
 from dandelioncleat.core.run import Run, Runs, RunState, Trace
 from tests.builders.sidecar import new_dispatch, new_ending, run_id
 
+SEALED = Failure(Code.SEALED, 'run', 'sidecar/1', 'sealed')
+
 
 def ended_run(key: str, answer: bytes = b'answer') -> Run:
     """Return a finished run."""
@@ -44,14 +47,14 @@
 
     def test_sealed_run_does_not_start(self) -> None:
         run = Run(new_dispatch())
-        run.seal()
+        run.seal(SEALED)
         self.assertRaises(MachineError, run.start)
         self.assertFalse(run.began)
         self.assertEqual(RunState.SEALED, run.state)
 
     def test_ended_run_is_not_sealed(self) -> None:
         run = ended_run('a')
-        self.assertRaises(MachineError, run.seal)
+        self.assertRaises(MachineError, run.seal, SEALED)
         self.assertTrue(run.finished().complete)
 
 
