Let operators drive the fleet through any router

Operators had no way in. Routers now serve patches, the configuration and its history, organisations, top-ups, holders, targets and the fleet's status to holders of an operator key; callers' keys are refused there.

--- a/src/dandelioncleat/__main__.py
+++ b/src/dandelioncleat/__main__.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 from dandelioncleat.daemons import settings_command
+from dandelioncleat.operator import command as operator_command
 from dandelioncleat.standin import commands as standin_commands
 
 
@@ -17,6 +18,7 @@
     subparsers = parser.add_subparsers(required=True, metavar='COMMAND')
     settings_command.add_parser(subparsers)
     standin_commands.add_parser(subparsers)
+    operator_command.add_parser(subparsers)
     return parser
 
 
--- a/src/dandelioncleat/app/configuration.py
+++ b/src/dandelioncleat/app/configuration.py
@@ -22,7 +22,7 @@
         """Take the log and the process that appends to it."""
         self.fold = ConfigurationFold()
         self.highest_told = 0
-        self.told_by = producer
+        self.told_by = ''
         self._follower = StreamFollower(
             log=log,
             name=CONFIGURATION_STREAM,
@@ -53,8 +53,11 @@
             return False
         return self.current.version >= self.highest_told
 
-    def tell(self, version: int, peer: Incarnation) -> None:
-        """Take note of the version that a peer has in force."""
+    def tell(self, version: int, peer: str) -> None:
+        """Take note of the version that a peer has in force.
+
+        :param peer: the peer's address or incarnation
+        """
         if version > self.highest_told:
             self.highest_told = version
             self.told_by = peer
--- /dev/null
+++ b/src/dandelioncleat/app/operator.py
@@ -0,0 +1,65 @@
+"""What operators do through a router; any router gives the same service."""
+
+from collections.abc import Callable
+
+from dandelioncleat.app.budget_desk import BudgetDesk
+from dandelioncleat.app.configuration import ConfigurationKeeper
+from dandelioncleat.app.configuration_desk import ConfigurationDesk
+from dandelioncleat.app.fleet import FleetKeeper
+from dandelioncleat.app.fleet_status import FleetStatus
+from dandelioncleat.core.configuration import CredentialHash
+from dandelioncleat.core.credential import CredentialIndex, verify_key
+from dandelioncleat.core.message import Status
+from dandelioncleat.ports.ledger_desk import LedgerDesk
+from dandelioncleat.ports.peer import Peers
+
+BOOTSTRAP_OPERATOR = 'bootstrap'
+
+
+class OperatorBackend:
+    """Knows the operators' keys and holds the desks that serve them."""
+
+    def __init__(
+        self,
+        *,
+        configuration: ConfigurationKeeper,
+        fleet: FleetKeeper,
+        ledger: LedgerDesk,
+        peers: Peers,
+        own_status: Callable[[], Status],
+        bootstrap: CredentialHash | None = None,
+    ) -> None:
+        """Take the keepers of this router.
+
+        :param own_status: what this router answers to ``AskStatus``
+        :param bootstrap: hash of the key that works before any patch
+        """
+        self.configuration = ConfigurationDesk(configuration)
+        self.budgets = BudgetDesk(
+            configuration=configuration,
+            fleet=fleet,
+            ledger=ledger,
+        )
+        self.status = FleetStatus(
+            configuration=configuration,
+            fleet=fleet,
+            ledger=ledger,
+            peers=peers,
+            own_status=own_status,
+        )
+        self._keeper = configuration
+        self._bootstrap = bootstrap
+        self._index = CredentialIndex(configuration.current)
+        self._index_version = configuration.current.version
+
+    def operator_of(self, key: str) -> str | None:
+        """Return the operator whose key this is, if it is one's."""
+        current = self._keeper.current
+        if self._index_version != current.version:
+            self._index = CredentialIndex(current)
+            self._index_version = current.version
+        operator = self._index.operator_of(key)
+        if operator is not None or self._bootstrap is None:
+            return operator
+        is_bootstrap = verify_key(key, self._bootstrap)
+        return BOOTSTRAP_OPERATOR if is_bootstrap else None
--- a/src/dandelioncleat/core/configuration.py
+++ b/src/dandelioncleat/core/configuration.py
@@ -69,9 +69,9 @@
 class Organisation(NamedTuple):
     """A customer; ``budget`` are the prepaid tokens that it starts with.
 
-    ``created`` is the version that made it, so that an organisation which is
-    removed and made again starts with its budget again. It may use every
-    service if ``services`` is empty, without limit if ``max_running`` is 0.
+    It starts once: an organisation that is removed and made again finds its
+    old balance. It may use every service if ``services`` is empty, and has
+    no limit of requests in progress if ``max_running`` is 0.
     """
 
     name: str
@@ -79,7 +79,6 @@
     credentials: tuple[CredentialHash, ...] = ()
     services: tuple[str, ...] = ()
     max_running: int = 0
-    created: int = 0
 
 
 class Policy(NamedTuple):
--- a/src/dandelioncleat/core/configuration_rules.py
+++ b/src/dandelioncleat/core/configuration_rules.py
@@ -87,11 +87,11 @@
             yield Defect(key, str(service.slots), f'{old.slots}, fixed')
     yield from _changed_budgets(before, after)
     shards = before.policy.ledger_shards
-    if before.organisations_by_name and after.policy.ledger_shards != shards:
+    if before.version and after.policy.ledger_shards != shards:
         yield Defect(
             'policy.ledger_shards',
             str(after.policy.ledger_shards),
-            f'{shards}, fixed while there are organisations',
+            f'{shards}, fixed by the first version',
         )
 
 
--- a/src/dandelioncleat/core/patch.py
+++ b/src/dandelioncleat/core/patch.py
@@ -76,9 +76,8 @@
     patch: Patch,
     document: PatchBody,
 ) -> Result[Configuration, tuple[Defect, ...]]:
-    version = before.version + 1
     after = Configuration(
-        version=version,
+        version=before.version + 1,
         digest=chained_digest(before.digest, patch),
         services_by_name=_merge(
             before.services_by_name,
@@ -93,7 +92,7 @@
         organisations_by_name=_merge(
             before.organisations_by_name,
             document.organisations,
-            lambda *parts: _changed_organisation(version, *parts),
+            _changed_organisation,
         ),
         operators_by_name=_merge(
             before.operators_by_name,
@@ -144,7 +143,6 @@
 
 
 def _changed_organisation(
-    version: int,
     name: str,
     before: Organisation | None,
     change: OrganisationChange,
@@ -156,7 +154,7 @@
         )
     if before is not None:
         return before._replace(**fields)
-    return Organisation(name=name, created=version, **fields)
+    return Organisation(name=name, **fields)
 
 
 def _changed_operator(
--- /dev/null
+++ b/src/dandelioncleat/operator/output.py
@@ -0,0 +1,97 @@
+"""Prints answers as tables or as JSON."""
+
+import json
+import sys
+from collections.abc import Iterable
+from typing import Any
+
+from rich.console import Console
+from rich.table import Table
+
+from dandelioncleat.adapters.defect_table import print_defects
+from dandelioncleat.core.defect import Defect
+from dandelioncleat.operator.client import Answer
+from dandelioncleat.operator.exit_code import ExitCode
+
+HTTP_UNAUTHORIZED = 401
+
+
+def print_json(document: Any) -> None:
+    """Print a document as indented JSON."""
+    print_line(json.dumps(document, indent=2))
+
+
+def print_table(
+    title: str,
+    columns: tuple[str, ...],
+    rows: Iterable[tuple[Any, ...]],
+) -> None:
+    """Print rows under column names."""
+    table = Table(*columns, title=title, title_justify='left')
+    for row in rows:
+        table.add_row(*(_cell(part) for part in row))
+    Console(markup=False).print(table)
+
+
+def print_rows(
+    title: str,
+    columns: tuple[str, ...],
+    entries: list[dict[str, Any]],
+) -> None:
+    """Print the fields of objects that the columns name."""
+    rows = (tuple(entry[column] for column in columns) for entry in entries)
+    print_table(title, columns, rows)
+
+
+def print_line(text: str) -> None:
+    """Print one line."""
+    sys.stdout.write(f'{text}\n')
+
+
+def report(answer: Answer, *, as_json: bool) -> ExitCode:
+    """Print a refusal, if the answer is one, and return the exit code."""
+    if answer.is_success:
+        return ExitCode.DONE
+    if as_json:
+        print_json(answer.document)
+    else:
+        _print_refusal(answer.document)
+    if answer.status == HTTP_UNAUTHORIZED:
+        return ExitCode.CREDENTIAL
+    return ExitCode.REFUSED
+
+
+def _print_refusal(document: dict[str, Any]) -> None:
+    match document:
+        case {'verdict': 'invalid', 'defects': defects}:
+            found = tuple(Defect(**defect) for defect in defects)
+            print_defects('Rejected; nothing of it was taken', found)
+        case {'verdict': 'conflict', 'winner': '', 'current': current}:
+            _warn(f'Rejected: the newest version is {current}.')
+        case {'verdict': 'conflict', 'winner': winner, 'current': current}:
+            _warn(
+                f'Rejected: patch {winner} by {document["operator"]} won '
+                f'against version {document["against"]}; '
+                f'the newest version is {current}.',
+            )
+        case {'verdict': 'reused', 'patch': patch}:
+            _warn(f'Rejected: another patch has the id {patch}.')
+        case {'text': text, 'step': step, 'peer': peer}:
+            _warn(f'Refused by {peer} at {step}: {text}')
+
+
+def _warn(text: str) -> None:
+    sys.stderr.write(f'{text}\n')
+
+
+def _cell(part: Any) -> str:
+    match part:
+        case None:
+            return '-'
+        case bool():
+            return 'yes' if part else 'no'
+        case list():
+            return ', '.join(str(entry) for entry in part)
+        case dict():
+            return json.dumps(part)
+    return str(part)
--- /dev/null
+++ b/tests/test_configuration_keeper.py
@@ -0,0 +1,122 @@
+"""Tests of the keeper of the configuration."""
+
+import asyncio
+import random
+from contextlib import asynccontextmanager
+
+from testtools import TestCase
+
+from dandelioncleat.adapters import virtual_time
+from dandelioncleat.app.configuration import ConfigurationKeeper
+from dandelioncleat.core.identity import Incarnation
+from dandelioncleat.core.patch_verdict import PatchAccepted, PatchConflict
+from dandelioncleat.standin.log import MemoryLog
+from tests.builders.configuration import build_document, build_patch
+
+
+@asynccontextmanager
+async def running(*keepers):
+    """Run keepers for the length of a block."""
+    tasks = [asyncio.create_task(keeper.run()) for keeper in keepers]
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def new_keeper(log, name):
+    return ConfigurationKeeper(log=log, producer=Incarnation(f'{name}/1'))
+
+
+async def reach(keeper, version):
+    """Wait until a keeper has a version in force."""
+    changed = asyncio.Event()
+    keeper.on_change(changed.set)
+    while keeper.current.version < version:
+        await changed.wait()
+        changed.clear()
+
+
+class KeeperTest(TestCase):
+    """Patches take effect once, everywhere."""
+
+    def test_racing_operators_at_two_routers(self):
+        async def scenario():
+            log = MemoryLog(
+                generator=random.Random(1),
+            )
+            log.lost_answer_share = 0.7
+            keepers = [new_keeper(log, f'router-{n}') for n in range(4)]
+            async with running(*keepers):
+                verdicts = await asyncio.gather(
+                    *(
+                        keeper.submit(
+                            build_patch(
+                                {'policy': {'subset_size': n + 1}},
+                                patch=f'patch-{n}',
+                            )
+                        )
+                        for n, keeper in enumerate(keepers)
+                    )
+                )
+                for keeper in keepers:
+                    await reach(keeper, 1)
+            return verdicts, [keeper.current for keeper in keepers]
+
+        verdicts, versions = virtual_time.run(scenario())
+        winners = [v for v in verdicts if isinstance(v, PatchAccepted)]
+        losers = [v for v in verdicts if isinstance(v, PatchConflict)]
+        self.assertEqual((1, 3), (len(winners), len(losers)))
+        winner = f'patch-{verdicts.index(winners[0])}'
+        self.assertEqual({winner}, {loser.winner for loser in losers})
+        self.assertEqual([versions[0]] * 4, versions)
+        self.assertEqual(1, versions[0].version)
+
+    def test_same_patch_at_two_routers_has_one_effect(self):
+        async def scenario():
+            log = MemoryLog()
+            keepers = [new_keeper(log, f'router-{n}') for n in range(2)]
+            async with running(*keepers):
+                patch = build_patch(build_document())
+                verdicts = [await keeper.submit(patch) for keeper in keepers]
+                return verdicts, keepers[1].current.version
+
+        verdicts, version = virtual_time.run(scenario())
+        self.assertEqual((verdicts[0], 1), (verdicts[1], version))
+
+    def test_restarted_process_is_not_ready_below_what_it_was_told(self):
+        async def scenario():
+            log = MemoryLog()
+            first = new_keeper(log, 'router-1')
+            restarted = new_keeper(log, 'router-1')
+            async with running(first):
+                await first.submit(build_patch(build_document()))
+            log.outage = True
+            readiness = [restarted.ready]
+            async with running(restarted):
+                await asyncio.sleep(5)
+                readiness.append(restarted.ready)
+                restarted.tell(1, 'router-2/1')
+                log.outage = False
+                await reach(restarted, 1)
+                readiness.append(restarted.ready)
+            return readiness
+
+        self.assertEqual([False, False, True], virtual_time.run(scenario()))
+
+    def test_parted_process_stops_once_told_of_a_newer_version(self):
+        async def scenario():
+            log = MemoryLog()
+            keeper = new_keeper(log, 'router-1')
+            async with running(keeper):
+                await keeper.submit(build_patch(build_document()))
+                log.outage = True
+                await asyncio.sleep(60)
+                readiness = [keeper.ready]
+                keeper.tell(2, 'router-2/1')
+                readiness.append(keeper.ready)
+            return readiness, keeper.current.version
+
+        self.assertEqual(([True, False], 1), virtual_time.run(scenario()))
