--- /dev/null
+++ b/src/dandelioncleat/app/answering.py
@@ -0,0 +1,68 @@
+"""Answers the messages that other processes send to a router."""
+
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from dandelioncleat.app.parts import Parts
+from dandelioncleat.app.router_life import RouterLife
+from dandelioncleat.core.failure import Code, Failure
+from dandelioncleat.core.message import (
+    AskPart,
+    AskStatus,
+    Message,
+    Status,
+    refusal,
+)
+from dandelioncleat.ports.peer import CallContext
+
+STEP = 'answer'
+
+
+class Answering:
+    """Matches messages with the parts that answer them."""
+
+    def __init__(self, life: RouterLife, parts: Parts) -> None:
+        """Take the router's life and its parts."""
+        self._life = life
+        self._parts = parts
+
+    async def answer(
+        self,
+        message: Message,
+        context: CallContext,
+    ) -> AsyncIterator[Message]:
+        """Yield the only reply to a message."""
+        self._parts.configuration.tell(context.version, context.sender)
+        match message:
+            case AskPart():
+                yield self._parts.budgets.pass_part(message)
+            case AskStatus():
+                yield self._status()
+            case _:
+                yield self._not_for_routers(message)
+
+    def _status(self) -> Status:
+        current = self._parts.configuration.current
+        details = {
+            'waiting': self._parts.gate.waiting,
+            'retries_left': self._parts.retries.balance,
+        }
+        return Status(
+            self._parts.incarnation,
+            'router',
+            self._life.state,
+            current.version,
+            current.digest,
+            msgspec.json.encode(details),
+        )
+
+    def _not_for_routers(self, message: Message) -> Message:
+        name = type(message).__name__
+        failure = Failure(
+            Code.INVALID,
+            STEP,
+            self._parts.incarnation,
+            f'a router takes no {name}',
+        )
+        return refusal(failure)
--- /dev/null
+++ b/src/dandelioncleat/app/home_finder.py
@@ -0,0 +1,209 @@
+"""Finds the home of a request's key and asks it for a run."""
+
+import asyncio
+import random
+from collections.abc import Iterator
+from contextlib import suppress
+
+from dandelioncleat.app.configuration import ConfigurationKeeper
+from dandelioncleat.app.fleet import FleetKeeper
+from dandelioncleat.core.failure import Code, FailureError, failure_error
+from dandelioncleat.core.fleet import SIDECAR
+from dandelioncleat.core.home import home_order
+from dandelioncleat.core.identity import Incarnation, RequestKey, RunId
+from dandelioncleat.core.message import (
+    Attach,
+    Begin,
+    Message,
+    NotHome,
+    Placed,
+    Refusal,
+    Report,
+)
+from dandelioncleat.core.request import CallerRequest
+from dandelioncleat.core.retry import backoff_s
+from dandelioncleat.core.slot import slot_of
+from dandelioncleat.ports.peer import Peers
+
+ATTACH_TIMEOUT_S = 2.0
+CLAIM_TIMEOUT_S = 8.0
+REPORT_TIMEOUT_S = 2.0
+MAX_HOMES = 4
+TRANSIENT_CODES = frozenset((Code.NOT_READY, Code.LEAVING, Code.NOT_HOME))
+
+Permission = Begin | Placed | Refusal
+
+
+class HomeFinder:
+    """Asks homes by rendezvous hash, or slot owners as they are learned."""
+
+    def __init__(
+        self,
+        *,
+        peers: Peers,
+        fleet: FleetKeeper,
+        configuration: ConfigurationKeeper,
+        source: random.Random,
+    ) -> None:
+        """Take the ways to know and to reach the homes."""
+        self._peers = peers
+        self._fleet = fleet
+        self._configuration = configuration
+        self._random = source
+        self._owners_by_slot: dict[tuple[str, int], Incarnation] = {}
+        self._members_by_service: dict[str, tuple[Incarnation, ...]] = {}
+        fleet.on_change(self._members_by_service.clear)
+
+    async def attach(
+        self,
+        request: CallerRequest,
+        executor: Incarnation,
+        *,
+        deadline: float,
+        traceparent: str,
+    ) -> Permission:
+        """Ask for a run; raise ``FailureError`` if no home could answer.
+
+        :param executor: where a new run would be; empty to find one only
+        :param deadline: time of the event loop in seconds
+        """
+        message = Attach(
+            request.request,
+            request.service,
+            request.digest,
+            request.idempotent,
+            executor,
+        )
+        if request.idempotent:
+            homes = self._homes(request)
+        else:
+            homes = self._owners(request)
+        failure = failure_error(
+            Code.UNREACHABLE,
+            step='attach',
+            peer='',
+            text='the service has no sidecar',
+        )
+        for attempt, home in enumerate(homes, start=1):
+            try:
+                return await self._ask(home, message, deadline, traceparent)
+            except FailureError as error:
+                failure = error
+            if asyncio.get_running_loop().time() > deadline:
+                break
+            if not request.idempotent:
+                await asyncio.sleep(backoff_s(attempt, self._random))
+        raise failure
+
+    async def report(self, run: RunId, *, status: int, ran: bool) -> None:
+        """Tell a run's home how it ended; a home that is gone needs no word."""
+        with suppress(FailureError):
+            await self._call(
+                run.home,
+                Report(run, status, ran),
+                timeout_s=REPORT_TIMEOUT_S,
+            )
+
+    def members(self, service: str) -> tuple[Incarnation, ...]:
+        """Return the live sidecars of a service."""
+        known = self._members_by_service.get(service)
+        if known is None:
+            known = tuple(
+                member.join.incarnation
+                for member in self._fleet.fold.live(SIDECAR)
+                if member.join.service == service
+            )
+            self._members_by_service[service] = known
+        return known
+
+    def _homes(self, request: CallerRequest) -> Iterator[Incarnation]:
+        order = home_order(request.request, self.members(request.service))
+        yield from order[:MAX_HOMES]
+
+    def _owners(self, request: CallerRequest) -> Iterator[Incarnation]:
+        slot = self._slot(request.service, request.request)
+        order = home_order(request.request, self.members(request.service))
+        for guess in order[:MAX_HOMES]:
+            owner = self._owners_by_slot.get(slot, guess)
+            yield owner
+            # The owner that was asked may have named another one.
+            named = self._owners_by_slot.get(slot)
+            if named is not None and named != owner:
+                yield named
+            self._owners_by_slot.pop(slot, None)
+
+    def _slot(self, service: str, request: RequestKey) -> tuple[str, int]:
+        settings = self._configuration.current.services_by_name.get(service)
+        slots = 1 if settings is None else settings.slots
+        return service, slot_of(request, slots)
+
+    async def _ask(
+        self,
+        home: Incarnation,
+        message: Attach,
+        deadline: float,
+        traceparent: str,
+    ) -> Permission:
+        allowed_s = ATTACH_TIMEOUT_S if message.idempotent else CLAIM_TIMEOUT_S
+        left_s = deadline - asyncio.get_running_loop().time()
+        reply = await self._call(
+            home,
+            message,
+            timeout_s=max(0, min(allowed_s, left_s)),
+            traceparent=traceparent,
+        )
+        match reply:
+            case NotHome():
+                slot = self._slot(message.service, message.request)
+                if reply.owner:
+                    self._owners_by_slot[slot] = reply.owner
+                raise _not_home(home)
+            case Refusal() if reply.code in TRANSIENT_CODES:
+                raise failure_error(
+                    reply.code,
+                    step=reply.step,
+                    peer=reply.peer,
+                    text=reply.text,
+                )
+            case Begin() | Placed() | Refusal():
+                self._note_owner(home, message)
+                return reply
+            case _:
+                raise _not_home(home)
+
+    def _note_owner(self, home: Incarnation, message: Attach) -> None:
+        if not message.idempotent:
+            slot = self._slot(message.service, message.request)
+            self._owners_by_slot[slot] = home
+
+    async def _call(
+        self,
+        peer: Incarnation,
+        message: Message,
+        *,
+        timeout_s: float,
+        traceparent: str = '',
+    ) -> Message:
+        member = self._fleet.fold.members_by_incarnation.get(peer)
+        if member is None or member.ended:
+            raise failure_error(
+                Code.UNREACHABLE,
+                step='attach',
+                peer=peer,
+                text='the process has left the fleet',
+            )
+        return await self._peers.call(
+            member.join.address,
+            message,
+            timeout_s=timeout_s,
+            traceparent=traceparent,
+        )
+
+
+def _not_home(home: Incarnation) -> FailureError:
+    return failure_error(
+        Code.NOT_HOME,
+        step='attach',
+        peer=home,
+        text='another sidecar owns the key',
+    )
--- /dev/null
+++ b/src/dandelioncleat/app/host_watch.py
@@ -0,0 +1,48 @@
+"""Follows the platform's host list."""
+
+import asyncio
+from collections.abc import Callable
+
+from dandelioncleat.core.failure import FailureError
+from dandelioncleat.core.identity import Incarnation, host_of
+from dandelioncleat.ports.host_list import HostList, HostState
+
+POLL_S = 1.0
+
+
+class HostWatch:
+    """Knows which hosts leave; a host that is not listed yet may serve."""
+
+    def __init__(self, host_list: HostList) -> None:
+        """Take the list to poll."""
+        self.failing = False
+        self._host_list = host_list
+        self._leaving_by_host: dict[str, bool] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` when a host comes, leaves or goes."""
+        self._listeners.append(listener)
+
+    def is_leaving(self, incarnation: Incarnation) -> bool:
+        """Return whether a process's host leaves or has gone."""
+        return self._leaving_by_host.get(host_of(incarnation), False)
+
+    async def run(self) -> None:
+        """Poll until cancelled; an outage leaves the last list in force."""
+        while True:
+            try:
+                self._take(await self._host_list.hosts())
+            except FailureError:
+                self.failing = True
+            await asyncio.sleep(POLL_S)
+
+    def _take(self, hosts: tuple[HostState, ...]) -> None:
+        self.failing = False
+        # A host that was on the list and is not any more has gone.
+        leaving_by_host = dict.fromkeys(self._leaving_by_host, True)
+        leaving_by_host.update((host.host, host.leaving) for host in hosts)
+        if leaving_by_host != self._leaving_by_host:
+            self._leaving_by_host = leaving_by_host
+            for listener in self._listeners:
+                listener()
--- /dev/null
+++ b/src/dandelioncleat/app/parts.py
@@ -0,0 +1,31 @@
+"""What the modules of a request's path work with."""
+
+import random
+from typing import NamedTuple
+
+from dandelioncleat.app.budgets import Budgets
+from dandelioncleat.app.configuration import ConfigurationKeeper
+from dandelioncleat.app.gate import Gate
+from dandelioncleat.app.home_finder import HomeFinder
+from dandelioncleat.app.load_watch import LoadWatch
+from dandelioncleat.app.settlement import Settlement
+from dandelioncleat.core.identity import Incarnation
+from dandelioncleat.core.retry import RetryBudget
+from dandelioncleat.ports.peer import Peers
+from dandelioncleat.ports.telemetry import Telemetry
+
+
+class Parts(NamedTuple):
+    """The parts of one router."""
+
+    incarnation: Incarnation
+    peers: Peers
+    budgets: Budgets
+    configuration: ConfigurationKeeper
+    watch: LoadWatch
+    gate: Gate
+    homes: HomeFinder
+    settlement: Settlement
+    retries: RetryBudget
+    telemetry: Telemetry
+    random: random.Random
--- /dev/null
+++ b/src/dandelioncleat/app/target_record.py
@@ -0,0 +1,102 @@
+"""What a router knows of one target, corrected for the report's age."""
+
+from collections import deque
+from typing import NamedTuple
+
+from dandelioncleat.core.identity import Digest
+from dandelioncleat.core.message import Load
+from dandelioncleat.core.placement import Candidate
+from dandelioncleat.core.record import Join
+
+MS_PER_S = 1000
+REMEMBERED_ENDS = 256
+
+
+class Sent(NamedTuple):
+    """A run that this router sent; times are of the event loop in s."""
+
+    began_at: float
+    tokens: int
+
+
+class TargetRecord:
+    """Joins a sidecar's newest load report with what was sent since."""
+
+    def __init__(self, join: Join) -> None:
+        """Take the sidecar's announcement."""
+        self.join = join
+        self.load: Load | None = None
+        self.full = False
+        self._sampled_at: float = 0
+        self._prefixes: dict[Digest, bool] = {}
+        self._sent_by_ticket: dict[int, Sent] = {}
+        self._ends: deque[tuple[Sent, float]] = deque(maxlen=REMEMBERED_ENDS)
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many runs this router has there."""
+        return len(self._sent_by_ticket)
+
+    def take(self, load: Load, now: float) -> None:
+        """Replace the load report.
+
+        :param now: time of the event loop in seconds
+        """
+        self.load = load
+        self.full = False
+        self._sampled_at = now - load.age_ms / MS_PER_S
+        self._prefixes = dict.fromkeys(load.prefixes, True)
+        while self._ends and self._ends[0][1] < self._sampled_at:
+            self._ends.popleft()
+
+    def lose(self) -> None:
+        """Forget the report of a sidecar that cannot be reached."""
+        self.load = None
+
+    def begin(self, ticket: int, sent: Sent) -> None:
+        """Count a run that is being sent."""
+        self._sent_by_ticket[ticket] = sent
+
+    def end(self, ticket: int, now: float) -> None:
+        """Count a run as ended."""
+        sent = self._sent_by_ticket.pop(ticket, None)
+        if sent is not None:
+            self._ends.append((sent, now))
+
+    def candidate(self, now: float) -> Candidate | None:
+        """Return the target as a candidate, if its load is known."""
+        load = self.load
+        if load is None or load.leaving or self.full:
+            return None
+        return Candidate(
+            sidecar=self.join.incarnation,
+            target=self.join.target,
+            data_centre=self.join.data_centre,
+            slots=load.slots,
+            occupancy=self._occupancy(load),
+            demand_tokens=load.demand_tokens + self._tokens_since_report(),
+            kv_tokens=load.kv_tokens,
+            age_s=now - self._sampled_at,
+            prefixes=self._prefixes,
+        )
+
+    def _occupancy(self, load: Load) -> int:
+        begun = sum(
+            1
+            for sent in self._sent_by_ticket.values()
+            if sent.began_at > self._sampled_at
+        )
+        ended = sum(
+            1
+            for sent, ended_at in self._ends
+            if sent.began_at <= self._sampled_at < ended_at
+        )
+        estimate = load.running + load.queued + begun - ended
+        return max(estimate, self.in_flight)
+
+    def _tokens_since_report(self) -> int:
+        return sum(
+            sent.tokens
+            for sent in self._sent_by_ticket.values()
+            if sent.began_at > self._sampled_at
+        )
--- a/src/dandelioncleat/core/admission.py
+++ b/src/dandelioncleat/core/admission.py
@@ -15,7 +15,6 @@
     """A request that waits; ``deadline`` is a time of the event loop in s."""
 
     ticket: int
-    organisation: str
     priority: int
     deadline: float
 
@@ -74,6 +73,20 @@
         """Return the waiting requests, the next one first."""
         return sorted(self._waiting.values(), key=_rank)
 
+    def too_late(self, *, now: float, slots: int) -> list[Waiting]:
+        """Return the requests whose turn would come after their deadline.
+
+        :param now: time of the event loop in seconds
+        :param slots: slots of all targets that may serve the queue
+        """
+        if slots == 0:
+            return []
+        return [
+            waiting
+            for ahead, waiting in enumerate(self.in_order())
+            if now + self._turn_s(ahead, slots) > waiting.deadline
+        ]
+
     def remove(self, ticket: int) -> None:
         """Drop a request that was served, given up or left."""
         self._waiting.pop(ticket, None)
@@ -96,7 +109,7 @@
         ahead = sum(
             1 for other in self._waiting.values() if other.rank < waiting.rank
         )
-        return (ahead + 1) * self.service_time_s / slots
+        return self._turn_s(ahead, slots)
 
     def retry_after_s(self, *, slots: int) -> float:
         """Return after what time a refused request may find room."""
@@ -104,6 +117,9 @@
         wait_s = backlog * self.service_time_s / max(slots, 1)
         return max(LEAST_RETRY_AFTER_S, wait_s)
 
+    def _turn_s(self, ahead: int, slots: int) -> float:
+        return (ahead + 1) * self.service_time_s / slots
+
 
 class RunningCounts:
     """Counts running requests of each organisation against its limit."""
@@ -112,17 +128,15 @@
         """Start with nothing running."""
         self._running_by_organisation: dict[str, int] = {}
 
-    def begin(
-        self,
-        organisation: str,
-        limit: int,
-    ) -> Result[int, Failure]:
-        """Count a request; a ``limit`` of 0 means none."""
+    def is_at_limit(self, organisation: str, limit: int) -> bool:
+        """Return whether no more may run; a ``limit`` of 0 means none."""
+        running = self._running_by_organisation.get(organisation, 0)
+        return limit > 0 and running >= limit
+
+    def begin(self, organisation: str) -> None:
+        """Count a request as running."""
         running = self._running_by_organisation.get(organisation, 0)
-        if limit and running >= limit:
-            return Failed(_given_up(f'{running} requests are running already'))
         self._running_by_organisation[organisation] = running + 1
-        return Success(running + 1)
 
     def end(self, organisation: str) -> None:
         """Count a request as ended."""
