--- /dev/null
+++ b/src/dandelioncleat/adapters/log_lines.py
@@ -0,0 +1,44 @@
+"""Sets up the log lines of a process: JSON for machines or a console."""
+
+import logging
+import sys
+from typing import Literal, TextIO
+
+import structlog
+from structlog.typing import Processor
+
+LineFormat = Literal['json', 'console']
+
+
+def configure_log_lines(
+    line_format: LineFormat,
+    *,
+    stream: TextIO | None = None,
+    level: int = logging.INFO,
+    **context: str,
+) -> None:
+    """Set up structlog for the whole process.
+
+    :param stream: where the lines go, standard error by default
+    :param context: fields that every line carries
+    """
+    structlog.contextvars.clear_contextvars()
+    structlog.contextvars.bind_contextvars(**context)
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.format_exc_info,
+            _renderer(line_format),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=structlog.WriteLoggerFactory(stream or sys.stderr),
+        cache_logger_on_first_use=False,
+    )
+
+
+def _renderer(line_format: LineFormat) -> Processor:
+    if line_format == 'json':
+        return structlog.processors.JSONRenderer()
+    return structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
