--- a/src/dandelioncleat/app/_appender.py
+++ b/src/dandelioncleat/app/_appender.py
@@ -4,8 +4,9 @@
 from collections.abc import Callable
 from typing import Generic, NamedTuple, TypeVar
 
+from dandelioncleat.core.deduplication import SequenceMarks
 from dandelioncleat.core.envelope import Codec, Envelope
-from dandelioncleat.core.failure import FailureError
+from dandelioncleat.core.failure import Code, FailureError, failure_error
 from dandelioncleat.core.identity import Incarnation
 from dandelioncleat.ports.log import Log
 
@@ -63,6 +64,21 @@
             flight.resolve(verdicts)
             self._in_flight = None
 
+    def skip(self, marks: SequenceMarks) -> None:
+        """Fail what was applied in entries that this process never read."""
+        flight = self._in_flight
+        applied = marks.highest_by_producer.get(self._producer, 0)
+        if flight is not None and flight.envelope.sequence <= applied:
+            flight.fail(
+                failure_error(
+                    Code.LOG,
+                    step='read_back',
+                    peer='log',
+                    text=f'the verdicts in {self._name} were not kept',
+                ),
+            )
+            self._in_flight = None
+
     async def run(self) -> None:
         """Append what is submitted until cancelled."""
         while True:
@@ -112,6 +128,13 @@
     submissions: tuple[_Submission[RecordT, VerdictT], ...]
     read_back: asyncio.Event
 
+    def fail(self, error: FailureError) -> None:
+        """Give every submission an error."""
+        for submission in self.submissions:
+            if not submission.future.done():
+                submission.future.set_exception(error)
+        self.read_back.set()
+
     def resolve(self, verdicts: tuple[VerdictT, ...]) -> None:
         """Give every submission its part of the verdicts."""
         start = 0
--- /dev/null
+++ b/src/dandelioncleat/app/_outage.py
@@ -0,0 +1,31 @@
+"""An outage of the log as one process sees it."""
+
+import asyncio
+
+
+class Outage:
+    """Remembers since when every call to the log has failed."""
+
+    def __init__(self) -> None:
+        """Start without an outage."""
+        self._since: float | None = None
+
+    @property
+    def is_on(self) -> bool:
+        """Return whether the last call failed."""
+        return self._since is not None
+
+    def lasted_s(self) -> float:
+        """Return for how many seconds every call has failed."""
+        if self._since is None:
+            return 0
+        return asyncio.get_running_loop().time() - self._since
+
+    def note_failure(self) -> None:
+        """Take note of a call that failed."""
+        if self._since is None:
+            self._since = asyncio.get_running_loop().time()
+
+    def note_success(self) -> None:
+        """Take note of a call that succeeded."""
+        self._since = None
--- a/src/dandelioncleat/app/_purses.py
+++ b/src/dandelioncleat/app/_purses.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from dandelioncleat.app._grant_requester import GrantRequester
 from dandelioncleat.app._purse import Purse
 from dandelioncleat.app._refill import Refiller
 from dandelioncleat.app._shards import Shards
@@ -29,6 +30,7 @@
         shards: Shards,
         fleet: FleetKeeper,
         refiller: Refiller,
+        requester: GrantRequester,
         scope: TaskScope,
     ) -> None:
         """Take the router's name and where tokens come from."""
@@ -38,6 +40,7 @@
         self._shards = shards
         self._fleet = fleet
         self._refiller = refiller
+        self._requester = requester
         self._scope = scope
         shards.on_record(self._note_record)
         shards.on_change(self._wake)
@@ -83,14 +86,14 @@
             demand = self._refiller.demand(purse)
             tokens = surplus(self._refiller.policy, demand)
             if tokens > 0 and self._shards.of(purse.budget).is_available:
-                self._scope.spawn(self._refiller.give_back(purse, tokens))
+                self._scope.spawn(self._requester.give_back(purse, tokens))
 
     async def return_all(self) -> None:
         """Return all spendable tokens and wait for the ledger."""
         async with asyncio.TaskGroup() as group:
             for purse in tuple(self.by_budget.values()):
                 group.create_task(
-                    self._refiller.give_back(purse, purse.wallet.spendable),
+                    self._requester.give_back(purse, purse.wallet.spendable),
                 )
 
     def drop_retired(self) -> None:
@@ -118,4 +121,4 @@
     def _help(self, purse: Purse) -> None:
         spare = purse.wallet.spendable
         if spare and self._scope.is_open and transfers(self._refiller.policy):
-            self._scope.spawn(self._refiller.give_back(purse, spare))
+            self._scope.spawn(self._requester.give_back(purse, spare))
--- a/src/dandelioncleat/app/_refill.py
+++ b/src/dandelioncleat/app/_refill.py
@@ -2,8 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
-from itertools import count
 
+from dandelioncleat.app._grant_requester import GrantRequester
 from dandelioncleat.app._part_seeker import PartSeeker
 from dandelioncleat.app._purse import Purse
 from dandelioncleat.app._shards import Shards
@@ -20,9 +20,7 @@
     new_grant_policy,
     transfers,
 )
-from dandelioncleat.core.identity import Draw, GrantId, Incarnation
-from dandelioncleat.core.ledger_verdict import Granted
-from dandelioncleat.core.record import LedgerRecord, RequestGrant, ReturnGrant
+from dandelioncleat.core.identity import Draw
 
 LOG_WAIT_S = 1.0
 RETURN_WAIT_S = 1.0
@@ -34,21 +32,20 @@
     def __init__(
         self,
         *,
-        incarnation: Incarnation,
         configuration: Callable[[], Configuration],
         shards: Shards,
         fleet: FleetKeeper,
+        requester: GrantRequester,
         seeker: PartSeeker,
         scope: TaskScope,
     ) -> None:
-        """Take the router's name and where tokens come from."""
-        self._incarnation = incarnation
+        """Take where tokens come from."""
         self._configuration = configuration
         self._shards = shards
         self._fleet = fleet
+        self._requester = requester
         self._seeker = seeker
         self._scope = scope
-        self._numbers = count(1)
 
     @property
     def policy(self) -> GrantPolicy:
@@ -88,13 +85,6 @@
             purse.asking = self._scope.spawn(self._ask(purse))
         return purse.asking
 
-    async def give_back(self, purse: Purse, tokens: int) -> None:
-        """Return spendable tokens of a purse to the ledger."""
-        draws = purse.wallet.take(tokens)
-        if draws:
-            shard = self._shards.of(purse.budget)
-            await shard.follower.submit(*_returns(draws))
-
     async def _ask(self, purse: Purse) -> None:
         # A router that is short puts what it holds back into the same entry,
         # so that the ledger weighs whole requests in log order and no two
@@ -108,26 +98,12 @@
         if least > demand.left and transfers(self.policy):
             returned = purse.wallet.take(demand.spendable)
             least += total_of(returned)
-        await self._append_request(purse, returned, max(size, least), least)
-
-    async def _append_request(
-        self,
-        purse: Purse,
-        returned: tuple[Draw, ...],
-        size: int,
-        least: int,
-    ) -> None:
-        grant = GrantId(self._incarnation, next(self._numbers))
-        records: tuple[LedgerRecord, ...] = (
-            *_returns(returned),
-            RequestGrant(grant, purse.budget, size, least),
+        await self._requester.request(
+            purse,
+            returned=returned,
+            size=max(size, least),
+            least=least,
         )
-        shard = self._shards.of(purse.budget)
-        verdicts = await shard.follower.submit(*records)
-        verdict = verdicts[-1]
-        if isinstance(verdict, Granted):
-            purse.granted += verdict.tokens
-            purse.add(Draw(verdict.grant, verdict.tokens))
 
     async def _wait_for_return(self, purse: Purse) -> None:
         try:
@@ -183,7 +159,3 @@
         peer='log',
         text=f'too few tokens of {purse.budget} held and no log answers',
     )
-
-
-def _returns(draws: tuple[Draw, ...]) -> tuple[ReturnGrant, ...]:
-    return tuple(ReturnGrant(draw.grant, draw.tokens) for draw in draws)
--- a/src/dandelioncleat/app/_shards.py
+++ b/src/dandelioncleat/app/_shards.py
@@ -38,7 +38,7 @@
     def is_available(self) -> bool:
         """Return whether the shard is caught up and the log answers."""
         caught_up = self.follower.caught_up.is_set()
-        return caught_up and self.follower.failing_for_s() < OUTAGE_AFTER_S
+        return caught_up and self.follower.outage.lasted_s() < OUTAGE_AFTER_S
 
 
 class Shards:
--- /dev/null
+++ b/src/dandelioncleat/app/_stream_state.py
@@ -0,0 +1,93 @@
+"""The state that one process has read from a stream."""
+
+from collections.abc import Callable
+from typing import Generic, NamedTuple, TypeVar
+
+import msgspec
+
+from dandelioncleat.core.checkpoint import Checkpoint
+from dandelioncleat.core.deduplication import SequenceMarks
+from dandelioncleat.core.envelope import Codec, Envelope
+from dandelioncleat.core.fold import Fold
+from dandelioncleat.ports.log import Entry
+
+RecordT = TypeVar('RecordT')
+VerdictT = TypeVar('VerdictT')
+
+
+class Applied(NamedTuple, Generic[RecordT, VerdictT]):
+    """An envelope that was applied and its verdicts in order."""
+
+    envelope: Envelope[RecordT]
+    verdicts: tuple[VerdictT, ...]
+
+
+class StreamState(Generic[RecordT, VerdictT]):
+    """Applies entries to a fold, each envelope once."""
+
+    def __init__(
+        self,
+        *,
+        fold: Fold[RecordT, VerdictT],
+        codec: Codec[RecordT],
+    ) -> None:
+        """Take the fold and the codec of the stream's entries."""
+        self.fold = fold
+        self.position = 0
+        self.marks = SequenceMarks()
+        self.undecodable_entries = 0
+        self._codec = codec
+        self._listeners: list[Callable[[RecordT, VerdictT], None]] = []
+
+    def on_record(
+        self,
+        listener: Callable[[RecordT, VerdictT], None],
+    ) -> None:
+        """Call ``listener`` with each record that was applied."""
+        self._listeners.append(listener)
+
+    def apply(self, entry: Entry) -> list[Applied[RecordT, VerdictT]]:
+        """Apply an entry and return those of its envelopes that are new."""
+        self.position = entry.offset + 1
+        try:
+            envelopes = self._codec.decode(entry.data)
+        except msgspec.MsgspecError:
+            self.undecodable_entries += 1
+            return []
+        return [
+            self._apply_envelope(entry, envelope)
+            for envelope in envelopes
+            if self.marks.admit(envelope.producer, envelope.sequence)
+        ]
+
+    def checkpoint(self) -> Checkpoint:
+        """Return the whole state."""
+        return Checkpoint(
+            self.position,
+            dict(self.marks.highest_by_producer),
+            self.fold.snapshot(),
+        )
+
+    def restore(self, checkpoint: Checkpoint) -> None:
+        """Replace the state by that of a checkpoint."""
+        self.fold.restore(checkpoint.state)
+        self.marks.highest_by_producer = checkpoint.marks
+        self.position = checkpoint.position
+
+    def _apply_envelope(
+        self,
+        entry: Entry,
+        envelope: Envelope[RecordT],
+    ) -> Applied[RecordT, VerdictT]:
+        verdicts: list[VerdictT] = []
+        for record in envelope.records:
+            verdict = self.fold.apply(
+                entry.offset,
+                float(entry.appended_at),
+                envelope.producer,
+                record,
+            )
+            verdicts.append(verdict)
+            for listener in self._listeners:
+                listener(record, verdict)
+        return Applied(envelope, tuple(verdicts))
--- a/src/dandelioncleat/app/_task_scope.py
+++ b/src/dandelioncleat/app/_task_scope.py
@@ -2,9 +2,10 @@
 
 import asyncio
 from collections.abc import Coroutine
+from contextlib import suppress
 from typing import Any
 
-from dandelioncleat.core.failure import Code, failure_error
+from dandelioncleat.core.failure import Code, FailureError, failure_error
 
 
 class TaskScope:
@@ -23,8 +24,8 @@
         """Start tasks in ``group`` from now on."""
         self._group = group
 
-    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
-        """Start a task."""
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[None]:
+        """Start a task; a ``FailureError`` ends only the task."""
         if self._group is None:
             work.close()
             raise failure_error(
@@ -33,4 +34,9 @@
                 peer='',
                 text='the component does not run',
             )
-        return self._group.create_task(work)
+        return self._group.create_task(_survive_failure(work))
+
+
+async def _survive_failure(work: Coroutine[Any, Any, Any]) -> None:
+    with suppress(FailureError):
+        await work
--- a/src/dandelioncleat/app/budgets.py
+++ b/src/dandelioncleat/app/budgets.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from dandelioncleat.app._grant_requester import GrantRequester
 from dandelioncleat.app._part_seeker import PartSeeker
 from dandelioncleat.app._purse import Purse
 from dandelioncleat.app._purses import Purses
@@ -54,11 +55,15 @@
             producer=incarnation,
             configuration=configuration,
         )
-        self._refiller = Refiller(
+        requester = GrantRequester(
             incarnation=incarnation,
+            shards=self.shards,
+        )
+        self._refiller = Refiller(
             configuration=configuration,
             shards=self.shards,
             fleet=fleet,
+            requester=requester,
             seeker=PartSeeker(
                 incarnation=incarnation,
                 fleet=fleet,
@@ -72,6 +77,7 @@
             shards=self.shards,
             fleet=fleet,
             refiller=self._refiller,
+            requester=requester,
             scope=self._scope,
         )
         self._bills = SecondSource(
--- a/src/dandelioncleat/app/stream.py
+++ b/src/dandelioncleat/app/stream.py
@@ -1,18 +1,20 @@
 """Follows one stream of the log and appends to it.
 
-One task reads, one task appends; callers hand over records and wait for
-the verdicts that the fold gives when the records are read back.
+One task reads, one task appends, one publishes checkpoints; callers hand
+over records and wait for the verdicts that the fold gives when the records
+are read back. A start, or a gap that the log's retention left, begins from
+the newest checkpoint.
 """
 
 import asyncio
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
-import msgspec
-
 from dandelioncleat.app._appender import RETRY_DELAY_S, Appender
-from dandelioncleat.core.deduplication import SequenceMarks
-from dandelioncleat.core.envelope import Codec, Envelope
+from dandelioncleat.app._outage import Outage
+from dandelioncleat.app._stream_state import StreamState
+from dandelioncleat.app.checkpoint import CheckpointPublisher, CheckpointStore
+from dandelioncleat.core.envelope import Codec
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.fold import Fold
 from dandelioncleat.core.identity import Incarnation
@@ -43,34 +45,36 @@
         """Take the log, the stream's name and the fold to keep current."""
         self.name = name
         self.fold = fold
-        self.position = 0
         self.caught_up = asyncio.Event()
-        self.undecodable_entries = 0
-        self.marks = SequenceMarks()
         self.current_at = float('-inf')
+        self.state = StreamState(fold=fold, codec=codec)
         self._log = log
-        self._codec = codec
-        self._failing_since: float | None = None
+        self.outage = Outage()
         self._appender: Appender[RecordT, VerdictT] = Appender(
             log=log,
             name=name,
             codec=codec,
             producer=producer,
-            on_failure=self._note_failure,
+            on_failure=self.outage.note_failure,
+        )
+        self._store = CheckpointStore(log=log, stream=name)
+        self._publisher = CheckpointPublisher(
+            store=self._store,
+            follower=producer,
+            position=self._whole_position,
+            checkpoint=self.state.checkpoint,
         )
         self._listeners: list[Callable[[], None]] = []
-        self._record_listeners: list[Callable[[RecordT, VerdictT], None]] = []
+
+    @property
+    def position(self) -> int:
+        """Return the offset of the next entry to read."""
+        return self.state.position
 
     @property
     def log_failing(self) -> bool:
         """Return whether the last call to the log failed."""
-        return self._failing_since is not None
-
-    def failing_for_s(self) -> float:
-        """Return for how many seconds every call to the log has failed."""
-        if self._failing_since is None:
-            return 0
-        return asyncio.get_running_loop().time() - self._failing_since
+        return self.outage.is_on
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each page of entries was applied."""
@@ -80,30 +84,48 @@
         self,
         listener: Callable[[RecordT, VerdictT], None],
     ) -> None:
-        """Call ``listener`` with each record that was applied."""
-        self._record_listeners.append(listener)
+        """Call ``listener`` with each record that was applied.
+
+        Records that a checkpoint stands for are not among them.
+        """
+        self.state.on_record(listener)
 
     async def submit(self, *records: RecordT) -> tuple[VerdictT, ...]:
         """Append records and return their verdicts once read back.
 
-        A caller that stops waiting does not take the records back.
+        A caller that stops waiting does not take the records back. Raises
+        ``FailureError`` if the records took effect in entries that the log
+        dropped before this process read them.
         """
         return await self._appender.submit(records)
 
     async def run(self) -> None:
-        """Read and append until cancelled."""
+        """Read, append and publish checkpoints until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._read_forever())
             group.create_task(self._appender.run())
+            group.create_task(self._publisher.run())
 
     async def _read_forever(self) -> None:
+        is_started = False
         while True:
             try:
+                if not is_started:
+                    await self._restore(oldest=0)
+                    is_started = True
                 await self._read_page()
             except FailureError:
-                self._note_failure()
+                self.outage.note_failure()
                 await asyncio.sleep(RETRY_DELAY_S)
 
+    async def _restore(self, *, oldest: int) -> None:
+        checkpoint = await self._store.load(oldest=oldest)
+        if checkpoint is None or checkpoint.position <= self.position:
+            return
+        self.state.restore(checkpoint)
+        self._appender.skip(self.state.marks)
+        self._notify()
+
     async def _read_page(self) -> None:
         asked_at = asyncio.get_running_loop().time()
         page = await self._log.read(
@@ -111,54 +133,31 @@
             start=self.position,
             wait_s=READ_WAIT_S if self.caught_up.is_set() else 0,
         )
-        self._failing_since = None
+        self.outage.note_success()
+        if self.position < page.oldest:
+            await self._cross_gap(page.oldest)
+            return
         for entry in page.entries:
-            self._apply_entry(entry)
-            self.position = entry.offset + 1
+            self._apply(entry)
         if self.position >= page.end:
             self.caught_up.set()
             self.current_at = asked_at
         if page.entries:
-            for listener in self._listeners:
-                listener()
-
-    def _apply_entry(self, entry: Entry) -> None:
-        try:
-            envelopes = self._codec.decode(entry.data)
-        except msgspec.MsgspecError:
-            self.undecodable_entries += 1
-            return
-        for envelope in envelopes:
-            if self.marks.admit(envelope.producer, envelope.sequence):
-                self._apply_envelope(entry, envelope)
+            self._notify()
 
-    def _apply_envelope(
-        self,
-        entry: Entry,
-        envelope: Envelope[RecordT],
-    ) -> None:
-        verdicts = tuple(
-            self._apply_record(entry, envelope.producer, record)
-            for record in envelope.records
-        )
-        self._appender.read_back(envelope, verdicts)
+    async def _cross_gap(self, oldest: int) -> None:
+        self.caught_up.clear()
+        await self._restore(oldest=oldest)
+        if self.position < oldest:
+            await asyncio.sleep(RETRY_DELAY_S)
 
-    def _apply_record(
-        self,
-        entry: Entry,
-        producer: Incarnation,
-        record: RecordT,
-    ) -> VerdictT:
-        verdict = self.fold.apply(
-            entry.offset,
-            float(entry.appended_at),
-            producer,
-            record,
-        )
-        for listener in self._record_listeners:
-            listener(record, verdict)
-        return verdict
+    def _apply(self, entry: Entry) -> None:
+        for applied in self.state.apply(entry):
+            self._appender.read_back(applied.envelope, applied.verdicts)
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
 
-    def _note_failure(self) -> None:
-        if self._failing_since is None:
-            self._failing_since = asyncio.get_running_loop().time()
+    def _whole_position(self) -> int | None:
+        return self.position if self.caught_up.is_set() else None
--- a/tests/builders/budgets.py
+++ b/tests/builders/budgets.py
@@ -40,6 +40,7 @@
     def __init__(self, log: MemoryLog) -> None:
         """Take the log."""
         self.is_cut = False
+        self.reads_fail = False
         self._log = log
 
     async def append(self, stream: str, data: bytes) -> int:
@@ -59,11 +60,11 @@
         page = await self._log.read(
             stream, start=start, limit=limit, wait_s=wait_s
         )
-        self._check()
+        self._check(fails=self.reads_fail)
         return page
 
-    def _check(self) -> None:
-        if self.is_cut:
+    def _check(self, *, fails: bool = False) -> None:
+        if self.is_cut or fails:
             raise failure_error(
                 Code.LOG, step='link', peer='log', text='the link is cut'
             )
