Read shared streams through a few routers of each data centre

Every process waited at the log for the configuration and the fleet, so the log would serve a thousand waiting readers at the target size. Two routers of each data centre now wait there and the others wait at them, by rendezvous hash; a relay that the log does not answer in time refuses, and the others turn to the log. A process told of a newer version asks the one that told it, and can wait for the version instead of refusing requests meanwhile.

--- a/src/dandelioncleat/adapters/frames/frames.capnp
+++ b/src/dandelioncleat/adapters/frames/frames.capnp
@@ -35,8 +35,8 @@
     part @22 :Part;
     appendEnvelope @23 :AppendEnvelope;
     verdicts @24 :Verdicts;
-    askConfiguration @25 :AskConfiguration;
-    configurationEntries @26 :ConfigurationEntries;
+    askEntries @25 :AskEntries;
+    streamEntries @26 :StreamEntries;
     askStatus @27 :AskStatus;
     status @28 :Status;
   }
@@ -206,13 +206,22 @@
   data @0 :Data;
 }
 
-struct AskConfiguration {
-  version @0 :Int64;
+struct AskEntries {
+  stream @0 :Text;
+  start @1 :Int64;
+  limit @2 :Int64;
+  waitMs @3 :Int64;
+}
+
+struct StreamEntry {
+  offset @0 :Int64;
+  appendedAt @1 :Float64;
+  data @2 :Data;
 }
 
-struct ConfigurationEntries {
-  version @0 :Int64;
-  entries @1 :List(Data);
+struct StreamEntries {
+  end @0 :Int64;
+  entries @1 :List(StreamEntry);
 }
 
 struct AskStatus {
--- a/src/dandelioncleat/app/configuration.py
+++ b/src/dandelioncleat/app/configuration.py
@@ -30,6 +30,9 @@
             codec=configuration_codec(),
             producer=producer,
         )
+        self._behind_listeners: list[Callable[[str], None]] = []
+        self._changed = asyncio.Event()
+        self._follower.on_change(self._note_change)
 
     @property
     def current(self) -> Configuration:
@@ -61,6 +64,28 @@
         if version > self.highest_told:
             self.highest_told = version
             self.told_by = peer
+        if version > self.current.version:
+            for listener in self._behind_listeners:
+                listener(peer)
+
+    async def wait_ready(self, timeout_s: float) -> bool:
+        """Wait until this process is ready; return whether it is.
+
+        A process that was told of a version just before it reads the version
+        itself need not refuse what it can serve a moment later.
+        """
+        deadline = asyncio.get_running_loop().time() + timeout_s
+        while not self.ready:
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await self._changed.wait()
+            except TimeoutError:
+                return self.ready
+        return True
+
+    def on_behind(self, listener: Callable[[str], None]) -> None:
+        """Call ``listener`` with each peer that has a newer version."""
+        self._behind_listeners.append(listener)
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after entries of the stream were applied."""
@@ -74,3 +99,9 @@
     async def run(self) -> None:
         """Follow the stream until cancelled."""
         await self._follower.run()
+
+    def _note_change(self) -> None:
+        served = self.current.version
+        self.highest_told = max(self.highest_told, served)
+        self._changed.set()
+        self._changed = asyncio.Event()
--- a/src/dandelioncleat/core/message.py
+++ b/src/dandelioncleat/core/message.py
@@ -1,5 +1,7 @@
 """Messages between processes; each answers a call or is part of a stream."""
 
+from typing import NamedTuple
+
 from msgspec import Struct
 
 from dandelioncleat.core.failure import Code, Failure
@@ -208,17 +210,31 @@
     data: bytes
 
 
-class AskConfiguration(Message, frozen=True):
-    """Asks for the configuration entries after a version."""
+class AskEntries(Message, frozen=True):
+    """Asks a process that reads a stream for the entries from ``start`` on.
 
-    version: int
+    It waits up to ``wait_ms`` for one if there are none.
+    """
 
+    stream: str
+    start: int
+    limit: int
+    wait_ms: int
 
-class ConfigurationEntries(Message, frozen=True):
-    """Carries accepted patches in order, each as its encoded change."""
 
-    version: int
-    entries: tuple[bytes, ...]
+class StreamEntry(NamedTuple):
+    """One entry of a stream, as the log holds it."""
+
+    offset: int
+    appended_at: float
+    data: bytes
+
+
+class StreamEntries(Message, frozen=True):
+    """Carries entries in order; ``end`` is the offset of the next one."""
+
+    end: int
+    entries: tuple[StreamEntry, ...]
 
 
 class AskStatus(Message, frozen=True):
--- /dev/null
+++ b/src/dandelioncleat/core/relay.py
@@ -0,0 +1,46 @@
+"""Which routers read the shared streams for the others."""
+
+from collections.abc import Iterable
+from functools import partial
+from typing import NamedTuple
+
+import xxhash
+
+from dandelioncleat.core.identity import Incarnation
+
+RELAYS_PER_DATA_CENTRE = 2
+
+
+class RouterPlace(NamedTuple):
+    """A live router and where it is."""
+
+    incarnation: Incarnation
+    data_centre: str
+    address: str
+
+
+def relays_of(
+    data_centre: str,
+    routers: Iterable[RouterPlace],
+) -> tuple[RouterPlace, ...]:
+    """Return the routers that read for a data centre, by rendezvous hash.
+
+    A data centre without a router is read for by routers of the others.
+    """
+    places = tuple(routers)
+    own = [place for place in places if place.data_centre == data_centre]
+    ranked = sorted(own or places, key=partial(_rank, data_centre))
+    return tuple(ranked[:RELAYS_PER_DATA_CENTRE])
+
+
+def relay_order(
+    process: Incarnation,
+    relays: Iterable[RouterPlace],
+) -> tuple[RouterPlace, ...]:
+    """Order relays for one process, so that their askers are spread."""
+    return tuple(sorted(relays, key=partial(_rank, process)))
+
+
+def _rank(salt: str, place: RouterPlace) -> tuple[int, str]:
+    text = f'{salt}\n{place.incarnation}'
+    return (xxhash.xxh3_64_intdigest(text.encode()), place.incarnation)
--- a/tests/test_configuration_keeper.py
+++ b/tests/test_configuration_keeper.py
@@ -120,3 +120,23 @@
             return readiness, keeper.current.version
 
         self.assertEqual(([True, False], 1), virtual_time.run(scenario()))
+
+    def test_process_that_is_behind_waits_for_the_version(self):
+        async def scenario():
+            log = MemoryLog()
+            ahead = new_keeper(log, 'router-1')
+            behind = new_keeper(log, 'router-2')
+            told = []
+            behind.on_behind(told.append)
+            async with running(ahead, behind):
+                await reach(ahead, 0)
+                await behind.caught_up.wait()
+                behind.tell(1, 'router-1/1')
+                refused = await behind.wait_ready(1)
+                waiting = asyncio.create_task(behind.wait_ready(60))
+                await ahead.submit(build_patch(build_document()))
+                return refused, await waiting, told
+
+        self.assertEqual(
+            (False, True, ['router-1/1']), virtual_time.run(scenario())
+        )
--- /dev/null
+++ b/tests/test_log_relay.py
@@ -0,0 +1,231 @@
+"""Tests of reading shared streams through relays."""
+
+import asyncio
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from dandelioncleat.adapters import virtual_time
+from dandelioncleat.app.configuration import (
+    CONFIGURATION_STREAM,
+    ConfigurationKeeper,
+)
+from dandelioncleat.app.log_relay import LogRelay
+from dandelioncleat.core.failure import Code, failure_error
+from dandelioncleat.core.identity import Incarnation
+from dandelioncleat.core.message import StreamEntry
+from dandelioncleat.core.relay import RouterPlace, relays_of
+from dandelioncleat.core.stream_tail import MAX_ENTRIES, StreamTail
+from dandelioncleat.standin.log import MemoryLog
+from tests.builders.configuration import build_document, build_patch
+from tests.test_configuration_keeper import reach, running
+
+IN_FORCE_S = 3.0
+
+
+class Links:
+    """Calls relays by address, unless they are parted."""
+
+    def __init__(self):
+        self.relays_by_address = {}
+        self.parted = set()
+
+    async def call(self, address, message, *, timeout_s):
+        if address in self.parted:
+            await asyncio.sleep(timeout_s)
+            raise failure_error(
+                Code.UNREACHABLE, step='call', peer=address, text='parted'
+            )
+        return await self.relays_by_address[address].answer(message)
+
+
+class PartedLog:
+    """Passes calls on to a log until it is parted from it."""
+
+    def __init__(self, log):
+        self.parted = False
+        self._log = log
+
+    async def append(self, stream, data):
+        return await self._log.append(stream, data)
+
+    async def read(self, stream, **options):
+        page = await self._log.read(stream, **options)
+        if self.parted:
+            await asyncio.Event().wait()
+        return page
+
+
+class Fleet:
+    """Processes of one data centre that share a log."""
+
+    def __init__(self, size):
+        self.log = MemoryLog()
+        self.links = Links()
+        self.places = tuple(
+            RouterPlace(Incarnation(f'router-{n}/1'), 'klang-a', f'router-{n}')
+            for n in range(size)
+        )
+        self.logs = [PartedLog(self.log) for _ in self.places]
+        self.relays = [
+            self._relay(place, log)
+            for place, log in zip(self.places, self.logs, strict=True)
+        ]
+        self.keepers = [
+            ConfigurationKeeper(log=relay, producer=place.incarnation)
+            for relay, place in zip(self.relays, self.places, strict=True)
+        ]
+
+    def _relay(self, place, log):
+        relay = LogRelay(
+            log=log,
+            incarnation=place.incarnation,
+            data_centre=place.data_centre,
+            peers=self.links,
+            streams=(CONFIGURATION_STREAM,),
+        )
+        relay.routers = lambda: self.places
+        self.links.relays_by_address[place.address] = relay
+        return relay
+
+    def relay_places(self):
+        return relays_of('klang-a', self.places)
+
+    async def settle(self, version):
+        """Wait until every keeper has a version; return how long it took."""
+        started = asyncio.get_running_loop().time()
+        await asyncio.gather(*(reach(k, version) for k in self.keepers))
+        return asyncio.get_running_loop().time() - started
+
+
+class RelayTest(TestCase):
+    """A few routers read the log for the whole fleet."""
+
+    def test_only_relays_wait_at_the_log(self):
+        async def scenario():
+            fleet = Fleet(8)
+            async with running(*fleet.keepers):
+                await fleet.keepers[0].submit(build_patch(build_document()))
+                took = await fleet.settle(1)
+                for relay in fleet.relays:
+                    relay.reads_by_source.update(log=0, relay=0)
+                await asyncio.sleep(60)
+                readers = [
+                    place.address
+                    for place, relay in zip(
+                        fleet.places, fleet.relays, strict=True
+                    )
+                    if relay.reads_by_source['log']
+                ]
+            return took, readers, fleet
+
+        took, readers, fleet = virtual_time.run(scenario())
+        self.assertLess(took, IN_FORCE_S)
+        expected = {place.address for place in fleet.relay_places()}
+        self.assertEqual(expected, set(readers))
+
+    def test_in_force_in_time_though_relays_are_parted(self):
+        async def scenario():
+            fleet = Fleet(8)
+            async with running(*fleet.keepers):
+                await asyncio.sleep(5)
+                relays = [place.address for place in fleet.relay_places()]
+                fleet.links.parted.update(relays)
+                await fleet.keepers[0].submit(build_patch(build_document()))
+                return await fleet.settle(1)
+
+        self.assertLess(virtual_time.run(scenario()), IN_FORCE_S)
+
+    def test_relays_parted_from_the_log_are_left_in_time(self):
+        async def scenario():
+            fleet = Fleet(6)
+            async with running(*fleet.keepers):
+                await asyncio.sleep(5)
+                for log, place in zip(fleet.logs, fleet.places, strict=True):
+                    log.parted = place in fleet.relay_places()
+                apart = [
+                    k
+                    for k, log in zip(fleet.keepers, fleet.logs, strict=True)
+                    if not log.parted
+                ]
+                fleet.keepers = apart
+                await apart[0].submit(build_patch(build_document()))
+                return await fleet.settle(1)
+
+        self.assertLess(virtual_time.run(scenario()), IN_FORCE_S)
+
+    def test_slow_log_is_read_all_the_same(self):
+        async def scenario():
+            fleet = Fleet(4)
+            fleet.log.slow_s = 5
+            async with running(*fleet.keepers):
+                await fleet.keepers[0].submit(build_patch(build_document()))
+                await fleet.settle(1)
+                return [keeper.ready for keeper in fleet.keepers]
+
+        self.assertEqual([True] * 4, virtual_time.run(scenario()))
+
+    def test_process_that_is_told_asks_the_one_that_told_it(self):
+        async def scenario():
+            fleet = Fleet(2)
+            ahead, behind = fleet.keepers
+            fleet.relays[1].routers = lambda: ()
+            async with running(behind, ahead):
+                await asyncio.sleep(1)
+                fleet.logs[1].parted = True
+                await ahead.submit(build_patch(build_document()))
+                behind.tell(1, 'router-0/1')
+                before = behind.ready
+                fleet.relays[1].tell(CONFIGURATION_STREAM, 'router-0')
+                await reach(behind, 1)
+                return before, behind.ready
+
+        self.assertEqual((False, True), virtual_time.run(scenario()))
+
+
+class TailTest(TestCase):
+    """The newest entries are kept without gaps."""
+
+    @settings(derandomize=True, deadline=None, max_examples=100)
+    @given(
+        st.lists(st.tuples(st.integers(0, 50), st.integers(0, 9))),
+        st.integers(0, 70),
+    )
+    def test_returns_what_a_read_would(self, reads, start):
+        tail = StreamTail()
+        for first, count in reads:
+            tail.note(
+                first,
+                [
+                    StreamEntry(offset, 0, b'%d' % offset)
+                    for offset in range(first, first + count)
+                ],
+            )
+        entries = tail.from_offset(start, 5)
+        if entries is not None:
+            expected = list(range(start, min(start + 5, tail.end)))
+            self.assertEqual(expected, [e.offset for e in entries])
+
+    def test_is_bounded(self):
+        tail = StreamTail()
+        entries = [StreamEntry(n, 0, b'') for n in range(MAX_ENTRIES + 5)]
+        tail.note(0, entries)
+        self.assertEqual((5, MAX_ENTRIES + 5), (tail.start, tail.end))
+        self.assertIsNone(tail.from_offset(4, 1))
+
+
+class RelayChoiceTest(TestCase):
+    """Relays stay where they are when other routers come and go."""
+
+    def test_own_data_centre_first(self):
+        places = [
+            RouterPlace(Incarnation(f'r{n}/1'), centre, f'r{n}')
+            for n, centre in enumerate(['a', 'a', 'a', 'b'])
+        ]
+        chosen = relays_of('a', places)
+        self.assertEqual({'a'}, {place.data_centre for place in chosen})
+        self.assertEqual((places[3],), relays_of('b', places))
+        self.assertEqual(2, len(relays_of('c', places)))
+        rest = [place for place in places if place in chosen]
+        self.assertEqual(chosen, relays_of('a', rest))
