Serve callers over HTTP in the shape that model clients speak

Cause: the router had no interface for callers. After: chat, completions, plain services, models, budget and health, with bounds on bodies, memory and slow readers. Keys are kept apart by service and by kind of call, since their homes do not know of one another.

--- /dev/null
+++ b/src/dandelioncleat/adapters/caller_http.py
@@ -0,0 +1,320 @@
+"""Serves callers over HTTP; docs/CALLERS.md describes it.
+
+``/v1`` has the shape that model clients speak, ``/services`` reaches plain
+services.
+"""
+
+from collections.abc import Awaitable, Callable, Mapping
+from hashlib import blake2b
+from http import HTTPStatus
+from typing import NamedTuple, Protocol
+
+import msgspec
+from aiohttp import web
+from returns.pipeline import is_successful
+
+from dandelioncleat.adapters._caller_answer import Shape
+from dandelioncleat.adapters._caller_body import BodyMemory
+from dandelioncleat.adapters._caller_error import JSON_TYPE, refused
+from dandelioncleat.adapters._caller_key import Caller, CallerKeys, caller_of
+from dandelioncleat.adapters._caller_relay import (
+    WRITE_TIMEOUT_S,
+    Events,
+    StreamRelay,
+    send_raw,
+    send_whole,
+)
+from dandelioncleat.core.completion import (
+    Completion,
+    bounds,
+    parse_completion,
+)
+from dandelioncleat.core.configuration import (
+    Configuration,
+    Service,
+    ServiceKind,
+)
+from dandelioncleat.core.failure import (
+    Code,
+    FailureError,
+    failure_error,
+)
+from dandelioncleat.core.identity import Digest, RequestKey
+from dandelioncleat.core.request import CallerRequest
+from dandelioncleat.ports.clock import Clock
+
+METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+MS_PER_S = 1000
+DIGEST_BYTES = 16
+SERVICE_SEGMENTS = 3
+CHAT_PATH = '/v1/chat/completions'
+COMPLETION_PATH = '/v1/completions'
+
+_Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class RequestServer(Protocol):
+    """Serves requests; the router does."""
+
+    @property
+    def ready(self) -> bool:
+        """Return whether new requests are served."""
+
+    def serve(
+        self,
+        request: CallerRequest,
+        *,
+        traceparent: str = '',
+    ) -> Events:
+        """Yield the answer's pieces and at last its end."""
+
+
+class CallerBackend(NamedTuple):
+    """What the callers' routes work with.
+
+    ``balances`` gives what is left of each budget of an organisation;
+    ``write_timeout_s`` is the time that a caller may take to read.
+    """
+
+    server: RequestServer
+    configuration: Callable[[], Configuration]
+    balances: Callable[[str], Mapping[str, int]]
+    metrics_page: Callable[[], bytes]
+    clock: Clock
+    write_timeout_s: float = WRITE_TIMEOUT_S
+
+
+def new_caller_application(
+    backend: CallerBackend,
+    memory: BodyMemory | None = None,
+) -> web.Application:
+    """Return the application of a router's HTTP server."""
+    memory = memory or BodyMemory()
+    application = web.Application(
+        client_max_size=memory.max_body_bytes,
+        middlewares=[_explain_failures],
+    )
+    routes = _CallerRoutes(backend, memory)
+    add = application.router.add_route
+    add('POST', CHAT_PATH, routes.complete)
+    add('POST', COMPLETION_PATH, routes.complete)
+    add('*', '/services/{service}/{path:.*}', routes.call_service)
+    add('GET', '/v1/models', routes.list_models)
+    add('GET', '/v1/budget', routes.show_budget)
+    add('GET', '/healthz', routes.show_health)
+    add('GET', '/readyz', routes.show_readiness)
+    add('GET', '/metrics', routes.show_metrics)
+    return application
+
+
+class _CallerRoutes:
+    """Translates between HTTP and the router."""
+
+    def __init__(self, backend: CallerBackend, memory: BodyMemory) -> None:
+        self._backend = backend
+        self._memory = memory
+        self._keys = CallerKeys(backend.configuration)
+
+    async def complete(self, request: web.Request) -> web.StreamResponse:
+        caller = self._caller(request)
+        with self._memory.held(request):
+            body = await self._memory.read(request)
+            is_chat = request.path == CHAT_PATH
+            parsed = parse_completion(body, is_chat=is_chat)
+            if not is_successful(parsed):
+                raise FailureError(parsed.failure())
+            completion = parsed.unwrap()
+            wanted = self._model_request(caller, request, body, completion)
+            events = self._serve(wanted, request)
+            shape = Shape(
+                caller.key,
+                completion.model,
+                is_chat,
+                int(self._backend.clock.wall()),
+            )
+            if completion.is_streamed:
+                timeout_s = self._backend.write_timeout_s
+                relay = StreamRelay(request, shape, timeout_s=timeout_s)
+                return await relay.send(events)
+            return await send_whole(events, shape)
+
+    async def call_service(self, request: web.Request) -> web.StreamResponse:
+        caller = self._caller(request)
+        service = self._service(caller, request.match_info['service'])
+        if service.kind is not ServiceKind.PLAIN:
+            raise _not_found('the service is reached through /v1')
+        with self._memory.held(request):
+            body = await self._memory.read(request)
+            wanted = _plain_request(caller, service, request, body)
+            return await send_raw(self._serve(wanted, request), caller.key)
+
+    async def list_models(self, request: web.Request) -> web.Response:
+        organisation = self._keys.organisation_of(request.headers)
+        models = [
+            {'id': model, 'object': 'model', 'owned_by': service.name}
+            for service in self._services(organisation)
+            for model in service.models
+        ]
+        return _json({'object': 'list', 'data': models})
+
+    async def show_budget(self, request: web.Request) -> web.Response:
+        organisation = self._keys.organisation_of(request.headers)
+        left = self._backend.balances(organisation)
+        return _json({'organisation': organisation, 'left_by_budget': left})
+
+    async def show_health(self, request: web.Request) -> web.Response:
+        return web.Response(text='alive\n')
+
+    async def show_readiness(self, request: web.Request) -> web.Response:
+        if self._backend.server.ready:
+            return web.Response(text='ready\n')
+        return web.Response(
+            status=HTTPStatus.SERVICE_UNAVAILABLE,
+            text='not ready\n',
+        )
+
+    async def show_metrics(self, request: web.Request) -> web.Response:
+        return web.Response(
+            body=self._backend.metrics_page(),
+            headers={'Content-Type': METRICS_TYPE},
+        )
+
+    def _caller(self, request: web.Request) -> Caller:
+        organisation = self._keys.organisation_of(request.headers)
+        return caller_of(organisation, request.headers)
+
+    def _services(self, organisation: str) -> list[Service]:
+        current = self._backend.configuration()
+        open_to = current.organisations_by_name[organisation].services
+        return [
+            service
+            for service in current.services_by_name.values()
+            if not open_to or service.name in open_to
+        ]
+
+    def _service(self, caller: Caller, name: str) -> Service:
+        for service in self._services(caller.organisation):
+            if service.name == name:
+                return service
+        raise _not_found('no such service')
+
+    def _model_service(self, caller: Caller, model: str) -> Service:
+        for service in self._services(caller.organisation):
+            if model in service.models:
+                return service
+        raise _not_found('no such model')
+
+    def _model_request(
+        self,
+        caller: Caller,
+        request: web.Request,
+        body: bytes,
+        completion: Completion,
+    ) -> CallerRequest:
+        service = self._model_service(caller, completion.model)
+        limits = bounds(completion, service)
+        base = _request(caller, service, request, body, idempotent=True)
+        return base._replace(
+            path=request.path,
+            prompt_bound=limits.prompt_bound,
+            cap=limits.cap,
+            prefixes=limits.prefixes,
+        )
+
+    def _serve(self, wanted: CallerRequest, request: web.Request) -> Events:
+        traceparent = request.headers.get('traceparent', '')
+        return self._backend.server.serve(wanted, traceparent=traceparent)
+
+
+@web.middleware
+async def _explain_failures(
+    request: web.Request,
+    handler: _Handler,
+) -> web.StreamResponse:
+    """Answer every refusal with a JSON body."""
+    try:
+        return await handler(request)
+    except FailureError as error:
+        return refused(error.failure)
+    except web.HTTPNotFound:
+        return refused(_not_found('no such path').failure)
+
+
+def _plain_request(
+    caller: Caller,
+    service: Service,
+    request: web.Request,
+    body: bytes,
+) -> CallerRequest:
+    is_idempotent = request.method not in service.unsafe_methods
+    base = _request(caller, service, request, body, idempotent=is_idempotent)
+    return base._replace(prompt_bound=service.price_tokens)
+
+
+def _request(
+    caller: Caller,
+    service: Service,
+    request: web.Request,
+    body: bytes,
+    *,
+    idempotent: bool,
+) -> CallerRequest:
+    path = _target_path(request)
+    longest_s = service.deadline_ms / MS_PER_S
+    deadline_s = caller.deadline_s
+    return CallerRequest(
+        request=RequestKey(
+            caller.organisation,
+            _scoped_key(caller.key, service, idempotent=idempotent),
+        ),
+        budget=caller.budget,
+        service=service.name,
+        method=request.method,
+        path=path,
+        content_type=request.headers.get('Content-Type', ''),
+        body=body,
+        digest=_digest(service.name, request.method, path, body),
+        idempotent=idempotent,
+        prompt_bound=0,
+        cap=0,
+        priority=caller.priority,
+        deadline_s=min(longest_s, deadline_s or longest_s),
+        fresh_key=caller.fresh_key,
+    )
+
+
+def _target_path(request: web.Request) -> str:
+    """Return the path below the service's own, still encoded."""
+    segments = request.rel_url.raw_path.split('/')[SERVICE_SEGMENTS:]
+    path = '/'.join(('', *segments))
+    query = request.rel_url.raw_query_string
+    return f'{path}?{query}' if query else path
+
+
+def _scoped_key(key: str, service: Service, *, idempotent: bool) -> str:
+    """Keep apart the keys of services and of calls that may not be repeated.
+
+    They have different homes, which do not know of one another's keys.
+    """
+    kind = 'any' if idempotent else 'once'
+    return f'{service.name}/{kind}/{key}'
+
+
+def _digest(*parts: str | bytes) -> Digest:
+    hasher = blake2b(digest_size=DIGEST_BYTES)
+    for part in parts:
+        encoded = part.encode() if isinstance(part, str) else part
+        hasher.update(len(encoded).to_bytes(8))
+        hasher.update(encoded)
+    return Digest(hasher.hexdigest())
+
+
+def _json(document: object) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(document),
+        content_type=JSON_TYPE,
+    )
+
+
+def _not_found(text: str) -> FailureError:
+    return failure_error(Code.NOT_FOUND, step='route', peer='', text=text)
