Retire dead holders and free their tokens once drained

A router that died kept its grants for good. Routers now fence a holder whose host is absent from the host list, that a newer incarnation replaced or that ended with grants open, and complete the retirement in each ledger shard when every sidecar that could have had its work has drained it. What waits for a lost sidecar is listed.

--- /dev/null
+++ b/src/dandelioncleat/app/retirement.py
@@ -0,0 +1,178 @@
+"""Retires dead holders of grants and frees their tokens once drained.
+
+Every router runs this. Routers look in an order that differs for each
+holder, so that one of them usually does the work; the fold drops repeats.
+"""
+
+import asyncio
+from contextlib import suppress
+from typing import NamedTuple
+
+import structlog
+import xxhash
+
+from dandelioncleat.app._shards import Shard, Shards
+from dandelioncleat.app.fleet import FleetKeeper
+from dandelioncleat.core.account import OpenGrant
+from dandelioncleat.core.dead_holder import (
+    DeadHolder,
+    EndWatch,
+    HostWatch,
+    dead_holders,
+)
+from dandelioncleat.core.failure import FailureError
+from dandelioncleat.core.fleet import ROUTER, FleetFold
+from dandelioncleat.core.identity import BudgetId, Incarnation, host_of
+from dandelioncleat.core.record import (
+    CompleteRetirement,
+    LedgerRecord,
+    Retire,
+)
+from dandelioncleat.ports.host_list import HostList
+
+WATCH_INTERVAL_S = 2.0
+RANK_DELAY_S = 4.0
+
+_log = structlog.get_logger()
+
+
+class Stranded(NamedTuple):
+    """Tokens of a retired holder that some sidecars have yet to free."""
+
+    holder: Incarnation
+    budget: BudgetId
+    tokens: int
+    reason: str
+    waiting: tuple[Incarnation, ...]
+
+
+class Retirer:
+    """Watches the fleet and the host list on behalf of the ledger."""
+
+    def __init__(
+        self,
+        *,
+        incarnation: Incarnation,
+        fleet: FleetKeeper,
+        hosts: HostList,
+        shards: Shards,
+    ) -> None:
+        """Take this router's name and what it watches."""
+        self._incarnation = incarnation
+        self._fleet = fleet
+        self._hosts = hosts
+        self._shards = shards
+        self._host_watch = HostWatch()
+        self._end_watch = EndWatch()
+        self._retire_turns = _Turns(fleet.fold, incarnation)
+        self._complete_turns = _Turns(fleet.fold, incarnation)
+
+    def stranded(self) -> tuple[Stranded, ...]:
+        """Return what an operator may have to release."""
+        found: list[Stranded] = []
+        for holder, retirement in self._fleet.fold.retired_by_holder.items():
+            found.extend(
+                Stranded(
+                    holder,
+                    grant.budget,
+                    grant.tokens,
+                    retirement.reason,
+                    retirement.waiting,
+                )
+                for grant in self._open_grants(holder)
+            )
+        return tuple(found)
+
+    async def run(self) -> None:
+        """Look at intervals until cancelled."""
+        while True:
+            with suppress(FailureError):
+                await self._watch_hosts()
+            if self._fleet.caught_up.is_set():
+                await self._work()
+            await asyncio.sleep(WATCH_INTERVAL_S)
+
+    async def _watch_hosts(self) -> None:
+        listed = tuple(state.host for state in await self._hosts.hosts())
+        if host_of(self._incarnation) not in listed:
+            return
+        wanted = tuple(
+            host_of(member.join.incarnation)
+            for member in self._fleet.fold.live(ROUTER)
+        )
+        self._host_watch.note(listed, wanted, _now())
+
+    async def _work(self) -> None:
+        self._end_watch.note(self._ended_with_grants(), _now())
+        dead = dead_holders(
+            self._fleet.fold,
+            self._host_watch,
+            self._end_watch,
+            _now(),
+        )
+        with suppress(FailureError):
+            for found in dead:
+                await self._retire(found)
+            for shard in tuple(self._shards.by_number.values()):
+                await self._complete(shard)
+
+    async def _retire(self, found: DeadHolder) -> None:
+        if self._fleet.log_failing:
+            return
+        if self._retire_turns.is_mine(found.holder):
+            await self._fleet.submit(Retire(found.holder, found.reason))
+            _log.info('holder retired', **found._asdict())
+
+    async def _complete(self, shard: Shard) -> None:
+        records: list[LedgerRecord] = [
+            CompleteRetirement(holder)
+            for holder in shard.fold.accounts.grants_by_holder
+            if self._fleet.fold.retirement_complete(holder)
+            and self._complete_turns.is_mine(holder)
+        ]
+        if records and shard.is_available:
+            await shard.follower.submit(*records)
+
+    def _ended_with_grants(self) -> tuple[Incarnation, ...]:
+        members = self._fleet.fold.members_by_incarnation.items()
+        return tuple(
+            holder
+            for holder, member in members
+            if member.ended and self._open_grants(holder)
+        )
+
+    def _open_grants(self, holder: Incarnation) -> tuple[OpenGrant, ...]:
+        return tuple(
+            grant
+            for shard in self._shards.by_number.values()
+            for grant in shard.fold.accounts.open_grants(holder)
+        )
+
+
+class _Turns:
+    """Gives the routers turns, in an order that differs for each holder."""
+
+    def __init__(self, fleet: FleetFold, incarnation: Incarnation) -> None:
+        self._fleet = fleet
+        self._incarnation = incarnation
+        self._since_by_holder: dict[Incarnation, float] = {}
+
+    def is_mine(self, holder: Incarnation) -> bool:
+        """Return whether the routers before this one had their time."""
+        since = self._since_by_holder.setdefault(holder, _now())
+        return _now() - since >= self._rank(holder) * RANK_DELAY_S
+
+    def _rank(self, holder: Incarnation) -> int:
+        own = _weight(holder, self._incarnation)
+        return sum(
+            _weight(holder, member.join.incarnation) < own
+            for member in self._fleet.live(ROUTER)
+        )
+
+
+def _weight(holder: Incarnation, router: Incarnation) -> int:
+    return xxhash.xxh64_intdigest(f'{holder} {router}'.encode())
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/dandelioncleat/core/account.py
+++ b/src/dandelioncleat/core/account.py
@@ -76,6 +76,10 @@
         """Return a grant unless it has ended."""
         return self.grants_by_holder.get(name.holder, {}).get(name.number)
 
+    def open_grants(self, holder: Incarnation) -> tuple[OpenGrant, ...]:
+        """Return the grants of a holder that have not ended."""
+        return tuple(self.grants_by_holder.get(holder, {}).values())
+
     def take(self, name: GrantId, tokens: int) -> int:
         """Take at most ``tokens`` out of a grant; return how many."""
         grant = self.grant_of(name)
--- /dev/null
+++ b/src/dandelioncleat/core/dead_holder.py
@@ -0,0 +1,115 @@
+"""Decides which holders of grants are dead, from the fleet and host list."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from dandelioncleat.core.fleet import ROUTER, FleetFold, Member
+from dandelioncleat.core.identity import Incarnation, host_of
+
+ABSENT_S = 30.0
+NEW_HOST_S = 300.0
+ENDED_S = 30.0
+
+
+class Reason(StrEnum):
+    """Why a holder's grants are fenced."""
+
+    REPLACED = 'a newer incarnation joined at its host'
+    ABSENT = 'its host is absent from the host list'
+    ENDED = 'it ended and left grants open'
+
+
+class DeadHolder(NamedTuple):
+    """A holder that is dead and the reason to think so."""
+
+    holder: Incarnation
+    reason: Reason
+
+
+class HostWatch:
+    """Remembers since when each host is absent from the host list.
+
+    A host that was never listed counts as absent only after a longer time,
+    because the list lags.
+    """
+
+    def __init__(self) -> None:
+        """Start without having seen the list."""
+        self._absent_since_by_host: dict[str, float] = {}
+        self._seen_hosts: dict[str, None] = {}
+
+    def note(
+        self,
+        listed: tuple[str, ...],
+        wanted: tuple[str, ...],
+        now: float,
+    ) -> None:
+        """Take note of a list; ``wanted`` are the hosts that matter."""
+        self._seen_hosts.update(dict.fromkeys(listed))
+        missing = [host for host in wanted if host not in listed]
+        self._absent_since_by_host = {
+            host: self._absent_since_by_host.get(host, now) for host in missing
+        }
+
+    def is_absent(self, host: str, now: float) -> bool:
+        """Return whether a host has been absent for long enough."""
+        since = self._absent_since_by_host.get(host)
+        if since is None:
+            return False
+        limit_s = ABSENT_S if host in self._seen_hosts else NEW_HOST_S
+        return now - since >= limit_s
+
+
+class EndWatch:
+    """Remembers since when ended holders have left grants open."""
+
+    def __init__(self) -> None:
+        """Start with no ended holder."""
+        self._since_by_holder: dict[Incarnation, float] = {}
+
+    def note(self, holders: tuple[Incarnation, ...], now: float) -> None:
+        """Take note of the ended holders that have open grants."""
+        self._since_by_holder = {
+            holder: self._since_by_holder.get(holder, now) for holder in holders
+        }
+
+    def is_over(self, holder: Incarnation, now: float) -> bool:
+        """Return whether a holder had enough time for late records."""
+        since = self._since_by_holder.get(holder)
+        return since is not None and now - since >= ENDED_S
+
+
+def dead_holders(
+    fleet: FleetFold,
+    hosts: HostWatch,
+    ends: EndWatch,
+    now: float,
+) -> tuple[DeadHolder, ...]:
+    """Return the routers whose grants should be fenced."""
+    newest = {member.join.incarnation for member in fleet.live(ROUTER)}
+    dead: list[DeadHolder] = []
+    for holder, member in fleet.members_by_incarnation.items():
+        if member.join.role == ROUTER and not fleet.is_retired(holder):
+            reason = _reason_to_retire(
+                member,
+                is_replaced=holder not in newest,
+                is_absent=hosts.is_absent(host_of(holder), now),
+                is_over=ends.is_over(holder, now),
+            )
+            if reason is not None:
+                dead.append(DeadHolder(holder, reason))
+    return tuple(dead)
+
+
+def _reason_to_retire(
+    member: Member,
+    *,
+    is_replaced: bool,
+    is_absent: bool,
+    is_over: bool,
+) -> Reason | None:
+    if member.ended:
+        return Reason.ENDED if is_over else None
+    if is_replaced:
+        return Reason.REPLACED
+    return Reason.ABSENT if is_absent else None
--- a/src/dandelioncleat/core/fleet.py
+++ b/src/dandelioncleat/core/fleet.py
@@ -76,13 +76,13 @@
     def live(self, role: str) -> tuple[Member, ...]:
         """Return the members of a role that are not known to be gone.
 
-        Of several incarnations at one host and address only the newest
-        counts.
+        Of several incarnations at one host, beside the same target if any,
+        only the newest counts.
         """
         newest_by_place: dict[tuple[str, str], Member] = {}
         for incarnation, member in self.members_by_incarnation.items():
             if member.join.role == role and not member.ended:
-                place = (host_of(incarnation), member.join.address)
+                place = (host_of(incarnation), member.join.target)
                 newest_by_place[place] = member
         return tuple(
             newest
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -94,7 +94,7 @@
         verdicts = self.apply(Retire(HOLDER, 'test'), router_join(HOLDER))
         self.assertThat(verdicts[1], IsInstance(Ignored))
 
-    def test_lists_only_the_newest_incarnation_at_an_address(self) -> None:
+    def test_lists_only_the_newest_incarnation_at_a_host(self) -> None:
         newer = Incarnation('router-1/b')
         self.apply(router_join(HOLDER), router_join(newer))
         self.apply(router_join(OTHER_HOLDER), End(OTHER_HOLDER))
