Wait for a configuration that a peer has, and answer askers of streams

A request now waits up to two seconds for the version. A handler beside a process's own answers those that read through it. Names of policies are checked where a patch is submitted, not in the fold, which has to agree between software versions.

--- a/src/dandelioncleat/app/configuration_desk.py
+++ b/src/dandelioncleat/app/configuration_desk.py
@@ -6,7 +6,12 @@
 from dandelioncleat.app.configuration import ConfigurationKeeper
 from dandelioncleat.core.configuration import Configuration
 from dandelioncleat.core.configuration_history import VersionEntry
-from dandelioncleat.core.patch_verdict import AnyPatchVerdict, PatchConflict
+from dandelioncleat.core.patch_advice import unknown_policies
+from dandelioncleat.core.patch_verdict import (
+    AnyPatchVerdict,
+    PatchConflict,
+    PatchInvalid,
+)
 from dandelioncleat.core.record import Patch
 
 VERDICT_TIMEOUT_S = 10.0
@@ -22,12 +27,18 @@
     async def submit(self, patch: Patch) -> AnyPatchVerdict:
         """Submit a patch and return its verdict.
 
-        A patch against a version that does not exist yet is refused here
-        and not submitted.
+        A patch that this router knows to be of no use is refused here and
+        not submitted: one against a version that does not exist yet, or
+        with the name of a policy that this software does not have. The
+        fold takes such a name, for another version of the software may
+        have the policy.
         """
         current = self._keeper.current.version
         if patch.against > current:
             return PatchConflict(patch.against, current, '', '')
+        unknown = unknown_policies(patch.body)
+        if unknown and patch.patch not in self._keeper.fold.known_by_patch:
+            return PatchInvalid(patch.against, unknown)
         try:
             async with asyncio.timeout(VERDICT_TIMEOUT_S):
                 return await self._keeper.submit(patch)
--- a/src/dandelioncleat/app/router.py
+++ b/src/dandelioncleat/app/router.py
@@ -33,6 +33,8 @@
 from dandelioncleat.ports.peer import CallContext, Peers
 from dandelioncleat.ports.telemetry import Telemetry
 
+CONFIGURATION_WAIT_S = 2.0
+
 
 class StopReport(NamedTuple):
     """What a planned stop could not finish in time."""
@@ -152,6 +154,8 @@
         self.life.move('become_ready')
 
     async def _serve(self, course: Course) -> AsyncIterator[AnswerEvent]:
+        if self.life.takes_requests:
+            await self._parts.configuration.wait_ready(CONFIGURATION_WAIT_S)
         objection = self._objection(course.request)
         organisation = course.request.request.organisation
         if objection is None:
--- a/tests/builders/router.py
+++ b/tests/builders/router.py
@@ -112,6 +112,9 @@
         self.submitted: list[Any] = []
         self._listeners: list[Callable[[], None]] = []
 
+    async def wait_ready(self, timeout_s: float) -> bool:
+        return self.ready
+
     def on_change(self, listener: Callable[[], None]) -> None:
         self._listeners.append(listener)
 
--- a/tests/test_log_relay.py
+++ b/tests/test_log_relay.py
@@ -12,9 +12,16 @@
     ConfigurationKeeper,
 )
 from dandelioncleat.app.log_relay import LogRelay
+from dandelioncleat.app.relay_handler import RelayHandler
 from dandelioncleat.core.failure import Code, failure_error
 from dandelioncleat.core.identity import Incarnation
-from dandelioncleat.core.message import StreamEntry
+from dandelioncleat.core.message import (
+    Accepted,
+    AskEntries,
+    AskStatus,
+    Refusal,
+    StreamEntry,
+)
 from dandelioncleat.core.relay import RouterPlace, relays_of
 from dandelioncleat.core.stream_tail import MAX_ENTRIES, StreamTail
 from dandelioncleat.standin.log import MemoryLog
@@ -184,6 +191,28 @@
         self.assertEqual((False, True), virtual_time.run(scenario()))
 
 
+class RelayHandlerTest(TestCase):
+    """Other messages go to the process's own handler."""
+
+    def test_answers_askers_and_passes_the_rest_on(self):
+        class Inner:
+            async def answer(self, message, context):
+                yield Accepted()
+                yield Accepted()
+
+        async def scenario():
+            fleet = Fleet(2)
+            handler = RelayHandler(fleet.relays[0], Inner())
+            ask = AskEntries('other', 0, 1, 0)
+            return [
+                [type(reply) async for reply in handler.answer(message, None)]
+                for message in (ask, AskStatus())
+            ]
+
+        expected = [[Refusal], [Accepted, Accepted]]
+        self.assertEqual(expected, virtual_time.run(scenario()))
+
+
 class TailTest(TestCase):
     """The newest entries are kept without gaps."""
 
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -105,6 +105,18 @@
 
         self._run(scenario)
 
+    def test_unknown_policy_is_not_submitted(self):
+        async def scenario(site):
+            names = {'grant_policy': 'fixd', 'placement_policy': 'kv_demand'}
+            path = self._file({'policy': names}, 'policy.json')
+            ran = await self._submit(site, path, 0)
+            self.assertEqual(1, ran.code)
+            self.assertIn('policy.grant_policy', ran.errors)
+            self.assertNotIn('placement_policy', ran.errors)
+            self.assertEqual({}, site.configuration.fold.known_by_patch)
+
+        self._run(scenario)
+
     def test_keys_work_in_their_own_place_only(self):
         async def scenario(site):
             await self._submit(site, self.patch, 0)
