Split serving from the life of a router and wait for a told version

Cause: a request that came just before a newer configuration was read was refused, and the iterators of a caller that left were closed by the garbage collector. After: it waits a moment for the version, iterators are closed in order, and time to the first piece is measured.

--- a/src/dandelioncleat/adapters/caller_http.py
+++ b/src/dandelioncleat/adapters/caller_http.py
@@ -4,7 +4,7 @@
 services.
 """
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable
 from hashlib import blake2b
 from http import HTTPStatus
 from typing import NamedTuple, Protocol
@@ -24,6 +24,7 @@
     send_raw,
     send_whole,
 )
+from dandelioncleat.core.account import Balance
 from dandelioncleat.core.completion import (
     Completion,
     bounds,
@@ -39,7 +40,7 @@
     FailureError,
     failure_error,
 )
-from dandelioncleat.core.identity import Digest, RequestKey
+from dandelioncleat.core.identity import BudgetId, Digest, RequestKey
 from dandelioncleat.core.request import CallerRequest
 from dandelioncleat.ports.clock import Clock
 
@@ -72,13 +73,13 @@
 class CallerBackend(NamedTuple):
     """What the callers' routes work with.
 
-    ``balances`` gives what is left of each budget of an organisation;
+    ``balance_of`` gives the totals of a budget in the ledger;
     ``write_timeout_s`` is the time that a caller may take to read.
     """
 
     server: RequestServer
     configuration: Callable[[], Configuration]
-    balances: Callable[[str], Mapping[str, int]]
+    balance_of: Callable[[BudgetId], Balance]
     metrics_page: Callable[[], bytes]
     clock: Clock
     write_timeout_s: float = WRITE_TIMEOUT_S
@@ -158,9 +159,16 @@
         return _json({'object': 'list', 'data': models})
 
     async def show_budget(self, request: web.Request) -> web.Response:
-        organisation = self._keys.organisation_of(request.headers)
-        left = self._backend.balances(organisation)
-        return _json({'organisation': organisation, 'left_by_budget': left})
+        budget = self._caller(request).budget
+        balance = self._backend.balance_of(budget)
+        document = {
+            'budget': budget,
+            'topped_up_tokens': balance.topped_up,
+            'spent_tokens': balance.billed + balance.wasted,
+            'held_tokens': balance.outstanding,
+            'free_tokens': balance.left,
+        }
+        return _json(document)
 
     async def show_health(self, request: web.Request) -> web.Response:
         return web.Response(text='alive\n')
--- a/src/dandelioncleat/app/answering.py
+++ b/src/dandelioncleat/app/answering.py
@@ -38,11 +38,12 @@
             case AskPart():
                 yield self._parts.budgets.pass_part(message)
             case AskStatus():
-                yield self._status()
+                yield self.status()
             case _:
                 yield self._not_for_routers(message)
 
-    def _status(self) -> Status:
+    def status(self) -> Status:
+        """Describe this process."""
         current = self._parts.configuration.current
         details = {
             'waiting': self._parts.gate.waiting,
--- a/src/dandelioncleat/app/course.py
+++ b/src/dandelioncleat/app/course.py
@@ -67,15 +67,17 @@
         self,
         request: CallerRequest,
         *,
-        deadline: float,
+        arrived_at: float,
         traceparent: str,
     ) -> None:
         """Take an arrived request.
 
-        :param deadline: time of the event loop in seconds
+        :param arrived_at: time of the event loop in seconds
         """
         self.request = request
-        self.deadline = deadline
+        self.arrived_at = arrived_at
+        self.deadline = arrived_at + request.deadline_s
+        self.first_at: float | None = None
         self.traceparent = traceparent
         self.stage = Stage()
         self.attempts = 0
--- a/src/dandelioncleat/app/router.py
+++ b/src/dandelioncleat/app/router.py
@@ -3,14 +3,11 @@
 import asyncio
 import random
 from collections.abc import AsyncIterator
-from contextlib import aclosing
 from typing import NamedTuple
 
 from dandelioncleat.app.answering import Answering
 from dandelioncleat.app.budgets import Budgets
 from dandelioncleat.app.configuration import ConfigurationKeeper
-from dandelioncleat.app.course import Course
-from dandelioncleat.app.dispatching import Dispatcher
 from dandelioncleat.app.fleet import FleetKeeper
 from dandelioncleat.app.gate import Gate
 from dandelioncleat.app.home_finder import HomeFinder
@@ -18,11 +15,10 @@
 from dandelioncleat.app.load_watch import LoadWatch
 from dandelioncleat.app.parts import Parts
 from dandelioncleat.app.router_life import RouterLife
+from dandelioncleat.app.serving import Serving
 from dandelioncleat.app.settlement import Settlement
 from dandelioncleat.app.task_set import TaskSet
-from dandelioncleat.core.admission import RunningCounts
-from dandelioncleat.core.failure import Code, Failure
-from dandelioncleat.core.message import Message
+from dandelioncleat.core.message import Message, Status
 from dandelioncleat.core.record import End, Join, Leave
 from dandelioncleat.core.request import (
     AnswerEvent,
@@ -33,8 +29,6 @@
 from dandelioncleat.ports.peer import CallContext, Peers
 from dandelioncleat.ports.telemetry import Telemetry
 
-CONFIGURATION_WAIT_S = 2.0
-
 
 class StopReport(NamedTuple):
     """What a planned stop could not finish in time."""
@@ -59,24 +53,30 @@
         """Take the parts; ``new_router`` makes them."""
         self.life = RouterLife()
         self.incarnation = parts.incarnation
-        self.open_requests = 0
         self._parts = parts
         self._hosts = hosts
         self._fleet = fleet
         self._tasks = tasks
         self._join = join
-        self._dispatcher = Dispatcher(parts)
-        self._running = RunningCounts()
+        self._serving = Serving(self.life, parts)
         self._answering = Answering(self.life, parts)
-        self._is_idle = asyncio.Event()
-        self._is_idle.set()
 
     @property
     def ready(self) -> bool:
         """Return whether new requests are served."""
-        return self.life.takes_requests and self._parts.configuration.ready
+        return self._serving.ready
+
+    @property
+    def open_requests(self) -> int:
+        """Return the number of requests that are being served."""
+        return self._serving.open_requests
 
-    async def serve(
+    @property
+    def status(self) -> Status:
+        """Return what is answered to ``AskStatus``."""
+        return self._answering.status()
+
+    def serve(
         self,
         request: CallerRequest,
         *,
@@ -86,24 +86,7 @@
 
         A caller that leaves closes the iterator; its run is cancelled.
         """
-        now = asyncio.get_running_loop().time()
-        self._parts.telemetry.count('router.requests', service=request.service)
-        with self._parts.telemetry.span(
-            'router.request',
-            traceparent=traceparent,
-            service=request.service,
-        ) as context:
-            course = Course(
-                request,
-                deadline=now + request.deadline_s,
-                traceparent=context,
-            )
-            self._open()
-            try:
-                async for event in self._serve(course):
-                    yield event
-            finally:
-                self._close(course)
+        return self._serving.serve(request, traceparent=traceparent)
 
     def answer(
         self,
@@ -141,7 +124,7 @@
     async def _wind_down(self, was_ready: bool) -> None:
         if was_ready:
             self._tasks.start(self._fleet.submit(Leave(self.incarnation)))
-        await self._is_idle.wait()
+        await self._serving.idle.wait()
         await self._tasks.drain()
         await self._parts.budgets.return_all()
         if was_ready:
@@ -153,69 +136,6 @@
         await self._fleet.submit(self._join)
         self.life.move('become_ready')
 
-    async def _serve(self, course: Course) -> AsyncIterator[AnswerEvent]:
-        if self.life.takes_requests:
-            await self._parts.configuration.wait_ready(CONFIGURATION_WAIT_S)
-        objection = self._objection(course.request)
-        organisation = course.request.request.organisation
-        if objection is None:
-            self._running.begin(organisation)
-            policy = self._parts.configuration.current.policy
-            self._parts.retries.note_request(policy.retry_share)
-        pieces = self._dispatcher.serve(course, objection)
-        try:
-            async with aclosing(pieces):  # type: ignore[type-var]
-                async for piece in pieces:
-                    yield piece
-        finally:
-            if objection is None:
-                self._running.end(organisation)
-        if course.end_event is not None:
-            yield course.end_event
-
-    def _objection(self, request: CallerRequest) -> Failure | None:
-        """Return why a new run is not wanted, if so."""
-        current = self._parts.configuration.current
-        name = request.request.organisation
-        organisation = current.organisations_by_name.get(name)
-        if not self.ready:
-            return self._failure(Code.NOT_READY, self._readiness_text())
-        if organisation is None:
-            return self._failure(Code.CREDENTIAL, 'no such organisation')
-        if request.service not in current.services_by_name:
-            return self._failure(Code.NOT_FOUND, 'no such service')
-        if organisation.services and (
-            request.service not in organisation.services
-        ):
-            return self._failure(Code.NOT_FOUND, 'the service is not open')
-        if self._running.is_at_limit(name, organisation.max_running):
-            return self._failure(Code.CAPACITY, 'too many requests run')
-        return None
-
-    def _readiness_text(self) -> str:
-        if self.life.takes_requests:
-            return 'a newer configuration is being read'
-        state = self.life.state
-        return f'the router is {state}'
-
-    def _failure(self, code: Code, text: str) -> Failure:
-        return Failure(code, 'router', self.incarnation, text)
-
-    def _open(self) -> None:
-        self.open_requests += 1
-        self._is_idle.clear()
-
-    def _close(self, course: Course) -> None:
-        course.close()
-        self.open_requests -= 1
-        if self.open_requests == 0:
-            self._is_idle.set()
-        end = course.end_event
-        outcome = 'gone' if end is None else end.outcome
-        code = '' if end is None or end.failure is None else end.failure.code
-        telemetry = self._parts.telemetry
-        telemetry.count('router.answers', outcome=outcome, code=code)
-
 
 def new_router(
     *,
--- /dev/null
+++ b/src/dandelioncleat/app/serving.py
@@ -0,0 +1,146 @@
+"""Serves requests one by one: admits them and accounts for their ends."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import aclosing
+
+from dandelioncleat.app.course import Course
+from dandelioncleat.app.dispatching import Dispatcher
+from dandelioncleat.app.parts import Parts
+from dandelioncleat.app.router_life import RouterLife
+from dandelioncleat.core.admission import RunningCounts
+from dandelioncleat.core.failure import Code, Failure
+from dandelioncleat.core.request import AnswerEvent, CallerRequest
+
+VERSION_WAIT_S = 2.0
+
+
+class Serving:
+    """Counts the open requests; ``idle`` is set while there is none."""
+
+    def __init__(self, life: RouterLife, parts: Parts) -> None:
+        """Take the router's life and its parts."""
+        self.open_requests = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self._life = life
+        self._parts = parts
+        self._dispatcher = Dispatcher(parts)
+        self._running = RunningCounts()
+
+    @property
+    def ready(self) -> bool:
+        """Return whether new requests are served."""
+        is_current = self._parts.configuration.ready
+        has_ledger = self._parts.budgets.caught_up
+        return self._life.takes_requests and is_current and has_ledger
+
+    async def serve(
+        self,
+        request: CallerRequest,
+        *,
+        traceparent: str,
+    ) -> AsyncIterator[AnswerEvent]:
+        """Yield the answer's pieces and at last its ``AnswerEnd``."""
+        self._parts.telemetry.count('router.requests', service=request.service)
+        with self._parts.telemetry.span(
+            'router.request',
+            traceparent=traceparent,
+            service=request.service,
+        ) as context:
+            events = self._serve_counted(request, context)
+            async with aclosing(events):  # type: ignore[type-var]
+                async for event in events:
+                    yield event
+
+    async def _serve_counted(
+        self,
+        request: CallerRequest,
+        traceparent: str,
+    ) -> AsyncIterator[AnswerEvent]:
+        now = asyncio.get_running_loop().time()
+        course = Course(request, arrived_at=now, traceparent=traceparent)
+        self._open()
+        events = self._serve(course)
+        try:
+            async with aclosing(events):  # type: ignore[type-var]
+                async for event in events:
+                    yield event
+        finally:
+            self._close(course)
+
+    async def _serve(self, course: Course) -> AsyncIterator[AnswerEvent]:
+        if self._life.takes_requests:
+            await self._parts.configuration.wait_ready(VERSION_WAIT_S)
+        objection = self._objection(course.request)
+        organisation = course.request.request.organisation
+        if objection is None:
+            self._running.begin(organisation)
+            policy = self._parts.configuration.current.policy
+            self._parts.retries.note_request(policy.retry_share)
+        pieces = self._dispatcher.serve(course, objection)
+        try:
+            async with aclosing(pieces):  # type: ignore[type-var]
+                async for piece in pieces:
+                    self._note_first(course)
+                    yield piece
+        finally:
+            if objection is None:
+                self._running.end(organisation)
+        if course.end_event is not None:
+            yield course.end_event
+
+    def _objection(self, request: CallerRequest) -> Failure | None:
+        """Return why a new run is not wanted, if so."""
+        current = self._parts.configuration.current
+        name = request.request.organisation
+        organisation = current.organisations_by_name.get(name)
+        if not self.ready:
+            return self._failure(Code.NOT_READY, self._readiness_text())
+        if organisation is None:
+            return self._failure(Code.CREDENTIAL, 'no such organisation')
+        if request.service not in current.services_by_name:
+            return self._failure(Code.NOT_FOUND, 'no such service')
+        if organisation.services and (
+            request.service not in organisation.services
+        ):
+            return self._failure(Code.NOT_FOUND, 'the service is not open')
+        if self._running.is_at_limit(name, organisation.max_running):
+            return self._failure(Code.CAPACITY, 'too many requests run')
+        return None
+
+    def _readiness_text(self) -> str:
+        if not self._parts.budgets.caught_up:
+            return 'the ledger is being read'
+        if self._life.takes_requests:
+            return 'a newer configuration is being read'
+        state = self._life.state
+        return f'the router is {state}'
+
+    def _failure(self, code: Code, text: str) -> Failure:
+        return Failure(code, 'router', self._parts.incarnation, text)
+
+    def _note_first(self, course: Course) -> None:
+        if course.first_at is None:
+            course.first_at = asyncio.get_running_loop().time()
+            self._parts.telemetry.observe(
+                'router.first_piece_s',
+                course.first_at - course.arrived_at,
+                service=course.request.service,
+            )
+
+    def _open(self) -> None:
+        self.open_requests += 1
+        self.idle.clear()
+        self._parts.telemetry.gauge('router.open', self.open_requests)
+
+    def _close(self, course: Course) -> None:
+        course.close()
+        self.open_requests -= 1
+        if self.open_requests == 0:
+            self.idle.set()
+        end = course.end_event
+        outcome = 'gone' if end is None else end.outcome
+        code = '' if end is None or end.failure is None else end.failure.code
+        telemetry = self._parts.telemetry
+        telemetry.count('router.answers', outcome=outcome, code=code)
--- a/tests/builders/caller_http.py
+++ b/tests/builders/caller_http.py
@@ -13,6 +13,7 @@
     new_caller_application,
 )
 from dandelioncleat.adapters.system_clock import SystemClock
+from dandelioncleat.core.account import Balance
 from dandelioncleat.core.configuration import Organisation
 from dandelioncleat.core.credential import new_key
 from dandelioncleat.core.failure import Code, Failure
@@ -122,7 +123,7 @@
     backend = CallerBackend(
         server=server,
         configuration=lambda: configuration,
-        balances=lambda organisation: {organisation: 70},
+        balance_of=lambda budget: Balance(100, 20, 10),
         metrics_page=lambda: b'requests 1\n',
         clock=SystemClock(),
         write_timeout_s=write_timeout_s,
--- a/tests/builders/router.py
+++ b/tests/builders/router.py
@@ -142,6 +142,7 @@
     """Holds one grant and remembers what was done with it."""
 
     def __init__(self, tokens: int = 9000) -> None:
+        self.caught_up = True
         self.left = tokens
         self.reserved = 0
         self.spent = 0
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -139,7 +139,7 @@
                 bearer = {'Authorization': f'Bearer {KEY.text}'}
                 expected = {
                     '/v1/models': b'"dues"',
-                    '/v1/budget': b'"agency":70',
+                    '/v1/budget': b'"free_tokens":70',
                     '/healthz': b'alive',
                     '/readyz': b'ready',
                     '/metrics': b'requests 1',
