Keep homes, claims and slots, and see a sidecar from join to end

A non-idempotent request begins after its claim was read back as valid; an owner that wakes up after its slots were taken finds its claim void. With the policy guarded an owner runs on its memory alone once it has not heard from the log for 40 s and the platform still lists it. A sidecar joins, fences its target, drains retired holders, reports its load and leaves without cutting a run.

--- a/src/dandelioncleat/app/active_run.py
+++ b/src/dandelioncleat/app/active_run.py
@@ -58,6 +58,7 @@
                 await asyncio.sleep(COALESCE_S)
 
     def _last(self, position: int) -> Message:
+        self.delivered = True
         failure = self.run.sealed_for
         if self.run.state is RunState.SEALED and failure is not None:
             return refusal(failure)
@@ -70,5 +71,4 @@
                 'the answer is no longer kept',
                 ran=True,
             )
-        self.delivered = True
         return finished
--- a/src/dandelioncleat/app/executor.py
+++ b/src/dandelioncleat/app/executor.py
@@ -97,9 +97,9 @@
         :param patience_s: time in seconds before runs are cancelled
         """
         fenced = frozenset(holders)
-        self._seal_waiting(self.book.open_runs_of(fenced), Code.FENCED)
+        self._seal_waiting(self._runs_of(fenced), Code.FENCED)
         if not await self._wait_for(fenced, patience_s):
-            for late in self.book.open_runs_of(fenced):
+            for late in self._runs_of(fenced):
                 self.scheduler.stop(late, 'retired')
             await self._wait_for(fenced, None)
 
@@ -134,12 +134,25 @@
         self.book.runs.mark_sealed(run)
         return Sealed(run, ran=False)
 
+    def _runs_of(
+        self,
+        holders: frozenset[Incarnation],
+    ) -> tuple[ActiveRun, ...]:
+        runs = self.book.open_runs()
+        return tuple(
+            active for active in runs if _draws_on(active.run, holders)
+        )
+
     async def _wait_for(
         self,
         holders: frozenset[Incarnation],
         limit_s: float | None,
     ) -> bool:
         return await self.book.wait_until(
-            lambda: not self.book.open_runs_of(holders),
+            lambda: not self._runs_of(holders),
             limit_s,
         )
+
+
+def _draws_on(run: Run, holders: frozenset[Incarnation]) -> bool:
+    return any(draw.grant.holder in holders for draw in run.dispatch.draws)
--- /dev/null
+++ b/src/dandelioncleat/app/homes.py
@@ -0,0 +1,143 @@
+"""The homes of the request keys that this process looks after."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from dandelioncleat.app._task_scope import TaskScope
+from dandelioncleat.app.claim_desk import ClaimDesk
+from dandelioncleat.app.fleet import FleetKeeper
+from dandelioncleat.app.home_parts import HomeParts
+from dandelioncleat.app.host_watch import HostWatch
+from dandelioncleat.app.slot_keeper import SlotKeeper
+from dandelioncleat.app.stream import StreamFollower
+from dandelioncleat.core.claim import ClaimFold
+from dandelioncleat.core.configuration import Configuration, ServiceKind
+from dandelioncleat.core.envelope import claim_codec
+from dandelioncleat.core.failure import Code
+from dandelioncleat.core.home import ATTACH_STEP, Home
+from dandelioncleat.core.identity import Incarnation
+from dandelioncleat.core.message import (
+    Accepted,
+    Attach,
+    Message,
+    Refusal,
+    Report,
+)
+from dandelioncleat.ports.log import Log
+from dandelioncleat.ports.peer import Peers
+from dandelioncleat.ports.telemetry import Telemetry
+
+EXPIRY_INTERVAL_S = 10.0
+CHECK_INTERVAL_S = 1.0
+
+
+def claim_stream(service: str) -> str:
+    """Return the name of a service's stream of claims."""
+    return f'claims-{service}'
+
+
+class HomeSettings(NamedTuple):
+    """What a home needs to know of its process.
+
+    ``closed`` says whether it takes over no slots and runs nothing without
+    a claim.
+    """
+
+    incarnation: Incarnation
+    service: str
+    configuration: Callable[[], Configuration]
+    fleet: FleetKeeper
+    telemetry: Telemetry
+    closed: Callable[[], bool]
+
+
+class Homes:
+    """Answers ``Attach`` and ``Report``, and keeps the slots.
+
+    Idempotent requests are placed from memory and never wait for the log.
+    """
+
+    def __init__(
+        self,
+        settings: HomeSettings,
+        *,
+        log: Log,
+        hosts: HostWatch,
+        peers: Peers,
+        tasks: TaskScope,
+    ) -> None:
+        """Take the process and its ways to the log and the others."""
+        claims = ClaimFold()
+        self.follower = StreamFollower(
+            log=log,
+            name=claim_stream(settings.service),
+            fold=claims,
+            codec=claim_codec(),
+            producer=settings.incarnation,
+        )
+        self._parts = HomeParts(
+            incarnation=settings.incarnation,
+            service_name=settings.service,
+            configuration=settings.configuration,
+            fleet=settings.fleet,
+            hosts=hosts,
+            claims=claims,
+            follower=self.follower,
+            telemetry=settings.telemetry,
+            closed=settings.closed,
+        )
+        self.desk = ClaimDesk(self._parts, tasks)
+        self.slots = SlotKeeper(self._parts, peers)
+        self._home = Home(settings.incarnation)
+
+    async def attach(self, attach: Attach) -> Message:
+        """Place a request or find its run."""
+        if attach.service != self._parts.service_name:
+            return self._refusal(Code.INVALID, 'the home has another service')
+        if not attach.idempotent:
+            return await self.desk.attach(attach)
+        now = asyncio.get_running_loop().time()
+        return self._home.attach(attach, now)
+
+    async def report(self, report: Report) -> Accepted:
+        """Note how a run of a request ended."""
+        self._home.report(report)
+        if not report.ran:
+            await self.desk.release(report.run)
+        return Accepted()
+
+    async def flush(self) -> None:
+        """End the guard; return once all that was noted is in the log."""
+        if self._is_plain():
+            await self.slots.end_guard()
+
+    async def run(self) -> None:
+        """Follow the claims, keep slots and forget old requests."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._expire_forever())
+            group.create_task(self._keep_claims())
+
+    async def _keep_claims(self) -> None:
+        while True:
+            if self._is_plain():
+                await self._follow_claims()
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    async def _follow_claims(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.follower.run())
+            group.create_task(self.slots.run())
+
+    async def _expire_forever(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            now = asyncio.get_running_loop().time()
+            self._home.expire(now - self._parts.window_s())
+
+    def _is_plain(self) -> bool:
+        service = self._parts.service()
+        return service is not None and service.kind is ServiceKind.PLAIN
+
+    def _refusal(self, code: Code, text: str) -> Refusal:
+        return Refusal(code, ATTACH_STEP, self._parts.incarnation, text)
--- a/src/dandelioncleat/app/host_watch.py
+++ b/src/dandelioncleat/app/host_watch.py
@@ -18,6 +18,8 @@
         self.failing = False
         self._host_list = host_list
         self._leaving_by_host: dict[str, bool] = {}
+        self._gone: frozenset[str] = frozenset()
+        self._current_at = float('-inf')
         self._listeners: list[Callable[[], None]] = []
 
     def on_change(self, listener: Callable[[], None]) -> None:
@@ -28,18 +30,37 @@
         """Return whether a process's host leaves or has gone."""
         return self._leaving_by_host.get(host_of(incarnation), False)
 
+    def is_gone(self, incarnation: Incarnation) -> bool:
+        """Return whether a process's host was on the list and is not now."""
+        return host_of(incarnation) in self._gone
+
+    def is_listed(self, incarnation: Incarnation, *, within_s: float) -> bool:
+        """Return whether a process's host was on the list just now.
+
+        :param within_s: greatest age of the list, in seconds
+        """
+        age_s = asyncio.get_running_loop().time() - self._current_at
+        host = host_of(incarnation)
+        is_known = host in self._leaving_by_host and host not in self._gone
+        return is_known and age_s < within_s
+
     async def run(self) -> None:
         """Poll until cancelled; an outage leaves the last list in force."""
         while True:
+            asked_at = asyncio.get_running_loop().time()
             try:
                 self._take(await self._host_list.hosts())
             except FailureError:
                 self.failing = True
+            else:
+                self._current_at = asked_at
             await asyncio.sleep(POLL_S)
 
     def _take(self, hosts: tuple[HostState, ...]) -> None:
         self.failing = False
         # A host that was on the list and is not any more has gone.
+        listed = frozenset(host.host for host in hosts)
+        self._gone = frozenset(self._leaving_by_host) - listed
         leaving_by_host = dict.fromkeys(self._leaving_by_host, True)
         leaving_by_host.update((host.host, host.leaving) for host in hosts)
         if leaving_by_host != self._leaving_by_host:
--- /dev/null
+++ b/src/dandelioncleat/app/load_report.py
@@ -0,0 +1,131 @@
+"""Reports a target's load to the routers that watch it."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+
+from msgspec import structs
+
+from dandelioncleat.app.executor_parts import Place
+from dandelioncleat.app.run_book import RunBook
+from dandelioncleat.core.cached_prefixes import CachedPrefixes
+from dandelioncleat.core.failure import FailureError
+from dandelioncleat.core.message import Load
+from dandelioncleat.ports.target import TargetClient, TargetLoad
+from dandelioncleat.ports.telemetry import Telemetry
+
+POLL_S = 0.5
+REPORT_INTERVAL_S = 0.25
+QUIET_LIMIT_S = 5.0
+MS_PER_S = 1000
+NO_LOAD = TargetLoad(0, 0, 0, 0, 0, 0)
+
+
+class LoadReport:
+    """Polls the target and tells watchers of changes.
+
+    A target that cannot be asked is reported with no slots.
+    """
+
+    def __init__(
+        self,
+        place: Place,
+        *,
+        client: TargetClient,
+        book: RunBook,
+        slots: Callable[[], int],
+        is_leaving: Callable[[], bool],
+        telemetry: Telemetry,
+    ) -> None:
+        """Take the target and the runs that this process knows of."""
+        self._place = place
+        self._client = client
+        self._book = book
+        self._slots = slots
+        self._is_leaving = is_leaving
+        self._telemetry = telemetry
+        self._load = NO_LOAD
+        self._loaded_at: float = 0
+        self._is_up = False
+        self._prefixes = CachedPrefixes()
+        self._events_end = 0
+        self._changed = asyncio.Event()
+        book.on_change(self.notify)
+
+    def notify(self) -> None:
+        """Let the watchers look again."""
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Poll the target until cancelled."""
+        while True:
+            try:
+                await self._poll()
+            except FailureError:
+                self._note_down()
+            await asyncio.sleep(POLL_S)
+
+    async def watch(self) -> AsyncIterator[Load]:
+        """Yield the load now and at each change, at a bounded rate."""
+        while True:
+            load = self.current()
+            yield load
+            await asyncio.sleep(REPORT_INTERVAL_S)
+            await self._wait_for_change(load)
+
+    def current(self) -> Load:
+        """Return the load as it is known now."""
+        now = asyncio.get_running_loop().time()
+        progress = self._book.progress
+        age_s = self._load.age_s + now - self._loaded_at
+        return Load(
+            target=self._place.target,
+            sidecar=self._place.incarnation,
+            leaving=self._is_leaving(),
+            slots=self._slots() if self._is_up else 0,
+            running=progress.running,
+            queued=progress.queued + self._load.queued,
+            demand_tokens=self._load.demand_tokens,
+            kv_tokens=self._load.kv_tokens,
+            age_ms=int(age_s * MS_PER_S),
+            prefixes=self._prefixes.newest_last,
+        )
+
+    async def _poll(self) -> None:
+        load = await self._client.load()
+        events = await self._client.cache_events(self._events_end)
+        is_news = not self._is_up or load._replace(age_s=0) != (
+            self._load._replace(age_s=0)
+        )
+        self._load = load
+        self._loaded_at = asyncio.get_running_loop().time()
+        self._is_up = True
+        if events.end != self._events_end or events.gap:
+            self._events_end = events.end
+            self._prefixes.apply(events.stored, events.evicted, gap=events.gap)
+            is_news = True
+        if is_news:
+            self.notify()
+
+    def _note_down(self) -> None:
+        if self._is_up:
+            self._is_up = False
+            self._prefixes.clear()
+            self._events_end = 0
+            self._telemetry.count('sidecar.target_lost')
+            self.notify()
+
+    async def _wait_for_change(self, told: Load) -> None:
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + QUIET_LIMIT_S
+        while _essence(self.current()) == _essence(told):
+            self._changed.clear()
+            try:
+                async with asyncio.timeout_at(limit):
+                    await self._changed.wait()
+            except TimeoutError:
+                return
+
+
+def _essence(load: Load) -> Load:
+    """Return a load without the age, which changes all the time."""
+    return structs.replace(load, age_ms=0)
--- a/src/dandelioncleat/app/run_book.py
+++ b/src/dandelioncleat/app/run_book.py
@@ -11,6 +11,7 @@
 from dandelioncleat.core.run import Run, Runs, Trace
 
 ABANDON_S = 30.0
+MAX_UNFETCHED = 1000
 
 
 class Progress(NamedTuple):
@@ -32,6 +33,7 @@
         """Take the executor's name and what to do with runs nobody reads."""
         self.runs = Runs()
         self.active_by_id: dict[RunId, ActiveRun] = {}
+        self._unfetched: dict[RunId, None] = {}
         self._incarnation = incarnation
         self._on_abandoned = on_abandoned
         self._arrived = asyncio.Event()
@@ -59,9 +61,16 @@
         active.cancel_timers()
         self.runs.end(active.run)
         active.notify()
+        self._unfetched[active.run.id] = None
+        while len(self._unfetched) > MAX_UNFETCHED:
+            self._unfetched.pop(next(iter(self._unfetched)))
         if not active.readers:
             self.active_by_id.pop(active.run.id, None)
 
+    def is_all_fetched(self) -> bool:
+        """Return whether the answers that ended lately were all read."""
+        return not self._unfetched
+
     def note_change(self) -> None:
         """Tell those who wait for runs to start or end."""
         self._changed.set()
@@ -123,19 +132,11 @@
             if active.run.is_open
         )
 
-    def open_runs_of(
-        self,
-        holders: frozenset[Incarnation],
-    ) -> tuple[ActiveRun, ...]:
-        """Return the open runs that draw on grants of these holders."""
-        return tuple(
-            active
-            for active in self.open_runs()
-            if _draws_on(active.run, holders)
-        )
-
     def _leave(self, active: ActiveRun) -> None:
         active.readers -= 1
+        if active.delivered:
+            self._unfetched.pop(active.run.id, None)
+            self.note_change()
         if active.readers:
             return
         if active.run.is_open:
@@ -148,7 +149,6 @@
             )
         else:
             self.active_by_id.pop(active.run.id, None)
-            self.note_change()
 
     def _abandon(self, active: ActiveRun) -> None:
         if not active.readers:
@@ -159,7 +159,3 @@
         code = Code.NOT_FOUND if ran else Code.SEALED
         text = 'the run is not known here' if ran else 'the run is sealed'
         return Refusal(code, RESUME_STEP, self._incarnation, text, ran=ran)
-
-
-def _draws_on(run: Run, holders: frozenset[Incarnation]) -> bool:
-    return any(draw.grant.holder in holders for draw in run.dispatch.draws)
--- a/src/dandelioncleat/app/run_scheduler.py
+++ b/src/dandelioncleat/app/run_scheduler.py
@@ -30,7 +30,7 @@
         tasks: TaskScope,
     ) -> None:
         """Take the executor's surroundings."""
-        self.fence = 0
+        self._fence = 0
         self.book = RunBook(
             parts.place.incarnation,
             on_abandoned=self.stop,
@@ -44,12 +44,16 @@
             client=parts.client,
             crashes=crashes,
             tasks=tasks,
-            fence=lambda: self.fence,
+            fence=lambda: self._fence,
         )
 
+    def set_fence(self, number: int) -> None:
+        """Send this fencing number with each call from now on."""
+        self._fence = number
+
     def is_full(self, service: Service) -> bool:
         """Return whether neither a slot nor a place in the queue is free."""
-        if self._has_slot():
+        if self.book.runs.running < self._parts.slots():
             return False
         return len(self._queue) >= service.queue_limit
 
@@ -67,7 +71,9 @@
 
     def fill(self) -> None:
         """Start runs while the target has slots."""
-        while not self._closed and self._has_slot():
+        while not self._closed:
+            if self.book.runs.running >= self._parts.slots():
+                return
             run = self._queue.pop(self._may_start)
             if run is None:
                 return
@@ -100,9 +106,6 @@
             active.task.cancel()
             await asyncio.gather(active.task, return_exceptions=True)
 
-    def _has_slot(self) -> bool:
-        return self.book.runs.running < self._parts.slots()
-
     def _may_start(self, run: Run) -> bool:
         """Keep suspects of a crash apart, so that the next tells them."""
         if not self._crashes.is_suspect(run.dispatch.digest):
--- /dev/null
+++ b/src/dandelioncleat/app/sidecar.py
@@ -0,0 +1,360 @@
+"""The side process of one target, behind the ports."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any, NamedTuple
+
+import msgspec
+import structlog
+
+from dandelioncleat.app._task_scope import TaskScope
+from dandelioncleat.app.billing import BillSender
+from dandelioncleat.app.configuration import ConfigurationKeeper
+from dandelioncleat.app.end_reports import EndReports
+from dandelioncleat.app.executor import Executor
+from dandelioncleat.app.executor_parts import ExecutorParts, Place
+from dandelioncleat.app.fleet import FleetKeeper
+from dandelioncleat.app.fleet_entry import FleetEntry
+from dandelioncleat.app.holder_drain import HolderDrain
+from dandelioncleat.app.homes import Homes, HomeSettings
+from dandelioncleat.app.host_watch import HostWatch
+from dandelioncleat.app.load_report import LoadReport
+from dandelioncleat.app.sidecar_life import SidecarLife
+from dandelioncleat.core.failure import Code
+from dandelioncleat.core.fleet import SIDECAR
+from dandelioncleat.core.identity import Incarnation, RunId
+from dandelioncleat.core.message import (
+    AskStatus,
+    Attach,
+    Cancel,
+    Dispatch,
+    Message,
+    Refusal,
+    Report,
+    Resume,
+    SealRun,
+    Status,
+    WatchLoad,
+)
+from dandelioncleat.core.record import End, Join, Leave
+from dandelioncleat.ports.host_list import HostList
+from dandelioncleat.ports.log import Log
+from dandelioncleat.ports.peer import CallContext, Peers
+from dandelioncleat.ports.target import TargetClient
+from dandelioncleat.ports.telemetry import NullTelemetry, Telemetry
+
+STOP_LIMIT_S = 60.0
+FETCH_LIMIT_S = 5.0
+
+_logger = structlog.get_logger(__name__)
+
+
+class StopReport(NamedTuple):
+    """What a stop has lost; empty and ``0`` after a planned one.
+
+    ``unbilled`` are the bills, and ``unrecorded`` the runs without a claim,
+    that are not in the log.
+    """
+
+    cut: tuple[RunId, ...]
+    unbilled: int
+    unrecorded: int
+
+    @property
+    def is_clean(self) -> bool:
+        """Return whether nothing was lost."""
+        return not (self.cut or self.unbilled or self.unrecorded)
+
+
+class SidecarPorts(NamedTuple):
+    """The ports of a sidecar."""
+
+    log: Log
+    host_list: HostList
+    peers: Peers
+    target_client: TargetClient
+    telemetry: Telemetry
+
+
+class Sidecar:
+    """Answers routers and other sidecars for one target."""
+
+    def __init__(
+        self,
+        join: Join,
+        ports: SidecarPorts,
+        *,
+        configuration: ConfigurationKeeper,
+        fleet: FleetKeeper,
+        bills: BillSender,
+    ) -> None:
+        """Take the sidecar's announcement, its ports and its keepers."""
+        self.life = SidecarLife(join.incarnation)
+        self._configuration = configuration
+        self._fleet = fleet
+        self._bills = bills
+        self._hosts = HostWatch(ports.host_list)
+        self._tasks = TaskScope()
+        self._hurry = asyncio.Event()
+        self._report: StopReport | None = None
+        self._place = Place(join.incarnation, join.target, join.service)
+        parts = ExecutorParts(
+            place=self._place,
+            client=ports.target_client,
+            configuration=lambda: configuration.current,
+            fleet=fleet,
+            bills=bills,
+            telemetry=ports.telemetry,
+            closed=self._closed,
+            on_ended=lambda run: self._reports.submit(run),
+        )
+        self.executor = Executor(parts, self._tasks)
+        self.homes = Homes(
+            HomeSettings(
+                incarnation=join.incarnation,
+                service=join.service,
+                configuration=lambda: configuration.current,
+                fleet=fleet,
+                telemetry=ports.telemetry,
+                closed=lambda: not self.life.is_ready,
+            ),
+            log=ports.log,
+            hosts=self._hosts,
+            peers=ports.peers,
+            tasks=self._tasks,
+        )
+        self._reports = EndReports(
+            join.incarnation,
+            homes=self.homes,
+            fleet=fleet,
+            peers=ports.peers,
+        )
+        self._load = LoadReport(
+            self._place,
+            client=ports.target_client,
+            book=self.executor.book,
+            slots=parts.slots,
+            is_leaving=lambda: self._closed() is not None,
+            telemetry=ports.telemetry,
+        )
+        self._drain = HolderDrain(
+            join.incarnation,
+            fleet=fleet,
+            executor=self.executor,
+            bills=bills,
+        )
+        self._entry = FleetEntry(
+            join,
+            client=ports.target_client,
+            configuration=configuration,
+            fleet=fleet,
+            life=self.life,
+            set_fence=self.executor.scheduler.set_fence,
+        )
+        self.life.on_change(self._load.notify)
+        configuration.on_change(self._load.notify)
+        self._hosts.on_change(self._load.notify)
+
+    async def answer(
+        self,
+        message: Message,
+        context: CallContext,
+    ) -> AsyncIterator[Message]:
+        """Yield the replies to a call of another process."""
+        match message:
+            case Dispatch():
+                replies = self.executor.dispatch(message, context.traceparent)
+            case Resume():
+                replies = self.executor.resume(message)
+            case WatchLoad():
+                replies = self._load.watch()
+            case _:
+                replies = self._reply(message)
+        async for reply in replies:
+            yield reply
+
+    async def run(self) -> None:
+        """Join the fleet and serve until stopped."""
+        serving = asyncio.create_task(self._serve())
+        ended = asyncio.create_task(self.life.ended.wait())
+        try:
+            await asyncio.wait(
+                (serving, ended),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if serving.done():
+                await serving
+        finally:
+            await _cancel(serving, ended)
+
+    async def stop(self, *, limit_s: float = STOP_LIMIT_S) -> StopReport:
+        """Take no new work, end what is open and say what was lost.
+
+        A second call ends the stop at once.
+
+        :param limit_s: time in seconds after which open runs are cut
+        """
+        if self.life.left.is_set():
+            self._hurry.set()
+            await self.life.ended.wait()
+            return self._report or StopReport((), 0, 0)
+        self.life.leave()
+        await self._leave_within(limit_s)
+        self._report = StopReport(
+            await self.executor.close(),
+            self._bills.pending,
+            self.homes.desk.unrecorded,
+        )
+        _log_report(self._report)
+        self.life.end()
+        return self._report
+
+    def status(self) -> Status:
+        """Describe this process."""
+        current = self._configuration.current
+        progress = self.executor.book.progress
+        details = {
+            'target': self._place.target,
+            'service': self._place.service,
+            'leaving': self._closed() is not None,
+            'running': progress.running,
+            'queued': progress.queued,
+            'unbilled': self._bills.pending,
+        }
+        return Status(
+            self._place.incarnation,
+            SIDECAR,
+            self.life.state.value,
+            current.version,
+            current.digest,
+            msgspec.json.encode(details),
+        )
+
+    async def _reply(self, message: Message) -> AsyncIterator[Message]:
+        match message:
+            case Attach() if self.life.closed is Code.NOT_READY:
+                yield self._refusal(
+                    Code.NOT_READY, 'the sidecar has not joined'
+                )
+            case Attach():
+                yield await self.homes.attach(message)
+            case Report():
+                yield await self.homes.report(message)
+            case SealRun():
+                yield self.executor.seal(message)
+            case Cancel():
+                yield self.executor.cancel(message)
+            case AskStatus():
+                yield self.status()
+            case _:
+                yield self._refusal(Code.INVALID, 'not a call for a sidecar')
+
+    async def _serve(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            self._tasks.open(group)
+            group.create_task(self._hosts.run())
+            group.create_task(self.homes.run())
+            group.create_task(self._reports.run())
+            group.create_task(self._load.run())
+            group.create_task(self._drain.run())
+            group.create_task(self._entry.run())
+
+    async def _leave_within(self, limit_s: float) -> None:
+        leaving = self._tasks.spawn(self._leave())
+        hurry = self._tasks.spawn(self._hurry.wait())
+        await asyncio.wait(
+            (leaving, hurry),
+            timeout=limit_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        leaving.cancel()
+        hurry.cancel()
+
+    async def _leave(self) -> None:
+        book = self.executor.book
+        handover = self._tasks.spawn(self._hand_over())
+        await book.wait_until(lambda: not book.open_runs())
+        await book.wait_until(book.is_all_fetched, FETCH_LIMIT_S)
+        await handover
+        await self.homes.flush()
+        await self._bills.flush()
+        await self._fleet.submit(End(self._place.incarnation))
+
+    async def _hand_over(self) -> None:
+        await self._fleet.submit(Leave(self._place.incarnation))
+        await self.homes.flush()
+
+    def _closed(self) -> Code | None:
+        """Return the code with which new work is refused, if any."""
+        if self._hosts.is_leaving(self._place.incarnation):
+            return Code.LEAVING
+        targets = self._configuration.current.targets_by_name
+        target = targets.get(self._place.target)
+        if target is not None and target.drain:
+            return Code.LEAVING
+        return self.life.closed
+
+    def _refusal(self, code: Code, text: str) -> Refusal:
+        return Refusal(code, 'answer', self._place.incarnation, text)
+
+
+def new_sidecar(  # noqa: WPS211  # each argument is a port or a name
+    *,
+    incarnation: Incarnation,
+    target: str,
+    service: str,
+    data_centre: str,
+    address: str,
+    log: Log,
+    host_list: HostList,
+    peers: Peers,
+    target_client: TargetClient,
+    configuration: ConfigurationKeeper,
+    fleet: FleetKeeper,
+    bills: BillSender,
+    telemetry: Telemetry | None = None,
+) -> Sidecar:
+    """Return the sidecar of a target; its keepers are run by its owner.
+
+    :param address: where other processes reach this one
+    """
+    join = Join(
+        incarnation=incarnation,
+        role=SIDECAR,
+        data_centre=data_centre,
+        address=address,
+        target=target,
+        service=service,
+    )
+    ports = SidecarPorts(
+        log,
+        host_list,
+        peers,
+        target_client,
+        telemetry or NullTelemetry(),
+    )
+    return Sidecar(
+        join,
+        ports,
+        configuration=configuration,
+        fleet=fleet,
+        bills=bills,
+    )
+
+
+async def _cancel(*tasks: asyncio.Task[Any]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _log_report(report: StopReport) -> None:
+    if report.is_clean:
+        _logger.info('sidecar stopped')
+        return
+    _logger.error(
+        'sidecar stopped with losses',
+        cut=len(report.cut),
+        unbilled=report.unbilled,
+        unrecorded=report.unrecorded,
+    )
--- a/src/dandelioncleat/app/stream.py
+++ b/src/dandelioncleat/app/stream.py
@@ -29,8 +29,9 @@
 class StreamFollower(Generic[RecordT, VerdictT]):
     """Keeps a fold current with its stream and appends records to it.
 
-    ``current_at`` is the last time of the event loop, in seconds, at which
-    the fold is known to have been current.
+    ``heard_at`` is the last time of the event loop, in seconds, at which the
+    log answered a read, and ``current_at`` the last at which the fold is
+    known to have been current.
     """
 
     def __init__(
@@ -46,6 +47,7 @@
         self.name = name
         self.fold = fold
         self.caught_up = asyncio.Event()
+        self.heard_at = float('-inf')
         self.current_at = float('-inf')
         self.state = StreamState(fold=fold, codec=codec)
         self._log = log
@@ -139,6 +141,7 @@
             return
         for entry in page.entries:
             self._apply(entry)
+        self.heard_at = asyncio.get_running_loop().time()
         if self.position >= page.end:
             self.caught_up.set()
             self.current_at = asked_at
--- a/src/dandelioncleat/core/claim.py
+++ b/src/dandelioncleat/core/claim.py
@@ -25,6 +25,7 @@
     MAX_WINDOW_S,
     NOBODY,
     Slot,
+    reopens_at,
     taken_slot,
 )
 
@@ -89,6 +90,7 @@
 class _State(NamedTuple):
     log_time: float
     slots: tuple[tuple[int, Slot], ...]
+    seen_by_owner: dict[Incarnation, float]
     claims: tuple[tuple[RequestKey, LiveClaim], ...]
 
 
@@ -99,6 +101,7 @@
         """Start with unowned slots and no claims."""
         self.slots_by_number: dict[int, Slot] = {}
         self.log_time = float(0)
+        self._seen_by_owner: dict[Incarnation, float] = {}
         self._claim_by_request: OrderedDict[RequestKey, LiveClaim] = (
             OrderedDict()
         )
@@ -145,6 +148,7 @@
             _State(
                 self.log_time,
                 tuple(self.slots_by_number.items()),
+                self._seen_by_owner,
                 tuple(self._claim_by_request.items()),
             ),
         )
@@ -154,6 +158,7 @@
         state = msgspec.msgpack.decode(data, type=_State)
         self.log_time = state.log_time
         self.slots_by_number = dict(state.slots)
+        self._seen_by_owner = state.seen_by_owner
         self._claim_by_request = OrderedDict(state.claims)
 
     def _take(self, producer: Incarnation, record: TakeSlots) -> ClaimVerdict:
@@ -165,15 +170,30 @@
             if slot.epoch != epoch:
                 continue
             taken.append(number)
-            self.slots_by_number[number] = taken_slot(
+            closed_until = reopens_at(
                 slot,
-                owner=record.owner,
-                window_s=record.window_s,
-                guarded=record.guarded,
+                record,
+                seen=self._seen_by_owner.get(slot.owner, float(0)),
                 taken_at=self.log_time,
             )
+            self.slots_by_number[number] = taken_slot(
+                slot,
+                record,
+                closed_until=closed_until,
+            )
+        self._note_seen(record)
         return SlotsTaken(tuple(taken))
 
+    def _note_seen(self, record: TakeSlots) -> None:
+        """Remember what owners have read; others are forgotten."""
+        owners = {slot.owner for slot in self.slots_by_number.values()}
+        known = self._seen_by_owner
+        seen = max(known.get(record.owner, float(0)), record.seen)
+        known[record.owner] = seen
+        self._seen_by_owner = {
+            owner: seen for owner, seen in known.items() if owner in owners
+        }
+
     def _claim(self, producer: Incarnation, record: Claim) -> ClaimVerdict:
         slot = self.slot(record.slot)
         if producer != record.run.home:
--- a/src/dandelioncleat/core/home.py
+++ b/src/dandelioncleat/core/home.py
@@ -82,6 +82,8 @@
         :param now: monotonic time in seconds
         """
         known = self._placement_by_request.get(attach.request)
+        if not attach.executor and (known is None or not known.open):
+            return no_run(self._incarnation)
         if known is None:
             return self._begin(attach, 1, now)
         if known.body != attach.body:
@@ -141,6 +143,16 @@
     )
 
 
+def no_run(home: Incarnation) -> Refusal:
+    """Tell one who only looks for a run that there is none."""
+    return Refusal(
+        Code.NOT_FOUND,
+        ATTACH_STEP,
+        home,
+        'the request has no run',
+    )
+
+
 def _rank(key: bytes, member: Incarnation) -> tuple[int, Incarnation]:
     weight = xxhash.xxh3_64_intdigest(b'\0'.join((member.encode(), key)))
     return -weight, member
--- a/src/dandelioncleat/core/record.py
+++ b/src/dandelioncleat/core/record.py
@@ -144,15 +144,20 @@
     """Claims ownership of slots whose epochs are as stated.
 
     ``window_s`` is how long claims of the slots are remembered, in seconds.
-    ``guarded`` says that the owner may run requests without a claim while
-    the log is out, for at most ``window_s`` since it last read the log.
+    If ``guard_after_s`` is positive, the owner may run requests without a
+    claim once it has not reached the log for that time, and until it has
+    not reached it for ``window_s``. ``seen`` is the newest log time that
+    the owner had read. ``replaced`` says that the owner before is known to
+    have stopped. A record without slots only renews ``seen``.
     """
 
     owner: Incarnation
     slots: tuple[int, ...]
     epochs: tuple[int, ...]
     window_s: float = 3600.0
-    guarded: bool = False
+    guard_after_s: float = float(0)
+    seen: float = float(0)
+    replaced: bool = False
 
 
 class Claim(Record, frozen=True):
--- a/src/dandelioncleat/core/slot.py
+++ b/src/dandelioncleat/core/slot.py
@@ -5,10 +5,12 @@
 import xxhash
 
 from dandelioncleat.core.identity import Incarnation, RequestKey
+from dandelioncleat.core.record import TakeSlots
 
 MAX_SLOTS = 4096
 MAX_WINDOW_S = 86400.0
 CLOSED_WINDOWS = 2
+GUARD_MARGIN_S = 10.0
 NOBODY = Incarnation('')
 
 
@@ -22,7 +24,7 @@
     owner: Incarnation = NOBODY
     epoch: int = 0
     window_s: float = 3600.0
-    guarded: bool = False
+    guard_after_s: float = float(0)
     closed_until: float = float(0)
 
 
@@ -40,24 +42,39 @@
     return xxhash.xxh3_64_intdigest(key_bytes(request)) % slots
 
 
-def taken_slot(
+def taken_slot(slot: Slot, record: TakeSlots, *, closed_until: float) -> Slot:
+    """Return a slot after it was taken over.
+
+    :param closed_until: log time before which no claim is valid
+    """
+    return Slot(
+        record.owner,
+        slot.epoch + 1,
+        record.window_s,
+        record.guard_after_s,
+        max(slot.closed_until, closed_until),
+    )
+
+
+def reopens_at(
     slot: Slot,
+    record: TakeSlots,
     *,
-    owner: Incarnation,
-    window_s: float,
-    guarded: bool,
+    seen: float,
     taken_at: float,
-) -> Slot:
-    """Return a slot after it was taken over.
+) -> float:
+    """Return the log time at which a slot is safe after a takeover.
 
     A guarded owner may not know for one window that it lost the slot, and
-    its last request may be retried for one window more.
+    its last request may be retried for one window more. An owner that is
+    known to have stopped before its guard began leaves nothing unrecorded.
 
-    :param window_s: how long claims are remembered, in seconds
-    :param taken_at: log time of the takeover, in seconds
+    :param seen: newest log time that the owner before is known to have read
+    :param taken_at: log time of the takeover
     """
-    closed_until = slot.closed_until
-    if slot.guarded and slot.owner != owner:
-        closed_s = CLOSED_WINDOWS * slot.window_s
-        closed_until = max(closed_until, taken_at + closed_s)
-    return Slot(owner, slot.epoch + 1, window_s, guarded, closed_until)
+    if slot.guard_after_s <= 0 or slot.owner == record.owner:
+        return float(0)
+    unseen_s = taken_at - seen
+    if record.replaced and unseen_s < slot.guard_after_s - GUARD_MARGIN_S:
+        return float(0)
+    return taken_at + CLOSED_WINDOWS * slot.window_s
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -142,7 +142,7 @@
         self.assertIsNone(self.fold.claim_of(POST).status)
 
     def test_guarded_slot_stays_closed_after_a_takeover(self) -> None:
-        self.take(OLD, 0, window_s=100.0, guarded=True)
+        self.take(OLD, 0, window_s=100.0, guard_after_s=40.0)
         self.log_time = 10.0
         self.take(NEW, 1, window_s=100.0)
         self.log_time = 209.0
@@ -151,8 +151,25 @@
         self.log_time = 210.0
         self.assertIsInstance(self.apply(NEW, claim_by(NEW, 2)), Claimed)
 
+    def test_owner_known_to_have_stopped_before_its_guard_began(self) -> None:
+        self.take(OLD, 0, guard_after_s=40.0)
+        self.log_time = 100.0
+        self.apply(OLD, TakeSlots(OLD, (), (), seen=95.0))
+        self.log_time = 124.0
+        self.take(NEW, 1, replaced=True)
+        self.assertIsInstance(self.apply(NEW, claim_by(NEW, 2)), Claimed)
+
+    def test_owner_that_stopped_after_its_guard_may_have_begun(self) -> None:
+        self.take(OLD, 0, guard_after_s=40.0)
+        self.log_time = 100.0
+        self.apply(OLD, TakeSlots(OLD, (), (), seen=95.0))
+        self.log_time = 125.0
+        self.take(NEW, 1, replaced=True)
+        closed = self.apply(NEW, claim_by(NEW, 2))
+        self.assertEqual(Void(VoidReason.CLOSED, NEW), closed)
+
     def test_owner_that_ends_its_guard_leaves_the_slot_open(self) -> None:
-        self.take(OLD, 0, guarded=True)
+        self.take(OLD, 0, guard_after_s=40.0)
         self.take(OLD, 1)
         self.take(NEW, 2)
         self.assertIsInstance(self.apply(NEW, claim_by(NEW, 3)), Claimed)
@@ -207,10 +224,20 @@
             runs = self.begun.setdefault(record.request, [])
             runs.append(verdict.run)
 
-    @rule(home=HOMES, lag=st.integers(0, 2), guarded=st.booleans())
-    def take(self, home: Incarnation, lag: int, guarded: bool) -> None:
+    @rule(
+        home=HOMES,
+        lag=st.integers(0, 2),
+        guard_after_s=st.sampled_from((0.0, 3.0)),
+        replaced=st.booleans(),
+    )
+    def take(
+        self, home: Incarnation, lag: int, guard_after_s: float, replaced: bool
+    ) -> None:
         epoch = max(self.fold.slot(0).epoch - lag, 0)
-        record = TakeSlots(home, (0,), (epoch,), 1000.0, guarded)
+        seen = self.fold.log_time
+        record = TakeSlots(
+            home, (0,), (epoch,), 1000.0, guard_after_s, seen, replaced
+        )
         self.append(home, record)
 
     @rule(
--- /dev/null
+++ b/tests/test_homes.py
@@ -0,0 +1,277 @@
+"""Tests of homes and claims through takeovers and outages of the log."""
+
+import asyncio
+
+from testtools import TestCase
+
+from dandelioncleat.core.configuration import LogOutagePolicy
+from dandelioncleat.core.failure import Code
+from dandelioncleat.core.identity import RequestKey
+from dandelioncleat.core.message import (
+    Begin,
+    NotHome,
+    Placed,
+    Refusal,
+    Report,
+    SealRun,
+)
+from tests.builders.sidecar_fleet import (
+    Node,
+    SidecarFleet,
+    new_attach,
+    on_fleet,
+    until,
+)
+
+KEY = RequestKey('org', 'invoice')
+GUARDED = {'on_log_outage': LogOutagePolicy.GUARDED}
+
+
+async def owner_of_all(fleet: SidecarFleet, host: str = 'a') -> Node:
+    """Start the first sidecar, which comes to own every slot."""
+    node = await fleet.start(host)
+    await wait_until_owned(node)
+    return node
+
+
+async def wait_until_owned(node: Node) -> float:
+    """Wait until a node owns every slot and return how long it took."""
+    return await until(lambda: node.owned() == 4)
+
+
+class ClaimDeskTest(TestCase):
+    """A non-idempotent request begins once."""
+
+    def test_retries_find_the_one_run(self) -> None:
+        async def scenario(fleet: SidecarFleet) -> None:
+            home = await owner_of_all(fleet)
+            attach = new_attach('invoice', home)
+            replies = await asyncio.gather(
+                *[home.ask(attach) for _ in range(5)],
+            )
+            begun = [one for one in replies if isinstance(one, Begin)]
+            self.assertEqual(1, len(begun))
+            placed = [one for one in replies if isinstance(one, Placed)]
+            self.assertEqual([begun[0].run] * 4, [one.run for one in placed])
+            other = await home.ask(
+                new_attach('invoice', home, organisation='other'),
+            )
+            self.assertIsInstance(other, Begin)
+            conflict = await home.ask(new_attach('invoice', home, body='x'))
+            self.assertEqual(Code.CONFLICT, conflict.code)
+
+        on_fleet(scenario)
+
+    def test_lost_answers_of_the_log_give_one_run(self) -> None:
+        async def scenario(fleet: SidecarFleet) -> None:
+            fleet.log.lost_answer_share = 0.5
+            home = await owner_of_all(fleet)
+            for number in range(10):
+                attach = new_attach(f'invoice {number}', home)
+                self.assertIsInstance(await home.ask(attach), Begin)
+                self.assertIsInstance(await home.ask(attach), Placed)
+
+        on_fleet(scenario)
+
+    def test_sealed_run_frees_the_request(self) -> None:
+        async def scenario(fleet: SidecarFleet) -> None:
+            home = await owner_of_all(fleet)
+            attach = new_attach('invoice', home)
+            first = await home.ask(attach)
+            sealed = await home.ask(SealRun(first.run, home.incarnation))
+            self.assertFalse(sealed.ran)
+            await home.ask(Report(first.run, 0, False))
+            second = await home.ask(attach)
+            self.assertIsInstance(second, Begin)
+            self.assertEqual(2, second.run.attempt)
+
+        on_fleet(scenario)
+
+    def test_search_without_executor_claims_nothing(self) -> None:
+        async def scenario(fleet: SidecarFleet) -> None:
+            home = await owner_of_all(fleet)
+            reply = await home.ask(new_attach('invoice', None))
+            self.assertEqual(Code.NOT_FOUND, reply.code)
+            self.assertIsNone(home.claims.claim_of(KEY))
+
+        on_fleet(scenario)
+
+    def test_not_ready_before_it_joined(self) -> None:
+        async def scenario(fleet: SidecarFleet) -> None:
+            fleet.log.outage = True
+            node = await fleet.start('a', ready=False)
+            await asyncio.sleep(1)
+            reply = await node.ask(new_attach('invoice', node))
+            self.assertEqual(Code.NOT_READY, reply.code)
+            fleet.log.outage = False
+            await wait_until_owned(node)
+            reply = await node.ask(new_attach('invoice', node))
+            self.assertIsInstance(reply, Begin)
+
+        on_fleet(scenario)
+
+
+class TakeoverTest(TestCase):
+    """A paused owner gives no second run after its slots were taken."""
+
+    def test_paused_owner_that_wakes_up(self) -> None:
+        async def scenario(fleet: SidecarFleet) -> None:
+            old = await owner_of_all(fleet)
+            new = await fleet.start('b')
+            begun = await old.ask(new_attach('invoice', new))
+            fleet.part(old)
+            await wait_until_owned(new)
+            retried = await new.ask(new_attach('invoice', new))
+            self.assertEqual(Placed(begun.run, new.incarnation), retried)
+            fresh = new_attach('another', new)
+            late = asyncio.create_task(old.ask(fresh))
+            await asyncio.sleep(1)
+            self.assertIsInstance(await new.ask(fresh), Begin)
+            fleet.rejoin(old)
+            self.assertEqual(NotHome(new.incarnation), await late)
+
+        on_fleet(scenario)
+
+    def test_claimed_key_whose_executor_is_gone_is_unknown(self) -> None:
+        async def scenario(fleet: SidecarFleet) -> None:
+            old = await owner_of_all(fleet)
+            new = await fleet.start('b')
+            await old.ask(new_attach('invoice', old))
+            await fleet.kill(old)
+            successor = await fleet.start('a')
+            await wait_until_owned(new)
+            reply = await new.ask(new_attach('invoice', new))
+            self.assertIsInstance(reply, Placed | Refusal)
+            self.assertNotIsInstance(reply, Begin)
+            sealed = await successor.ask(
+                SealRun(reply.run, old.incarnation),
+            )
+            self.assertTrue(sealed.ran)
+
+        on_fleet(scenario)
+
+    def test_slots_of_a_leaving_owner_are_handed_over(self) -> None:
+        async def scenario(fleet: SidecarFleet) -> None:
+            old = await owner_of_all(fleet)
+            new = await fleet.start('b')
+            begun = await old.ask(new_attach('invoice', new))
+            report = await old.sidecar.stop()
+            self.assertTrue(report.is_clean)
+            self.assertLess(await wait_until_owned(new), 10)
+            reply = await new.ask(new_attach('invoice', new))
+            self.assertEqual(begun.run, reply.run)
+
+        on_fleet(scenario, **GUARDED)
+
+
+class RefuseTest(TestCase):
+    """With the policy ``refuse`` nothing runs while the log is out."""
+
+    def test_refused_request_runs_once_when_it_is_retried(self) -> None:
+        async def scenario(fleet: SidecarFleet) -> None:
+            home = await owner_of_all(fleet)
+            fleet.log.outage = True
+            await asyncio.sleep(60)
+            reply = await home.ask(new_attach('invoice', home))
+            self.assertEqual((Code.LOG, False), (reply.code, reply.ran))
+            fleet.log.outage = False
+            await asyncio.sleep(2)
+            attach = new_attach('invoice', home)
+            self.assertIsInstance(await home.ask(attach), Begin)
+            self.assertIsInstance(await home.ask(attach), Placed)
+
+        on_fleet(scenario)
+
+    def test_lookups_do_not_wait_for_the_log(self) -> None:
+        async def scenario(fleet: SidecarFleet) -> None:
+            home = await owner_of_all(fleet)
+            fleet.log.outage = True
+            start = asyncio.get_running_loop().time()
+            reply = await home.ask(new_attach('look', home, idempotent=True))
+            self.assertIsInstance(reply, Begin)
+            self.assertEqual(start, asyncio.get_running_loop().time())
+
+        on_fleet(scenario)
+
+
+class GuardedTest(TestCase):
+    """With the policy ``guarded`` the owner goes by its memory alone."""
+
+    async def begin_unrecorded(self, home: Node) -> Begin:
+        """Begin a run that the log does not know of."""
+        attach = new_attach('invoice', home)
+        early = await home.ask(new_attach('early', home))
+        self.assertEqual(Code.LOG, early.code)
+        await asyncio.sleep(45)
+        begun = await home.ask(attach)
+        self.assertIsInstance(begun, Begin)
+        self.assertEqual(
+            Placed(begun.run, home.incarnation), await home.ask(attach)
+        )
+        return begun
+
+    def test_unrecorded_run_is_recorded_when_the_log_is_back(self) -> None:
+        async def scenario(fleet: SidecarFleet) -> None:
+            home = await owner_of_all(fleet)
+            await asyncio.sleep(20)
+            fleet.log.outage = True
+            begun = await self.begin_unrecorded(home)
+            self.assertEqual(1, home.sidecar.homes.desk.unrecorded)
+            fleet.log.outage = False
+            await asyncio.sleep(5)
+            self.assertEqual(begun.run, home.claims.claim_of(KEY).run)
+            self.assertEqual(0, home.sidecar.homes.desk.unrecorded)
+            reply = await home.ask(new_attach('invoice', home))
+            self.assertEqual(begun.run, reply.run)
+
+        on_fleet(scenario, **GUARDED)
+
+    def test_owner_that_dies_unrecorded_leaves_its_slots_closed(self) -> None:
+        async def scenario(fleet: SidecarFleet) -> None:
+            old = await owner_of_all(fleet)
+            new = await fleet.start('b')
+            await asyncio.sleep(20)
+            fleet.log.outage = True
+            await self.begin_unrecorded(old)
+            await fleet.kill(old)
+            fleet.hosts.leaving_by_host.pop('a')
+            await asyncio.sleep(10)
+            fleet.log.outage = False
+            await wait_until_owned(new)
+            attach = new_attach('invoice', new)
+            reply = await new.ask(attach)
+            self.assertEqual((Code.UNKNOWN, True), (reply.code, reply.ran))
+            await asyncio.sleep(3600)
+            self.assertEqual(Code.UNKNOWN, (await new.ask(attach)).code)
+            await asyncio.sleep(3700)
+            self.assertIsInstance(await new.ask(attach), Begin)
+
+        on_fleet(scenario, **GUARDED)
+
+    def test_owner_that_dies_on_an_ordinary_day_closes_nothing(self) -> None:
+        async def scenario(fleet: SidecarFleet) -> None:
+            old = await owner_of_all(fleet)
+            new = await fleet.start('b')
+            await asyncio.sleep(60)
+            await fleet.kill(old)
+            fleet.hosts.leaving_by_host.pop('a')
+            self.assertLess(await wait_until_owned(new), 15)
+            reply = await new.ask(new_attach('invoice', new))
+            self.assertIsInstance(reply, Begin)
+
+        on_fleet(scenario, **GUARDED)
+
+    def test_owner_that_the_platform_does_not_list_permits_nothing(
+        self,
+    ) -> None:
+        async def scenario(fleet: SidecarFleet) -> None:
+            old = await owner_of_all(fleet)
+            await asyncio.sleep(20)
+            fleet.part(old)
+            fleet.hosts.leaving_by_host.pop('a')
+            await asyncio.sleep(60)
+            reply = await old.ask(new_attach('invoice', old))
+            self.assertEqual((Code.LOG, False), (reply.code, reply.ran))
+            fleet.rejoin(old)
+
+        on_fleet(scenario, **GUARDED)
