--- a/src/dandelioncleat/core/relay.py
+++ b/src/dandelioncleat/core/relay.py
@@ -8,7 +8,7 @@
 
 from dandelioncleat.core.identity import Incarnation
 
-RELAYS_PER_DATA_CENTRE = 2
+RELAYS_PER_DATA_CENTRE = 4
 
 
 class RouterPlace(NamedTuple):
--- a/tests/test_log_relay.py
+++ b/tests/test_log_relay.py
@@ -255,6 +255,6 @@
         chosen = relays_of('a', places)
         self.assertEqual({'a'}, {place.data_centre for place in chosen})
         self.assertEqual((places[3],), relays_of('b', places))
-        self.assertEqual(2, len(relays_of('c', places)))
+        self.assertEqual(4, len(relays_of('c', places)))
         rest = [place for place in places if place in chosen]
         self.assertEqual(chosen, relays_of('a', rest))
