Seal a run whose order was refused

A refusal says that the work never will run, but a repeat of the same order was taken once there was room. Refused runs are sealed now. Sealed and begun runs are remembered apart, so that a storm of refusals cannot make the executor forget that a run began.

--- a/src/dandelioncleat/app/executor.py
+++ b/src/dandelioncleat/app/executor.py
@@ -47,6 +47,8 @@
         if self.book.runs.get(dispatch.run) is None:
             failure = self._reason_against(dispatch)
             if failure is not None:
+                # A repeat of the order must not run after this answer.
+                self.book.runs.mark_sealed(dispatch.run)
                 yield self._parts.refuse(failure)
                 return
             self.scheduler.accept(dispatch)
--- a/src/dandelioncleat/core/run.py
+++ b/src/dandelioncleat/core/run.py
@@ -150,8 +150,9 @@
 class Runs:
     """Remembers runs; the answers of ended ones within a bound of bytes.
 
-    Of ended runs past the bound only a trace is kept, and past the bound
-    of traces nothing; ``complete`` is false from then on.
+    Of ended runs past the bound only a trace is kept. Past the bound of
+    traces nothing is left of a run; ``complete`` is false from the first
+    run on that began and was forgotten so.
     """
 
     def __init__(
@@ -165,7 +166,8 @@
         self.open_by_id: dict[RunId, Run] = {}
         self.complete = True
         self._ended_by_id: OrderedDict[RunId, Run] = OrderedDict()
-        self._began_by_hash: OrderedDict[int, bool] = OrderedDict()
+        self._begun: OrderedDict[int, None] = OrderedDict()
+        self._sealed: OrderedDict[int, None] = OrderedDict()
         self._kept: OrderedDict[RunId, Run] = OrderedDict()
         self._kept_bytes = 0
         self._max_answer_bytes = max_answer_bytes
@@ -186,12 +188,16 @@
         known = self.open_by_id.get(run) or self._ended_by_id.get(run)
         if known is not None:
             return known
-        began = self._began_by_hash.get(_hash_of(run))
-        return None if began is None else Trace(began)
+        hashed = _hash_of(run)
+        if hashed in self._begun:
+            return Trace(began=True)
+        return Trace(began=False) if hashed in self._sealed else None
 
     def mark_sealed(self, run: RunId) -> None:
-        """Remember that a run that was never seen will not begin."""
-        self._keep_trace(run, began=False)
+        """Remember that a run that is not known will not begin."""
+        self._sealed[_hash_of(run)] = None
+        if len(self._sealed) > self._max_traces:
+            self._sealed.popitem(last=False)
 
     def end(self, run: Run) -> None:
         """Move a run that has ended to the bounded memory."""
@@ -205,8 +211,11 @@
     def _shrink(self) -> None:
         while len(self._ended_by_id) > self._max_ended:
             run_id, ended = self._ended_by_id.popitem(last=False)
-            self._keep_trace(run_id, began=ended.began)
             self._forget_answer(run_id)
+            if ended.began:
+                self._mark_begun(run_id)
+            else:
+                self.mark_sealed(run_id)
         while self._kept_bytes > self._max_answer_bytes:
             self._forget_answer(next(iter(self._kept)))
 
@@ -216,10 +225,10 @@
             self._kept_bytes -= run.answer.size
             run.answer.forget()
 
-    def _keep_trace(self, run_id: RunId, *, began: bool) -> None:
-        self._began_by_hash[_hash_of(run_id)] = began
-        if len(self._began_by_hash) > self._max_traces:
-            self._began_by_hash.popitem(last=False)
+    def _mark_begun(self, run_id: RunId) -> None:
+        self._begun[_hash_of(run_id)] = None
+        if len(self._begun) > self._max_traces:
+            self._begun.popitem(last=False)
             self.complete = False
 
 
