Show processes on another history and keep the last operator

Two releases that judge a patch differently would part without a sign: the status now names processes whose digest of a version differs. A patch that removed the last operator would have left nobody to submit the next.

--- a/src/dandelioncleat/app/fleet_status.py
+++ b/src/dandelioncleat/app/fleet_status.py
@@ -60,6 +60,11 @@
                 for member in members
                 if member.version < newest
             ),
+            diverged=tuple(
+                member.incarnation
+                for member in members
+                if self._is_diverged(member)
+            ),
             stranded=tuple(view for view in self.holders() if view.waiting),
             quarantined=self._quarantined(),
         )
@@ -114,6 +119,11 @@
             return _view_of(member, reply)
         return _unreachable(member, 'it gave no status')
 
+    def _is_diverged(self, member: MemberView) -> bool:
+        entries = self._configuration.fold.history.entries_by_version
+        entry = entries.get(member.version)
+        return entry is not None and entry.digest != member.digest
+
     def _target(self, target: Target) -> TargetView:
         sidecars = tuple(
             member.join.incarnation
--- a/src/dandelioncleat/app/log_relay.py
+++ b/src/dandelioncleat/app/log_relay.py
@@ -27,6 +27,7 @@
 LOG_WAIT_S = 1.5
 LOG_TIMEOUT_S = 2.0
 AVOID_S = 10.0
+TELL_INTERVAL_S = 0.25
 MAX_LIMIT = 500
 
 Routers = Callable[[], tuple[RouterPlace, ...]]
@@ -88,8 +89,11 @@
     def tell(self, stream: str, address: str) -> None:
         """Have a waiting read ask a peer that knows of newer entries."""
         shared = self._streams_by_name[stream]
-        shared.told_by = address
-        shared.told.set()
+        now = asyncio.get_running_loop().time()
+        if now >= shared.told_again_at:
+            shared.told_again_at = now + TELL_INTERVAL_S
+            shared.told_by = address
+            shared.told.set()
 
     async def answer(self, ask: AskEntries) -> StreamEntries | Refusal:
         """Answer another process from what this one has read."""
@@ -202,6 +206,7 @@
         self.waits_at_log = False
         self.told = asyncio.Event()
         self.told_by = ''
+        self.told_again_at: float = 0
         self._changed = asyncio.Event()
 
     def note(self, start: int, entries: tuple[Entry, ...]) -> None:
--- a/src/dandelioncleat/core/configuration_rules.py
+++ b/src/dandelioncleat/core/configuration_rules.py
@@ -86,6 +86,8 @@
             key = f'services.{name}.slots'
             yield Defect(key, str(service.slots), f'{old.slots}, fixed')
     yield from _changed_budgets(before, after)
+    if before.operators_by_name and not after.operators_by_name:
+        yield Defect('operators', 'none', 'at least one operator')
     shards = before.policy.ledger_shards
     if before.version and after.policy.ledger_shards != shards:
         yield Defect(
--- a/src/dandelioncleat/core/operator_view.py
+++ b/src/dandelioncleat/core/operator_view.py
@@ -77,12 +77,17 @@
 
 
 class FleetView(NamedTuple):
-    """The whole fleet; ``lagging`` processes are on an older version."""
+    """The whole fleet.
+
+    ``lagging`` processes are on an older version, ``diverged`` ones on a
+    version whose digest differs from that of the same version here.
+    """
 
     version: int
     digest: Digest
     log_failing: bool
     members: tuple[MemberView, ...]
     lagging: tuple[Incarnation, ...]
+    diverged: tuple[Incarnation, ...]
     stranded: tuple[HolderView, ...]
     quarantined: tuple[SuspectView, ...]
--- a/src/dandelioncleat/operator/fleet_commands.py
+++ b/src/dandelioncleat/operator/fleet_commands.py
@@ -16,6 +16,7 @@
 from dandelioncleat.operator.session import new_options, runner
 
 DRAIN_ATTEMPTS = 5
+MEMBER_COLUMNS = ('incarnation', 'role', 'data_centre', 'state', 'version')
 HOLDER_COLUMNS = ('holder', 'state', 'budget', 'tokens', 'waiting')
 SUSPECT_COLUMNS = ('digest', 'crashes', 'is_refused')
 
@@ -146,14 +147,16 @@
 
 
 def _print_status(fleet: dict[str, Any]) -> None:
-    columns = ('incarnation', 'role', 'data_centre', 'state', 'version')
     print_line(f'Newest version known here: {fleet["version"]}')
     if fleet['log_failing']:
         print_line('The log does not answer; no change is accepted now.')
-    print_rows('processes', columns, fleet['members'])
+    print_rows('processes', MEMBER_COLUMNS, fleet['members'])
     if fleet['lagging']:
         lagging = ', '.join(fleet['lagging'])
         print_line(f'On an older version: {lagging}')
+    if fleet['diverged']:
+        diverged = ', '.join(fleet['diverged'])
+        print_line(f'On another history of patches: {diverged}')
     if fleet['stranded']:
         print_rows('stranded tokens', HOLDER_COLUMNS, fleet['stranded'])
     if fleet['quarantined']:
--- a/tests/test_configuration_history.py
+++ b/tests/test_configuration_history.py
@@ -124,7 +124,7 @@
             'services': {'dues-llm': None, 'gone': None, 'new': {}},
             'targets': {'t': {'service': 'none', 'data_centre': 'x'}, 'u': {}},
             'organisations': {'agent-1': {'services': ['none'], 'budget': 5}},
-            'operators': {'eve': build_entry(1)},
+            'operators': {'eve': build_entry(1), 'siti': None},
             'policy': {'ledger_shards': 3},
         }
         self.assertEqual(
@@ -170,6 +170,11 @@
             sorted(self._defects(document, build_document())),
         )
 
+    def test_last_operator_stays(self):
+        document = {'operators': {'siti': None}}
+        defects = self._defects(document, build_document())
+        self.assertEqual(['operators'], list(defects))
+
     def test_repeated_key_and_empty_patch(self):
         self.assertIn('patch', self._defects({}))
         repeated = b'{"policy": {"subset_size": 1, "subset_size": 2}}'
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -172,11 +172,13 @@
             self.assertEqual(4, ran.code)
             self.assertIn(SIDECAR, ran.errors)
             site.peers.status_by_address['gpu-1'] = Status(
-                SIDECAR, 'sidecar', 'ready', 1, Digest(''), b'{"runs": 2}'
+                SIDECAR, 'sidecar', 'ready', 1, Digest('x'), b'{"runs": 2}'
             )
             ran = await self._submit(site, self.patch, 0, *limit)
             self.assertEqual(0, ran.code)
             self.assertIn('in force everywhere', ran.output)
+            shown = await operate(site, 'status')
+            self.assertIn(f'history of patches: {SIDECAR}', shown.output)
 
         self._run(scenario)
 
