Call a cut run of a new key unknown, never not-run

A run that the executor reported as cut counted as settled and, with a key that the router had made, as never run: its caller was told not-run for a run that had begun and was billed. The new test failed with not-run before.

--- a/src/dandelioncleat/app/conclusion.py
+++ b/src/dandelioncleat/app/conclusion.py
@@ -54,6 +54,8 @@
             await self._lose(course, failure)
 
     async def _cut(self, course: Course, finished: Finished) -> None:
+        # It ran in part, so that its caller is never told that it did not.
+        course.may_run = True
         failure = Failure(
             Code.TARGET,
             'run',
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import aclosing
 
+import msgspec
 from testtools import TestCase
 
 from dandelioncleat.adapters.virtual_time import run
@@ -184,6 +185,26 @@
 
         run(scenario())
 
+    def test_cut_run_of_a_new_key_is_never_called_not_run(self) -> None:
+        def cut(frames):
+            return [
+                msgspec.structs.replace(frame, complete=False, reason='error')
+                if isinstance(frame, Finished)
+                else frame
+                for frame in frames
+            ]
+
+        async def scenario() -> None:
+            async with Bench() as bench:
+                for sidecar in bench.sidecars.values():
+                    sidecar.mangle = cut
+                request = new_request(fresh_key=True)
+                _, end = await collect(bench.router, request)
+                self.assertEqual(1, len(bench.ran))
+                self.assertEqual(Outcome.UNKNOWN, end.outcome)
+
+        run(scenario())
+
     def test_short_partition_is_resumed(self) -> None:
         async def scenario() -> None:
             async with Bench() as bench:
