Close the inner streams of an answer with the outer one

A closed answer left its inner generators to the garbage collector, so that a reader counted as present until then. Each level closes the next one now.

--- a/src/dandelioncleat/app/executor.py
+++ b/src/dandelioncleat/app/executor.py
@@ -1,6 +1,7 @@
 """Takes the orders of routers to run requests at one target."""
 
 from collections.abc import AsyncIterator, Iterable
+from contextlib import aclosing
 
 from returns.pipeline import is_successful
 
@@ -57,8 +58,10 @@
             traceparent=traceparent,
             target=self._parts.place.target,
         ):
-            async for message in self.book.follow(dispatch.run, 0):
-                yield message
+            answer = self.book.follow(dispatch.run, 0)
+            async with aclosing(answer):  # type: ignore[type-var]
+                async for message in answer:
+                    yield message
 
     async def resume(self, resume: Resume) -> AsyncIterator[Message]:
         """Yield a run's answer from a byte on."""
@@ -66,8 +69,10 @@
             yield self._parts.unknown_run(Code.FENCED, RESUME_STEP)
             return
         await self.book.wait_for_order(resume.run, RESUME_WAIT_S)
-        async for message in self.book.follow(resume.run, resume.start):
-            yield message
+        answer = self.book.follow(resume.run, resume.start)
+        async with aclosing(answer):  # type: ignore[type-var]
+            async for message in answer:
+                yield message
 
     def seal(self, order: SealRun) -> Sealed | Refusal:
         """Make sure that a run does not begin, and say whether it has."""
--- a/src/dandelioncleat/app/run_book.py
+++ b/src/dandelioncleat/app/run_book.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+from contextlib import aclosing
 from typing import NamedTuple
 
 from dandelioncleat.app.active_run import RESUME_STEP, ActiveRun
@@ -89,8 +90,10 @@
             self.active_by_id[run_id] = active
         active.readers += 1
         try:
-            async for message in active.read(start):
-                yield message
+            answer = active.read(start)
+            async with aclosing(answer):  # type: ignore[type-var]
+                async for message in answer:
+                    yield message
         finally:
             self._leave(active)
 
--- a/src/dandelioncleat/app/sidecar.py
+++ b/src/dandelioncleat/app/sidecar.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from contextlib import aclosing
 from typing import Any, NamedTuple
 
 import msgspec
@@ -170,8 +171,9 @@
                 replies = self._load.watch()
             case _:
                 replies = self._reply(message)
-        async for reply in replies:
-            yield reply
+        async with aclosing(replies):  # type: ignore[type-var]
+            async for reply in replies:
+                yield reply
 
     async def run(self) -> None:
         """Join the fleet and serve until stopped."""
