--- a/src/dandelioncleat/app/home_parts.py
+++ b/src/dandelioncleat/app/home_parts.py
@@ -11,6 +11,7 @@
 from dandelioncleat.core.fleet import SIDECAR, Member
 from dandelioncleat.core.identity import Incarnation
 from dandelioncleat.core.record import ClaimRecord
+from dandelioncleat.core.slot import MAX_WINDOW_S
 from dandelioncleat.ports.telemetry import Telemetry
 
 Follower = StreamFollower[ClaimRecord, ClaimVerdict]
@@ -39,7 +40,8 @@
 
     def window_s(self) -> float:
         """Return how long requests are remembered, in seconds."""
-        return self.configuration().policy.retry_window_s
+        policy = self.configuration().policy
+        return min(policy.retry_window_s, MAX_WINDOW_S)
 
     def members(self) -> tuple[Member, ...]:
         """Return the live sidecars of the service."""
--- a/src/dandelioncleat/app/sidecar.py
+++ b/src/dandelioncleat/app/sidecar.py
@@ -66,6 +66,18 @@
         """Return whether nothing was lost."""
         return not (self.cut or self.unbilled or self.unrecorded)
 
+    @property
+    def text(self) -> str:
+        """Say what was lost, nothing after a planned stop."""
+        losses = {
+            'runs cut': len(self.cut),
+            'bills not in the log': self.unbilled,
+            'runs not in the log': self.unrecorded,
+        }
+        return ', '.join(
+            f'{number} {what}' for what, number in losses.items() if number
+        )
+
 
 class SidecarPorts(NamedTuple):
     """The ports of a sidecar."""
@@ -211,6 +223,15 @@
         self.life.end()
         return self._report
 
+    def losses(self) -> StopReport:
+        """Return what would be lost if the process ended now."""
+        open_runs = self.executor.book.open_runs()
+        return StopReport(
+            tuple(active.run.id for active in open_runs),
+            self._bills.pending,
+            self.homes.desk.unrecorded,
+        )
+
     def status(self) -> Status:
         """Describe this process."""
         current = self._configuration.current
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -213,6 +213,7 @@
             await asyncio.sleep(0.1)
             report = await node.sidecar.stop(limit_s=3)
             self.assertEqual((run_id(),), report.cut)
+            self.assertIn('1 runs cut', report.text)
             self.assertFalse((await answer)[-1].complete)
 
         on_fleet(scenario, 'llm')
