Run the router as a daemon with planned stop

Cause: the router had no process. After: a daemon binds its sockets, joins the fleet, serves callers, operators and peers, and on the first signal finishes what is open; a second signal or the limit ends it and says what was lost.

--- a/src/dandelioncleat/adapters/caller_http.py
+++ b/src/dandelioncleat/adapters/caller_http.py
@@ -58,8 +58,8 @@
     """Serves requests; the router does."""
 
     @property
-    def ready(self) -> bool:
-        """Return whether new requests are served."""
+    def obstacle(self) -> str:
+        """Return why new requests are not served, in words, if so."""
 
     def serve(
         self,
@@ -174,11 +174,12 @@
         return web.Response(text='alive\n')
 
     async def show_readiness(self, request: web.Request) -> web.Response:
-        if self._backend.server.ready:
+        obstacle = self._backend.server.obstacle
+        if not obstacle:
             return web.Response(text='ready\n')
         return web.Response(
             status=HTTPStatus.SERVICE_UNAVAILABLE,
-            text='not ready\n',
+            text=f'not ready: {obstacle}\n',
         )
 
     async def show_metrics(self, request: web.Request) -> web.Response:
--- a/src/dandelioncleat/app/router.py
+++ b/src/dandelioncleat/app/router.py
@@ -37,6 +37,17 @@
     open_tasks: int
     is_ended: bool
 
+    @property
+    def text(self) -> str:
+        """Return what was lost in words; nothing if all was finished."""
+        if self.is_ended:
+            return ''
+        return (
+            f'{self.open_requests} open requests, {self.open_tasks} '
+            'unfinished settlements; what the grants hold stays with this '
+            'router until it is retired'
+        )
+
 
 class Router:
     """Serves requests of callers and messages of other processes."""
@@ -66,6 +77,11 @@
         """Return whether new requests are served."""
         return self._serving.ready
 
+    @property
+    def obstacle(self) -> str:
+        """Return why new requests are not served, in words, if so."""
+        return self._serving.obstacle
+
     @property
     def open_requests(self) -> int:
         """Return the number of requests that are being served."""
@@ -116,11 +132,15 @@
                 is_ended = True
         except TimeoutError:
             self._parts.telemetry.count('router.stops_cut')
-        report = StopReport(self.open_requests, len(self._tasks), is_ended)
+        report = self.report(is_ended=is_ended)
         await self._tasks.cancel()
         self.life.move('end')
         return report
 
+    def report(self, *, is_ended: bool) -> StopReport:
+        """Return what is open, for a stop that has ended or was cut."""
+        return StopReport(self.open_requests, len(self._tasks), is_ended)
+
     async def _wind_down(self, was_ready: bool) -> None:
         if was_ready:
             self._tasks.start(self._fleet.submit(Leave(self.incarnation)))
--- a/src/dandelioncleat/app/serving.py
+++ b/src/dandelioncleat/app/serving.py
@@ -31,9 +31,21 @@
     @property
     def ready(self) -> bool:
         """Return whether new requests are served."""
-        is_current = self._parts.configuration.ready
-        has_ledger = self._parts.budgets.caught_up
-        return self._life.takes_requests and is_current and has_ledger
+        return not self.obstacle
+
+    @property
+    def obstacle(self) -> str:
+        """Return why new requests are not served, in words, if so."""
+        if not self._life.takes_requests:
+            state = self._life.state
+            return f'the router is {state}'
+        if self._parts.configuration.current.version == 0:
+            return 'there is no configuration yet'
+        if not self._parts.configuration.ready:
+            return 'a newer configuration is being read'
+        if not self._parts.budgets.caught_up:
+            return 'the ledger is being read'
+        return ''
 
     async def serve(
         self,
@@ -96,7 +108,7 @@
         name = request.request.organisation
         organisation = current.organisations_by_name.get(name)
         if not self.ready:
-            return self._failure(Code.NOT_READY, self._readiness_text())
+            return self._failure(Code.NOT_READY, self.obstacle)
         if organisation is None:
             return self._failure(Code.CREDENTIAL, 'no such organisation')
         if request.service not in current.services_by_name:
@@ -109,14 +121,6 @@
             return self._failure(Code.CAPACITY, 'too many requests run')
         return None
 
-    def _readiness_text(self) -> str:
-        if not self._parts.budgets.caught_up:
-            return 'the ledger is being read'
-        if self._life.takes_requests:
-            return 'a newer configuration is being read'
-        state = self._life.state
-        return f'the router is {state}'
-
     def _failure(self, code: Code, text: str) -> Failure:
         return Failure(code, 'router', self._parts.incarnation, text)
 
--- /dev/null
+++ b/src/dandelioncleat/daemons/http_server.py
@@ -0,0 +1,54 @@
+"""Listens with one HTTP application and stops without cutting answers."""
+
+import socket
+
+from aiohttp import web
+
+from dandelioncleat.daemons.settings import Address, parse_address
+
+BACKLOG = 512
+SHUTDOWN_TIMEOUT_S = 5.0
+
+
+class HttpServer:
+    """Holds a listening socket, whose address is known before it serves."""
+
+    def __init__(self, listen: str) -> None:
+        """Bind to ``ip:port``; port 0 lets the system choose one."""
+        wanted = parse_address(listen)
+        family = socket.AF_INET6 if ':' in wanted.ip else socket.AF_INET
+        self._socket = socket.create_server(
+            (wanted.ip, wanted.port),
+            family=family,
+            backlog=BACKLOG,
+        )
+        self.address = Address(wanted.ip, self._socket.getsockname()[1])
+        self._runner: web.AppRunner | None = None
+
+    @property
+    def text(self) -> str:
+        """Return the address as ``ip:port``."""
+        ip, port = self.address
+        return f'[{ip}]:{port}' if ':' in ip else f'{ip}:{port}'
+
+    @property
+    def url(self) -> str:
+        """Return the base URL."""
+        return f'http://{self.text}'
+
+    async def start(self, application: web.Application) -> None:
+        """Serve an application; a caller that leaves cancels its handler."""
+        self._runner = web.AppRunner(
+            application,
+            handler_cancellation=True,
+            access_log=None,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+        await self._runner.setup()
+        await web.SockSite(self._runner, self._socket).start()
+
+    async def stop(self) -> None:
+        """Close the socket and every connection."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+        self._socket.close()
--- /dev/null
+++ b/src/dandelioncleat/daemons/router.py
@@ -0,0 +1,163 @@
+"""The daemon of an entry host."""
+
+import asyncio
+import secrets
+
+import structlog
+from aiohttp import ClientSession, web
+
+from dandelioncleat.adapters.caller_http import (
+    CallerBackend,
+    new_caller_application,
+)
+from dandelioncleat.adapters.log_lines import configure_log_lines
+from dandelioncleat.adapters.operator_http import add_operator_routes
+from dandelioncleat.adapters.system_clock import SystemClock
+from dandelioncleat.adapters.telemetry import OtelTelemetry, new_telemetry
+from dandelioncleat.core.account import Balance
+from dandelioncleat.core.fleet import ROUTER
+from dandelioncleat.core.identity import BudgetId, Incarnation
+from dandelioncleat.core.record import Join
+from dandelioncleat.daemons.http_server import HttpServer
+from dandelioncleat.daemons.router_process import (
+    RouterProcess,
+    new_router_process,
+)
+from dandelioncleat.daemons.settings import RouterSettings
+from dandelioncleat.daemons.supervision import StopSignals, supervise
+
+UNIQUE_BYTES = 6
+
+_logger = structlog.get_logger(__name__)
+
+
+class RouterDaemon:
+    """A router process with its servers."""
+
+    def __init__(
+        self,
+        process: RouterProcess,
+        *,
+        session: ClientSession,
+        telemetry: OtelTelemetry,
+        callers: HttpServer,
+        peers: HttpServer,
+    ) -> None:
+        """Take the connected parts; ``new_router_daemon`` makes them."""
+        self.process = process
+        self.callers = callers
+        self.peers = peers
+        self._session = session
+        self._telemetry = telemetry
+
+    @property
+    def url(self) -> str:
+        """Return the base URL for callers and operators."""
+        return self.callers.url
+
+    async def run(self) -> None:
+        """Listen and run every task until cancelled."""
+        shared = self.process.shared
+        handler = self.process.handler
+        await self.peers.start(shared.peer_application(handler))
+        await self.callers.start(self._caller_application())
+        _logger.info(
+            'listening',
+            callers=self.callers.text,
+            peers=self.peers.text,
+        )
+        async with asyncio.TaskGroup() as group:
+            for task in self.process.tasks:
+                group.create_task(task.run())
+
+    async def stop(self, *, limit_s: float) -> str:
+        """Finish what is open; return what was lost, in words."""
+        report = await self.process.router.stop(limit_s=limit_s)
+        return report.text
+
+    def losses(self) -> str:
+        """Return what would be lost if the process ended now."""
+        return self.process.router.report(is_ended=False).text
+
+    async def close(self) -> None:
+        """Close the servers and every connection."""
+        await self.callers.stop()
+        await self.peers.stop()
+        await self.process.shared.peers.close()
+        await self._session.close()
+
+    def _caller_application(self) -> web.Application:
+        configuration = self.process.shared.configuration
+        backend = CallerBackend(
+            server=self.process.router,
+            configuration=lambda: configuration.current,
+            balance_of=self._balance_of,
+            metrics_page=self._telemetry.metrics_page,
+            clock=SystemClock(),
+        )
+        application = new_caller_application(backend)
+        add_operator_routes(application, self.process.backend)
+        return application
+
+    def _balance_of(self, budget: BudgetId) -> Balance:
+        shard = self.process.budgets.shards.of(budget)
+        return shard.fold.accounts.balance(budget)
+
+
+def new_router_daemon(
+    settings: RouterSettings,
+    *,
+    telemetry: OtelTelemetry,
+    incarnation: Incarnation,
+) -> RouterDaemon:
+    """Bind the sockets and connect the parts; needs a running event loop."""
+    callers = HttpServer(settings.listen.callers)
+    peers = HttpServer(settings.listen.peers)
+    address = settings.listen.advertise or peers.text
+    join = Join(incarnation, ROUTER, settings.data_centre, address)
+    session = ClientSession()
+    process = new_router_process(
+        settings,
+        join=join,
+        session=session,
+        telemetry=telemetry,
+    )
+    return RouterDaemon(
+        process,
+        session=session,
+        telemetry=telemetry,
+        callers=callers,
+        peers=peers,
+    )
+
+
+def new_incarnation(host: str) -> Incarnation:
+    """Name one start of a process on a host."""
+    unique = secrets.token_hex(UNIQUE_BYTES)
+    return Incarnation(f'{host}/{unique}')
+
+
+async def run_router(settings: RouterSettings) -> int:
+    """Run a router until it is told to stop; return the exit code."""
+    incarnation = new_incarnation(settings.host)
+    telemetry = new_telemetry(
+        role=ROUTER,
+        incarnation=incarnation,
+        endpoint=settings.telemetry.otlp_endpoint,
+    )
+    configure_log_lines(
+        settings.telemetry.logs,
+        role=ROUTER,
+        incarnation=incarnation,
+    )
+    signals = StopSignals()
+    signals.install()
+    daemon = new_router_daemon(
+        settings,
+        telemetry=telemetry,
+        incarnation=incarnation,
+    )
+    try:
+        return await supervise(daemon, signals, limit_s=settings.stop.limit_s)
+    finally:
+        await asyncio.to_thread(telemetry.stop)
--- /dev/null
+++ b/src/dandelioncleat/daemons/supervision.py
@@ -0,0 +1,101 @@
+"""Runs a daemon until a signal asks it to stop."""
+
+import asyncio
+import signal
+from typing import Any, Protocol
+
+import structlog
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+EXIT_LOSSES = 1
+
+_logger = structlog.get_logger(__name__)
+
+
+class Daemon(Protocol):
+    """A process that runs until it has stopped."""
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+
+    async def stop(self, *, limit_s: float) -> str:
+        """Stop as planned; return what was lost, in words, if anything.
+
+        :param limit_s: time after which the rest is given up, in seconds
+        """
+
+    def losses(self) -> str:
+        """Return what would be lost if the process ended now, in words."""
+
+    async def close(self) -> None:
+        """Close every socket."""
+
+
+class StopSignals:
+    """Turns signals into events: the first asks to stop, the next to hurry."""
+
+    def __init__(self) -> None:
+        """Start with no signal received."""
+        self.stop = asyncio.Event()
+        self.hurry = asyncio.Event()
+
+    def receive(self) -> None:
+        """Note a signal."""
+        if self.stop.is_set():
+            self.hurry.set()
+        self.stop.set()
+
+    def install(self) -> None:
+        """Receive the process's stop signals."""
+        loop = asyncio.get_running_loop()
+        for number in STOP_SIGNALS:
+            loop.add_signal_handler(number, self.receive)
+
+
+async def supervise(
+    daemon: Daemon,
+    signals: StopSignals,
+    *,
+    limit_s: float,
+) -> int:
+    """Run a daemon, stop it as planned and return the exit code.
+
+    :param limit_s: time that a planned stop may take, in seconds
+    """
+    running = asyncio.ensure_future(daemon.run())
+    asked = asyncio.ensure_future(signals.stop.wait())
+    try:
+        await asyncio.wait(
+            (running, asked),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if running.done():
+            running.result()
+        _logger.info('stopping', limit_s=limit_s)
+        lost = await _stop(daemon, signals, limit_s)
+    finally:
+        await _end(asked, running)
+        await daemon.close()
+    _logger.info('stopped', lost=lost)
+    return EXIT_LOSSES if lost else 0
+
+
+async def _end(*tasks: asyncio.Future[Any]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _stop(daemon: Daemon, signals: StopSignals, limit_s: float) -> str:
+    stopping = asyncio.ensure_future(daemon.stop(limit_s=limit_s))
+    hurried = asyncio.ensure_future(signals.hurry.wait())
+    await asyncio.wait(
+        (stopping, hurried),
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    hurried.cancel()
+    if stopping.done():
+        return stopping.result()
+    lost = daemon.losses()
+    await _end(stopping)
+    return lost
--- a/tests/builders/caller_http.py
+++ b/tests/builders/caller_http.py
@@ -60,7 +60,7 @@
     """Yields the scripted events and notes who asked and who left."""
 
     def __init__(self) -> None:
-        self.ready = True
+        self.obstacle = ''
         self.script: list[AnswerEvent] = []
         self.requests: list[CallerRequest] = []
         self.asked = asyncio.Event()
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -149,9 +149,10 @@
                         front.url + path, headers=bearer
                     ) as response:
                         self.assertIn(part, await response.read())
-                front.server.ready = False
+                front.server.obstacle = 'the router is stopping'
                 async with front.session.get(f'{front.url}/readyz') as response:
                     self.assertEqual(503, response.status)
+                    self.assertIn('stopping', await response.text())
 
         asyncio.run(scenario())
 
