Drive claims and slots through random faults on virtual time

Three sidecars, callers that repeat keys through any home, and random partitions, deaths, lost answers and outages of the log: no key reached a target twice and no sealed run reached one. Timers of a process that was ended no longer start tasks.

--- a/src/dandelioncleat/app/run_scheduler.py
+++ b/src/dandelioncleat/app/run_scheduler.py
@@ -149,7 +149,9 @@
         self.fill()
 
     def _halt(self, active: ActiveRun, reason: str) -> None:
-        if active.run.is_open and not active.stop_reason:
+        if self._closed or not active.run.is_open:
+            return
+        if not active.stop_reason:
             active.halting = self._tasks.spawn(
                 self._runner.halt(active, reason),
             )
--- a/tests/builders/sidecar_fleet.py
+++ b/tests/builders/sidecar_fleet.py
@@ -75,6 +75,21 @@
         )
 
 
+class GatedHostList:
+    """A host list that one process cannot reach while it is cut off."""
+
+    def __init__(self, hosts: FakeHostList) -> None:
+        self._hosts = hosts
+        self.cut = False
+
+    async def hosts(self) -> tuple[HostState, ...]:
+        if self.cut:
+            raise failure_error(
+                Code.UNREACHABLE, step='hosts', peer='list', text='cut off'
+            )
+        return await self._hosts.hosts()
+
+
 class FakePeers:
     """Calls sidecars of the same test by address."""
 
@@ -101,6 +116,7 @@
     def __init__(self, incarnation: Incarnation, log: GatedLog) -> None:
         self.incarnation = incarnation
         self.log = log
+        self.hosts: GatedHostList | None = None
         self.target = FakeTarget()
         self.fleet = FleetKeeper(log=log, producer=incarnation)
         self.sidecar: Sidecar | None = None
@@ -151,6 +167,7 @@
         incarnation = Incarnation(f'{host}/{self._starts}')
         node = Node(incarnation, GatedLog(self.log))
         self.hosts.leaving_by_host[host] = False
+        node.hosts = GatedHostList(self.hosts)
         bills = BillSender(
             log=node.log,
             incarnation=incarnation,
@@ -163,7 +180,7 @@
             data_centre='klang-a',
             address=host,
             log=node.log,
-            host_list=self.hosts,
+            host_list=node.hosts,
             peers=self.peers,
             target_client=node.target,
             configuration=self.configuration,
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,256 @@
+"""Drives sidecars through random faults and counts what ran."""
+
+import asyncio
+import random
+from collections import Counter
+
+from msgspec import structs
+from testtools import TestCase
+
+from dandelioncleat.core.configuration import LogOutagePolicy
+from dandelioncleat.core.failure import Code
+from dandelioncleat.core.identity import host_of
+from dandelioncleat.core.message import (
+    Begin,
+    Finished,
+    Message,
+    NotHome,
+    Placed,
+    Refusal,
+    Report,
+    Resume,
+    Sealed,
+    SealRun,
+)
+from dandelioncleat.ports.target import Ended, Piece
+from tests.builders.sidecar import new_dispatch
+from tests.builders.sidecar_fleet import (
+    CONTEXT,
+    Node,
+    SidecarFleet,
+    collect,
+    new_attach,
+    on_fleet,
+)
+
+HOSTS = ('a', 'b', 'c')
+WINDOW_S = 300.0
+DURATION_S = 700.0
+RETRY_S = 200.0
+CALL_S = 8.0
+
+
+class Trial:
+    """Callers that retry, and a hand that breaks things, on one seed."""
+
+    def __init__(self, fleet: SidecarFleet, seed: int) -> None:
+        self.fleet = fleet
+        self.random = random.Random(seed)
+        self.answered: Counter[str] = Counter()
+        self.sealed: set = set()
+        self.keys = 0
+        self.targets = []
+        policy = fleet.configuration.current.policy
+        fleet.configuration.set(
+            fleet.configuration.current._replace(
+                policy=policy._replace(retry_window_s=WINDOW_S),
+            ),
+        )
+
+    @property
+    def live(self) -> list[Node]:
+        """Return the nodes whose process runs."""
+        return [node for node in self.fleet.nodes if not node.task.done()]
+
+    @property
+    def runs(self) -> Counter:
+        """Count the calls that reached any target, by key."""
+        return Counter(
+            call.run.key for target in self.targets for call in target.calls
+        )
+
+    def on(self, incarnation: str) -> Node | None:
+        """Return a running node by its incarnation."""
+        for node in self.live:
+            if node.incarnation == incarnation:
+                return node
+        return None
+
+    async def start(self, host: str) -> None:
+        node = await self.fleet.start(host, ready=False)
+        self.targets.append(node.target)
+        self.serve(node)
+
+    def serve(self, node: Node) -> None:
+        """Have a target answer every call after a while."""
+        target = node.target
+        run = target.run
+
+        async def run_soon(call):
+            wait_s = self.random.choice((0.01, 0.5, 5))
+            end = Ended(200, 'text/plain', 0, 0, 'stop')
+            asyncio.get_running_loop().call_later(
+                wait_s, target.feed, call.run, Piece(b'done', 0), end
+            )
+            async for event in run(call):
+                yield event
+
+        target.run = run_soon
+
+    async def break_things(self) -> None:
+        """Switch faults on and off until cancelled."""
+        faults = (self.outage, self.part, self.replace, self.lose_answers)
+        while True:
+            await asyncio.sleep(self.random.uniform(5, 40))
+            await self.random.choice(faults)()
+
+    async def outage(self) -> None:
+        self.fleet.log.outage = True
+        await asyncio.sleep(self.random.choice((3, 30, 90)))
+        self.fleet.log.outage = False
+
+    async def part(self) -> None:
+        node = self.random.choice(self.live)
+        self.fleet.part(node)
+        node.hosts.cut = self.random.random() < 0.5
+        host = host_of(node.incarnation)
+        if self.random.random() < 0.3:
+            self.fleet.hosts.leaving_by_host.pop(host, None)
+        await asyncio.sleep(self.random.choice((2, 20, 100)))
+        self.fleet.hosts.leaving_by_host[host] = False
+        node.hosts.cut = False
+        self.fleet.rejoin(node)
+
+    async def replace(self) -> None:
+        node = self.random.choice(self.live)
+        host = host_of(node.incarnation)
+        await self.fleet.kill(node)
+        if self.random.random() < 0.5:
+            self.fleet.hosts.leaving_by_host.pop(host, None)
+        await asyncio.sleep(self.random.choice((1, 10, 60)))
+        await self.start(host)
+
+    async def lose_answers(self) -> None:
+        self.fleet.log.lost_answer_share = self.random.choice((0, 0.5))
+
+    async def call(self) -> None:
+        """Start callers until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                await asyncio.sleep(self.random.uniform(1, 8))
+                self.keys += 1
+                group.create_task(self.insist(f'key {self.keys}'))
+
+    async def insist(self, key: str) -> None:
+        """Send one request until it is answered or given up."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + RETRY_S
+        while loop.time() < until and not self.answered[key]:
+            attempts = [
+                asyncio.create_task(self.attempt(key))
+                for _ in range(self.random.choice((1, 1, 2)))
+            ]
+            await asyncio.wait(attempts)
+            for attempt in attempts:
+                attempt.result()
+            await asyncio.sleep(self.random.choice((0.1, 5, 30)))
+
+    async def attempt(self, key: str) -> None:
+        """Be a router: find the home, then run or resume."""
+        if not self.live:
+            return
+        home = self.random.choice(self.live)
+        executor = self.random.choice(self.live)
+        reply = None
+        for _ in range(3):
+            reply = await self.ask(home, new_attach(key, executor))
+            named = reply.owner if isinstance(reply, NotHome) else ''
+            if not named or self.on(named) is None:
+                break
+            home = self.on(named)
+        match reply:
+            case Begin(run, incarnation):
+                if self.random.random() < 0.2:
+                    await asyncio.sleep(self.random.choice((1, 15)))
+                order = new_dispatch(
+                    service='app', idempotent=False, prompt_bound=5, cap=0
+                )
+                order = structs.replace(order, run=run, executor=incarnation)
+                await self.read(key, home, run, incarnation, order)
+            case Placed(run, incarnation):
+                await self.read(
+                    key, home, run, incarnation, Resume(run, incarnation, 0)
+                )
+
+    async def read(self, key, home, run, incarnation, message) -> None:
+        """Read an answer, or have the run sealed and reported."""
+        node = self.on(incarnation)
+        if node is None:
+            return
+        messages = await self.read_all(node, message)
+        last = messages[-1] if messages else None
+        if isinstance(last, Finished) and last.complete:
+            self.answered[key] += 1
+        elif isinstance(last, Refusal) and last.code != Code.UNKNOWN:
+            sealed = await self.ask(node, SealRun(run, incarnation))
+            if isinstance(sealed, Sealed) and not sealed.ran:
+                self.sealed.add(run)
+                await self.ask(home, Report(run, 0, False))
+
+    async def ask(self, node: Node, message: Message) -> Message | None:
+        messages = await self.read_all(node, message)
+        return messages[0] if messages else None
+
+    async def read_all(self, node: Node, message: Message) -> list[Message]:
+        """Return the replies, or nothing if the call timed out."""
+        if node.task.done():
+            return []
+        try:
+            async with asyncio.timeout(CALL_S):
+                return await collect(
+                    node.sidecar.answer(message, CONTEXT),
+                )
+        except TimeoutError:
+            return []
+
+    async def run(self) -> None:
+        for host in HOSTS:
+            await self.start(host)
+        await asyncio.sleep(20)
+        work = [
+            asyncio.create_task(self.call()),
+            asyncio.create_task(self.break_things()),
+        ]
+        await asyncio.sleep(DURATION_S)
+        for task in work:
+            task.cancel()
+        ended = await asyncio.gather(*work, return_exceptions=True)
+        for result in ended:
+            assert isinstance(result, asyncio.CancelledError), result
+
+
+class AtMostOnceTest(TestCase):
+    """No key reaches targets twice, and a sealed run reaches none."""
+
+    def check(self, seed: int, **settings) -> None:
+        trial = None
+
+        async def scenario(fleet: SidecarFleet) -> None:
+            nonlocal trial
+            trial = Trial(fleet, seed)
+            await trial.run()
+
+        on_fleet(scenario, **settings)
+        twice = {key: n for key, n in trial.runs.items() if n > 1}
+        self.assertEqual({}, twice, f'seed {seed}')
+        called = {call.run for target in trial.targets for call in target.calls}
+        self.assertEqual(set(), called & trial.sealed, f'seed {seed}')
+        self.assertGreater(len(trial.runs), trial.keys * 0.3, f'seed {seed}')
+
+    def test_refuse(self) -> None:
+        for seed in range(4):
+            self.check(seed)
+
+    def test_guarded(self) -> None:
+        for seed in (1, 7, 8, 17):
+            self.check(seed, on_log_outage=LogOutagePolicy.GUARDED)
