--- a/tests/test_router_daemon.py
+++ b/tests/test_router_daemon.py
@@ -66,6 +66,8 @@
         signals.receive()
         first.cancel()
         await asyncio.gather(ended, return_exceptions=True)
+        # An outage ends the reads that still wait at the log.
+        log.outage = True
         await server.stop()
 
 
