--- a/src/dandelioncleat/app/target_record.py
+++ b/src/dandelioncleat/app/target_record.py
@@ -74,6 +74,7 @@
             data_centre=self.join.data_centre,
             slots=load.slots,
             occupancy=self._occupancy(load),
+            reported=load.running + load.queued,
             demand_tokens=load.demand_tokens + self._tokens_since_report(),
             kv_tokens=load.kv_tokens,
             age_s=now - self._sampled_at,
--- a/src/dandelioncleat/core/placement.py
+++ b/src/dandelioncleat/core/placement.py
@@ -20,9 +20,10 @@
 class Candidate(NamedTuple):
     """A target that may take new work.
 
-    ``occupancy`` estimates its running and queued requests now;
-    ``demand_tokens`` their KV tokens, of which ``kv_tokens`` fit. ``age_s``
-    is the age of the load report, in seconds.
+    ``reported`` are its running and queued requests by its last report,
+    ``occupancy`` estimates them now; ``demand_tokens`` are their KV tokens,
+    of which ``kv_tokens`` fit. ``age_s`` is the age of the report, in
+    seconds.
     """
 
     sidecar: Incarnation
@@ -30,6 +31,7 @@
     data_centre: str
     slots: int
     occupancy: float
+    reported: float = 0
     demand_tokens: int = 0
     kv_tokens: int = 0
     age_s: float = 0
@@ -61,6 +63,11 @@
     return candidate.occupancy / max(candidate.slots, 1)
 
 
+def reported_load(candidate: Candidate) -> float:
+    """Return the share of a target's slots in use by its report."""
+    return candidate.reported / max(candidate.slots, 1)
+
+
 def relative_demand(candidate: Candidate) -> float:
     """Return the KV demand of a target as a share of its memory.
 
@@ -116,8 +123,8 @@
     candidates: Sequence[Candidate],
     situation: Situation,
 ) -> Candidate:
-    """Take the least loaded of all targets."""
-    return min(candidates, key=relative_load)
+    """Take the target with the least load by its report, however old."""
+    return min(candidates, key=reported_load)
 
 
 POLICIES_BY_NAME: dict[str, Policy] = {
