Replay traces with the product's own code on virtual time

Cause: the promises are to be proved by replay of recorded traces. Before: no proof over the whole path.

--- a/Makefile
+++ b/Makefile
@@ -20,15 +20,15 @@
 	$(BIN)/python -m pytest -n 6 --dist loadfile
 
 lint: setup
-	$(BIN)/ruff format --check src tests
-	$(BIN)/ruff check src tests
+	$(BIN)/ruff format --check src tests traces
+	$(BIN)/ruff check src tests traces
 	$(BIN)/flake8 src
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 
 format: setup
-	$(BIN)/ruff check --fix src tests
-	$(BIN)/ruff format src tests
+	$(BIN)/ruff check --fix src tests traces
+	$(BIN)/ruff format src tests traces
 
 lock: setup
 	$(BIN)/pip-compile --quiet --strip-extras --extra dev --allow-unsafe \
--- a/src/dandelioncleat/adapters/memory_peers.py
+++ b/src/dandelioncleat/adapters/memory_peers.py
@@ -26,14 +26,24 @@
 class Endpoint:
     """One process of a network; its calls end when it is closed."""
 
-    def __init__(self, handler: PeerHandler) -> None:
-        """Take the handler that answers calls."""
-        self.handler = handler
+    def __init__(self) -> None:
+        """Start without a handler; calls wait for one."""
+        self.handler: PeerHandler | None = None
         self.running = asyncio.Event()
         self.running.set()
         self.closed = asyncio.Event()
         self.calls: list[asyncio.Queue[_Sent]] = []
 
+    def answer(
+        self,
+        message: Message,
+        context: CallContext,
+    ) -> AsyncIterator[Message]:
+        """Return the handler's replies."""
+        if self.handler is None:
+            raise LookupError('the endpoint has no handler')
+        return self.handler.answer(message, context)
+
     def close(self) -> None:
         """Cut every call in progress."""
         self.closed.set()
@@ -49,12 +59,23 @@
         self.link = link
         self.endpoints_by_address: dict[str, Endpoint] = {}
 
-    def serve(self, address: str, handler: PeerHandler) -> Endpoint:
-        """Answer the calls to an address."""
-        endpoint = Endpoint(handler)
+    def open(self, address: str) -> Endpoint:
+        """Open an address; its calls are refused until it has a handler."""
+        endpoint = Endpoint()
         self.endpoints_by_address[address] = endpoint
         return endpoint
 
+    def own(self, address: str) -> Endpoint:
+        """Return the endpoint of an address; open it if there is none."""
+        known = self.endpoints_by_address.get(address)
+        return self.open(address) if known is None else known
+
+    def serve(self, address: str, handler: PeerHandler) -> Endpoint:
+        """Answer the calls to an address from now on."""
+        endpoint = self.own(address)
+        endpoint.handler = handler
+        return endpoint
+
     def close(self, address: str) -> None:
         """End an endpoint and every call to it."""
         self.endpoints_by_address.pop(address).close()
@@ -74,6 +95,7 @@
     ) -> None:
         """Take the network and this process's identity."""
         self._network = network
+        self._own = network.own(address)
         self._address = address
         self._incarnation = incarnation
         self._version = version
@@ -87,18 +109,17 @@
         traceparent: str = '',
     ) -> AsyncGenerator[Message, None]:
         """Send a message and yield its replies until the last."""
+        await self._own.running.wait()
         endpoint = await self._reach(address)
         context = CallContext(self._incarnation, self._version(), traceparent)
         queue: asyncio.Queue[_Sent] = asyncio.Queue()
         endpoint.calls.append(queue)
-        pump = asyncio.create_task(
-            self._pump(
-                address, endpoint.handler.answer(message, context), queue
-            ),
-        )
+        replies = endpoint.answer(message, context)
+        pump = asyncio.create_task(self._pump(address, replies, queue))
         try:
             while True:
                 reply = await self._receive(address, endpoint, queue)
+                await self._own.running.wait()
                 if reply is None:
                     return
                 yield reply
@@ -127,13 +148,15 @@
     async def _reach(self, address: str) -> Endpoint:
         endpoint = self._network.endpoints_by_address.get(address)
         delay_s = self._network.link(self._address, address)
-        if delay_s is None:
+        if delay_s is None or self._own.closed.is_set():
             await asyncio.sleep(DETECTION_S)
             raise unreachable('connect', address, 'timed out')
         await asyncio.sleep(delay_s)
-        if endpoint is None or endpoint.closed.is_set():
+        if endpoint is None or endpoint.handler is None:
             raise unreachable('connect', address, 'connection refused')
         await endpoint.running.wait()
+        if endpoint.closed.is_set():
+            raise unreachable('connect', address, 'connection reset')
         return endpoint
 
     async def _pump(
--- /dev/null
+++ b/src/dandelioncleat/replay/expected.py
@@ -0,0 +1,25 @@
+"""The whole answer that a trace's request has, by its target's rule."""
+
+import msgspec
+
+from dandelioncleat.core.configuration import ServiceKind
+from dandelioncleat.replay.ground import request_body
+from dandelioncleat.replay.trace import Request
+from dandelioncleat.standin.prompt import answer_text, new_prompt
+
+
+def expected_answer(request: Request, kind: ServiceKind) -> bytes:
+    """Return the bytes of the whole answer."""
+    body = request_body(request)
+    if kind == ServiceKind.MODEL:
+        tokens = min(request.output_tokens, request.max_tokens)
+        return answer_text(new_prompt(body), 0, tokens).encode()
+    return msgspec.json.encode(
+        {
+            'organisation': request.organisation,
+            'key': request.key,
+            'method': 'GET' if request.idempotent else 'POST',
+            'path': '/calls',
+            'echo': body.decode(),
+        },
+    )
--- a/src/dandelioncleat/replay/facts.py
+++ b/src/dandelioncleat/replay/facts.py
@@ -18,7 +18,8 @@
 class Receipt(NamedTuple):
     """What a caller received; ``end`` is ``None`` if its router died.
 
-    ``gaps_s`` holds a mean gap for each token after the first.
+    ``gaps_s`` holds a mean gap for each token after the first;
+    ``worst_case`` is the most tokens that the request may consume.
     """
 
     request: Request
@@ -28,6 +29,7 @@
     gaps_s: tuple[float, ...]
     data: bytes
     expected: bytes
+    worst_case: int
     end: AnswerEnd | None
     circumstances: Circumstances
     during_planned_stop: bool
@@ -42,11 +44,6 @@
         """Return what the caller was told, if it was told anything."""
         return None if self.end is None else self.end.outcome
 
-    @property
-    def worst_case(self) -> int:
-        """Return the most tokens that the request could have consumed."""
-        return self.request.prompt_tokens + self.request.max_tokens
-
 
 class RanRun(NamedTuple):
     """One run at a target; ``ended_at`` is -1 while it runs."""
--- /dev/null
+++ b/src/dandelioncleat/replay/world.py
@@ -0,0 +1,306 @@
+"""Builds the fleet of a trace in memory, on the running loop's time."""
+
+import asyncio
+import random
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from dandelioncleat.adapters.memory_peers import MemoryNetwork
+from dandelioncleat.app.budgets import Budgets
+from dandelioncleat.app.retirement import Retirer
+from dandelioncleat.app.router import Router, new_router
+from dandelioncleat.app.sidecar import Sidecar, new_sidecar
+from dandelioncleat.core.configuration import Policy, ServiceKind
+from dandelioncleat.core.identity import Incarnation
+from dandelioncleat.core.patch_verdict import PatchAccepted
+from dandelioncleat.core.record import Join, Patch
+from dandelioncleat.ports.telemetry import NullTelemetry
+from dandelioncleat.replay.ground import Ground
+from dandelioncleat.replay.hold import HeldTarget
+from dandelioncleat.replay.links import Links
+from dandelioncleat.replay.process import Ports, Process, Surroundings
+from dandelioncleat.replay.standins import new_client, new_standin
+from dandelioncleat.replay.trace import Deployment
+from dandelioncleat.standin.host_list import MemoryHostList
+from dandelioncleat.standin.log import MemoryLog
+
+STOP_LIMIT_S = 120.0
+READY_POLL_S = 0.05
+STANDIN_FIELDS = frozenset(
+    (
+        'service_ms',
+        'prefill_tokens_s',
+        'decode_tokens_s',
+        'kv_tokens',
+        'checks_fencing',
+    )
+)
+
+
+class DeploymentError(Exception):
+    """Carries the verdict on a deployment that is no valid configuration."""
+
+
+class RouterDaemon:
+    """A router with the tasks that it needs, in one start."""
+
+    def __init__(self, router: Router, ports: Ports, budgets: Budgets) -> None:
+        """Take the router and its parts."""
+        self.router = router
+        self.budgets = budgets
+        self._ports = ports
+        self._retirer = Retirer(
+            incarnation=ports.incarnation,
+            fleet=ports.fleet,
+            hosts=ports.host_list,
+            shards=budgets.shards,
+        )
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._ports.configuration.run())
+            group.create_task(self._ports.fleet.run())
+            group.create_task(self.budgets.run())
+            group.create_task(self._retirer.run())
+            group.create_task(self.router.run())
+
+    async def stop(self) -> None:
+        """Stop as planned."""
+        await self.router.stop(limit_s=STOP_LIMIT_S)
+
+
+class SidecarDaemon:
+    """A sidecar with the tasks that it needs, in one start."""
+
+    def __init__(self, sidecar: Sidecar, ports: Ports) -> None:
+        """Take the sidecar and its parts."""
+        self.sidecar = sidecar
+        self._ports = ports
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._ports.configuration.run())
+            group.create_task(self._ports.fleet.run())
+            group.create_task(self._ports.bills.run())
+            group.create_task(self.sidecar.run())
+
+    async def stop(self) -> None:
+        """Stop as planned."""
+        await self.sidecar.stop()
+
+
+class World:
+    """Holds the processes and stand-ins of one replay."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        *,
+        seed: int,
+        policy: dict[str, Any],
+    ) -> None:
+        """Make the stand-ins; ``start`` makes the processes."""
+        self.deployment = deployment
+        self.log = MemoryLog(generator=random.Random(seed))
+        self.host_list = MemoryHostList()
+        self.links = Links(deployment)
+        self.routers_by_name: dict[str, Process] = {}
+        self.sidecars_by_target: dict[str, Process] = {}
+        self.standins_by_target = {
+            name: new_standin(name, deployment) for name in deployment.targets
+        }
+        self.ground = Ground(deployment, self.standins_by_target)
+        self.log.on_append(self.ground.note_entry)
+        self._seed = seed
+        self._policy = policy
+        self.surroundings = Surroundings(
+            network=MemoryNetwork(self.links.delay_s),
+            log=self.log,
+            host_list=self.host_list,
+            log_delay_s=self.links.log_delay_s,
+            versions=[],
+            absences=[],
+        )
+
+    async def start(self) -> None:
+        """Start every process and wait until all are ready."""
+        for name, data_centre in self.deployment.routers.items():
+            process = self._new_process(name, data_centre)
+            self.routers_by_name[name] = process
+            self.start_router(process)
+        for name, target in self.deployment.targets.items():
+            process = self._new_process(name, target.data_centre)
+            self.sidecars_by_target[name] = process
+            self.start_sidecar(process)
+        await self._submit_deployment()
+        await self._all_ready()
+
+    def start_router(self, process: Process) -> None:
+        """Start a fresh incarnation of a router."""
+        ports = process.open_ports()
+        budgets = Budgets(
+            log=ports.log,
+            incarnation=ports.incarnation,
+            configuration=lambda: ports.configuration.current,
+            fleet=ports.fleet,
+            peers=ports.peers,
+        )
+        router = new_router(
+            join=Join(
+                ports.incarnation,
+                'router',
+                process.data_centre,
+                process.name,
+            ),
+            host_list=ports.host_list,
+            peers=ports.peers,
+            configuration=ports.configuration,
+            fleet=ports.fleet,
+            budgets=budgets,
+            telemetry=NullTelemetry(),
+            source=random.Random(f'{self._seed}/{ports.incarnation}'),
+        )
+        process.serve(RouterDaemon(router, ports, budgets), router)
+
+    def start_sidecar(self, process: Process) -> None:
+        """Start a fresh incarnation of a sidecar."""
+        ports = process.open_ports()
+        target = self.deployment.targets[process.name]
+        standin = self.standins_by_target[process.name]
+        sidecar = new_sidecar(
+            incarnation=ports.incarnation,
+            target=process.name,
+            service=target.service,
+            data_centre=process.data_centre,
+            address=process.name,
+            log=ports.log,
+            host_list=ports.host_list,
+            peers=ports.peers,
+            target_client=HeldTarget(new_client(standin), ports.hold),
+            configuration=ports.configuration,
+            fleet=ports.fleet,
+            bills=ports.bills,
+            telemetry=NullTelemetry(),
+        )
+        process.serve(SidecarDaemon(sidecar, ports), sidecar)
+
+    def router(self, name: str) -> Router | None:
+        """Return a running router, paused or not."""
+        daemon = self.routers_by_name[name].daemon
+        return daemon.router if isinstance(daemon, RouterDaemon) else None
+
+    def is_ready(self, name: str) -> bool:
+        """Return whether a router takes requests and the ledger is read."""
+        daemon = self.routers_by_name[name].daemon
+        if not isinstance(daemon, RouterDaemon):
+            return False
+        return daemon.router.ready and daemon.budgets.caught_up
+
+    @property
+    def ledger_shards(self) -> int:
+        """Return the number of ledger shards that the policy sets."""
+        return int(self._policy.get('ledger_shards', Policy().ledger_shards))
+
+    def live_routers(self) -> Iterator[Incarnation]:
+        """Yield the incarnations of routers that run now."""
+        for process in self.routers_by_name.values():
+            if process.started and process.ports is not None:
+                yield process.ports.incarnation
+
+    def has_free_slot(self, service: str, router: str) -> bool:
+        """Return whether a target in a router's reach has a free slot."""
+        return any(
+            target.service == service
+            and self.sidecars_by_target[name].alive
+            and self.links.delay_s(router, name) is not None
+            and self.ground.has_free_slot(name)
+            for name, target in self.deployment.targets.items()
+        )
+
+    def log_in_reach(self, router: str) -> bool:
+        """Return whether a router reaches the log."""
+        data_centre = self.deployment.routers[router]
+        in_reach = self.links.log_delay_s(data_centre) is not None
+        return in_reach and not self.log.outage
+
+    async def _all_ready(self) -> None:
+        waiting = list(self.routers_by_name)
+        while waiting:
+            await asyncio.sleep(READY_POLL_S)
+            waiting = [name for name in waiting if not self.is_ready(name)]
+
+    def _new_process(self, name: str, data_centre: str) -> Process:
+        return Process(
+            name,
+            data_centre=data_centre,
+            surroundings=self.surroundings,
+        )
+
+    async def _submit_deployment(self) -> None:
+        process = next(iter(self.routers_by_name.values()))
+        if process.ports is None:
+            raise RuntimeError('no router was started')
+        body = {**patch_body(self.deployment), 'policy': self._policy}
+        patch = Patch('deployment', 0, 'trace', msgspec.json.encode(body))
+        verdict = await process.ports.configuration.submit(patch)
+        if not isinstance(verdict, PatchAccepted):
+            raise DeploymentError(verdict)
+
+
+def patch_body(deployment: Deployment) -> dict[str, Any]:
+    """Return the patch that makes a trace's deployment."""
+    return {
+        'services': {
+            name: {
+                'kind': line.kind,
+                'models': [name] if line.kind == ServiceKind.MODEL else [],
+                'price_tokens': line.price_tokens,
+                'on_log_outage': line.on_log_outage,
+                'checks_fencing': any(
+                    target.checks_fencing
+                    for target in deployment.targets.values()
+                    if target.service == name
+                ),
+            }
+            for name, line in deployment.services.items()
+        },
+        'targets': {
+            name: {
+                'service': line.service,
+                'data_centre': line.data_centre,
+                'slots': line.slots,
+            }
+            for name, line in deployment.targets.items()
+        },
+        'organisations': {
+            name: {'budget': line.budget}
+            for name, line in deployment.organisations.items()
+        },
+    }
+
+
+def settings_only(
+    patch: dict[str, dict[str, dict[str, object] | None]],
+) -> dict[str, Any]:
+    """Return a trace's patch without what only stand-ins have."""
+    return {
+        table: {
+            name: _without_standin_fields(entry)
+            for name, entry in entries.items()
+        }
+        for table, entries in patch.items()
+    }
+
+
+def _without_standin_fields(
+    entry: dict[str, object] | None,
+) -> dict[str, object] | None:
+    if entry is None:
+        return None
+    return {
+        field: entry[field] for field in entry if field not in STANDIN_FIELDS
+    }
--- a/tests/builders/replay.py
+++ b/tests/builders/replay.py
@@ -61,6 +61,7 @@
         gaps_s=gaps_s,
         data=data,
         expected=b'whole',
+        worst_case=50,
         end=end or answer_end(),
         circumstances=circumstances,
         during_planned_stop=during_planned_stop,
