Tell the other sidecars before a request runs without a claim

An owner waited 40 s of an outage before it went by its memory, because a successor could only tell by that time whether something was unrecorded. Now it tells every sidecar that could take its slots; who was told does not vouch for it until the log shows that it read on, and one that is taking over refuses. The 40 s are left for owners that cannot reach the others. A silent owner keeps its guarded slots for 15 minutes, since a takeover would close them for two windows.

--- a/src/dandelioncleat/adapters/frames/frames.capnp
+++ b/src/dandelioncleat/adapters/frames/frames.capnp
@@ -39,6 +39,7 @@
     streamEntries @26 :StreamEntries;
     askStatus @27 :AskStatus;
     status @28 :Status;
+    noteGuard @29 :NoteGuard;
   }
 
   enum Kind {
@@ -224,6 +225,11 @@
   entries @1 :List(StreamEntry);
 }
 
+struct NoteGuard {
+  owner @0 :Text;
+  seen @1 :Float64;
+}
+
 struct AskStatus {
 }
 
--- a/src/dandelioncleat/app/claim_desk.py
+++ b/src/dandelioncleat/app/claim_desk.py
@@ -1,6 +1,8 @@
 """Gives each non-idempotent request its one run, by way of the log."""
 
 import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
 from enum import Enum, auto
 
 import structlog
@@ -8,7 +10,7 @@
 from dandelioncleat.app._task_scope import TaskScope
 from dandelioncleat.app.claim_replies import held, refuse, slot_closed
 from dandelioncleat.app.home_parts import HomeParts
-from dandelioncleat.app.log_guard import is_guarding
+from dandelioncleat.app.log_guard import LogGuard
 from dandelioncleat.core.claim import (
     Claimed,
     ClaimVerdict,
@@ -62,14 +64,14 @@
             asyncio.get_running_loop().create_future()
         )
 
-    async def wait(self, limit_s: float) -> ClaimVerdict | None:
-        """Return the verdict, or ``None`` if it does not come in time."""
+    @contextmanager
+    def waiter(self) -> Iterator[None]:
+        """Keep the claim from being sealed as long as someone waits."""
         self.waiting += 1
         try:
-            await asyncio.wait((self.verdict,), timeout=limit_s)
+            yield
         finally:
             self.waiting -= 1
-        return self.verdict.result() if self.verdict.done() else None
 
 
 class ClaimDesk:
@@ -79,9 +81,15 @@
     memory alone; their claims stay queued and follow when the log is back.
     """
 
-    def __init__(self, parts: HomeParts, tasks: TaskScope) -> None:
-        """Take the home's surroundings."""
+    def __init__(
+        self,
+        parts: HomeParts,
+        guard: LogGuard,
+        tasks: TaskScope,
+    ) -> None:
+        """Take the home's surroundings and the guard of its slots."""
         self._parts = parts
+        self._guard = guard
         self._tasks = tasks
         self._pending_by_request: dict[RequestKey, _Pending] = {}
 
@@ -208,14 +216,18 @@
         service: Service,
     ) -> Message:
         number = slot_of(attach.request, service.slots)
-        is_guarding_now = is_guarding(self._parts, service, number)
-        limit_s = GUARD_WAIT_S if is_guarding_now else CLAIM_TIMEOUT_S
-        verdict = await pending.wait(limit_s)
-        if verdict is not None:
-            return self._answer(pending, attach, verdict)
+        is_near = self._guard.is_near(service)
+        limit_s = GUARD_WAIT_S if is_near else CLAIM_TIMEOUT_S
+        is_permitted = False
+        with pending.waiter():
+            await asyncio.wait((pending.verdict,), timeout=limit_s)
+            if not pending.verdict.done():
+                is_permitted = await self._guard.permits(service, number)
+        if pending.verdict.done():
+            return self._answer(pending, attach, pending.verdict.result())
         if pending.permission is _Permission.GIVEN:
             return Placed(pending.run, pending.attach.executor)
-        if is_guarding(self._parts, service, number):
+        if is_permitted and pending.permission is _Permission.NONE:
             self._parts.telemetry.count('home.guarded_runs')
             return self._permit(pending)
         text = 'the log did not return the claim'
--- a/src/dandelioncleat/app/home_parts.py
+++ b/src/dandelioncleat/app/home_parts.py
@@ -51,6 +51,14 @@
             if member.join.service == self.service_name
         )
 
+    def is_succeeded(self, member: Member) -> bool:
+        """Return whether a newer process has a member's address."""
+        address = member.join.address
+        return any(
+            other.join.address == address and other.offset > member.offset
+            for other in self.members()
+        )
+
     def may_still_answer(self, executor: Incarnation) -> bool:
         """Return whether an executor is not known to have ended."""
         member = self.fleet.fold.members_by_incarnation.get(executor)
--- a/src/dandelioncleat/app/homes.py
+++ b/src/dandelioncleat/app/homes.py
@@ -7,8 +7,11 @@
 from dandelioncleat.app._task_scope import TaskScope
 from dandelioncleat.app.claim_desk import ClaimDesk
 from dandelioncleat.app.fleet import FleetKeeper
+from dandelioncleat.app.guard_notices import GuardNotices
 from dandelioncleat.app.home_parts import HomeParts
 from dandelioncleat.app.host_watch import HostWatch
+from dandelioncleat.app.log_guard import LogGuard
+from dandelioncleat.app.owner_watch import OwnerWatch
 from dandelioncleat.app.slot_keeper import SlotKeeper
 from dandelioncleat.app.stream import StreamFollower
 from dandelioncleat.core.claim import ClaimFold
@@ -87,8 +90,11 @@
             telemetry=settings.telemetry,
             closed=settings.closed,
         )
-        self.desk = ClaimDesk(self._parts, tasks)
-        self.slots = SlotKeeper(self._parts, peers)
+        self.notices = GuardNotices(self._parts, peers)
+        guard = LogGuard(self._parts, self.notices)
+        self.desk = ClaimDesk(self._parts, guard, tasks)
+        owners = OwnerWatch(self._parts, peers)
+        self.slots = SlotKeeper(self._parts, self.notices, owners)
         self._home = Home(settings.incarnation)
 
     async def attach(self, attach: Attach) -> Message:
--- a/src/dandelioncleat/app/host_watch.py
+++ b/src/dandelioncleat/app/host_watch.py
@@ -18,7 +18,7 @@
         self.failing = False
         self._host_list = host_list
         self._leaving_by_host: dict[str, bool] = {}
-        self._gone: frozenset[str] = frozenset()
+        self._gone_since_by_host: dict[str, float] = {}
         self._current_at = float('-inf')
         self._listeners: list[Callable[[], None]] = []
 
@@ -30,9 +30,15 @@
         """Return whether a process's host leaves or has gone."""
         return self._leaving_by_host.get(host_of(incarnation), False)
 
-    def is_gone(self, incarnation: Incarnation) -> bool:
-        """Return whether a process's host was on the list and is not now."""
-        return host_of(incarnation) in self._gone
+    def is_gone(self, incarnation: Incarnation, *, for_s: float = 0) -> bool:
+        """Return whether a process's host was on the list and is not now.
+
+        :param for_s: seconds for which it has not been listed
+        """
+        since = self._gone_since_by_host.get(host_of(incarnation))
+        if since is None:
+            return False
+        return asyncio.get_running_loop().time() - since >= for_s
 
     def is_listed(self, incarnation: Incarnation, *, within_s: float) -> bool:
         """Return whether a process's host was on the list just now.
@@ -41,7 +47,8 @@
         """
         age_s = asyncio.get_running_loop().time() - self._current_at
         host = host_of(incarnation)
-        is_known = host in self._leaving_by_host and host not in self._gone
+        is_gone = host in self._gone_since_by_host
+        is_known = host in self._leaving_by_host and not is_gone
         return is_known and age_s < within_s
 
     async def run(self) -> None:
@@ -59,11 +66,19 @@
     def _take(self, hosts: tuple[HostState, ...]) -> None:
         self.failing = False
         # A host that was on the list and is not any more has gone.
-        listed = frozenset(host.host for host in hosts)
-        self._gone = frozenset(self._leaving_by_host) - listed
+        self._note_gone(frozenset(host.host for host in hosts))
         leaving_by_host = dict.fromkeys(self._leaving_by_host, True)
         leaving_by_host.update((host.host, host.leaving) for host in hosts)
         if leaving_by_host != self._leaving_by_host:
             self._leaving_by_host = leaving_by_host
             for listener in self._listeners:
                 listener()
+
+    def _note_gone(self, listed: frozenset[str]) -> None:
+        now = asyncio.get_running_loop().time()
+        since_by_host = self._gone_since_by_host
+        self._gone_since_by_host = {
+            host: since_by_host.get(host, now)
+            for host in self._leaving_by_host
+            if host not in listed
+        }
--- a/src/dandelioncleat/app/log_guard.py
+++ b/src/dandelioncleat/app/log_guard.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from dandelioncleat.app.guard_notices import GuardNotices
 from dandelioncleat.app.home_parts import HomeParts
 from dandelioncleat.core.configuration import LogOutagePolicy, Service
 
@@ -16,23 +17,51 @@
     return 0
 
 
-def is_guarding(parts: HomeParts, service: Service, number: int) -> bool:
-    """Return whether a slot's owner may go by its own memory now.
+class LogGuard:
+    """Lets a slot's owner go by its own memory while the log is out.
 
-    It may once it has not heard from the log for the time that it declared,
-    while the platform lists its host, so that no other takes it for stopped,
-    and while no other may have opened the slot again.
+    It may if all who could take the slot over were told of it, or if the
+    log was silent for the time that the owner declared and the platform
+    lists its host, so that no other takes it for stopped.
     """
-    slot = parts.claims.slot(number)
-    if slot.guard_after_s <= 0 or guard_after_s(service) <= 0:
-        return False
-    if slot.owner != parts.incarnation or parts.closed():
-        return False
-    if parts.claims.log_time < slot.closed_until:
-        return False
-    if not parts.hosts.is_listed(parts.incarnation, within_s=LIST_AGE_S):
-        return False
-    now = asyncio.get_running_loop().time()
-    if now - parts.follower.heard_at < slot.guard_after_s:
-        return False
-    return now - parts.follower.current_at < slot.window_s
+
+    def __init__(self, parts: HomeParts, notices: GuardNotices) -> None:
+        """Take the home's surroundings and the notices to the others."""
+        self._parts = parts
+        self._notices = notices
+
+    def is_near(self, service: Service) -> bool:
+        """Return whether it is of little use to wait for the log."""
+        is_guarded = guard_after_s(service) > 0
+        return is_guarded and self._parts.follower.log_failing
+
+    async def permits(self, service: Service, number: int) -> bool:
+        """Return whether a run of a slot may begin now."""
+        if not self._is_open(service, number):
+            return False
+        if self._is_silent(number):
+            return True
+        if not self._parts.follower.log_failing:
+            return False
+        return await self._notices.tell() and self._is_open(service, number)
+
+    def _is_open(self, service: Service, number: int) -> bool:
+        """Return whether no other may have opened the slot since."""
+        parts = self._parts
+        slot = parts.claims.slot(number)
+        if slot.guard_after_s <= 0 or guard_after_s(service) <= 0:
+            return False
+        if slot.owner != parts.incarnation or parts.closed():
+            return False
+        if parts.claims.log_time < slot.closed_until:
+            return False
+        now = asyncio.get_running_loop().time()
+        return now - parts.follower.current_at < slot.window_s
+
+    def _is_silent(self, number: int) -> bool:
+        parts = self._parts
+        now = asyncio.get_running_loop().time()
+        silence_s = now - parts.follower.heard_at
+        if silence_s < parts.claims.slot(number).guard_after_s:
+            return False
+        return parts.hosts.is_listed(parts.incarnation, within_s=LIST_AGE_S)
--- a/src/dandelioncleat/app/sidecar.py
+++ b/src/dandelioncleat/app/sidecar.py
@@ -30,6 +30,7 @@
     Cancel,
     Dispatch,
     Message,
+    NoteGuard,
     Refusal,
     Report,
     Resume,
@@ -255,14 +256,8 @@
 
     async def _reply(self, message: Message) -> AsyncIterator[Message]:
         match message:
-            case Attach() if self.life.closed is Code.NOT_READY:
-                yield self._refusal(
-                    Code.NOT_READY, 'the sidecar has not joined'
-                )
-            case Attach():
-                yield await self.homes.attach(message)
-            case Report():
-                yield await self.homes.report(message)
+            case Attach() | Report() | NoteGuard():
+                yield await self._ask_home(message)
             case SealRun():
                 yield self.executor.seal(message)
             case Cancel():
@@ -272,6 +267,17 @@
             case _:
                 yield self._refusal(Code.INVALID, 'not a call for a sidecar')
 
+    async def _ask_home(self, message: Attach | Report | NoteGuard) -> Message:
+        match message:
+            case NoteGuard():
+                return self.homes.notices.take(message)
+            case Report():
+                return await self.homes.report(message)
+            case Attach() if self.life.closed is Code.NOT_READY:
+                return self._refusal(Code.NOT_READY, 'not in the fleet yet')
+            case Attach():
+                return await self.homes.attach(message)
+
     async def _serve(self) -> None:
         async with asyncio.TaskGroup() as group:
             self._tasks.open(group)
--- a/src/dandelioncleat/app/slot_keeper.py
+++ b/src/dandelioncleat/app/slot_keeper.py
@@ -5,24 +5,23 @@
 
 import structlog
 
+from dandelioncleat.app.guard_notices import GuardNotices
 from dandelioncleat.app.home_parts import HomeParts
 from dandelioncleat.app.log_guard import guard_after_s
+from dandelioncleat.app.owner_watch import OwnerWatch
 from dandelioncleat.core.claim import ClaimVerdict, SlotsTaken
 from dandelioncleat.core.configuration import Service
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.fleet import Member
 from dandelioncleat.core.home import home_order
-from dandelioncleat.core.identity import Incarnation, RequestKey
-from dandelioncleat.core.message import AskStatus, Status
+from dandelioncleat.core.identity import RequestKey
 from dandelioncleat.core.record import TakeSlots
 from dandelioncleat.core.slot import Slot
-from dandelioncleat.ports.peer import Peers
 
 CHECK_INTERVAL_S = 1.0
-PROBE_TIMEOUT_S = 1.0
-PROBES_TO_DOUBT = 3
 RANK_DELAY_S = 2.0
-DOUBT_DELAY_S = 60.0
+SILENT_DELAY_S = 900.0
+STRANGER_DELAY_S = 60.0
 RENEWAL_S = 8.0
 
 _logger = structlog.get_logger(__name__)
@@ -35,14 +34,20 @@
     others follow one after the other if that one does not take it.
     """
 
-    def __init__(self, parts: HomeParts, peers: Peers) -> None:
-        """Take the home's surroundings and the way to probe owners."""
+    def __init__(
+        self,
+        parts: HomeParts,
+        notices: GuardNotices,
+        owners: OwnerWatch,
+    ) -> None:
+        """Take the home's surroundings and what is known of the owners."""
+        self._owners = owners
         self._parts = parts
+        self._notices = notices
         self._hosts = parts.hosts
-        self._peers = peers
-        self._misses_by_owner: dict[Incarnation, int] = {}
         self._free_since_by_slot: dict[int, float] = {}
         self._renewed_at: float = 0
+        self._is_announced = False
 
     async def run(self) -> None:
         """Check and take over until cancelled."""
@@ -50,7 +55,8 @@
         while True:
             service = self._parts.service()
             if service is not None and not self._parts.closed():
-                await self._probe_owners(service)
+                await self._announce()
+                await self._owners.probe(service)
                 await self._take(service)
                 await self._renew()
             await asyncio.sleep(CHECK_INTERVAL_S)
@@ -62,6 +68,12 @@
         """
         await self._submit(self._guarded_slots(), guard_s=0)
 
+    async def _announce(self) -> None:
+        """Let owners know whom to tell before they run without a claim."""
+        if not self._is_announced:
+            self._is_announced = True
+            await self._submit((), guard_s=0)
+
     async def _take(self, service: Service) -> None:
         guard_s = guard_after_s(service)
         members = self._parts.members()
@@ -72,12 +84,14 @@
         )
         if not wanted:
             return
-        replaced = tuple(
-            number for number in wanted if self._has_stopped(number, members)
-        )
-        others = tuple(number for number in wanted if number not in replaced)
-        if replaced:
-            await self._submit(replaced, guard_s=guard_s, replaced=True)
+        vouched = tuple(number for number in wanted if self._may_vouch(number))
+        others = tuple(number for number in wanted if number not in vouched)
+        if vouched:
+            slots = self._parts.claims
+            owners = frozenset(slots.slot(number).owner for number in vouched)
+            self._notices.begin_vouching(owners)
+            await self._submit(vouched, guard_s=guard_s, replaced=True)
+            self._notices.end_vouching()
         if others:
             await self._submit(others, guard_s=guard_s)
 
@@ -112,46 +126,42 @@
         now = asyncio.get_running_loop().time()
         since = self._free_since_by_slot.setdefault(number, now)
         delay_s = RANK_DELAY_S * self._rank(number, members)
-        if slot.guard_after_s > 0 and not self._has_stopped(number, members):
-            # A takeover closes the slot, so that the owner gets more time.
-            delay_s += DOUBT_DELAY_S
+        delay_s += self._doubt_delay_s(slot)
         return now - since >= delay_s
 
-    def _is_free(self, slot: Slot, members: tuple[Member, ...]) -> bool:
-        for member in members:
-            if member.join.incarnation == slot.owner and not member.leaving:
-                misses = self._misses_by_owner.get(slot.owner, 0)
-                return misses >= PROBES_TO_DOUBT
-        return True
-
-    def _has_stopped(self, number: int, members: tuple[Member, ...]) -> bool:
-        """Return whether a slot's owner is known to run no more."""
-        owner = self._parts.claims.slot(number).owner
-        if self._hosts.is_gone(owner):
-            return True
-        fold = self._parts.fleet.fold
-        known = fold.members_by_incarnation.get(owner)
-        if known is None:
-            return False
-        return known.ended or any(
-            member.join.address == known.join.address
-            and member.join.incarnation != owner
-            for member in members
-        )
+    def _doubt_delay_s(self, slot: Slot) -> float:
+        """Return how long to leave a slot that a takeover would close."""
+        if slot.guard_after_s <= 0:
+            return 0
+        if not self._owners.has_stopped(slot.owner):
+            return SILENT_DELAY_S
+        return 0 if self._notices.is_known_to(slot.owner) else STRANGER_DELAY_S
 
     def _rank(self, number: int, members: tuple[Member, ...]) -> int:
+        """Return how many live sidecars come before this one."""
         candidates = [
             member.join.incarnation
             for member in members
             if not member.leaving
             and not self._hosts.is_leaving(member.join.incarnation)
-            and not self._misses_by_owner.get(member.join.incarnation, 0)
+            and not self._owners.missed(member.join.incarnation)
         ]
         place = RequestKey(self._parts.service_name, str(number))
         order = home_order(place, candidates)
-        if self._parts.incarnation not in order:
-            return len(order)
-        return order.index(self._parts.incarnation)
+        own = self._parts.incarnation
+        return order.index(own) if own in order else len(order)
+
+    def _is_free(self, slot: Slot, members: tuple[Member, ...]) -> bool:
+        for member in members:
+            if member.join.incarnation == slot.owner and not member.leaving:
+                return self._owners.is_silent(slot.owner)
+        return True
+
+    def _may_vouch(self, number: int) -> bool:
+        owner = self._parts.claims.slot(number).owner
+        if not self._owners.has_stopped(owner):
+            return False
+        return self._notices.may_vouch_for(owner)
 
     async def _submit(
         self,
@@ -183,35 +193,3 @@
                 service=self._parts.service_name,
                 slots=len(verdict.slots),
             )
-
-    async def _probe_owners(self, service: Service) -> None:
-        slots = self._parts.claims.slots_by_number
-        owners = sorted(
-            {
-                slots[number].owner
-                for number in range(service.slots)
-                if number in slots
-            },
-        )
-        async with asyncio.TaskGroup() as group:
-            for owner in owners:
-                if owner != self._parts.incarnation:
-                    group.create_task(self._probe(owner))
-
-    async def _probe(self, owner: Incarnation) -> None:
-        fold = self._parts.fleet.fold
-        member = fold.members_by_incarnation.get(owner)
-        if member is None or member.ended:
-            return
-        reply = None
-        with suppress(FailureError):
-            reply = await self._peers.call(
-                member.join.address,
-                AskStatus(),
-                timeout_s=PROBE_TIMEOUT_S,
-            )
-        if isinstance(reply, Status) and reply.incarnation == owner:
-            self._misses_by_owner.pop(owner, None)
-        else:
-            misses = self._misses_by_owner.get(owner, 0)
-            self._misses_by_owner[owner] = misses + 1
--- a/src/dandelioncleat/core/claim.py
+++ b/src/dandelioncleat/core/claim.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from dandelioncleat.core.claim_readers import ClaimReaders, ReadersState
 from dandelioncleat.core.identity import (
     Digest,
     Incarnation,
@@ -90,7 +91,7 @@
 class _State(NamedTuple):
     log_time: float
     slots: tuple[tuple[int, Slot], ...]
-    seen_by_owner: dict[Incarnation, float]
+    readers: ReadersState
     claims: tuple[tuple[RequestKey, LiveClaim], ...]
 
 
@@ -101,7 +102,7 @@
         """Start with unowned slots and no claims."""
         self.slots_by_number: dict[int, Slot] = {}
         self.log_time = float(0)
-        self._seen_by_owner: dict[Incarnation, float] = {}
+        self.readers = ClaimReaders()
         self._claim_by_request: OrderedDict[RequestKey, LiveClaim] = (
             OrderedDict()
         )
@@ -148,7 +149,7 @@
             _State(
                 self.log_time,
                 tuple(self.slots_by_number.items()),
-                self._seen_by_owner,
+                self.readers.snapshot(),
                 tuple(self._claim_by_request.items()),
             ),
         )
@@ -158,12 +159,13 @@
         state = msgspec.msgpack.decode(data, type=_State)
         self.log_time = state.log_time
         self.slots_by_number = dict(state.slots)
-        self._seen_by_owner = state.seen_by_owner
+        self.readers.restore(state.readers)
         self._claim_by_request = OrderedDict(state.claims)
 
     def _take(self, producer: Incarnation, record: TakeSlots) -> ClaimVerdict:
         if not _is_sound(producer, record):
             return Void(VoidReason.INVALID)
+        self.readers.note_candidate(record.owner, self.log_time)
         taken = []
         for number, epoch in zip(record.slots, record.epochs, strict=True):
             slot = self.slot(number)
@@ -173,7 +175,7 @@
             closed_until = reopens_at(
                 slot,
                 record,
-                seen=self._seen_by_owner.get(slot.owner, float(0)),
+                seen=self.readers.seen_by(slot.owner),
                 taken_at=self.log_time,
             )
             self.slots_by_number[number] = taken_slot(
@@ -181,19 +183,10 @@
                 record,
                 closed_until=closed_until,
             )
-        self._note_seen(record)
+        self.readers.note_seen(record.owner, record.seen)
+        self.readers.keep(slot.owner for slot in self.slots_by_number.values())
         return SlotsTaken(tuple(taken))
 
-    def _note_seen(self, record: TakeSlots) -> None:
-        """Remember what owners have read; others are forgotten."""
-        owners = {slot.owner for slot in self.slots_by_number.values()}
-        known = self._seen_by_owner
-        seen = max(known.get(record.owner, float(0)), record.seen)
-        known[record.owner] = seen
-        self._seen_by_owner = {
-            owner: seen for owner, seen in known.items() if owner in owners
-        }
-
     def _claim(self, producer: Incarnation, record: Claim) -> ClaimVerdict:
         slot = self.slot(record.slot)
         if producer != record.run.home:
--- a/src/dandelioncleat/core/message.py
+++ b/src/dandelioncleat/core/message.py
@@ -159,6 +159,17 @@
     ran: bool
 
 
+class NoteGuard(Message, frozen=True):
+    """Tells a sidecar that an owner will run requests without a claim.
+
+    ``seen`` is the newest log time that the owner has read. Who accepted
+    this does not vouch for the owner until the log shows that it read on.
+    """
+
+    owner: Incarnation
+    seen: float
+
+
 class WatchLoad(Message, frozen=True):
     """Asks a sidecar for its target's load, now and at each change."""
 
