Ask homes that answer first, and wait less for one that does not

Cause: in a partition each request waited 2 s for every home on the other side, one after the other, and a paused router's answers were heard.

--- a/src/dandelioncleat/app/home_finder.py
+++ b/src/dandelioncleat/app/home_finder.py
@@ -20,12 +20,13 @@
     Refusal,
     Report,
 )
+from dandelioncleat.core.reachability import Place, Reachability
 from dandelioncleat.core.request import CallerRequest
 from dandelioncleat.core.retry import backoff_s
 from dandelioncleat.core.slot import slot_of
 from dandelioncleat.ports.peer import Peers
 
-ATTACH_TIMEOUT_S = 2.0
+ATTACH_TIMEOUT_S = 0.5
 CLAIM_TIMEOUT_S = 8.0
 REPORT_TIMEOUT_S = 2.0
 MAX_HOMES = 4
@@ -52,7 +53,8 @@
         self._random = source
         self._owners_by_slot: dict[tuple[str, int], Incarnation] = {}
         self._members_by_service: dict[str, tuple[Incarnation, ...]] = {}
-        fleet.on_change(self._members_by_service.clear)
+        self._reachability = Reachability()
+        fleet.on_change(self._note_members)
 
     async def attach(
         self,
@@ -116,9 +118,23 @@
             self._members_by_service[service] = known
         return known
 
+    def _note_members(self) -> None:
+        self._members_by_service.clear()
+        live = self._fleet.fold.live(SIDECAR)
+        self._reachability.keep(
+            tuple(member.join.incarnation for member in live),
+        )
+
     def _homes(self, request: CallerRequest) -> Iterator[Incarnation]:
         order = home_order(request.request, self.members(request.service))
-        yield from order[:MAX_HOMES]
+        places = tuple(self._place(home) for home in order)
+        now = asyncio.get_running_loop().time()
+        for place in self._reachability.order(places, now)[:MAX_HOMES]:
+            yield place.process
+
+    def _place(self, home: Incarnation) -> Place:
+        member = self._fleet.fold.members_by_incarnation[home]
+        return Place(home, member.join.data_centre)
 
     def _owners(self, request: CallerRequest) -> Iterator[Incarnation]:
         slot = self._slot(request.service, request.request)
@@ -146,7 +162,7 @@
     ) -> Permission:
         allowed_s = ATTACH_TIMEOUT_S if message.idempotent else CLAIM_TIMEOUT_S
         left_s = deadline - asyncio.get_running_loop().time()
-        reply = await self._call(
+        reply = await self._call_home(
             home,
             message,
             timeout_s=max(0, min(allowed_s, left_s)),
@@ -176,6 +192,28 @@
             slot = self._slot(message.service, message.request)
             self._owners_by_slot[slot] = home
 
+    async def _call_home(
+        self,
+        home: Incarnation,
+        message: Attach,
+        *,
+        timeout_s: float,
+        traceparent: str,
+    ) -> Message:
+        try:
+            reply = await self._call(
+                home,
+                message,
+                timeout_s=timeout_s,
+                traceparent=traceparent,
+            )
+        except FailureError:
+            now = asyncio.get_running_loop().time()
+            self._reachability.note_failure(self._place(home), now)
+            raise
+        self._reachability.note_answer(home)
+        return reply
+
     async def _call(
         self,
         peer: Incarnation,
--- a/src/dandelioncleat/replay/caller.py
+++ b/src/dandelioncleat/replay/caller.py
@@ -46,6 +46,7 @@
         events = router.serve(self._caller_request())
         async with aclosing(events):  # type: ignore[type-var]
             async for event in events:
+                await process.pass_through()
                 self._during_stop |= process.stopping
                 self._take(event)
 
--- a/src/dandelioncleat/replay/process.py
+++ b/src/dandelioncleat/replay/process.py
@@ -136,6 +136,11 @@
         self._task = asyncio.create_task(daemon.run())
         self._end_absence()
 
+    async def pass_through(self) -> None:
+        """Wait out a pause; what a held process says is not heard."""
+        if self.ports is not None:
+            await self.ports.hold.pass_through()
+
     def pause(self) -> None:
         """Hold the process."""
         self._endpoint.running.clear()
--- a/traces/write_traces.py
+++ b/traces/write_traces.py
@@ -103,6 +103,8 @@
         self.bounds: dict[str, tuple[str, float]] = {}
         for measure in SAFETY:
             self.at_most(measure, 0)
+        self.at_most('ttft_p95_s', 1.1)
+        self.at_most('token_gap_p95_ms', 28)
 
     @property
     def routers(self) -> dict[str, str]:
@@ -262,8 +264,6 @@
 def _served(writer: Writer) -> None:
     """State the outcomes of load that the fleet can carry, with its log."""
     writer.at_most('false_refusal_share', 0.001)
-    writer.at_most('ttft_p95_s', 1.1)
-    writer.at_most('token_gap_p95_ms', 28)
     writer.at_most('unknown_outcomes', 0)
     writer.at_least('goodput_share', 0.99)
 
@@ -280,6 +280,8 @@
 def burst(writer: Writer) -> None:
     writer.load()
     writer.load(30, 90, factor=1)
+    # The target states first tokens for ordinary load.
+    writer.bounds.pop('ttft_p95_s')
     writer.at_most('false_refusal_share', 0.001)
     writer.at_most('unknown_outcomes', 0)
     writer.at_least('goodput_share', 0.95)
