--- a/src/dandelioncleat/__main__.py
+++ b/src/dandelioncleat/__main__.py
@@ -4,7 +4,11 @@
 import sys
 from collections.abc import Sequence
 
-from dandelioncleat.daemons import router_command, settings_command
+from dandelioncleat.daemons import (
+    router_command,
+    settings_command,
+    sidecar_command,
+)
 from dandelioncleat.operator import command as operator_command
 from dandelioncleat.replay import commands as replay_commands
 from dandelioncleat.standin import commands as standin_commands
@@ -18,6 +22,7 @@
     )
     subparsers = parser.add_subparsers(required=True, metavar='COMMAND')
     router_command.add_parser(subparsers)
+    sidecar_command.add_parser(subparsers)
     settings_command.add_parser(subparsers)
     standin_commands.add_parser(subparsers)
     operator_command.add_parser(subparsers)
--- /dev/null
+++ b/src/dandelioncleat/daemons/sidecar.py
@@ -0,0 +1,176 @@
+"""The daemon beside one target."""
+
+import asyncio
+
+import structlog
+from aiohttp import ClientSession, web
+
+from dandelioncleat.adapters.http_host_list import HttpHostList
+from dandelioncleat.adapters.http_model_target import HttpModelTarget
+from dandelioncleat.adapters.http_plain_target import HttpPlainTarget
+from dandelioncleat.adapters.log_lines import configure_log_lines
+from dandelioncleat.adapters.telemetry import OtelTelemetry, new_telemetry
+from dandelioncleat.app.billing import BillSender
+from dandelioncleat.app.relay_handler import RelayHandler
+from dandelioncleat.app.sidecar import Sidecar, new_sidecar
+from dandelioncleat.core.fleet import SIDECAR
+from dandelioncleat.core.identity import Incarnation
+from dandelioncleat.daemons.http_server import HttpServer
+from dandelioncleat.daemons.router import new_incarnation
+from dandelioncleat.daemons.settings import SidecarSettings, SidecarTarget
+from dandelioncleat.daemons.shared_parts import Shared, new_shared
+from dandelioncleat.daemons.supervision import StopSignals, supervise
+from dandelioncleat.ports.target import TargetClient
+
+HEALTH_PATH = '/healthz'
+READY_PATH = '/readyz'
+METRICS_PATH = '/metrics'
+
+_logger = structlog.get_logger(__name__)
+
+
+class SidecarDaemon:
+    """A sidecar with its server and the keepers that it needs."""
+
+    def __init__(
+        self,
+        sidecar: Sidecar,
+        *,
+        shared: Shared,
+        bills: BillSender,
+        session: ClientSession,
+        telemetry: OtelTelemetry,
+        peers: HttpServer,
+    ) -> None:
+        """Take the connected parts; ``new_sidecar_daemon`` makes them."""
+        self.sidecar = sidecar
+        self.peers = peers
+        self.shared = shared
+        self._bills = bills
+        self._session = session
+        self._telemetry = telemetry
+
+    async def run(self) -> None:
+        """Listen and run every task until cancelled."""
+        await self.peers.start(self._application())
+        _logger.info('listening', peers=self.peers.text)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.shared.configuration.run())
+            group.create_task(self.shared.fleet.run())
+            group.create_task(self._bills.run())
+            group.create_task(self.sidecar.run())
+
+    async def stop(self, *, limit_s: float) -> str:
+        """Finish what is open; return what was lost, in words."""
+        report = await self.sidecar.stop(limit_s=limit_s)
+        return report.text
+
+    def losses(self) -> str:
+        """Return what would be lost if the process ended now, in words."""
+        return self.sidecar.losses().text
+
+    async def close(self) -> None:
+        """Close the server and every connection."""
+        await self.peers.stop()
+        await self.shared.peers.close()
+        await self._session.close()
+
+    def _application(self) -> web.Application:
+        handler = RelayHandler(self.shared.relay, self.sidecar)
+        application = self.shared.peer_application(handler)
+        application.router.add_get(HEALTH_PATH, _answer_health)
+        application.router.add_get(READY_PATH, self._answer_readiness)
+        application.router.add_get(METRICS_PATH, self._answer_metrics)
+        return application
+
+    async def _answer_readiness(self, request: web.Request) -> web.Response:
+        state = self.sidecar.life.state.value
+        status = 200 if self.sidecar.life.is_ready else 503
+        return web.Response(status=status, text=state)
+
+    async def _answer_metrics(self, request: web.Request) -> web.Response:
+        page = self._telemetry.metrics_page()
+        return web.Response(body=page, content_type='text/plain')
+
+
+def new_sidecar_daemon(
+    settings: SidecarSettings,
+    *,
+    telemetry: OtelTelemetry,
+    incarnation: Incarnation,
+) -> SidecarDaemon:
+    """Bind the socket and connect the parts; needs a running event loop."""
+    peers = HttpServer(settings.listen.peers)
+    session = ClientSession()
+    shared = new_shared(settings, incarnation=incarnation, session=session)
+    configuration = shared.configuration
+    bills = BillSender(
+        log=shared.log,
+        incarnation=incarnation,
+        configuration=lambda: configuration.current,
+    )
+    sidecar = new_sidecar(
+        incarnation=incarnation,
+        target=settings.target.name,
+        service=settings.target.service,
+        data_centre=settings.data_centre,
+        address=settings.listen.advertise or peers.text,
+        log=shared.log,
+        host_list=HttpHostList(session, settings.platform.host_list_url),
+        peers=shared.peers,
+        target_client=new_target_client(settings.target, session),
+        configuration=configuration,
+        fleet=shared.fleet,
+        bills=bills,
+        telemetry=telemetry,
+    )
+    return SidecarDaemon(
+        sidecar,
+        shared=shared,
+        bills=bills,
+        session=session,
+        telemetry=telemetry,
+        peers=peers,
+    )
+
+
+def new_target_client(
+    target: SidecarTarget,
+    session: ClientSession,
+) -> TargetClient:
+    """Return the client of a target's kind."""
+    match target.kind:
+        case 'model':
+            return HttpModelTarget(session, target.url)
+        case 'plain':
+            return HttpPlainTarget(session, target.url)
+
+
+async def run_sidecar(settings: SidecarSettings) -> int:
+    """Run a sidecar until it is told to stop; return the exit code."""
+    incarnation = new_incarnation(settings.host)
+    telemetry = new_telemetry(
+        role=SIDECAR,
+        incarnation=incarnation,
+        endpoint=settings.telemetry.otlp_endpoint,
+    )
+    configure_log_lines(
+        settings.telemetry.logs,
+        role=SIDECAR,
+        incarnation=incarnation,
+    )
+    signals = StopSignals()
+    signals.install()
+    daemon = new_sidecar_daemon(
+        settings,
+        telemetry=telemetry,
+        incarnation=incarnation,
+    )
+    try:
+        return await supervise(daemon, signals, limit_s=settings.stop.limit_s)
+    finally:
+        await asyncio.to_thread(telemetry.stop)
+
+
+async def _answer_health(request: web.Request) -> web.Response:
+    return web.Response(text='running')
--- a/tests/test_escrow.py
+++ b/tests/test_escrow.py
@@ -105,6 +105,8 @@
 places = st.integers(0, 2)
 amounts = st.integers(1, 50)
 coins = st.booleans()
+progresses = st.integers(0, 3)
+MAX_TOP_UPS = 100
 
 
 class EscrowMachine(RuleBasedStateMachine):
@@ -136,11 +138,11 @@
         self.fleet_records.append(record)
         self.fleet.apply(len(self.fleet_records), 0.5, Incarnation(''), record)
 
-    @initialize(tokens=amounts)
-    def start(self, tokens: int) -> None:
+    @initialize()
+    def start(self) -> None:
         for sidecar in self.sidecars:
             self.append_fleet(sidecar_join(sidecar.incarnation))
-        self.add(tokens)
+        self.add(60)
         self.flush(self.operator)
         for place in range(3):
             self.request(place, 20, 1, is_prompt=True)
@@ -149,6 +151,7 @@
         while producer.queue:
             self.ledger.append(producer.queue.pop(0))
 
+    @precondition(lambda self: self.topped_up < MAX_TOP_UPS)
     @rule(tokens=amounts)
     def add(self, tokens: int) -> None:
         self.topped_up += tokens
@@ -208,8 +211,16 @@
         if not is_lost:
             self.holders[place].wallet.add(*part)
 
-    @rule(place=places, share=st.integers(1, 4), key=st.integers(1, 2))
-    def dispatch(self, place: int, share: int, key: int) -> None:
+    @rule(
+        place=places,
+        share=st.integers(1, 4),
+        key=st.integers(1, 2),
+        number=st.integers(0, 1),
+        progress=progresses,
+    )
+    def dispatch(
+        self, place: int, share: int, key: int, number: int, progress: int
+    ) -> None:
         holder = self.holders[place]
         tokens = holder.wallet.spendable * share // 4
         if not tokens:
@@ -219,6 +230,10 @@
             self.runs += 1
             run = RunId('port', f'key-{key}', Incarnation('home/1'), self.runs)
             self.dispatched.append(Run(run, reserved.unwrap(), holder))
+            if progress > 0:
+                self.arrive(number, -1)
+            if progress > 1:
+                self.finish(number, 4, settles=True, is_prompt=progress > 2)
 
     @precondition(lambda self: self.dispatched)
     @rule(number=st.integers(0, 1), which=st.integers(0, 9))
@@ -254,12 +269,18 @@
             run.holder.wallet.settle(run.draws, tokens)
             run.holder.send(bill)
 
-    @rule(place=places)
-    def replace_paused_holder(self, place: int) -> None:
+    @rule(place=places, progress=progresses)
+    def replace_paused_holder(self, place: int, progress: int) -> None:
         old = self.holders[place]
         self.paused.append(old)
         self.holders[place] = self.new_holder(place)
         self.append_fleet(Retire(old.incarnation, 'test'))
+        for number in range(min(progress, 2)):
+            self.refuse_retired(number)
+            self.drain(number)
+        if progress > 2:
+            self.complete(is_prompt=True)
+            self.request(place, 50, 1, is_prompt=True)
 
     @precondition(lambda self: self.paused)
     @rule(place=places)
@@ -310,7 +331,7 @@
             settings=settings(
                 derandomize=True,
                 deadline=None,
-                max_examples=400,
-                stateful_step_count=80,
+                max_examples=500,
+                stateful_step_count=60,
             ),
         )
