Wait for the ledger by the measured round trip of its log

A log that takes a second for each call needs more than the fixed second that a router waited for a grant or a return. The wait is now three of the last round trips, within 1 s to 8 s.

--- a/src/dandelioncleat/app/_appender.py
+++ b/src/dandelioncleat/app/_appender.py
@@ -17,7 +17,10 @@
 
 
 class Appender(Generic[RecordT, VerdictT]):
-    """Repeats each append until its records are read back."""
+    """Repeats each append until its records are read back.
+
+    ``round_trip_s`` is the time that the last one took, in seconds.
+    """
 
     def __init__(
         self,
@@ -34,6 +37,7 @@
         self._codec = codec
         self._producer = producer
         self._on_failure = on_failure
+        self.round_trip_s: float = 0
         self._sequence = 0
         self._pending: list[_Submission[RecordT, VerdictT]] = []
         self._in_flight: _Flight[RecordT, VerdictT] | None = None
@@ -103,6 +107,15 @@
         return _Flight(envelope, submissions, asyncio.Event())
 
     async def _append(self, flight: '_Flight[RecordT, VerdictT]') -> None:
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        await self._append_until_read_back(flight)
+        self.round_trip_s = loop.time() - started_at
+
+    async def _append_until_read_back(
+        self,
+        flight: '_Flight[RecordT, VerdictT]',
+    ) -> None:
         data = self._codec.encode((flight.envelope,))
         while not flight.read_back.is_set():
             try:
--- a/src/dandelioncleat/app/_refill.py
+++ b/src/dandelioncleat/app/_refill.py
@@ -22,8 +22,9 @@
 )
 from dandelioncleat.core.identity import Draw
 
-LOG_WAIT_S = 1.0
-RETURN_WAIT_S = 1.0
+MIN_WAIT_S = 1.0
+MAX_WAIT_S = 8.0
+WAIT_ROUND_TRIPS = 3
 
 
 class Refiller:
@@ -71,7 +72,7 @@
         """Get tokens until no request waits, or refuse those that wait."""
         while purse.is_waited_for and not self._is_spent(purse):
             asking = self.start_asking(purse)
-            await asyncio.wait((asking,), timeout=LOG_WAIT_S)
+            await asyncio.wait((asking,), timeout=self._wait_s(purse))
             await self._wait_for_return(purse)
             if purse.is_waited_for and not self._can_grant(purse):
                 if transfers(self.policy):
@@ -107,12 +108,17 @@
 
     async def _wait_for_return(self, purse: Purse) -> None:
         try:
-            async with asyncio.timeout(RETURN_WAIT_S):
+            async with asyncio.timeout(self._wait_s(purse)):
                 while self._hopes_for_return(purse):
                     await purse.changed.wait()
         except TimeoutError:
             return
 
+    def _wait_s(self, purse: Purse) -> float:
+        follower = self._shards.of(purse.budget).follower
+        wait_s = WAIT_ROUND_TRIPS * follower.round_trip_s
+        return min(max(wait_s, MIN_WAIT_S), MAX_WAIT_S)
+
     def _hopes_for_return(self, purse: Purse) -> bool:
         if not (purse.is_waited_for and self._log_answers(purse)):
             return False
--- a/src/dandelioncleat/app/stream.py
+++ b/src/dandelioncleat/app/stream.py
@@ -73,6 +73,11 @@
         """Return the offset of the next entry to read."""
         return self.state.position
 
+    @property
+    def round_trip_s(self) -> float:
+        """Return the time that the last append took to be read back."""
+        return self._appender.round_trip_s
+
     @property
     def log_failing(self) -> bool:
         """Return whether the last call to the log failed."""
