--- a/src/dandelioncleat/app/_refill.py
+++ b/src/dandelioncleat/app/_refill.py
@@ -22,6 +22,7 @@
 )
 from dandelioncleat.core.identity import Draw
 
+SLOW_LOG_S = 0.3
 MIN_WAIT_S = 1.0
 MAX_WAIT_S = 8.0
 WAIT_ROUND_TRIPS = 3
@@ -70,13 +71,14 @@
 
     async def fill(self, purse: Purse) -> None:
         """Get tokens until no request waits, or refuse those that wait."""
+        if self._is_log_slow(purse):
+            await self._seek(purse)
         while purse.is_waited_for and not self._is_spent(purse):
             asking = self.start_asking(purse)
             await asyncio.wait((asking,), timeout=self._wait_s(purse))
             await self._wait_for_return(purse)
             if purse.is_waited_for and not self._can_grant(purse):
-                if transfers(self.policy):
-                    await self._seeker.seek(purse)
+                await self._seek(purse)
                 break
         purse.refuse(self._refusal(purse))
 
@@ -114,6 +116,15 @@
         except TimeoutError:
             return
 
+    async def _seek(self, purse: Purse) -> None:
+        if transfers(self.policy):
+            await self._seeker.seek(purse)
+
+    def _is_log_slow(self, purse: Purse) -> bool:
+        shard = self._shards.of(purse.budget)
+        is_slow = shard.follower.round_trip_s >= SLOW_LOG_S
+        return is_slow or not shard.is_available
+
     def _wait_s(self, purse: Purse) -> float:
         follower = self._shards.of(purse.budget).follower
         wait_s = WAIT_ROUND_TRIPS * follower.round_trip_s
