Hold a margin over the recent rate and renew before it is used up

A router cut off from the log for an hour ran out, because it renewed only below half of the hour's need. It now holds 1.5 times the need, renews below four fifths, and stops renewing within a minute of the budget's end.

--- a/src/dandelioncleat/core/grant_policy.py
+++ b/src/dandelioncleat/core/grant_policy.py
@@ -8,6 +8,9 @@
 
 REFUSALS_SHARE_FACTOR = 1.6
 MAX_SHARE = 0.9
+RENEW_SHARE = 0.8
+HOLD_MARGIN = 1.5
+MIN_RENEWED_S = 60.0
 SURPLUS_FACTOR = 2.0
 IDLE_RETURN_S = 300.0
 MIN_SURPLUS_SHARE = 0.25
@@ -96,7 +99,7 @@
     """Return whether to ask for tokens before any request waits."""
     match policy:
         case Adaptive():
-            return 2 * demand.spendable < _target(policy, demand)
+            return _renews(policy, demand)
         case Fixed() | StaticSplit():
             return False
 
@@ -136,14 +139,22 @@
 
 
 def _target(policy: Adaptive, demand: Demand) -> int:
-    wanted = max(demand.rate * policy.hold_s, policy.tokens)
+    needed = HOLD_MARGIN * demand.rate * policy.hold_s
+    wanted = max(needed, policy.tokens)
     available = demand.left + demand.spendable
     bound = policy.share * available / max(demand.routers, 1)
     return int(min(wanted, bound))
 
 
+def _renews(policy: Adaptive, demand: Demand) -> bool:
+    target = _target(policy, demand)
+    # Near the end of a budget, early requests only delay those in need.
+    is_near_end = target < MIN_RENEWED_S * demand.rate
+    return not is_near_end and demand.spendable < RENEW_SHARE * target
+
+
 def _kept(policy: Adaptive, demand: Demand) -> int:
-    needed = demand.rate * policy.hold_s
+    needed = HOLD_MARGIN * demand.rate * policy.hold_s
     if demand.idle_s < IDLE_RETURN_S:
         return int(SURPLUS_FACTOR * max(policy.tokens, needed))
     return int(needed)
