--- a/bench/placement_policies.py
+++ b/bench/placement_policies.py
@@ -34,7 +34,11 @@
 DECODE_TOKENS_S = 40
 REQUESTS = 6000
 SEEDS = (1, 2, 3)
-WORKLOADS = {'chat': (642, 262), 'agents': (1660, 373), 'contracts': (5900, 499)}
+WORKLOADS = {
+    'chat': (642, 262),
+    'agents': (1660, 373),
+    'contracts': (5900, 499),
+}
 
 
 class Job(NamedTuple):
@@ -177,9 +181,18 @@
     for workload, load, lag_s in itertools.product(
         WORKLOADS, (0.6, 0.85), (0.1, 1.0, 5.0)
     ):
-        row: dict[str, Any] = {'workload': workload, 'load': load, 'lag_s': lag_s}
+        row: dict[str, Any] = {
+            'workload': workload,
+            'load': load,
+            'lag_s': lag_s,
+        }
         base = 0.0
-        for policy in ('round_robin', 'least_reported_load', 'two_choices', 'kv_demand'):
+        for policy in (
+            'round_robin',
+            'least_reported_load',
+            'two_choices',
+            'kv_demand',
+        ):
             value = sum(
                 p95(run(policy, workload, load, lag_s, seed)) for seed in SEEDS
             ) / len(SEEDS)
--- a/src/dandelioncleat/app/_refill.py
+++ b/src/dandelioncleat/app/_refill.py
@@ -22,11 +22,6 @@
 )
 from dandelioncleat.core.identity import Draw
 
-SLOW_LOG_S = 0.3
-MIN_WAIT_S = 1.0
-MAX_WAIT_S = 8.0
-WAIT_ROUND_TRIPS = 3
-
 
 class Refiller:
     """Gets tokens for the requests that wait at a purse."""
@@ -71,11 +66,13 @@
 
     async def fill(self, purse: Purse) -> None:
         """Get tokens until no request waits, or refuse those that wait."""
-        if self._is_log_slow(purse):
+        if self._shards.of(purse.budget).is_slow:
             await self._seek(purse)
         while purse.is_waited_for and not self._is_spent(purse):
             asking = self.start_asking(purse)
-            await asyncio.wait((asking,), timeout=self._wait_s(purse))
+            await asyncio.wait(
+                (asking,), timeout=self._shards.of(purse.budget).wait_s
+            )
             await self._wait_for_return(purse)
             if purse.is_waited_for and not self._can_grant(purse):
                 await self._seek(purse)
@@ -110,7 +107,7 @@
 
     async def _wait_for_return(self, purse: Purse) -> None:
         try:
-            async with asyncio.timeout(self._wait_s(purse)):
+            async with asyncio.timeout(self._shards.of(purse.budget).wait_s):
                 while self._hopes_for_return(purse):
                     await purse.changed.wait()
         except TimeoutError:
@@ -120,16 +117,6 @@
         if transfers(self.policy):
             await self._seeker.seek(purse)
 
-    def _is_log_slow(self, purse: Purse) -> bool:
-        shard = self._shards.of(purse.budget)
-        is_slow = shard.follower.round_trip_s >= SLOW_LOG_S
-        return is_slow or not shard.is_available
-
-    def _wait_s(self, purse: Purse) -> float:
-        follower = self._shards.of(purse.budget).follower
-        wait_s = WAIT_ROUND_TRIPS * follower.round_trip_s
-        return min(max(wait_s, MIN_WAIT_S), MAX_WAIT_S)
-
     def _hopes_for_return(self, purse: Purse) -> bool:
         if not (purse.is_waited_for and self._log_answers(purse)):
             return False
--- a/src/dandelioncleat/app/_shards.py
+++ b/src/dandelioncleat/app/_shards.py
@@ -14,6 +14,10 @@
 from dandelioncleat.ports.log import Log
 
 OUTAGE_AFTER_S = 1.0
+SLOW_S = 0.3
+MIN_WAIT_S = 1.0
+MAX_WAIT_S = 8.0
+WAIT_ROUND_TRIPS = 3
 
 RecordListener = Callable[[LedgerRecord, LedgerVerdict], None]
 
@@ -40,6 +44,18 @@
         caught_up = self.follower.caught_up.is_set()
         return caught_up and self.follower.outage.lasted_s() < OUTAGE_AFTER_S
 
+    @property
+    def is_slow(self) -> bool:
+        """Return whether the log is slow or out."""
+        round_trip_s = self.follower.appender.round_trip_s
+        return round_trip_s >= SLOW_S or not self.is_available
+
+    @property
+    def wait_s(self) -> float:
+        """Return for how long to wait for a verdict or a return."""
+        wait_s = WAIT_ROUND_TRIPS * self.follower.appender.round_trip_s
+        return min(max(wait_s, MIN_WAIT_S), MAX_WAIT_S)
+
 
 class Shards:
     """Follows all ledger shards that the configuration states."""
--- a/src/dandelioncleat/app/stream.py
+++ b/src/dandelioncleat/app/stream.py
@@ -52,7 +52,7 @@
         self.state = StreamState(fold=fold, codec=codec)
         self._log = log
         self.outage = Outage()
-        self._appender: Appender[RecordT, VerdictT] = Appender(
+        self.appender: Appender[RecordT, VerdictT] = Appender(
             log=log,
             name=name,
             codec=codec,
@@ -73,11 +73,6 @@
         """Return the offset of the next entry to read."""
         return self.state.position
 
-    @property
-    def round_trip_s(self) -> float:
-        """Return the time that the last append took to be read back."""
-        return self._appender.round_trip_s
-
     @property
     def log_failing(self) -> bool:
         """Return whether the last call to the log failed."""
@@ -104,13 +99,13 @@
         ``FailureError`` if the records took effect in entries that the log
         dropped before this process read them.
         """
-        return await self._appender.submit(records)
+        return await self.appender.submit(records)
 
     async def run(self) -> None:
         """Read, append and publish checkpoints until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._read_forever())
-            group.create_task(self._appender.run())
+            group.create_task(self.appender.run())
             group.create_task(self._publisher.run())
 
     async def _read_forever(self) -> None:
@@ -130,7 +125,7 @@
         if checkpoint is None or checkpoint.position <= self.position:
             return
         self.state.restore(checkpoint)
-        self._appender.skip(self.state.marks)
+        self.appender.skip(self.state.marks)
         self._notify()
 
     async def _read_page(self) -> None:
@@ -161,7 +156,7 @@
 
     def _apply(self, entry: Entry) -> None:
         for applied in self.state.apply(entry):
-            self._appender.read_back(applied.envelope, applied.verdicts)
+            self.appender.read_back(applied.envelope, applied.verdicts)
 
     def _notify(self) -> None:
         for listener in self._listeners:
