--- a/src/dandelioncleat/app/active_run.py
+++ b/src/dandelioncleat/app/active_run.py
@@ -14,13 +14,20 @@
 class ActiveRun:
     """Lets any number of readers follow a run's answer as it grows."""
 
-    def __init__(self, run: Run, *, deadline_at: float) -> None:
-        """Take the run.
+    def __init__(
+        self,
+        run: Run,
+        *,
+        deadline_at: float,
+        traceparent: str = '',
+    ) -> None:
+        """Take the run and the trace context of its order.
 
         :param deadline_at: time of the event loop, in seconds
         """
         self.run = run
         self.deadline_at = deadline_at
+        self.traceparent = traceparent
         self.readers = 0
         self.delivered = False
         self.stop_reason = ''
--- a/src/dandelioncleat/app/executor.py
+++ b/src/dandelioncleat/app/executor.py
@@ -45,19 +45,19 @@
         traceparent: str = '',
     ) -> AsyncIterator[Message]:
         """Run an order, or join its run, and yield the answer."""
-        if self.book.runs.get(dispatch.run) is None:
-            failure = self._reason_against(dispatch)
-            if failure is not None:
-                # A repeat of the order must not run after this answer.
-                self.book.runs.mark_sealed(dispatch.run)
-                yield self._parts.refuse(failure)
-                return
-            self.scheduler.accept(dispatch)
         with self._parts.telemetry.span(
-            'sidecar.dispatch',
+            'sidecar',
             traceparent=traceparent,
             target=self._parts.place.target,
-        ):
+        ) as own_traceparent:
+            if self.book.runs.get(dispatch.run) is None:
+                failure = self._reason_against(dispatch)
+                if failure is not None:
+                    # A repeat of the order must not run after this answer.
+                    self.book.runs.mark_sealed(dispatch.run)
+                    yield self._parts.refuse(failure)
+                    return
+                self.scheduler.accept(dispatch, own_traceparent)
             answer = self.book.follow(dispatch.run, 0)
             async with aclosing(answer):  # type: ignore[type-var]
                 async for message in answer:
--- a/src/dandelioncleat/app/run_scheduler.py
+++ b/src/dandelioncleat/app/run_scheduler.py
@@ -57,11 +57,15 @@
             return False
         return len(self._queue) >= service.queue_limit
 
-    def accept(self, dispatch: Dispatch) -> ActiveRun:
+    def accept(self, dispatch: Dispatch, traceparent: str) -> ActiveRun:
         """Queue an order and start it if there is a slot."""
         loop = asyncio.get_running_loop()
         deadline_at = loop.time() + dispatch.deadline_ms / MS_PER_S
-        active = ActiveRun(Run(dispatch), deadline_at=deadline_at)
+        active = ActiveRun(
+            Run(dispatch),
+            deadline_at=deadline_at,
+            traceparent=traceparent,
+        )
         self.book.add(active)
         self._queue.push(active.run)
         timer = loop.call_at(deadline_at, self._pass_deadline, active)
@@ -125,8 +129,14 @@
         service = self._parts.service()
         if service is None:
             service = Service(self._parts.place.service, ServiceKind.MODEL)
+        started_at = asyncio.get_running_loop().time()
         try:
-            await self._runner.execute(active, service)
+            with self._parts.telemetry.span(
+                'target',
+                traceparent=active.traceparent,
+                target=self._parts.place.target,
+            ):
+                await self._runner.execute(active, service)
         except asyncio.CancelledError:
             if not active.stop_reason:
                 # The process ends; nothing may start any more.
@@ -134,6 +144,8 @@
                 raise
             bound = active.run.dispatch.prompt_bound
             give_up(active, service, prompt_tokens=bound)
+        took_s = asyncio.get_running_loop().time() - started_at
+        self._parts.telemetry.observe('sidecar.run_s', took_s)
         self._end(active)
 
     def _end(self, active: ActiveRun) -> None:
--- a/src/dandelioncleat/app/sidecar.py
+++ b/src/dandelioncleat/app/sidecar.py
@@ -107,6 +107,7 @@
         self._configuration = configuration
         self._fleet = fleet
         self._bills = bills
+        self._telemetry = ports.telemetry
         self._hosts = HostWatch(ports.host_list)
         self._tasks = TaskScope()
         self._hurry = asyncio.Event()
@@ -183,7 +184,7 @@
             case WatchLoad():
                 replies = self._load.watch()
             case _:
-                replies = self._reply(message)
+                replies = self._reply(message, context.traceparent)
         async with aclosing(replies):  # type: ignore[type-var]
             async for reply in replies:
                 yield reply
@@ -254,10 +255,20 @@
             msgspec.json.encode(details),
         )
 
-    async def _reply(self, message: Message) -> AsyncIterator[Message]:
+    async def _reply(
+        self,
+        message: Message,
+        traceparent: str,
+    ) -> AsyncIterator[Message]:
         match message:
-            case Attach() | Report() | NoteGuard():
-                yield await self._ask_home(message)
+            case Attach():
+                with self._telemetry.span('home', traceparent=traceparent):
+                    reply = await self._attach(message)
+                yield reply
+            case Report():
+                yield await self.homes.report(message)
+            case NoteGuard():
+                yield self.homes.notices.take(message)
             case SealRun():
                 yield self.executor.seal(message)
             case Cancel():
@@ -267,16 +278,10 @@
             case _:
                 yield self._refusal(Code.INVALID, 'not a call for a sidecar')
 
-    async def _ask_home(self, message: Attach | Report | NoteGuard) -> Message:
-        match message:
-            case NoteGuard():
-                return self.homes.notices.take(message)
-            case Report():
-                return await self.homes.report(message)
-            case Attach() if self.life.closed is Code.NOT_READY:
-                return self._refusal(Code.NOT_READY, 'not in the fleet yet')
-            case Attach():
-                return await self.homes.attach(message)
+    async def _attach(self, message: Attach) -> Message:
+        if self.life.closed is Code.NOT_READY:
+            return self._refusal(Code.NOT_READY, 'not in the fleet yet')
+        return await self.homes.attach(message)
 
     async def _serve(self) -> None:
         async with asyncio.TaskGroup() as group:
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -1,7 +1,7 @@
 """Tests of an executor: what it refuses, runs, cuts and bills."""
 
 import asyncio
-from contextlib import aclosing, asynccontextmanager
+from contextlib import aclosing, asynccontextmanager, nullcontext
 
 import msgspec
 from testtools import TestCase
@@ -39,12 +39,24 @@
 SETTLE_S = 0.2
 
 
+class SpanTelemetry(NullTelemetry):
+    """Names each span after its parent."""
+
+    def __init__(self) -> None:
+        self.spans: list[str] = []
+
+    def span(self, name, /, *, traceparent='', **attributes):
+        self.spans.append(f'{traceparent}/{name}')
+        return nullcontext(self.spans[-1])
+
+
 class Bench:
     """An executor with a target, a log and bills that a test looks at."""
 
     def __init__(self, service: str = 'llm', **settings) -> None:
         self.target = FakeTarget()
         self.bills = FakeBills()
+        self.telemetry = SpanTelemetry()
         self.log = MemoryLog()
         self.configuration = new_configuration(**settings)
         self.fleet = FleetKeeper(log=self.log, producer=SIDECAR)
@@ -57,7 +69,7 @@
             configuration=lambda: self.configuration,
             fleet=self.fleet,
             bills=self.bills,
-            telemetry=NullTelemetry(),
+            telemetry=self.telemetry,
             closed=lambda: self.closed,
             on_ended=self.ended.append,
         )
@@ -211,6 +223,19 @@
 
         on_bench(scenario)
 
+    def test_spans_of_sidecar_and_target_continue_the_trace(self) -> None:
+        async def scenario(bench: Bench) -> None:
+            order = new_dispatch()
+            task = bench.read(bench.executor.dispatch(order, 'router'))
+            bench.target.answer(run_id(), b'x')
+            await task
+            self.assertEqual(
+                ['router/sidecar', 'router/sidecar/target'],
+                bench.telemetry.spans,
+            )
+
+        on_bench(scenario)
+
     def test_repeated_order_joins_the_run(self) -> None:
         async def scenario(bench: Bench) -> None:
             first = await bench.dispatch()
