--- a/src/dandelioncleat/app/router.py
+++ b/src/dandelioncleat/app/router.py
@@ -63,6 +63,7 @@
     ) -> None:
         """Take the parts; ``new_router`` makes them."""
         self.life = RouterLife()
+        self.watch = parts.watch
         self.incarnation = parts.incarnation
         self._parts = parts
         self._hosts = hosts
