--- a/tests/builders/deployment.py
+++ b/tests/builders/deployment.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from aiohttp import ClientSession
-from dandelioncleat.daemons.sidecar import SidecarDaemon, new_sidecar_daemon
 
 from dandelioncleat.adapters.telemetry import new_telemetry
 from dandelioncleat.daemons.router import (
@@ -17,6 +16,7 @@
     new_router_daemon,
 )
 from dandelioncleat.daemons.settings import RouterSettings, SidecarSettings
+from dandelioncleat.daemons.sidecar import SidecarDaemon, new_sidecar_daemon
 from dandelioncleat.daemons.supervision import StopSignals, supervise
 from dandelioncleat.standin.engine import Engine, EngineSettings
 from dandelioncleat.standin.engine_http import new_engine_application
