Keep billed requests as digests

The ledger kept each billed request with its key and runs as objects, so a shard's memory of two hours was its largest part. It now keeps a digest of each in dictionaries by age, and forgets a period at once.

--- a/src/dandelioncleat/core/billed_runs.py
+++ b/src/dandelioncleat/core/billed_runs.py
@@ -1,12 +1,19 @@
-"""The runs that were billed, for as long as a repeat may arrive."""
+"""The runs that were billed, for as long as a repeat may arrive.
+
+Requests are kept as digests in a few dictionaries by age, because a busy
+shard bills a hundred thousand requests in the time for which it remembers.
+"""
 
-from collections import deque
 from enum import Enum
+from hashlib import blake2b
 from typing import NamedTuple
 
-from dandelioncleat.core.identity import RequestKey, RunId, request_key_of
+from dandelioncleat.core.identity import RunId
 
 KEY_MEMORY_S = 7200
+PERIOD_S = 900
+REQUEST_DIGEST_BYTES = 16
+RUN_DIGEST_BYTES = 8
 
 
 class Billing(Enum):
@@ -17,12 +24,11 @@
     SECOND_RUN = 'second_run'
 
 
-class BilledRequest(NamedTuple):
-    """The runs billed for a request; the bill of the first one stands."""
+class Period(NamedTuple):
+    """Requests first billed in one period; the values join run digests."""
 
-    billed_at: float
-    request: RequestKey
-    runs: list[RunId]
+    number: int
+    runs_by_request: dict[bytes, bytes]
 
 
 class BilledRuns:
@@ -30,43 +36,72 @@
 
     def __init__(self) -> None:
         """Start with no request."""
-        self._by_request: dict[RequestKey, BilledRequest] = {}
-        self._in_order: deque[BilledRequest] = deque()
+        self._periods: list[Period] = []
 
     def note(self, run: RunId, billed_at: float) -> Billing:
         """Remember a billed run and return what its bill is."""
         self._forget(billed_at - KEY_MEMORY_S)
-        request = request_key_of(run)
-        billed = self._by_request.get(request)
-        if billed is None:
-            self._keep(BilledRequest(billed_at, request, [run]))
+        request = _request_digest(run)
+        period = self._period_of(request)
+        if period is None:
+            newest = self._newest(int(billed_at // PERIOD_S))
+            newest.runs_by_request[request] = _run_digest(run)
             return Billing.FIRST
-        if run in billed.runs:
+        runs = period.runs_by_request[request]
+        if _has_run(runs, run):
             return Billing.REPEATED
-        billed.runs.append(run)
+        period.runs_by_request[request] = runs + _run_digest(run)
         return Billing.SECOND_RUN
 
     def knows(self, run: RunId) -> bool:
         """Return whether a bill of this run was read."""
-        billed = self._by_request.get(request_key_of(run))
-        return billed is not None and run in billed.runs
+        request = _request_digest(run)
+        period = self._period_of(request)
+        if period is None:
+            return False
+        return _has_run(period.runs_by_request[request], run)
 
-    def snapshot(self) -> list[BilledRequest]:
-        """Return the whole state, oldest request first."""
-        return list(self._in_order)
+    def snapshot(self) -> list[Period]:
+        """Return the whole state, oldest period first."""
+        return self._periods
 
-    def restore(self, requests: list[BilledRequest]) -> None:
+    def restore(self, periods: list[Period]) -> None:
         """Replace the state by that of a snapshot."""
-        self._by_request.clear()
-        self._in_order.clear()
-        for request in requests:
-            self._keep(request)
+        self._periods = periods
+
+    def _period_of(self, request: bytes) -> Period | None:
+        for period in reversed(self._periods):
+            if request in period.runs_by_request:
+                return period
+        return None
 
-    def _keep(self, billed: BilledRequest) -> None:
-        self._by_request[billed.request] = billed
-        self._in_order.append(billed)
+    def _newest(self, number: int) -> Period:
+        if not self._periods or self._periods[-1].number < number:
+            self._periods.append(Period(number, {}))
+        return self._periods[-1]
 
     def _forget(self, before: float) -> None:
-        while self._in_order and self._in_order[0].billed_at < before:
-            billed = self._in_order.popleft()
-            self._by_request.pop(billed.request)
+        while self._periods and _end_of(self._periods[0]) <= before:
+            self._periods.pop(0)
+
+
+def _end_of(period: Period) -> int:
+    return (period.number + 1) * PERIOD_S
+
+
+def _has_run(runs: bytes, run: RunId) -> bool:
+    digest = _run_digest(run)
+    starts = range(0, len(runs), RUN_DIGEST_BYTES)
+    return any(
+        runs[start : start + RUN_DIGEST_BYTES] == digest for start in starts
+    )
+
+
+def _request_digest(run: RunId) -> bytes:
+    name = f'{len(run.organisation)} {run.organisation} {run.key}'
+    return blake2b(name.encode(), digest_size=REQUEST_DIGEST_BYTES).digest()
+
+
+def _run_digest(run: RunId) -> bytes:
+    name = f'{run.attempt} {run.home}'
+    return blake2b(name.encode(), digest_size=RUN_DIGEST_BYTES).digest()
--- a/src/dandelioncleat/core/ledger.py
+++ b/src/dandelioncleat/core/ledger.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from dandelioncleat.core.account import Account, Accounts, Balance, OpenGrant
-from dandelioncleat.core.billed_runs import BilledRequest, BilledRuns, Billing
+from dandelioncleat.core.billed_runs import BilledRuns, Billing, Period
 from dandelioncleat.core.grant import spread
 from dandelioncleat.core.identity import (
     BudgetId,
@@ -47,7 +47,7 @@
     grants: dict[Incarnation, dict[int, OpenGrant]]
     highest: dict[Incarnation, int]
     completed: dict[Incarnation, float]
-    billed: list[BilledRequest]
+    billed: list[Period]
 
 
 class LedgerFold:
