Wait for a claim, but not for an owner that is silent

Cause: in a partition a non-idempotent call waited 8 s for an owner that could not answer, and one whose owner had just crashed was given up within a second.

--- a/src/dandelioncleat/app/home_finder.py
+++ b/src/dandelioncleat/app/home_finder.py
@@ -12,6 +12,7 @@
 from dandelioncleat.core.home import home_order
 from dandelioncleat.core.identity import Incarnation, RequestKey, RunId
 from dandelioncleat.core.message import (
+    AskStatus,
     Attach,
     Begin,
     Message,
@@ -29,6 +30,9 @@
 ATTACH_TIMEOUT_S = 0.5
 CLAIM_TIMEOUT_S = 8.0
 REPORT_TIMEOUT_S = 2.0
+QUIET_S = 1.0
+PROBE_TIMEOUT_S = 0.5
+SEARCH_SHARE = 0.5
 MAX_HOMES = 4
 TRANSIENT_CODES = frozenset((Code.NOT_READY, Code.LEAVING, Code.NOT_HOME))
 
@@ -86,12 +90,13 @@
             peer='',
             text='the service has no sidecar',
         )
+        give_up_at = _search_end(deadline)
         for attempt, home in enumerate(homes, start=1):
             try:
                 return await self._ask(home, message, deadline, traceparent)
             except FailureError as error:
                 failure = error
-            if asyncio.get_running_loop().time() > deadline:
+            if asyncio.get_running_loop().time() > give_up_at:
                 break
             if not request.idempotent:
                 await asyncio.sleep(backoff_s(attempt, self._random))
@@ -138,15 +143,17 @@
 
     def _owners(self, request: CallerRequest) -> Iterator[Incarnation]:
         slot = self._slot(request.service, request.request)
-        order = home_order(request.request, self.members(request.service))
-        for guess in order[:MAX_HOMES]:
-            owner = self._owners_by_slot.get(slot, guess)
-            yield owner
-            # The owner that was asked may have named another one.
-            named = self._owners_by_slot.get(slot)
-            if named is not None and named != owner:
-                yield named
-            self._owners_by_slot.pop(slot, None)
+        members = self.members(request.service)
+        while members:
+            for guess in home_order(request.request, members):
+                owner = self._owners_by_slot.get(slot, guess)
+                yield owner
+                # The owner that was asked may have named another one.
+                named = self._owners_by_slot.get(slot)
+                if named is not None and named != owner:
+                    yield named
+                self._owners_by_slot.pop(slot, None)
+            members = self.members(request.service)
 
     def _slot(self, service: str, request: RequestKey) -> tuple[str, int]:
         settings = self._configuration.current.services_by_name.get(service)
@@ -201,7 +208,7 @@
         traceparent: str,
     ) -> Message:
         try:
-            reply = await self._call(
+            reply = await self._call_while_alive(
                 home,
                 message,
                 timeout_s=timeout_s,
@@ -214,6 +221,30 @@
         self._reachability.note_answer(home)
         return reply
 
+    async def _call_while_alive(
+        self,
+        home: Incarnation,
+        message: Attach,
+        *,
+        timeout_s: float,
+        traceparent: str,
+    ) -> Message:
+        """Wait for a claim, but not for a home that has become silent."""
+        call = asyncio.ensure_future(
+            self._call(
+                home,
+                message,
+                timeout_s=timeout_s,
+                traceparent=traceparent,
+            ),
+        )
+        try:
+            while not await _is_done(call, QUIET_S):
+                await self._call(home, AskStatus(), timeout_s=PROBE_TIMEOUT_S)
+            return call.result()
+        finally:
+            call.cancel()
+
     async def _call(
         self,
         peer: Incarnation,
@@ -238,6 +269,16 @@
         )
 
 
+def _search_end(deadline: float) -> float:
+    now = asyncio.get_running_loop().time()
+    return now + SEARCH_SHARE * (deadline - now)
+
+
+async def _is_done(call: 'asyncio.Future[Message]', wait_s: float) -> bool:
+    done, _ = await asyncio.wait((call,), timeout=wait_s)
+    return bool(done)
+
+
 def _not_home(home: Incarnation) -> FailureError:
     return failure_error(
         Code.NOT_HOME,
--- a/tests/builders/router.py
+++ b/tests/builders/router.py
@@ -200,6 +200,7 @@
         self.refusals: deque[Refusal] = deque()
         self.mangle: Callable[[list[Message]], list[Message]] | None = None
         self.mute = False
+        self.attach_s = 0.0
         self.never_seals = False
         self.leaving = False
         self.ran: list[RequestKey] = []
@@ -230,6 +231,7 @@
                     yield self._load()
                     await self._change()
             case Attach():
+                await asyncio.sleep(self.attach_s)
                 yield self._attach(message)
             case Dispatch():
                 async for reply in self._dispatch(message):
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -262,6 +262,49 @@
         run(scenario())
 
 
+class OwnerTest(TestCase):
+    def test_slow_claim_is_waited_for(self) -> None:
+        async def scenario() -> None:
+            async with Bench() as bench:
+                for sidecar in bench.sidecars.values():
+                    sidecar.attach_s = 6
+                request = new_request(idempotent=False)
+                data, end = await collect(bench.router, request)
+                self.assertEqual(WHOLE, data)
+                self.assertEqual(1, len(bench.ran))
+
+        run(scenario())
+
+    def test_silent_owner_is_not_waited_for_until_the_deadline(self) -> None:
+        async def scenario() -> None:
+            loop = asyncio.get_running_loop()
+            async with Bench('t1') as bench:
+                request = new_request(idempotent=False, deadline_s=20)
+                bench.parted.add(bench.sidecars['t1'].address)
+                asked_at = loop.time()
+                _, end = await collect(bench.router, request)
+                self.assertEqual(Outcome.UNKNOWN, end.outcome)
+                self.assertLess(loop.time() - asked_at, 12)
+                self.assertEqual([], bench.ran)
+
+        run(scenario())
+
+    def test_owner_that_comes_back_in_time_serves(self) -> None:
+        async def scenario() -> None:
+            async with Bench('t1', 't2') as bench:
+                for sidecar in bench.sidecars.values():
+                    bench.parted.add(sidecar.address)
+                request = new_request(idempotent=False, deadline_s=20)
+                answer = asyncio.create_task(collect(bench.router, request))
+                await asyncio.sleep(3)
+                bench.parted.clear()
+                data, _ = await answer
+                self.assertEqual(WHOLE, data)
+                self.assertEqual(1, len(bench.ran))
+
+        run(scenario())
+
+
 class RefusalTest(TestCase):
     def test_refused_run_goes_to_another_target(self) -> None:
         async def scenario() -> None:
