Settle a given-up reservation when its run's bill is read

A run whose end a router did not learn kept its worst case charged until the router ended, although the executor's bill says what it consumed. The bill now settles it, also one that was read before the router gave up. One router appends an initial budget instead of all; routers are counted once for each change of the fleet instead of for each reservation; a settled reservation no longer looks at every retirement.

--- a/src/dandelioncleat/app/_purses.py
+++ b/src/dandelioncleat/app/_purses.py
@@ -8,10 +8,11 @@
 from dandelioncleat.app._refill import Refiller
 from dandelioncleat.app._shards import Shards
 from dandelioncleat.app._task_scope import TaskScope
+from dandelioncleat.app._turns import Turns
 from dandelioncleat.app.fleet import FleetKeeper
 from dandelioncleat.core.configuration import Configuration
 from dandelioncleat.core.grant_policy import renews, surplus, transfers
-from dandelioncleat.core.identity import BudgetId, Incarnation
+from dandelioncleat.core.identity import BudgetId, Draw, Incarnation
 from dandelioncleat.core.ledger_verdict import Denied, LedgerVerdict
 from dandelioncleat.core.record import LedgerRecord, RequestGrant, TopUp
 
@@ -36,16 +37,17 @@
     ) -> None:
         """Take the router's name and where tokens come from."""
         self.by_budget: dict[BudgetId, Purse] = {}
-        self._incarnation = incarnation
         self._configuration = configuration
         self._shards = shards
         self._fleet = fleet
         self._refiller = refiller
         self._requester = requester
         self._scope = scope
+        self._turns = Turns(fleet.fold, incarnation)
+        self._dropped = 0
         shards.on_record(self._note_record)
         shards.on_change(self._wake)
-        fleet.on_change(self.drop_retired)
+        fleet.on_change(self._drop_retired)
 
     def of(self, budget: BudgetId) -> Purse:
         """Return the purse of a budget; make it if there is none."""
@@ -86,7 +88,10 @@
             budget = BudgetId(name)
             shard = self._shards.of(budget)
             is_known = shard.fold.has_reference(budget, INITIAL_REFERENCE)
-            if organisation.budget and shard.is_available and not is_known:
+            if is_known or not (organisation.budget and shard.is_available):
+                continue
+            if self._turns.is_mine(name):
+                self._turns.end(name)
                 top_up = TopUp(budget, organisation.budget, INITIAL_REFERENCE)
                 self._scope.spawn(shard.follower.submit(top_up))
 
@@ -106,11 +111,19 @@
                     self._requester.give_back(purse, purse.wallet.spendable),
                 )
 
-    def drop_retired(self) -> None:
-        """Drop the tokens of retired holders, which sidecars refuse."""
-        for holder in self._fleet.fold.retired_by_holder:
+    def drop_fenced(self, purse: Purse, draws: tuple[Draw, ...]) -> None:
+        """Drop draws that came back after their holder was retired."""
+        for draw in draws:
+            if self._fleet.fold.is_retired(draw.grant.holder):
+                purse.wallet.drop_holder(draw.grant.holder)
+
+    def _drop_retired(self) -> None:
+        # Retirements are kept in log order, so that the new ones are last.
+        retired = self._fleet.fold.retired_by_holder
+        for holder in tuple(retired)[self._dropped :]:
             for purse in self.by_budget.values():
                 purse.wallet.drop_holder(holder)
+        self._dropped = len(retired)
 
     def _wake(self) -> None:
         for purse in self.by_budget.values():
--- a/src/dandelioncleat/app/_refill.py
+++ b/src/dandelioncleat/app/_refill.py
@@ -40,6 +40,8 @@
         self._configuration = configuration
         self._shards = shards
         self._fleet = fleet
+        self._routers = 0
+        fleet.on_change(self._count_routers)
         self._requester = requester
         self._seeker = seeker
         self._scope = scope
@@ -61,9 +63,12 @@
             idle_s=now - purse.used_at,
             left=balance.left,
             topped_up=balance.topped_up,
-            routers=len(self._fleet.fold.live(ROUTER)),
+            routers=self._routers,
         )
 
+    def _count_routers(self) -> None:
+        self._routers = len(self._fleet.fold.live(ROUTER))
+
     async def fill(self, purse: Purse) -> None:
         """Get tokens until no request waits, or refuse those that wait."""
         if self._shards.of(purse.budget).is_slow:
--- a/src/dandelioncleat/app/_task_scope.py
+++ b/src/dandelioncleat/app/_task_scope.py
@@ -24,6 +24,10 @@
         """Start tasks in ``group`` from now on."""
         self._group = group
 
+    def close(self) -> None:
+        """Start no more tasks."""
+        self._group = None
+
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[None]:
         """Start a task; a ``FailureError`` ends only the task."""
         if self._group is None:
--- a/src/dandelioncleat/app/budgets.py
+++ b/src/dandelioncleat/app/budgets.py
@@ -12,12 +12,13 @@
 from dandelioncleat.app._second_source import SecondSource
 from dandelioncleat.app._shards import Shards
 from dandelioncleat.app._task_scope import TaskScope
+from dandelioncleat.app._unsettled import Reservation, Unsettled
 from dandelioncleat.app.fleet import FleetKeeper
 from dandelioncleat.core.account import Balance
 from dandelioncleat.core.configuration import Configuration
 from dandelioncleat.core.failure import Code, failure_error
 from dandelioncleat.core.grant_policy import spare_part
-from dandelioncleat.core.identity import BudgetId, Draw, Incarnation
+from dandelioncleat.core.identity import BudgetId, Draw, Incarnation, RunId
 from dandelioncleat.core.message import AskPart, Part, Refusal
 from dandelioncleat.core.record import Bill
 from dandelioncleat.ports.log import Log
@@ -80,6 +81,8 @@
             requester=requester,
             scope=self._scope,
         )
+        self._unsettled = Unsettled(self.settle)
+        self.shards.on_record(self._unsettled.note_record)
         self._bills = SecondSource(
             log=log,
             incarnation=incarnation,
@@ -128,13 +131,26 @@
         now = asyncio.get_running_loop().time()
         purse = self._purses.of(budget)
         purse.settle(draws, tokens, now)
-        self._purses.drop_retired()
+        self._purses.drop_fenced(purse, draws)
         self._purses.share(purse)
 
-    def forfeit(self, budget: BudgetId, draws: tuple[Draw, ...]) -> None:
-        """End a reservation whose spending is unknown; it stays charged."""
-        now = asyncio.get_running_loop().time()
-        self._purses.of(budget).forfeit(draws, now)
+    def forfeit(
+        self,
+        budget: BudgetId,
+        draws: tuple[Draw, ...],
+        *,
+        run: RunId | None = None,
+    ) -> None:
+        """End a reservation whose spending is unknown; it stays charged.
+
+        :param run: the run, whose bill settles the reservation if it is
+            read later
+        """
+        if run is None:
+            now = asyncio.get_running_loop().time()
+            self._purses.of(budget).forfeit(draws, now)
+        else:
+            self._unsettled.keep(run, Reservation(budget, draws))
 
     async def bill(self, bill: Bill) -> None:
         """Queue a bill of a run that this router streamed.
@@ -168,23 +184,32 @@
     def balances(self) -> dict[BudgetId, BudgetState]:
         """Return the state of every budget in the ledger, by budget."""
         return {
-            budget: self._state(budget, account.balance)
+            budget: _state_of(
+                self._purses.by_budget.get(budget),
+                account.balance,
+            )
             for shard in self.shards.by_number.values()
             for budget, account in shard.fold.accounts.by_budget.items()
         }
 
     async def run(self) -> None:
         """Follow the ledger and keep the grants until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            self._scope.open(group)
-            group.create_task(self._bills.sender.run())
-            while True:
-                self.shards.start(group)
-                self._bills.send_due()
-                if not self.is_fenced:
-                    self._purses.add_initial_budgets()
-                    self._purses.return_surplus()
-                await asyncio.sleep(TICK_S)
+        try:
+            async with asyncio.TaskGroup() as group:
+                self._scope.open(group)
+                group.create_task(self._bills.sender.run())
+                await self._tick_forever(group)
+        finally:
+            self._scope.close()
+
+    async def _tick_forever(self, group: asyncio.TaskGroup) -> None:
+        while True:
+            self.shards.start(group)
+            self._bills.send_due()
+            if not self.is_fenced:
+                self._purses.add_initial_budgets()
+                self._purses.return_surplus()
+            await asyncio.sleep(TICK_S)
 
     async def _wait(
         self,
@@ -220,9 +245,8 @@
                 text='the budgets are not followed yet',
             )
 
-    def _state(self, budget: BudgetId, balance: Balance) -> BudgetState:
-        purse = self._purses.by_budget.get(budget)
-        if purse is None:
-            return BudgetState(balance, 0, 0)
-        wallet = purse.wallet
-        return BudgetState(balance, wallet.spendable, wallet.reserved)
+
+def _state_of(purse: Purse | None, balance: Balance) -> BudgetState:
+    if purse is None:
+        return BudgetState(balance, 0, 0)
+    return BudgetState(balance, purse.wallet.spendable, purse.wallet.reserved)
--- a/src/dandelioncleat/app/retirement.py
+++ b/src/dandelioncleat/app/retirement.py
@@ -9,9 +9,9 @@
 from typing import NamedTuple
 
 import structlog
-import xxhash
 
 from dandelioncleat.app._shards import Shard, Shards
+from dandelioncleat.app._turns import Turns
 from dandelioncleat.app.fleet import FleetKeeper
 from dandelioncleat.core.account import OpenGrant
 from dandelioncleat.core.dead_holder import (
@@ -21,7 +21,7 @@
     dead_holders,
 )
 from dandelioncleat.core.failure import FailureError
-from dandelioncleat.core.fleet import ROUTER, FleetFold
+from dandelioncleat.core.fleet import ROUTER
 from dandelioncleat.core.identity import BudgetId, Incarnation, host_of
 from dandelioncleat.core.record import (
     CompleteRetirement,
@@ -31,7 +31,6 @@
 from dandelioncleat.ports.host_list import HostList
 
 WATCH_INTERVAL_S = 2.0
-RANK_DELAY_S = 4.0
 
 _log = structlog.get_logger()
 
@@ -64,8 +63,8 @@
         self._shards = shards
         self._host_watch = HostWatch()
         self._end_watch = EndWatch()
-        self._retire_turns = _Turns(fleet.fold, incarnation)
-        self._complete_turns = _Turns(fleet.fold, incarnation)
+        self._retire_turns = Turns(fleet.fold, incarnation)
+        self._complete_turns = Turns(fleet.fold, incarnation)
 
     def stranded(self) -> tuple[Stranded, ...]:
         """Return what an operator may have to release."""
@@ -149,30 +148,5 @@
         )
 
 
-class _Turns:
-    """Gives the routers turns, in an order that differs for each holder."""
-
-    def __init__(self, fleet: FleetFold, incarnation: Incarnation) -> None:
-        self._fleet = fleet
-        self._incarnation = incarnation
-        self._since_by_holder: dict[Incarnation, float] = {}
-
-    def is_mine(self, holder: Incarnation) -> bool:
-        """Return whether the routers before this one had their time."""
-        since = self._since_by_holder.setdefault(holder, _now())
-        return _now() - since >= self._rank(holder) * RANK_DELAY_S
-
-    def _rank(self, holder: Incarnation) -> int:
-        own = _weight(holder, self._incarnation)
-        return sum(
-            _weight(holder, member.join.incarnation) < own
-            for member in self._fleet.live(ROUTER)
-        )
-
-
-def _weight(holder: Incarnation, router: Incarnation) -> int:
-    return xxhash.xxh64_intdigest(f'{holder} {router}'.encode())
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/dandelioncleat/app/settlement.py
+++ b/src/dandelioncleat/app/settlement.py
@@ -92,7 +92,11 @@
             self._budgets.settle(holding.budget, holding.draws, 0)
         else:
             self._telemetry.count('router.forfeited_runs')
-            self._budgets.forfeit(holding.budget, holding.draws)
+            self._budgets.forfeit(
+                holding.budget,
+                holding.draws,
+                run=holding.permit.run,
+            )
 
     async def _never_runs(
         self,
--- a/tests/builders/router.py
+++ b/tests/builders/router.py
@@ -26,6 +26,7 @@
     GrantId,
     Incarnation,
     RequestKey,
+    RunId,
 )
 from dandelioncleat.core.message import (
     Accepted,
@@ -169,7 +170,13 @@
         self.spent += tokens
         self.left += held - tokens
 
-    def forfeit(self, budget: BudgetId, draws: tuple[Draw, ...]) -> None:
+    def forfeit(
+        self,
+        budget: BudgetId,
+        draws: tuple[Draw, ...],
+        *,
+        run: RunId | None = None,
+    ) -> None:
         held = sum(draw.tokens for draw in draws)
         self.reserved -= held
         self.forfeited += held
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -257,6 +257,26 @@
 
         self.run_routers(scenario, log=log)
 
+    def test_a_bill_settles_a_reservation_that_was_given_up(self) -> None:
+        async def scenario(routers: list[BudgetRouter]) -> None:
+            budgets = routers[0].budgets
+            follower = routers[1].budgets.shards.of(BUDGET).follower
+            for key, is_billed_before in (('one', True), ('two', False)):
+                draws = await budgets.reserve(BUDGET, 50, timeout_s=5)
+                held = budgets.balances()[BUDGET].spendable
+                bill = with_draws(bill_of(key, 20), draws)
+                if is_billed_before:
+                    await follower.submit(bill)
+                budgets.forfeit(BUDGET, draws, run=bill.run)
+                if not is_billed_before:
+                    await follower.submit(bill)
+                await asyncio.sleep(0.5)
+                state = budgets.balances()[BUDGET]
+                self.assertThat(state.spendable, Equals(held + 30))
+                self.assertThat(state.reserved, Equals(0))
+
+        self.run_routers(scenario, grant_policy='fixed', grant_tokens=200)
+
     def test_spent_budgets_are_refused_without_a_record(self) -> None:
         log = MemoryLog()
         spender = Spender()
