--- a/src/dandelioncleat/core/placement.py
+++ b/src/dandelioncleat/core/placement.py
@@ -15,6 +15,7 @@
 DEFAULT_POLICY = 'two_choices'
 PREFIX_WEIGHT = 0.3
 PREFIX_AGE_S = 30.0
+DISTANCE_WEIGHT = 0.25
 
 
 class Candidate(NamedTuple):
@@ -116,7 +117,8 @@
     situation: Situation,
 ) -> Candidate:
     """Take the targets in turn, whatever their load."""
-    return candidates[situation.turn % len(candidates)]
+    near = _nearest(candidates, situation)
+    return near[situation.turn % len(near)]
 
 
 def least_reported_load(
@@ -124,7 +126,7 @@
     situation: Situation,
 ) -> Candidate:
     """Take the target with the least load by its report, however old."""
-    return min(candidates, key=reported_load)
+    return min(_nearest(candidates, situation), key=reported_load)
 
 
 POLICIES_BY_NAME: dict[str, Policy] = {
@@ -140,20 +142,15 @@
     candidates: Sequence[Candidate],
     situation: Situation,
 ) -> Result[Candidate, Failure]:
-    """Choose a target with a free slot, in the own data centre if one has.
+    """Choose a target with a free slot.
 
     :param policy: name of a policy; an unknown one means the default
     """
     free = [candidate for candidate in candidates if has_room(candidate)]
     if not free:
         return Failed(no_capacity('no target has a free slot'))
-    own = [
-        candidate
-        for candidate in free
-        if candidate.data_centre == situation.data_centre
-    ]
     chosen = POLICIES_BY_NAME.get(policy, two_choices)
-    return Success(chosen(own or free, situation))
+    return Success(chosen(free, situation))
 
 
 def no_capacity(text: str) -> Failure:
@@ -182,13 +179,25 @@
     ).digest()
 
 
+def score(
+    candidate: Candidate,
+    *,
+    situation: Situation,
+    load: Callable[[Candidate], float],
+) -> float:
+    """Return a target's load, corrected for its prefixes and its distance."""
+    bonus = PREFIX_WEIGHT * affinity(candidate, situation.prefixes)
+    is_own = candidate.data_centre == situation.data_centre
+    distance = 0 if is_own else DISTANCE_WEIGHT
+    return load(candidate) + distance - bonus
+
+
 def _better_of_few(
     candidates: Sequence[Candidate],
     situation: Situation,
     load: Callable[[Candidate], float],
 ) -> Candidate:
-    count = min(2, len(candidates))
-    few = situation.random.sample(candidates, count)
+    few = _sample(candidates, situation)
     if situation.prefixes:
         few.append(
             max(
@@ -197,14 +206,35 @@
             )
         )
 
-    return min(few, key=partial(_score, situation=situation, load=load))
+    return min(few, key=partial(score, situation=situation, load=load))
 
 
-def _score(
-    candidate: Candidate,
-    *,
+def _nearest(
+    candidates: Sequence[Candidate],
     situation: Situation,
-    load: Callable[[Candidate], float],
-) -> float:
-    bonus = PREFIX_WEIGHT * affinity(candidate, situation.prefixes)
-    return load(candidate) - bonus
+) -> Sequence[Candidate]:
+    """Return the targets of the own data centre, all if it has none."""
+    own = [
+        candidate
+        for candidate in candidates
+        if candidate.data_centre == situation.data_centre
+    ]
+    return own or candidates
+
+
+def _sample(
+    candidates: Sequence[Candidate],
+    situation: Situation,
+) -> list[Candidate]:
+    """Return two random targets of the own data centre and two others."""
+    own: list[Candidate] = []
+    others: list[Candidate] = []
+    for candidate in candidates:
+        is_own = candidate.data_centre == situation.data_centre
+        group = own if is_own else others
+        group.append(candidate)
+    few: list[Candidate] = []
+    for group in (own, others):
+        count = min(2, len(group))
+        few.extend(situation.random.sample(group, count))
+    return few
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -161,6 +161,18 @@
             measured = measure_all(build.facts(receipts=(honest,)))
             self.assertThat(measured['false_refusals'], Equals(0))
 
+    def test_a_lost_run_beside_a_billed_one_is_unreconciled(self) -> None:
+        lost = build.ran(tokens=30)._replace(target='t2', ended_at=1.6)
+        found = build.facts(
+            runs=(lost, build.ran()),
+            lost_sidecars=(Span('t2', 1.5, 9),),
+        )
+        measured = measure_all(found)
+        self.assertThat(measured['unreconciled_requests'], Equals(1))
+        self.assertThat(measured['bill_error_tokens'], Equals(0))
+        kept = found._replace(lost_sidecars=())
+        self.assertThat(measure_all(kept)['bill_error_tokens'], Equals(30))
+
     def test_an_absent_process_is_not_waited_for(self) -> None:
         away = build.facts(
             accepted_at_by_version={2: 1},
