--- a/src/dandelioncleat/standin/memory_target.py
+++ b/src/dandelioncleat/standin/memory_target.py
@@ -60,6 +60,8 @@
 
     async def count_tokens(self, call: TargetCall) -> int | None:
         """Count a prompt's tokens; ``None`` for a body without a prompt."""
+        if self.engine.down:
+            return None
         try:
             return new_prompt(call.body).tokens
         except msgspec.MsgspecError:
--- a/src/dandelioncleat/standin/server.py
+++ b/src/dandelioncleat/standin/server.py
@@ -7,6 +7,7 @@
 
 from dandelioncleat.standin._signal import Signal
 
+SHUTDOWN_S = 0.1
 LOOPBACK = '127.0.0.1'
 
 
@@ -31,7 +32,7 @@
     ) -> None:
         """Take the application, and what makes it unreachable."""
         self.url = ''
-        self._runner = web.AppRunner(application, shutdown_timeout=0)
+        self._runner = web.AppRunner(application, shutdown_timeout=SHUTDOWN_S)
         self._crashable = crashable
         self._watch: asyncio.Task[None] | None = None
         self._address = (LOOPBACK, 0)
