--- a/src/dandelioncleat/app/_purses.py
+++ b/src/dandelioncleat/app/_purses.py
@@ -5,7 +5,7 @@
 
 from dandelioncleat.app._grant_requester import GrantRequester
 from dandelioncleat.app._purse import Purse
-from dandelioncleat.app._refill import Refiller
+from dandelioncleat.app._refill import INITIAL_REFERENCE, Refiller
 from dandelioncleat.app._shards import Shards
 from dandelioncleat.app._task_scope import TaskScope
 from dandelioncleat.app._turns import Turns
@@ -18,7 +18,6 @@
 
 RENEW_INTERVAL_S = 1.0
 SHARE_S = 3.0
-INITIAL_REFERENCE = 'initial'
 
 
 class Purses:
--- a/src/dandelioncleat/app/_refill.py
+++ b/src/dandelioncleat/app/_refill.py
@@ -20,7 +20,9 @@
     new_grant_policy,
     transfers,
 )
-from dandelioncleat.core.identity import Draw
+from dandelioncleat.core.identity import BudgetId, Draw
+
+INITIAL_REFERENCE = 'initial'
 
 
 class Refiller:
@@ -143,8 +145,19 @@
         balance = shard.fold.balance(purse.budget)
         unspent = balance.left + balance.outstanding
         wanted = purse.least + purse.wallet.spendable
+        if self._awaits_opening(purse.budget):
+            return False
         return shard.is_available and unspent < wanted
 
+    def _awaits_opening(self, budget: BudgetId) -> bool:
+        # A new organisation's prepaid tokens reach the ledger a moment after
+        # the configuration that names them.
+        organisation = self._configuration().organisations_by_name.get(budget)
+        if organisation is None or not organisation.budget:
+            return False
+        fold = self._shards.of(budget).fold
+        return not fold.has_reference(budget, INITIAL_REFERENCE)
+
     def _refusal(self, purse: Purse) -> FailureError:
         if self._log_answers(purse):
             left = self.demand(purse).left
--- a/src/dandelioncleat/app/budgets.py
+++ b/src/dandelioncleat/app/budgets.py
@@ -12,6 +12,7 @@
 from dandelioncleat.app._second_source import SecondSource
 from dandelioncleat.app._shards import Shards
 from dandelioncleat.app._task_scope import TaskScope
+from dandelioncleat.app._ticker import Ticker
 from dandelioncleat.app._unsettled import Reservation, Unsettled
 from dandelioncleat.app.fleet import FleetKeeper
 from dandelioncleat.core.account import Balance
@@ -25,6 +26,7 @@
 from dandelioncleat.ports.peer import Peers
 
 TICK_S = 1.0
+START_TICK_S = 0.05
 
 
 class BudgetState(NamedTuple):
@@ -36,7 +38,10 @@
 
 
 class Budgets:
-    """Holds grants of budgets and spends from them."""
+    """Holds grants of budgets and spends from them.
+
+    ``ticker`` is nudged when the configuration changes.
+    """
 
     def __init__(
         self,
@@ -51,6 +56,7 @@
         self._incarnation = incarnation
         self._fleet = fleet
         self._scope = TaskScope()
+        self.ticker = Ticker()
         self.shards = Shards(
             log=log,
             producer=incarnation,
@@ -209,7 +215,8 @@
             if not self.is_fenced:
                 self._purses.add_initial_budgets()
                 self._purses.return_surplus()
-            await asyncio.sleep(TICK_S)
+            pause_s = TICK_S if self.caught_up else START_TICK_S
+            await self.ticker.wait(pause_s)
 
     async def _wait(
         self,
--- a/src/dandelioncleat/daemons/router_process.py
+++ b/src/dandelioncleat/daemons/router_process.py
@@ -63,6 +63,7 @@
         fleet=shared.fleet,
         peers=shared.peers,
     )
+    configuration.on_change(budgets.ticker.nudge)
     router = new_router(
         join=join,
         host_list=host_list,
