Cut a daemon off at once, as a power loss does

The demonstration and tests kill processes that share their event loop. What still runs in a process whose sessions are closed gets a failure with step and peer instead of a RuntimeError.

--- a/src/dandelioncleat/adapters/_http_call.py
+++ b/src/dandelioncleat/adapters/_http_call.py
@@ -62,6 +62,8 @@
 ) -> Reply:
     """Make a call and read its whole answer."""
     timeout = aiohttp.ClientTimeout(total=timeout_s)
+    if session.closed:
+        raise origin.failure(OSError('this process has closed'))
     try:
         async with session.request(
             method, url, timeout=timeout, **options
--- a/src/dandelioncleat/adapters/websocket_peers.py
+++ b/src/dandelioncleat/adapters/websocket_peers.py
@@ -83,6 +83,11 @@
         if self._session is not None:
             await self._session.close()
 
+    async def abort(self) -> None:
+        """Cut every connection without a word to its other end."""
+        if self._session is not None:
+            await self._session.close()
+
     async def _first_reply(
         self,
         address: str,
@@ -107,6 +112,8 @@
     async def _connect(self, address: str) -> PeerConnection:
         if self._session is None:
             self._session = aiohttp.ClientSession(headers=self._headers)
+        if self._session.closed:
+            raise unreachable('connect', address, 'this process has closed')
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 socket = await self._session.ws_connect(
--- a/src/dandelioncleat/daemons/http_server.py
+++ b/src/dandelioncleat/daemons/http_server.py
@@ -52,3 +52,11 @@
         if self._runner is not None:
             await self._runner.cleanup()
         self._socket.close()
+
+    def abort(self) -> None:
+        """Cut every connection at once, as a power loss does."""
+        if self._runner is None or self._runner.server is None:
+            return
+        for connection in self._runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
--- a/src/dandelioncleat/daemons/router.py
+++ b/src/dandelioncleat/daemons/router.py
@@ -86,6 +86,13 @@
         await self.process.shared.peers.close()
         await self._session.close()
 
+    async def abort(self) -> None:
+        """Cut every connection at once, as a power loss does."""
+        await self._session.close()
+        await self.process.shared.peers.abort()
+        self.peers.abort()
+        self.callers.abort()
+
     def _caller_application(self) -> web.Application:
         configuration = self.process.shared.configuration
         backend = CallerBackend(
