Demonstrate both workloads with faults in one process

dandelioncleat demo deploys two data centres by one patch, over real sockets on loopback: ordinary work, a router killed under a stream, a drained target, racing patches, an outage of the log, a budget run to its end and a planned stop. Facts come from the stand-ins, the log and the answers received; a broken promise makes the exit code 1.

--- a/src/dandelioncleat/__main__.py
+++ b/src/dandelioncleat/__main__.py
@@ -9,6 +9,7 @@
     settings_command,
     sidecar_command,
 )
+from dandelioncleat.demo import command as demo_command
 from dandelioncleat.operator import command as operator_command
 from dandelioncleat.replay import commands as replay_commands
 from dandelioncleat.standin import commands as standin_commands
@@ -24,6 +25,7 @@
     router_command.add_parser(subparsers)
     sidecar_command.add_parser(subparsers)
     settings_command.add_parser(subparsers)
+    demo_command.add_parser(subparsers)
     standin_commands.add_parser(subparsers)
     operator_command.add_parser(subparsers)
     replay_commands.add_parser(subparsers)
--- a/src/dandelioncleat/daemons/sidecar.py
+++ b/src/dandelioncleat/daemons/sidecar.py
@@ -75,6 +75,12 @@
         await self.shared.peers.close()
         await self._session.close()
 
+    async def abort(self) -> None:
+        """Cut every connection at once, as a power loss does."""
+        await self._session.close()
+        await self.shared.peers.abort()
+        self.peers.abort()
+
     def _application(self) -> web.Application:
         handler = RelayHandler(self.shared.relay, self.sidecar)
         application = self.shared.peer_application(handler)
--- /dev/null
+++ b/src/dandelioncleat/demo/account.py
@@ -0,0 +1,166 @@
+"""The demonstration's own account, read off the stand-ins and the log."""
+
+from collections import Counter
+from typing import NamedTuple
+
+from dandelioncleat.core.deduplication import SequenceMarks
+from dandelioncleat.core.envelope import ledger_codec
+from dandelioncleat.core.identity import (
+    Incarnation,
+    RequestKey,
+    RunId,
+    organisation_of,
+    request_key_of,
+)
+from dandelioncleat.core.ledger import LedgerFold
+from dandelioncleat.core.ledger_verdict import (
+    Billed,
+    Freed,
+    Granted,
+)
+from dandelioncleat.core.record import (
+    Bill,
+    CompleteRetirement,
+    LedgerRecord,
+    RequestGrant,
+)
+from dandelioncleat.core.shard import ledger_stream
+from dandelioncleat.demo.cast import PRICE_BY_SERVICE
+from dandelioncleat.standin.engine import Engine
+from dandelioncleat.standin.log import MemoryLog
+from dandelioncleat.standin.service import PlainService
+
+SHARD = 0
+
+
+class Consumption(NamedTuple):
+    """What one request consumed at all targets, and how often it ran."""
+
+    tokens: int
+    runs: int
+    repeatable: bool
+
+
+class LedgerAccount(NamedTuple):
+    """What the ledger's stream in the log says."""
+
+    granted_by_organisation: Counter[str]
+    held_by_organisation: Counter[str]
+    bills_by_request: dict[RequestKey, int]
+    freed_by_holder: Counter[Incarnation]
+
+
+class OrganisationAccount(NamedTuple):
+    """One line of the closing table, in tokens but for the last two."""
+
+    organisation: str
+    budget: int
+    granted: int
+    spent: int
+    left: int
+    stranded: int
+    overspend: int
+    false_refusals: int
+    double_runs: int
+
+
+class Targets(NamedTuple):
+    """The stand-ins of all targets, and the service of each."""
+
+    engines_by_name: dict[str, Engine]
+    plains_by_name: dict[str, PlainService]
+    service_by_target: dict[str, str]
+
+
+def consumption_of(targets: Targets) -> dict[RequestKey, Consumption]:
+    """Add up what every request consumed."""
+    consumed: dict[RequestKey, Consumption] = {}
+    for engine in targets.engines_by_name.values():
+        for run in engine.runs:
+            if run.started:
+                _add(consumed, _caller_key(run.run), run.tokens, True)
+    for name, plain in targets.plains_by_name.items():
+        price = PRICE_BY_SERVICE[targets.service_by_target[name]]
+        for call in plain.runs:
+            if call.took_effect:
+                key = _caller_key(call.run)
+                _add(consumed, key, price, call.repeatable)
+    return consumed
+
+
+def running_bound(targets: Targets, organisation: str) -> int:
+    """Return the most that an organisation's running requests may add."""
+    models = sum(
+        run.memory - run.tokens
+        for engine in targets.engines_by_name.values()
+        for run in engine.runs
+        if not run.ended and run.run.organisation == organisation
+    )
+    calls = sum(
+        PRICE_BY_SERVICE[targets.service_by_target[name]]
+        for name, plain in targets.plains_by_name.items()
+        for call in plain.runs
+        if call.ended_at < 0 and call.run.organisation == organisation
+    )
+    return models + calls
+
+
+async def read_ledger(log: MemoryLog) -> LedgerAccount:
+    """Read the ledger's stream from its start."""
+    fold = LedgerFold()
+    marks = SequenceMarks()
+    codec = ledger_codec()
+    account = LedgerAccount(Counter(), Counter(), {}, Counter())
+    page = await log.read(ledger_stream(SHARD), start=0, limit=1_000_000)
+    for entry in page.entries:
+        for envelope in codec.decode(entry.data):
+            if not marks.admit(envelope.producer, envelope.sequence):
+                continue
+            for record in envelope.records:
+                verdict = fold.apply(
+                    entry.offset,
+                    entry.appended_at,
+                    envelope.producer,
+                    record,
+                )
+                _note(account, record, verdict)
+    _note_held(account, fold)
+    return account
+
+
+def _note(
+    account: LedgerAccount, record: LedgerRecord, verdict: object
+) -> None:
+    match record, verdict:
+        case RequestGrant(budget=budget), Granted(tokens=tokens):
+            organisation = organisation_of(budget)
+            account.granted_by_organisation[organisation] += tokens
+        case CompleteRetirement(holder=holder), Freed(tokens=tokens):
+            account.freed_by_holder[holder] += tokens
+        case Bill(run=run), Billed(tokens=tokens):
+            account.bills_by_request[_caller_key(run)] = tokens
+
+
+def _caller_key(run: RunId) -> RequestKey:
+    # Routers put the service before the key that the caller gave.
+    key = request_key_of(run)
+    return key._replace(key=key.key.rpartition('/')[2])
+
+
+def _note_held(account: LedgerAccount, fold: LedgerFold) -> None:
+    for grants in fold.accounts.grants_by_holder.values():
+        for grant in grants.values():
+            organisation = organisation_of(grant.budget)
+            account.held_by_organisation[organisation] += grant.tokens
+
+
+def _add(
+    consumed: dict[RequestKey, Consumption],
+    key: RequestKey,
+    tokens: int,
+    repeatable: bool,
+) -> None:
+    before = consumed.get(key, Consumption(0, 0, repeatable))
+    consumed[key] = Consumption(
+        before.tokens + tokens, before.runs + 1, repeatable
+    )
