Take the slots of a plain service as soon as it is configured

A sidecar looked for its service and for free slots once a second, so that posts were refused for the first one to two seconds of a new service: the test of two routers met it once the ledger was read sooner. It looks at each change of its state and of the configuration now; the first post of that test is answered at once.

--- a/src/dandelioncleat/app/homes.py
+++ b/src/dandelioncleat/app/homes.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from dandelioncleat.app._task_scope import TaskScope
+from dandelioncleat.app._ticker import Ticker
 from dandelioncleat.app.claim_desk import ClaimDesk
 from dandelioncleat.app.fleet import FleetKeeper
 from dandelioncleat.app.guard_notices import GuardNotices
@@ -95,8 +96,14 @@
         self.desk = ClaimDesk(self._parts, guard, tasks)
         owners = OwnerWatch(self._parts, peers)
         self.slots = SlotKeeper(self._parts, self.notices, owners)
+        self._ticker = Ticker()
         self._home = Home(settings.incarnation)
 
+    def nudge(self) -> None:
+        """Look at a change of the process or the configuration at once."""
+        self._ticker.nudge()
+        self.slots.ticker.nudge()
+
     async def attach(self, attach: Attach) -> Message:
         """Place a request or find its run."""
         if attach.service != self._parts.service_name:
@@ -128,7 +135,7 @@
         while True:
             if self._is_plain():
                 await self._follow_claims()
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            await self._ticker.wait(CHECK_INTERVAL_S)
 
     async def _follow_claims(self) -> None:
         async with asyncio.TaskGroup() as group:
--- a/src/dandelioncleat/app/sidecar.py
+++ b/src/dandelioncleat/app/sidecar.py
@@ -168,6 +168,8 @@
         )
         self.life.on_change(self._load.notify)
         configuration.on_change(self._load.notify)
+        configuration.on_change(self.homes.nudge)
+        self.life.on_change(self.homes.nudge)
         self._hosts.on_change(self._load.notify)
 
     async def answer(
--- a/src/dandelioncleat/app/slot_keeper.py
+++ b/src/dandelioncleat/app/slot_keeper.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from dandelioncleat.app._ticker import Ticker
 from dandelioncleat.app.guard_notices import GuardNotices
 from dandelioncleat.app.home_parts import HomeParts
 from dandelioncleat.app.log_guard import guard_after_s
@@ -41,6 +42,7 @@
         owners: OwnerWatch,
     ) -> None:
         """Take the home's surroundings and what is known of the owners."""
+        self.ticker = Ticker()
         self._owners = owners
         self._parts = parts
         self._notices = notices
@@ -59,7 +61,7 @@
                 await self._owners.probe(service)
                 await self._take(service)
                 await self._renew()
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            await self.ticker.wait(CHECK_INTERVAL_S)
 
     async def end_guard(self) -> None:
         """Declare that this process permits nothing without a claim.
