--- a/src/dandelioncleat/app/_refill.py
+++ b/src/dandelioncleat/app/_refill.py
@@ -6,7 +6,7 @@
 from dandelioncleat.app._grant_requester import GrantRequester
 from dandelioncleat.app._part_seeker import PartSeeker
 from dandelioncleat.app._purse import Purse
-from dandelioncleat.app._shards import Shards
+from dandelioncleat.app._shards import Shard, Shards
 from dandelioncleat.app._task_scope import TaskScope
 from dandelioncleat.app.fleet import FleetKeeper
 from dandelioncleat.core.configuration import Configuration
@@ -145,19 +145,11 @@
         balance = shard.fold.balance(purse.budget)
         unspent = balance.left + balance.outstanding
         wanted = purse.least + purse.wallet.spendable
-        if self._awaits_opening(purse.budget):
+        configuration = self._configuration()
+        if _awaits_opening(purse.budget, configuration, shard):
             return False
         return shard.is_available and unspent < wanted
 
-    def _awaits_opening(self, budget: BudgetId) -> bool:
-        # A new organisation's prepaid tokens reach the ledger a moment after
-        # the configuration that names them.
-        organisation = self._configuration().organisations_by_name.get(budget)
-        if organisation is None or not organisation.budget:
-            return False
-        fold = self._shards.of(budget).fold
-        return not fold.has_reference(budget, INITIAL_REFERENCE)
-
     def _refusal(self, purse: Purse) -> FailureError:
         if self._log_answers(purse):
             left = self.demand(purse).left
@@ -165,6 +157,19 @@
         return _refused_without_log(purse)
 
 
+def _awaits_opening(
+    budget: BudgetId,
+    configuration: Configuration,
+    shard: Shard,
+) -> bool:
+    # A new organisation's prepaid tokens reach the ledger a moment after
+    # the configuration that names them.
+    organisation = configuration.organisations_by_name.get(budget)
+    if organisation is None or not organisation.budget:
+        return False
+    return not shard.fold.has_reference(budget, INITIAL_REFERENCE)
+
+
 def _refused_by_ledger(purse: Purse, left: int) -> FailureError:
     return failure_error(
         Code.BUDGET,
