Report a sidecar's gauges and print tables whole

Sidecars set no gauges and logged no change of version. Tables that went to a file or a narrow terminal cut names, versions and patch ids short; they now fold, and services stand in columns. A test covers the first request of an organisation right after the patch that made it.

--- a/src/dandelioncleat/daemons/sidecar.py
+++ b/src/dandelioncleat/daemons/sidecar.py
@@ -11,6 +11,7 @@
 from dandelioncleat.adapters.log_lines import configure_log_lines
 from dandelioncleat.adapters.telemetry import OtelTelemetry, new_telemetry
 from dandelioncleat.app.billing import BillSender
+from dandelioncleat.app.process_gauges import ProcessGauges
 from dandelioncleat.app.relay_handler import RelayHandler
 from dandelioncleat.app.sidecar import Sidecar, new_sidecar
 from dandelioncleat.core.fleet import SIDECAR
@@ -40,6 +41,7 @@
         bills: BillSender,
         session: ClientSession,
         telemetry: OtelTelemetry,
+        gauges: ProcessGauges,
         peers: HttpServer,
     ) -> None:
         """Take the connected parts; ``new_sidecar_daemon`` makes them."""
@@ -49,6 +51,7 @@
         self._bills = bills
         self._session = session
         self._telemetry = telemetry
+        self._gauges = gauges
 
     async def run(self) -> None:
         """Listen and run every task until cancelled."""
@@ -58,6 +61,7 @@
             group.create_task(self.shared.configuration.run())
             group.create_task(self.shared.fleet.run())
             group.create_task(self._bills.run())
+            group.create_task(self._gauges.run())
             group.create_task(self.sidecar.run())
 
     async def stop(self, *, limit_s: float) -> str:
@@ -136,6 +140,12 @@
         bills=bills,
         session=session,
         telemetry=telemetry,
+        gauges=ProcessGauges(
+            telemetry=telemetry,
+            incarnation=incarnation,
+            configuration=configuration,
+            fleet=shared.fleet,
+        ),
         peers=peers,
     )
 
--- a/src/dandelioncleat/operator/output.py
+++ b/src/dandelioncleat/operator/output.py
@@ -14,6 +14,7 @@
 from dandelioncleat.operator.exit_code import ExitCode
 
 HTTP_UNAUTHORIZED = 401
+FILE_COLUMNS = 200
 
 
 def print_json(document: Any) -> None:
@@ -27,10 +28,15 @@
     rows: Iterable[tuple[Any, ...]],
 ) -> None:
     """Print rows under column names."""
-    table = Table(*columns, title=title, title_justify='left')
+    table = Table(title=title, title_justify='left')
+    for column in columns:
+        table.add_column(column, overflow='fold')
     for row in rows:
         table.add_row(*(_cell(part) for part in row))
-    Console(markup=False).print(table)
+    console = Console(markup=False)
+    if not console.is_terminal:
+        console.width = FILE_COLUMNS
+    console.print(table)
 
 
 def print_rows(
--- a/src/dandelioncleat/operator/patch_commands.py
+++ b/src/dandelioncleat/operator/patch_commands.py
@@ -169,23 +169,30 @@
 
 
 def _print_section(section: str, entries: dict[str, Any]) -> None:
-    columns = ('name', *next(iter(entries.values())))
-    rows = ((name, *entry.values()) for name, entry in entries.items())
-    if section in {'organisations', 'operators'}:
-        columns = tuple(column for column in columns if column != 'digest')
-        rows = (_without_hashes(name, entries[name]) for name in entries)
-    print_table(section, columns, rows)
-
-
-def _without_hashes(name: str, entry: dict[str, Any]) -> tuple[Any, ...]:
-    cells = [
-        [credential['salt'] for credential in part]
-        if field == 'credentials'
-        else part
-        for field, part in entry.items()
-        if field != 'digest'
+    fields = [
+        field for field in next(iter(entries.values())) if field != 'digest'
+    ]
+    rows = (
+        (field, *(_shown(entry[field]) for entry in entries.values()))
+        for field in fields
+    )
+    if section == 'services':
+        print_table(section, ('field', *entries), rows)
+        return
+    lines = (
+        (name, *(_shown(entry[field]) for field in fields))
+        for name, entry in entries.items()
+    )
+    print_table(section, ('name', *fields), lines)
+
+
+def _shown(part: Any) -> Any:
+    """Show a credential by its salt alone."""
+    if not isinstance(part, list):
+        return part
+    return [
+        entry['salt'] if isinstance(entry, dict) else entry for entry in part
     ]
-    return (name, *cells)
 
 
 async def _show_history(
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -76,6 +76,22 @@
     def left_of(self, router: BudgetRouter) -> int:
         return router.budgets.balances()[BUDGET].balance.left
 
+    def test_a_new_organisation_is_not_refused(self) -> None:
+        async def scenario(routers: list[BudgetRouter]) -> None:
+            organisations = routers[0].configuration.organisations_by_name
+            new = organisations[BUDGET]._replace(name='new')
+            organisations = {**organisations, 'new': new}
+            for router in routers:
+                router.configuration = router.configuration._replace(
+                    version=2, organisations_by_name=organisations
+                )
+                router.budgets.ticker.nudge()
+            budget = BudgetId('new')
+            draws = await routers[0].budgets.reserve(budget, 9, timeout_s=5)
+            self.assertThat(draws[0].tokens, Equals(9))
+
+        self.run_routers(scenario)
+
     def test_the_initial_budget_is_added_once(self) -> None:
         async def scenario(routers: list[BudgetRouter]) -> None:
             await asyncio.sleep(5)
