Send operators away from a router that has read nothing yet

A router that had just started knew no operator and answered 401, and one that lagged told an operator that the version of a moment ago did not exist. The first now answers 503, so that the client asks another; the second waits up to three seconds for the version.

--- a/src/dandelioncleat/adapters/operator_http.py
+++ b/src/dandelioncleat/adapters/operator_http.py
@@ -230,6 +230,9 @@
     handler: _Handler,
 ) -> Callable[[web.Request], Awaitable[web.Response]]:
     async def guarded(request: web.Request) -> web.Response:  # noqa: WPS430
+        if not backend.is_ready:
+            text = 'the streams were not read to their end yet'
+            return _refusal(Code.NOT_READY, 'start', text)
         scheme, _, key = request.headers.get('Authorization', '').partition(' ')
         operator = backend.operator_of(key.strip())
         if scheme.lower() != 'bearer' or operator is None:
--- a/src/dandelioncleat/app/configuration.py
+++ b/src/dandelioncleat/app/configuration.py
@@ -74,14 +74,14 @@
         A process that was told of a version just before it reads the version
         itself need not refuse what it can serve a moment later.
         """
-        deadline = asyncio.get_running_loop().time() + timeout_s
-        while not self.ready:
-            try:
-                async with asyncio.timeout_at(deadline):
-                    await self._changed.wait()
-            except TimeoutError:
-                return self.ready
-        return True
+        return await self._wait_until(lambda: self.ready, timeout_s)
+
+    async def wait_version(self, version: int, timeout_s: float) -> bool:
+        """Wait until a version is in force here; return whether it is."""
+        return await self._wait_until(
+            lambda: self.current.version >= version,
+            timeout_s,
+        )
 
     def on_behind(self, listener: Callable[[str], None]) -> None:
         """Call ``listener`` with each peer that has a newer version."""
@@ -100,6 +100,20 @@
         """Follow the stream until cancelled."""
         await self._follower.run()
 
+    async def _wait_until(
+        self,
+        holds: Callable[[], bool],
+        timeout_s: float,
+    ) -> bool:
+        deadline = asyncio.get_running_loop().time() + timeout_s
+        while not holds():
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await self._changed.wait()
+            except TimeoutError:
+                return holds()
+        return True
+
     def _note_change(self) -> None:
         served = self.current.version
         self.highest_told = max(self.highest_told, served)
--- a/src/dandelioncleat/app/configuration_desk.py
+++ b/src/dandelioncleat/app/configuration_desk.py
@@ -15,6 +15,7 @@
 from dandelioncleat.core.record import Patch
 
 VERDICT_TIMEOUT_S = 10.0
+VERSION_WAIT_S = 3.0
 
 
 class ConfigurationDesk:
@@ -28,11 +29,12 @@
         """Submit a patch and return its verdict.
 
         A patch that this router knows to be of no use is refused here and
-        not submitted: one against a version that does not exist yet, or
+        not submitted: one against a version that does not appear in time, or
         with the name of a policy that this software does not have. The
         fold takes such a name, for another version of the software may
         have the policy.
         """
+        await self._keeper.wait_version(patch.against, VERSION_WAIT_S)
         current = self._keeper.current.version
         if patch.against > current:
             return PatchConflict(patch.against, current, '', '')
--- a/src/dandelioncleat/app/operator.py
+++ b/src/dandelioncleat/app/operator.py
@@ -48,10 +48,17 @@
             own_status=own_status,
         )
         self._keeper = configuration
+        self._fleet = fleet
         self._bootstrap = bootstrap
         self._index = CredentialIndex(configuration.current)
         self._index_version = configuration.current.version
 
+    @property
+    def is_ready(self) -> bool:
+        """Return whether this router has read what it answers from."""
+        is_read = self._keeper.caught_up.is_set()
+        return is_read and self._fleet.caught_up.is_set()
+
     def operator_of(self, key: str) -> str | None:
         """Return the operator whose key this is, if it is one's."""
         current = self._keeper.current
--- a/tests/test_configuration_keeper.py
+++ b/tests/test_configuration_keeper.py
@@ -8,6 +8,7 @@
 
 from dandelioncleat.adapters import virtual_time
 from dandelioncleat.app.configuration import ConfigurationKeeper
+from dandelioncleat.app.configuration_desk import ConfigurationDesk
 from dandelioncleat.core.identity import Incarnation
 from dandelioncleat.core.patch_verdict import PatchAccepted, PatchConflict
 from dandelioncleat.standin.log import MemoryLog
@@ -140,3 +141,22 @@
         self.assertEqual(
             (False, True, ['router-1/1']), virtual_time.run(scenario())
         )
+
+    def test_patch_at_a_router_that_lags_waits_for_the_version(self):
+        async def scenario():
+            log = MemoryLog()
+            ahead = new_keeper(log, 'router-1')
+            behind = new_keeper(log, 'router-2')
+            second = build_patch(
+                {'policy': {'subset_size': 3}}, against=1, patch='patch-2'
+            )
+            desk = ConfigurationDesk(behind)
+            async with running(ahead, behind):
+                too_early = await desk.submit(second)
+                waiting = asyncio.create_task(desk.submit(second))
+                await ahead.submit(build_patch(build_document()))
+                return too_early, await waiting
+
+        too_early, verdict = virtual_time.run(scenario())
+        self.assertEqual(PatchConflict(1, 0, '', ''), too_early)
+        self.assertEqual(2, verdict.version)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -90,6 +90,15 @@
 
         self._run(scenario)
 
+    def test_router_that_has_read_nothing_sends_operators_elsewhere(self):
+        async def scenario(site):
+            site.configuration.caught_up.clear()
+            ran = await operate(site, 'config', 'show', '--timeout', '0.2')
+            self.assertEqual(3, ran.code)
+            self.assertIn('not read to their end', ran.errors)
+
+        self._run(scenario)
+
     def test_bad_patch_is_rejected_with_every_error(self):
         async def scenario(site):
             document = build_document()
