Wait for a replaced sidecar's bills before tokens are freed

A successor whose engine fences its predecessor off said drained in its place. The fence stops new work but says nothing of tokens that were consumed and not billed: a run arrives, its sidecar is lost and replaced, the holder is retired, and its tokens were freed although some of them were spent. A retirement now waits for a replaced sidecar if the holder joined before the replacement; holders that joined later never had work there. This replaces the test of a successor that drains again by two that expect the wait.

--- a/src/dandelioncleat/core/fleet.py
+++ b/src/dandelioncleat/core/fleet.py
@@ -24,20 +24,31 @@
 SIDECAR = 'sidecar'
 
 
+NEVER = -1
+
+
 class Member(NamedTuple):
-    """A process as its records describe it."""
+    """A process as its records describe it.
+
+    ``replaced_at`` is the offset of the record that replaced a sidecar which
+    did not end by itself, so that some of its work may never be billed.
+    """
 
     join: Join
     offset: int
     leaving: bool = False
     ended: bool = False
+    replaced_at: int = NEVER
 
 
 class FleetFold:
     """Keeps the members, the retired holders and the quarantine.
 
     A retirement waits for every sidecar that joined before it. A sidecar
-    that joins later reads the retirement before it takes any work.
+    that joins later reads the retirement before it takes any work. A sidecar
+    that was replaced takes no new work, but tokens that it let be consumed
+    may not be billed; retirements of holders that it could have served wait
+    for it until an operator releases them.
     """
 
     def __init__(self) -> None:
@@ -69,7 +80,7 @@
             case Drained():
                 return self._drain(record)
             case Replace():
-                return self._replace(record)
+                return self._replace(record, offset)
             case Crash() | Absolve():
                 return self._judge(record)
 
@@ -128,13 +139,11 @@
         member = self.members_by_incarnation.get(record.incarnation)
         if member is None:
             return Ignored('the incarnation never joined')
-        has_ended = member.ended or isinstance(record, End)
-        self.members_by_incarnation[record.incarnation] = member._replace(
-            leaving=True,
-            ended=has_ended,
-        )
-        if has_ended:
+        left = member._replace(leaving=True)
+        if isinstance(record, End):
+            left = left._replace(ended=True, replaced_at=NEVER)
             self.retirements.drain_all(record.incarnation)
+        self.members_by_incarnation[record.incarnation] = left
         return Noted()
 
     def _retire(
@@ -145,10 +154,12 @@
     ) -> FleetVerdict:
         if self.is_retired(record.holder):
             return Ignored('the holder is retired already')
+        holder = self.members_by_incarnation.get(record.holder)
+        joined_at = NEVER if holder is None else holder.offset
         waiting = tuple(
             incarnation
             for incarnation, member in self.members_by_incarnation.items()
-            if member.join.role == SIDECAR and not member.ended
+            if member.join.role == SIDECAR and _may_owe_bills(member, joined_at)
         )
         self.retirements.by_holder[record.holder] = Retirement(
             offset,
@@ -164,16 +175,16 @@
         self.retirements.drain(record.holder, record.sidecar)
         return Noted()
 
-    def _replace(self, record: Replace) -> FleetVerdict:
+    def _replace(self, record: Replace, offset: int) -> FleetVerdict:
         member = self.members_by_incarnation.get(record.predecessor)
         if member is None or member.ended:
             return Ignored('the predecessor is not a member')
         if record.successor not in self.members_by_incarnation:
             return Ignored('the successor never joined')
-        self.retirements.replace(record.predecessor, record.successor)
         self.members_by_incarnation[record.predecessor] = member._replace(
             leaving=True,
             ended=True,
+            replaced_at=offset,
         )
         return Noted()
 
@@ -186,6 +197,10 @@
         return Noted() if has_effect else Ignored('nothing changed')
 
 
+def _may_owe_bills(sidecar: Member, holder_joined_at: int) -> bool:
+    return not sidecar.ended or sidecar.replaced_at > holder_joined_at
+
+
 class _Snapshot(msgspec.Struct, array_like=True):
     """The encoded form of the fleet's state."""
 
--- a/src/dandelioncleat/core/retirement.py
+++ b/src/dandelioncleat/core/retirement.py
@@ -46,13 +46,6 @@
         for holder in self.holders_to_drain(sidecar):
             self.drain(holder, sidecar)
 
-    def replace(self, predecessor: Incarnation, successor: Incarnation) -> None:
-        """Let a successor drain what its predecessor has yet to drain."""
-        for holder in self.holders_to_drain(predecessor):
-            self.drain(holder, successor)
-            self.drain(holder, predecessor)
-            self._set_waiting(holder, (*self.waiting_for(holder), successor))
-
     def _set_waiting(
         self,
         holder: Incarnation,
--- a/tests/test_escrow.py
+++ b/tests/test_escrow.py
@@ -32,12 +32,13 @@
     Drained,
     FleetRecord,
     LedgerRecord,
+    Replace,
     RequestGrant,
     Retire,
     ReturnGrant,
 )
 from dandelioncleat.core.wallet import Wallet
-from tests.builders.ledger import BUDGET, sidecar_join, top_up
+from tests.builders.ledger import BUDGET, router_join, sidecar_join, top_up
 
 
 class Sent(NamedTuple):
@@ -128,11 +129,14 @@
         self.parts: list[tuple[Draw, ...]] = []
         self.topped_up = 0
         self.consumed = 0
+        self.unbilled: list[Draw] = []
         self.runs = 0
 
     def new_holder(self, place: int) -> Holder:
         self.starts += 1
-        return Holder(Incarnation(f'router-{place}/{self.starts}'))
+        holder = Holder(Incarnation(f'router-{place}/{self.starts}'))
+        self.append_fleet(router_join(holder.incarnation))
+        return holder
 
     def append_fleet(self, record: FleetRecord) -> None:
         self.fleet_records.append(record)
@@ -269,6 +273,19 @@
             run.holder.wallet.settle(run.draws, tokens)
             run.holder.send(bill)
 
+    @rule(number=st.integers(0, 1), share=st.integers(0, 4))
+    def crash_sidecar(self, number: int, share: int) -> None:
+        old = self.sidecars[number]
+        for run in old.running:
+            self.consumed += total_of(run.draws) * share // 4
+            self.unbilled.extend(run.draws)
+        self.starts += 1
+        new = Sidecar(Incarnation(f'target-{number}/{self.starts}'))
+        new.refused = set(self.fleet.retired_by_holder)
+        self.sidecars[number] = new
+        self.append_fleet(sidecar_join(new.incarnation))
+        self.append_fleet(Replace(old.incarnation, new.incarnation))
+
     @rule(place=places, progress=progresses)
     def replace_paused_holder(self, place: int, progress: int) -> None:
         old = self.holders[place]
@@ -311,6 +328,11 @@
         if is_prompt:
             self.flush(self.operator)
 
+    @invariant()
+    def frees_no_holder_with_unbilled_work(self) -> None:
+        holders = {draw.grant.holder for draw in self.unbilled}
+        assert not any(map(self.fleet.retirement_complete, holders))
+
     @invariant()
     def consumes_no_more_than_was_prepaid(self) -> None:
         bounds = sum(
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -78,16 +78,36 @@
         )
         self.assertThat(self.fold.retirement_complete(HOLDER), Equals(False))
 
-    def test_a_successor_drains_again_for_its_predecessor(self) -> None:
+    def test_a_replaced_sidecar_may_owe_bills_of_earlier_holders(self) -> None:
+        successor = Incarnation('target-1/b')
+        self.apply(
+            router_join(HOLDER),
+            sidecar_join(SIDECAR_ONE),
+            sidecar_join(successor),
+            Replace(SIDECAR_ONE, successor),
+            router_join(OTHER_HOLDER),
+            Retire(HOLDER, 'test'),
+            Retire(OTHER_HOLDER, 'test'),
+            Drained(HOLDER, successor),
+            Drained(OTHER_HOLDER, successor),
+        )
+        waiting = self.fold.retirements.waiting_for(HOLDER)
+        self.assertThat(waiting, Equals((SIDECAR_ONE,)))
+        is_complete = self.fold.retirement_complete(OTHER_HOLDER)
+        self.assertThat(is_complete, Equals(True))
+
+    def test_a_replacement_does_not_end_the_wait_for_a_sidecar(self) -> None:
         self.apply(
             sidecar_join(SIDECAR_ONE),
             sidecar_join(SIDECAR_TWO),
             Retire(HOLDER, 'test'),
             Drained(HOLDER, SIDECAR_TWO),
             Replace(SIDECAR_ONE, SIDECAR_TWO),
+            Drained(HOLDER, SIDECAR_TWO),
+            Leave(SIDECAR_ONE),
         )
         self.assertThat(self.fold.retirement_complete(HOLDER), Equals(False))
-        self.apply(Drained(HOLDER, SIDECAR_TWO))
+        self.apply(End(SIDECAR_ONE))
         self.assertThat(self.fold.retirement_complete(HOLDER), Equals(True))
 
     def test_a_retired_holder_cannot_join_again(self) -> None:
