Show the status of a fleet before its first patch

The status waited for the ledger, which has no shard before the first version, and so ended with no answer on a new fleet, when an operator needs it most.

--- a/src/dandelioncleat/app/fleet_status.py
+++ b/src/dandelioncleat/app/fleet_status.py
@@ -65,7 +65,7 @@
                 for member in members
                 if self._is_diverged(member)
             ),
-            stranded=tuple(view for view in self.holders() if view.waiting),
+            stranded=self._stranded(),
             quarantined=self._quarantined(),
         )
 
@@ -119,6 +119,13 @@
             return _view_of(member, reply)
         return _unreachable(member, 'it gave no status')
 
+    def _stranded(self) -> tuple[HolderView, ...]:
+        try:
+            holders = self.holders()
+        except FailureError:
+            return ()
+        return tuple(view for view in holders if view.waiting)
+
     def _is_diverged(self, member: MemberView) -> bool:
         entries = self._configuration.fold.history.entries_by_version
         entry = entries.get(member.version)
--- a/src/dandelioncleat/app/ledger_desk.py
+++ b/src/dandelioncleat/app/ledger_desk.py
@@ -14,7 +14,10 @@
 
 
 class ShardedLedgerDesk:
-    """Implements the ``LedgerDesk`` port."""
+    """Implements the ``LedgerDesk`` port.
+
+    Before the first version there is no shard and no budget.
+    """
 
     def __init__(self, shards: Shards) -> None:
         """Take the shards of this router."""
@@ -22,6 +25,8 @@
 
     def budgets(self) -> tuple[BudgetView, ...]:
         """Return every budget of the ledger, by name."""
+        if not self._shards.by_number:
+            return ()
         self._check_ready()
         balances_by_budget = {
             budget: account.balance
@@ -35,6 +40,8 @@
 
     def holdings(self) -> dict[Incarnation, dict[BudgetId, int]]:
         """Return the tokens held, by holder and budget."""
+        if not self._shards.by_number:
+            return {}
         self._check_ready()
         holdings: dict[Incarnation, dict[BudgetId, int]] = {}
         for shard in self._shards.by_number.values():
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -4,6 +4,7 @@
 import contextlib
 import io
 import json
+import random
 import tempfile
 from pathlib import Path
 
@@ -18,6 +19,7 @@
 from dandelioncleat.core.record import Crash, RequestGrant, Retire
 from tests.builders.configuration import build_document, build_key
 from tests.builders.operator import (
+    BOOTSTRAP,
     SIDECAR,
     operate,
     running_site,
@@ -99,6 +101,38 @@
 
         self._run(scenario)
 
+    def test_status_before_the_first_patch(self):
+        async def scenario(site):
+            ran = await operate(site, 'status', '--json')
+            self.assertEqual((0, 0), (ran.code, ran.document['version']))
+            ran = await operate(site, 'organisation', 'list', '--json')
+            self.assertEqual([], ran.document)
+
+        self._run(scenario)
+
+    def test_orders_that_make_no_sense_are_refused(self):
+        async def scenario(site):
+            headers = {'Authorization': f'Bearer {BOOTSTRAP.text}'}
+            source = random.Random(7)
+            pieces = [b'{', b'}', b'"tokens"', b':', b'-1', b',', b'\xff']
+            paths = (
+                'organisations/x/top-ups',
+                'retirements',
+                'releases',
+                'absolutions',
+                'patches?against=-1&id=x',
+                'patches?against=1',
+            )
+            async with aiohttp.ClientSession(headers=headers) as session:
+                for number in range(120):
+                    url = f'{site.url}/operator/{paths[number % len(paths)]}'
+                    body = b''.join(source.choices(pieces, k=number % 9))
+                    async with session.post(url, data=body) as response:
+                        self.assertIn(response.status, {400, 404})
+                        self.assertIn('text', await response.json())
+
+        self._run(scenario)
+
     def test_bad_patch_is_rejected_with_every_error(self):
         async def scenario(site):
             document = build_document()
