--- a/src/dandelioncleat/__main__.py
+++ b/src/dandelioncleat/__main__.py
@@ -4,6 +4,7 @@
 import sys
 from collections.abc import Sequence
 
+from dandelioncleat.bench import commands as bench_commands
 from dandelioncleat.daemons import (
     router_command,
     settings_command,
@@ -29,6 +30,7 @@
     standin_commands.add_parser(subparsers)
     operator_command.add_parser(subparsers)
     replay_commands.add_parser(subparsers)
+    bench_commands.add_parser(subparsers)
     return parser
 
 
