State the length of answers in the path benchmark

Cause: the stand-in engine ends an answer by a length that it derives from the prompt, so that streams of 25 and of 200 tokens were equally long and the fit had a negative slope (-4.0 us a token, residual 25%).

--- a/src/dandelioncleat/bench/path.py
+++ b/src/dandelioncleat/bench/path.py
@@ -202,6 +202,7 @@
         'model': MODEL,
         'messages': [question],
         'max_tokens': tokens,
+        'standin': {'prompt_tokens': 16, 'output_tokens': tokens},
         'stream': stream,
     }
 
