--- a/src/dandelioncleat/replay/process.py
+++ b/src/dandelioncleat/replay/process.py
@@ -1,8 +1,8 @@
 """A replayed process: it is held, ended, and started anew."""
 
 import asyncio
-from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from collections.abc import Callable, Coroutine
+from typing import Any, NamedTuple, Protocol
 
 from dandelioncleat.adapters.memory_peers import (
     Endpoint,
@@ -12,6 +12,7 @@
 from dandelioncleat.app.billing import BillSender
 from dandelioncleat.app.configuration import ConfigurationKeeper
 from dandelioncleat.app.fleet import FleetKeeper
+from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.identity import Incarnation
 from dandelioncleat.ports.peer import PeerHandler
 from dandelioncleat.replay.facts import Span, VersionFact
@@ -68,7 +69,7 @@
         self.name = name
         self.data_centre = data_centre
         self.ports: Ports | None = None
-        self.callers: set[asyncio.Task[None]] = set()
+        self._callers: set[asyncio.Task[None]] = set()
         self.stopping = False
         self._surroundings = surroundings
         self._starts = 0
@@ -134,7 +135,17 @@
         self._daemon = daemon
         self._endpoint.handler = handler
         self._task = asyncio.create_task(daemon.run())
-        self._end_absence()
+        absence = Span(self.name, self._away_since, _now())
+        self._surroundings.absences.append(absence)
+
+    async def run_for_caller(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run what a caller waits for; a crash of the process cuts it."""
+        task = asyncio.create_task(work)
+        self._callers.add(task)
+        await asyncio.wait((task,))
+        self._callers.discard(task)
+        if not task.cancelled():
+            _check(task.exception())
 
     async def pass_through(self) -> None:
         """Wait out a pause; what a held process says is not heard."""
@@ -149,7 +160,8 @@
     def resume(self) -> None:
         """Let a held process go on as if no time had passed."""
         self._endpoint.running.set()
-        self._end_absence()
+        absence = Span(self.name, self._away_since, _now())
+        self._surroundings.absences.append(absence)
 
     async def crash(self) -> None:
         """End the process without a word."""
@@ -171,7 +183,7 @@
     async def _end(self) -> None:
         self._surroundings.network.close(self.name)
         self._endpoint.running.set()
-        tasks = list(self.callers)
+        tasks = list(self._callers)
         if self._task is not None:
             tasks.append(self._task)
         self._task = None
@@ -179,10 +191,6 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _end_absence(self) -> None:
-        span = Span(self.name, self._away_since, _now())
-        self._surroundings.absences.append(span)
-
     def _note_version(self) -> None:
         if self.ports is not None:
             version = self.ports.configuration.current.version
@@ -190,5 +198,11 @@
             self._surroundings.versions.append(fact)
 
 
+def _check(error: BaseException | None) -> None:
+    """Raise an error that is no failure of the fleet but a fault in it."""
+    if error is not None and not isinstance(error, FailureError):
+        raise error
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/dandelioncleat/replay/runner.py
+++ b/src/dandelioncleat/replay/runner.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from dandelioncleat.adapters import virtual_time
+from dandelioncleat.app.configuration import ConfigurationKeeper
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.patch_verdict import PatchAccepted
 from dandelioncleat.core.record import Patch
@@ -82,10 +83,7 @@
         process = self._ready_router(request.router)
         router = None if process is None else self._world.router(process.name)
         if process is not None and router is not None:
-            task = asyncio.create_task(caller.call(router, process))
-            process.callers.add(task)
-            await asyncio.gather(task, return_exceptions=True)
-            process.callers.discard(task)
+            await process.run_for_caller(caller.call(router, process))
         self._receipts.append(caller.receipt())
 
     def _ready_router(self, name: str) -> Process | None:
@@ -121,12 +119,21 @@
                 break
 
     async def _patch(self, event: PatchLine) -> None:
-        process = self._world.routers_by_name[event.router]
-        if process.ports is None:
+        process = self._ready_router(event.router)
+        if process is None or process.ports is None:
             return
         body = msgspec.json.encode(settings_only(event.patch))
         patch = Patch(event.id, event.against, OPERATOR, body)
-        verdict = await process.ports.configuration.submit(patch)
+        await process.run_for_caller(
+            self._submit(process.ports.configuration, patch),
+        )
+
+    async def _submit(
+        self,
+        configuration: ConfigurationKeeper,
+        patch: Patch,
+    ) -> None:
+        verdict = await configuration.submit(patch)
         if isinstance(verdict, PatchAccepted):
             self._accepted_at_by_version[verdict.version] = _now()
 
