--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -115,6 +115,18 @@
         self.assertThat(spender.consumed, Equals(1000))
         self.assertThat(set(spender.refusals), Equals({Code.BUDGET}))
 
+    def test_budgets_of_several_shards_are_followed(self) -> None:
+        spender = Spender()
+
+        async def scenario(routers: list[BudgetRouter]) -> None:
+            for router in routers:
+                await spender.request(router, 300)
+                await spender.request(router, 200)
+
+        self.run_routers(scenario, ledger_shards=4)
+        self.assertThat(spender.consumed, Equals(1000))
+        self.assertThat(spender.refusals, Equals([Code.BUDGET] * 2))
+
     def test_requests_too_large_for_one_share_gather_all_shares(self) -> None:
         spender = Spender()
 
