Weigh a router's share of what is left by its part of the spending

Routers divided what they may hold equally, so that the busiest ran out first when it was cut off from the log. Half of the share now follows what was billed recently. Initial budgets have a module of their own.

--- a/src/dandelioncleat/app/_purse.py
+++ b/src/dandelioncleat/app/_purse.py
@@ -28,6 +28,7 @@
         self.budget = budget
         self.wallet = new_wallet()
         self.rate = SpendRate(now)
+        self.total_rate = SpendRate(now)
         self.granted = 0
         self.asking: asyncio.Task[None] | None = None
         self.refilling: asyncio.Task[None] | None = None
--- a/src/dandelioncleat/app/_purses.py
+++ b/src/dandelioncleat/app/_purses.py
@@ -1,20 +1,17 @@
 """All purses of a router, and what is done to them as time passes."""
 
 import asyncio
-from collections.abc import Callable
 
 from dandelioncleat.app._grant_requester import GrantRequester
 from dandelioncleat.app._purse import Purse
-from dandelioncleat.app._refill import INITIAL_REFERENCE, Refiller
+from dandelioncleat.app._refill import Refiller
 from dandelioncleat.app._shards import Shards
 from dandelioncleat.app._task_scope import TaskScope
-from dandelioncleat.app._turns import Turns
 from dandelioncleat.app.fleet import FleetKeeper
-from dandelioncleat.core.configuration import Configuration
 from dandelioncleat.core.grant_policy import renews, surplus, transfers
-from dandelioncleat.core.identity import BudgetId, Draw, Incarnation
-from dandelioncleat.core.ledger_verdict import Denied, LedgerVerdict
-from dandelioncleat.core.record import LedgerRecord, RequestGrant, TopUp
+from dandelioncleat.core.identity import BudgetId, Draw
+from dandelioncleat.core.ledger_verdict import Billed, Denied, LedgerVerdict
+from dandelioncleat.core.record import Bill, LedgerRecord, RequestGrant
 
 RENEW_INTERVAL_S = 1.0
 SHARE_S = 3.0
@@ -26,23 +23,19 @@
     def __init__(
         self,
         *,
-        incarnation: Incarnation,
-        configuration: Callable[[], Configuration],
         shards: Shards,
         fleet: FleetKeeper,
         refiller: Refiller,
         requester: GrantRequester,
         scope: TaskScope,
     ) -> None:
-        """Take the router's name and where tokens come from."""
+        """Take where tokens come from."""
         self.by_budget: dict[BudgetId, Purse] = {}
-        self._configuration = configuration
         self._shards = shards
         self._fleet = fleet
         self._refiller = refiller
         self._requester = requester
         self._scope = scope
-        self._turns = Turns(fleet.fold, incarnation)
         self._dropped = 0
         shards.on_record(self._note_record)
         shards.on_change(self._wake)
@@ -80,20 +73,6 @@
         if asyncio.get_running_loop().time() < purse.shared_until:
             self._help(purse)
 
-    def add_initial_budgets(self) -> None:
-        """Append the first top-up of each organisation that lacks it."""
-        organisations = self._configuration().organisations_by_name
-        for name, organisation in organisations.items():
-            budget = BudgetId(name)
-            shard = self._shards.of(budget)
-            is_known = shard.fold.has_reference(budget, INITIAL_REFERENCE)
-            if is_known or not (organisation.budget and shard.is_available):
-                continue
-            if self._turns.is_mine(name):
-                self._turns.end(name)
-                top_up = TopUp(budget, organisation.budget, INITIAL_REFERENCE)
-                self._scope.spawn(shard.follower.submit(top_up))
-
     def return_surplus(self) -> None:
         """Return tokens that the recent rate does not need."""
         for purse in self.by_budget.values():
@@ -134,13 +113,24 @@
         record: LedgerRecord,
         verdict: LedgerVerdict,
     ) -> None:
-        # A denied grant is the sign that a router is short.
-        if isinstance(record, RequestGrant) and isinstance(verdict, Denied):
-            purse = self.by_budget.get(record.budget)
-            if purse is not None:
-                now = asyncio.get_running_loop().time()
-                purse.shared_until = now + SHARE_S
-                self._help(purse)
+        match record, verdict:
+            case Bill(budget=budget, tokens=tokens), Billed():
+                self._note_bill(budget, tokens)
+            case RequestGrant(budget=budget), Denied():
+                self._note_shortage(budget)
+
+    def _note_bill(self, budget: BudgetId, tokens: int) -> None:
+        purse = self.by_budget.get(budget)
+        if purse is not None:
+            now = asyncio.get_running_loop().time()
+            purse.total_rate.note(tokens, now)
+
+    def _note_shortage(self, budget: BudgetId) -> None:
+        purse = self.by_budget.get(budget)
+        if purse is not None:
+            now = asyncio.get_running_loop().time()
+            purse.shared_until = now + SHARE_S
+            self._help(purse)
 
     def _help(self, purse: Purse) -> None:
         spare = purse.wallet.spendable
--- a/src/dandelioncleat/app/_refill.py
+++ b/src/dandelioncleat/app/_refill.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from dandelioncleat.app._grant_requester import GrantRequester
+from dandelioncleat.app._initial_budgets import INITIAL_REFERENCE
 from dandelioncleat.app._part_seeker import PartSeeker
 from dandelioncleat.app._purse import Purse
 from dandelioncleat.app._shards import Shard, Shards
@@ -22,8 +23,6 @@
 )
 from dandelioncleat.core.identity import BudgetId, Draw
 
-INITIAL_REFERENCE = 'initial'
-
 
 class Refiller:
     """Gets tokens for the requests that wait at a purse."""
@@ -62,6 +61,7 @@
             spendable=purse.wallet.spendable,
             granted=purse.granted,
             rate=purse.rate.tokens_per_s(now),
+            total_rate=purse.total_rate.tokens_per_s(now),
             idle_s=now - purse.used_at,
             left=balance.left,
             topped_up=balance.topped_up,
--- a/src/dandelioncleat/app/budgets.py
+++ b/src/dandelioncleat/app/budgets.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from dandelioncleat.app._grant_requester import GrantRequester
+from dandelioncleat.app._initial_budgets import InitialBudgets
 from dandelioncleat.app._part_seeker import PartSeeker
 from dandelioncleat.app._purse import Purse
 from dandelioncleat.app._purses import Purses
@@ -13,6 +14,7 @@
 from dandelioncleat.app._shards import Shards
 from dandelioncleat.app._task_scope import TaskScope
 from dandelioncleat.app._ticker import Ticker
+from dandelioncleat.app._turns import Turns
 from dandelioncleat.app._unsettled import Reservation, Unsettled
 from dandelioncleat.app.fleet import FleetKeeper
 from dandelioncleat.core.account import Balance
@@ -78,9 +80,13 @@
             ),
             scope=self._scope,
         )
-        self._purses = Purses(
-            incarnation=incarnation,
+        self._initial = InitialBudgets(
             configuration=configuration,
+            shards=self.shards,
+            turns=Turns(fleet.fold, incarnation),
+            scope=self._scope,
+        )
+        self._purses = Purses(
             shards=self.shards,
             fleet=fleet,
             refiller=self._refiller,
@@ -213,7 +219,7 @@
             self.shards.start(group)
             self._bills.send_due()
             if not self.is_fenced:
-                self._purses.add_initial_budgets()
+                self._initial.add_missing()
                 self._purses.return_surplus()
             pause_s = TICK_S if self.caught_up else START_TICK_S
             await self.ticker.wait(pause_s)
--- a/src/dandelioncleat/core/grant_policy.py
+++ b/src/dandelioncleat/core/grant_policy.py
@@ -23,7 +23,8 @@
     :param need: tokens that waiting requests miss
     :param spendable: tokens held and not reserved
     :param granted: tokens granted to this router so far
-    :param rate: tokens spent in a second, recently
+    :param rate: tokens spent in a second by this router, recently
+    :param total_rate: tokens billed in a second to all routers, recently
     :param idle_s: seconds since a request last reserved tokens
     :param left: tokens that the ledger can still grant
     :param topped_up: all prepaid tokens
@@ -34,6 +35,7 @@
     spendable: int
     granted: int
     rate: float
+    total_rate: float
     idle_s: float
     left: int
     topped_up: int
@@ -142,10 +144,18 @@
     needed = HOLD_MARGIN * demand.rate * policy.hold_s
     wanted = max(needed, policy.tokens)
     available = demand.left + demand.spendable
-    bound = policy.share * available / max(demand.routers, 1)
+    bound = policy.share * available * _weight(demand)
     return int(min(wanted, bound))
 
 
+def _weight(demand: Demand) -> float:
+    equal = 1 / max(demand.routers, 1)
+    if demand.total_rate <= 0:
+        return equal
+    own = min(1, demand.rate / demand.total_rate)
+    return (equal + own) / 2
+
+
 def _renews(policy: Adaptive, demand: Demand) -> bool:
     target = _target(policy, demand)
     # Near the end of a budget, early requests only delay those in need.
