Send a target the caller's own idempotency key

A target received the key under which the fleet knows the request, with service and kind before it, so that an application could not match it with a call that reached it in another way. The scoping of keys stands in one module now, and its inverse is used for the target's header.

--- a/src/dandelioncleat/adapters/_target_http.py
+++ b/src/dandelioncleat/adapters/_target_http.py
@@ -10,6 +10,7 @@
 from dandelioncleat.adapters._named_json import decode_named
 from dandelioncleat.adapters.run_text import run_text
 from dandelioncleat.core.failure import Code, failure_error
+from dandelioncleat.core.scoped_key import caller_key
 from dandelioncleat.ports.target import TargetCall, TargetLoad
 
 FENCE_HEADER = 'X-Fencing-Number'
@@ -103,6 +104,6 @@
     return {
         'Content-Type': request.content_type,
         RUN_HEADER: run_text(request.run),
-        KEY_HEADER: request.run.key,
+        KEY_HEADER: caller_key(request.run.key),
         FENCE_HEADER: str(request.fence),
     }
--- a/src/dandelioncleat/adapters/caller_http.py
+++ b/src/dandelioncleat/adapters/caller_http.py
@@ -42,6 +42,7 @@
 )
 from dandelioncleat.core.identity import BudgetId, Digest, RequestKey
 from dandelioncleat.core.request import CallerRequest
+from dandelioncleat.core.scoped_key import scoped_key
 from dandelioncleat.ports.clock import Clock
 
 METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
@@ -274,7 +275,7 @@
     return CallerRequest(
         request=RequestKey(
             caller.organisation,
-            _scoped_key(caller.key, service, idempotent=idempotent),
+            scoped_key(caller.key, service.name, idempotent=idempotent),
         ),
         budget=caller.budget,
         service=service.name,
@@ -300,15 +301,6 @@
     return f'{path}?{query}' if query else path
 
 
-def _scoped_key(key: str, service: Service, *, idempotent: bool) -> str:
-    """Keep apart the keys of services and of calls that may not be repeated.
-
-    They have different homes, which do not know of one another's keys.
-    """
-    kind = 'any' if idempotent else 'once'
-    return f'{service.name}/{kind}/{key}'
-
-
 def _digest(*parts: str | bytes) -> Digest:
     hasher = blake2b(digest_size=DIGEST_BYTES)
     for part in parts:
--- a/src/dandelioncleat/demo/account.py
+++ b/src/dandelioncleat/demo/account.py
@@ -10,7 +10,6 @@
     RequestKey,
     RunId,
     organisation_of,
-    request_key_of,
 )
 from dandelioncleat.core.ledger import LedgerFold
 from dandelioncleat.core.ledger_verdict import (
@@ -24,6 +23,7 @@
     LedgerRecord,
     RequestGrant,
 )
+from dandelioncleat.core.scoped_key import caller_key
 from dandelioncleat.core.shard import ledger_stream
 from dandelioncleat.demo.cast import PRICE_BY_SERVICE
 from dandelioncleat.standin.engine import Engine
@@ -142,9 +142,7 @@
 
 
 def _caller_key(run: RunId) -> RequestKey:
-    # Routers put the service before the key that the caller gave.
-    key = request_key_of(run)
-    return key._replace(key=key.key.rpartition('/')[2])
+    return RequestKey(run.organisation, caller_key(run.key))
 
 
 def _note_held(account: LedgerAccount, fold: LedgerFold) -> None:
--- a/src/dandelioncleat/demo/caller.py
+++ b/src/dandelioncleat/demo/caller.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 
+from dandelioncleat.core.scoped_key import caller_key
 from dandelioncleat.standin.prompt import answer_text, new_prompt
 
 DATA_PREFIX = b'data: '
@@ -61,7 +62,7 @@
             self.question.key,
             self.question.body.decode(),
         )
-        key = echo['key'].rpartition('/')[2]
+        key = caller_key(echo['key'])
         return expected == (echo['organisation'], key, echo['echo'])
 
 
