Keep ended runs and homes within the memory of a control process

Measured with 10,000 runs of 60 pieces, an ended run took 4.3 kB beside its answer's bytes, most of it for the ends of the pieces; with arrays it takes 2.8 kB with the answer. A trace takes 0.1 kB, a claim 0.8 kB and a home's key 0.6 kB; the bounds follow from these.

--- a/src/dandelioncleat/core/answer.py
+++ b/src/dandelioncleat/core/answer.py
@@ -1,5 +1,6 @@
 """The answer of a run so far, with the tokens of each of its parts."""
 
+from array import array
 from bisect import bisect_right
 from typing import NamedTuple
 
@@ -20,8 +21,8 @@
         self.size = 0
         self.kept = True
         self._data = bytearray()
-        self._ends: list[int] = []
-        self._token_sums: list[int] = []
+        self._ends = array('Q')
+        self._token_sums = array('Q')
 
     def add(self, data: bytes, tokens: int) -> None:
         """Append the next piece."""
@@ -42,8 +43,8 @@
         """Free the memory but keep the size and the tokens."""
         self.kept = False
         self._data = bytearray()
-        self._ends = []
-        self._token_sums = []
+        self._ends = array('Q')
+        self._token_sums = array('Q')
 
     def _tokens_before(self, start: int) -> int:
         index = bisect_right(self._ends, start)
--- a/src/dandelioncleat/core/home.py
+++ b/src/dandelioncleat/core/home.py
@@ -24,7 +24,7 @@
 )
 from dandelioncleat.core.slot import key_bytes
 
-MAX_KEYS = 100_000
+MAX_KEYS = 60_000
 ATTACH_STEP = 'attach'
 
 
--- a/src/dandelioncleat/core/run.py
+++ b/src/dandelioncleat/core/run.py
@@ -14,9 +14,9 @@
 from dandelioncleat.core.message import Chunk, Dispatch, Finished
 from dandelioncleat.core.slot import key_bytes
 
-MAX_ANSWER_BYTES = 32 * 1024 * 1024
-MAX_ENDED_RUNS = 10_000
-MAX_TRACES = 200_000
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_ENDED_RUNS = 8000
+MAX_TRACES = 50_000
 
 
 class RunState(StrEnum):
