Count prompts that wait for their prefill as load

Cause: a long prompt that waits for its prefill delays the first token of the next one, and slots do not show it.

--- a/bench/placement_policies.py
+++ b/bench/placement_policies.py
@@ -59,13 +59,13 @@
         self.queue: deque[Job] = deque()
         self.cache: OrderedDict[Digest, bool] = OrderedDict()
 
-    def load(self, name: str, age_ms: int) -> Load:
+    def load(self, name: str) -> Load:
         """Return a report of the present state."""
         jobs = [*self.running, *self.queue]
         demand = sum(job.prompt + job.output for job in jobs)
         return Load(
             name, Incarnation(name), False, SLOTS, len(self.running),
-            len(self.queue), demand, KV_TOKENS, age_ms, tuple(self.cache),
+            len(self.queue), demand, KV_TOKENS, 0, tuple(self.cache),
         )  # fmt: skip
 
     def service_s(self, job: Job) -> tuple[float, float]:
@@ -143,7 +143,7 @@
         start(now, index)
 
     for index in range(TARGETS):
-        push(0, 'told', (index, targets[index].load(str(index), 0)))
+        push(0, 'told', (index, 0, targets[index].load(str(index))))
         push(index * REPORT_INTERVAL_S / TARGETS, 'report', index)
     for turn, job in enumerate(jobs):
         push(job.arrived_at, 'arrive', (turn, job))
@@ -160,13 +160,13 @@
             left -= 1
             start(now, index)
         elif kind == 'report':
-            report = targets[what].load(str(what), int(lag_s * 1000))
-            push(now + lag_s, 'told', (what, report))
+            report = targets[what].load(str(what))
+            push(now + lag_s, 'told', (what, now, report))
             push(now + REPORT_INTERVAL_S, 'report', what)
         else:
-            index, report = what
+            index, made_at, report = what
             for own in records:
-                own[index].take(report, now)
+                own[index].take(report, made_at)
     return firsts
 
 
--- a/src/dandelioncleat/app/gate.py
+++ b/src/dandelioncleat/app/gate.py
@@ -173,8 +173,11 @@
         return None
 
     def _take(self, chosen: Candidate, request: CallerRequest) -> Place:
-        tokens = request.prompt_bound + request.cap
-        ticket = self._watch.begin(chosen.sidecar, tokens)
+        ticket = self._watch.begin(
+            chosen.sidecar,
+            prompt=request.prompt_bound,
+            cap=request.cap,
+        )
         return Place(
             chosen.sidecar,
             chosen.target,
--- a/src/dandelioncleat/app/load_watch.py
+++ b/src/dandelioncleat/app/load_watch.py
@@ -67,15 +67,25 @@
             return None
         return member.join
 
-    def begin(self, sidecar: Incarnation, tokens: int) -> int:
-        """Count a run as sent to a target and return its ticket."""
+    def begin(self, sidecar: Incarnation, *, prompt: int, cap: int) -> int:
+        """Count a run as sent to a target and return its ticket.
+
+        :param prompt: bound of the prompt's tokens
+        :param cap: bound of the output's tokens
+        """
         self._tickets += 1
         now = asyncio.get_running_loop().time()
         watch = self._watches.get(sidecar)
         if watch is not None:
-            watch.record.begin(self._tickets, Sent(now, tokens))
+            watch.record.begin(self._tickets, Sent(now, prompt + cap, prompt))
         return self._tickets
 
+    def note_first(self, sidecar: Incarnation, ticket: int) -> None:
+        """Count a run's prompt as processed."""
+        watch = self._watches.get(sidecar)
+        if watch is not None:
+            watch.record.note_first(ticket)
+
     def end(self, sidecar: Incarnation, ticket: int) -> None:
         """Count a run as ended."""
         watch = self._watches.get(sidecar)
--- a/src/dandelioncleat/app/serving.py
+++ b/src/dandelioncleat/app/serving.py
@@ -127,6 +127,9 @@
     def _note_first(self, course: Course) -> None:
         if course.first_at is None:
             course.first_at = asyncio.get_running_loop().time()
+            place = course.place
+            if place is not None:
+                self._parts.watch.note_first(place.sidecar, place.ticket)
             self._parts.telemetry.observe(
                 'router.first_piece_s',
                 course.first_at - course.arrived_at,
--- a/src/dandelioncleat/app/target_record.py
+++ b/src/dandelioncleat/app/target_record.py
@@ -9,14 +9,19 @@
 from dandelioncleat.core.record import Join
 
 MS_PER_S = 1000
+TRANSIT_S = 0.02
 REMEMBERED_ENDS = 256
 
 
 class Sent(NamedTuple):
-    """A run that this router sent; times are of the event loop in s."""
+    """A run that this router sent; times are of the event loop in s.
+
+    ``waiting`` are the tokens of its prompt until its first token comes.
+    """
 
     began_at: float
     tokens: int
+    waiting: int = 0
 
 
 class TargetRecord:
@@ -27,6 +32,7 @@
         self.join = join
         self.load: Load | None = None
         self.full = False
+        self._counted_at: float = 0
         self._sampled_at: float = 0
         self._prefixes: dict[Digest, bool] = {}
         self._sent_by_ticket: dict[int, Sent] = {}
@@ -40,13 +46,17 @@
     def take(self, load: Load, now: float) -> None:
         """Replace the load report.
 
-        :param now: time of the event loop in seconds
+        The sidecar counts runs itself, so that its counts are as old as the
+        message; the engine's own report of demand and prefixes is older.
+
+        :param now: time of the event loop at which it was sent, in seconds
         """
         self.load = load
         self.full = False
+        self._counted_at = now - TRANSIT_S
         self._sampled_at = now - load.age_ms / MS_PER_S
         self._prefixes = dict.fromkeys(load.prefixes, True)
-        while self._ends and self._ends[0][1] < self._sampled_at:
+        while self._ends and self._ends[0][1] < self._counted_at:
             self._ends.popleft()
 
     def lose(self) -> None:
@@ -57,6 +67,12 @@
         """Count a run that is being sent."""
         self._sent_by_ticket[ticket] = sent
 
+    def note_first(self, ticket: int) -> None:
+        """Count a run's prompt as processed."""
+        sent = self._sent_by_ticket.get(ticket)
+        if sent is not None:
+            self._sent_by_ticket[ticket] = sent._replace(waiting=0)
+
     def end(self, ticket: int, now: float) -> None:
         """Count a run as ended."""
         sent = self._sent_by_ticket.pop(ticket, None)
@@ -77,6 +93,9 @@
             reported=load.running + load.queued,
             demand_tokens=load.demand_tokens + self._tokens_since_report(),
             kv_tokens=load.kv_tokens,
+            waiting_tokens=sum(
+                sent.waiting for sent in self._sent_by_ticket.values()
+            ),
             age_s=now - self._sampled_at,
             prefixes=self._prefixes,
         )
@@ -85,12 +104,12 @@
         begun = sum(
             1
             for sent in self._sent_by_ticket.values()
-            if sent.began_at > self._sampled_at
+            if sent.began_at > self._counted_at
         )
         ended = sum(
             1
             for sent, ended_at in self._ends
-            if sent.began_at <= self._sampled_at < ended_at
+            if sent.began_at <= self._counted_at < ended_at
         )
         estimate = load.running + load.queued + begun - ended
         return max(estimate, self.in_flight)
--- a/src/dandelioncleat/core/message.py
+++ b/src/dandelioncleat/core/message.py
@@ -177,6 +177,7 @@
 class Load(Message, frozen=True):
     """Describes a target's load; ``age_ms`` is the age of the engine's report.
 
+    ``running`` and ``queued`` are counted by the sidecar when it sends this.
     ``demand_tokens`` are the KV tokens of running and queued requests.
     ``prefixes`` are digests of cached prompt prefixes, newest last.
     """
--- a/src/dandelioncleat/core/placement.py
+++ b/src/dandelioncleat/core/placement.py
@@ -16,6 +16,7 @@
 PREFIX_WEIGHT = 0.3
 PREFIX_AGE_S = 30.0
 DISTANCE_WEIGHT = 0.25
+FULL_PREFILL_TOKENS = 20_000
 
 
 class Candidate(NamedTuple):
@@ -23,8 +24,9 @@
 
     ``reported`` are its running and queued requests by its last report,
     ``occupancy`` estimates them now; ``demand_tokens`` are their KV tokens,
-    of which ``kv_tokens`` fit. ``age_s`` is the age of the report, in
-    seconds.
+    of which ``kv_tokens`` fit. ``waiting_tokens`` are the prompt tokens of
+    this router's runs there whose first token has not come. ``age_s`` is the
+    age of the report, in seconds.
     """
 
     sidecar: Incarnation
@@ -35,6 +37,7 @@
     reported: float = 0
     demand_tokens: int = 0
     kv_tokens: int = 0
+    waiting_tokens: int = 0
     age_s: float = 0
     prefixes: Container[Digest] = ()
 
@@ -64,6 +67,16 @@
     return candidate.occupancy / max(candidate.slots, 1)
 
 
+def load_with_prefill(candidate: Candidate) -> float:
+    """Return the used share of the slots and of the prefill.
+
+    A prompt that waits for its prefill delays the first token of the next;
+    ``FULL_PREFILL_TOKENS`` of them weigh as much as full slots.
+    """
+    prefill = candidate.waiting_tokens / FULL_PREFILL_TOKENS
+    return relative_load(candidate) + prefill
+
+
 def reported_load(candidate: Candidate) -> float:
     """Return the share of a target's slots in use by its report."""
     return candidate.reported / max(candidate.slots, 1)
@@ -101,7 +114,7 @@
     situation: Situation,
 ) -> Candidate:
     """Take the better of two random targets and the one with the prefix."""
-    return _better_of_few(candidates, situation, relative_load)
+    return _better_of_few(candidates, situation, load_with_prefill)
 
 
 def kv_demand(
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -18,8 +18,8 @@
     affinity,
     choose,
     has_room,
+    load_with_prefill,
     relative_demand,
-    relative_load,
     score,
     subset,
 )
@@ -37,6 +37,7 @@
         reported=st.integers(0, 10),
         demand_tokens=st.integers(0, 100),
         kv_tokens=st.integers(0, 100),
+        waiting_tokens=st.integers(0, 40_000),
         age_s=st.floats(0, 60),
         prefixes=st.sets(st.sampled_from(PREFIXES)),
     ),
@@ -46,7 +47,7 @@
 
 
 LOADS_BY_POLICY = {
-    'two_choices': relative_load,
+    'two_choices': load_with_prefill,
     'kv_demand': relative_demand,
 }
 
@@ -128,6 +129,12 @@
         chosen = choose('two_choices', [*others, busy], situation()).unwrap()
         self.assertNotEqual('cached', chosen.sidecar)
 
+    def test_prompts_that_wait_for_prefill_count_as_load(self) -> None:
+        idle = Candidate(Incarnation('idle'), 't', 'a', 8, 1)
+        busy = idle._replace(sidecar='busy', waiting_tokens=12_000)
+        choice = choose('two_choices', [busy, idle], situation())
+        self.assertEqual('idle', choice.unwrap().sidecar)
+
 
 class SubsetTest(TestCase):
     @settings(derandomize=True, deadline=None, max_examples=100)
@@ -179,8 +186,9 @@
         record = self.new_record(running=2, age_ms=500)
         record.begin(1, Sent(9.0, 40))
         record.begin(2, Sent(9.8, 40))
-        record.take(self.load, 10)
-        # The report was made at 9.5: it knows of the first run only.
+        record.take(self.load, 9.7)
+        # Sent at 9.7, it counts the first run only; the engine's own report
+        # was made at 9.2 and knows of that one too.
         self.assertEqual(3, self.occupancy(record, 10))
         self.assertEqual(140, record.candidate(10).demand_tokens)
         record.end(1, 10.1)
@@ -188,6 +196,23 @@
         record.end(2, 10.3)
         self.assertEqual(1, self.occupancy(record, 10.4))
 
+    def test_counts_are_as_new_as_the_message(self) -> None:
+        record = self.new_record(running=2, age_ms=5000)
+        record.begin(1, Sent(9.0, 40))
+        record.take(self.load, 10)
+        # The run stands in the counts, but not in the engine's demand.
+        self.assertEqual(2, self.occupancy(record, 10))
+        self.assertEqual(140, record.candidate(10).demand_tokens)
+
+    def test_prompt_waits_until_the_first_token(self) -> None:
+        record = self.new_record(running=1)
+        record.take(self.load, 10)
+        record.begin(1, Sent(10.1, 40, waiting=30))
+        self.assertEqual(30, record.candidate(11).waiting_tokens)
+        record.note_first(1)
+        self.assertEqual(0, record.candidate(11).waiting_tokens)
+        self.assertEqual(140, record.candidate(11).demand_tokens)
+
     def test_own_runs_count_whatever_the_report_says(self) -> None:
         record = self.new_record(running=0)
         for ticket in range(5):
