Move slots to the sidecar that should own them

The first sidecar that started took every slot, so that a data centre cut off with it stopped all non-idempotent requests of the service. Slots now move to the first of their order once that is settled; an owner in the policy guarded ends its guard in the log first, while the log has all its runs, so that a move closes nothing.

--- a/src/dandelioncleat/app/homes.py
+++ b/src/dandelioncleat/app/homes.py
@@ -95,7 +95,13 @@
         guard = LogGuard(self._parts, self.notices)
         self.desk = ClaimDesk(self._parts, guard, tasks)
         owners = OwnerWatch(self._parts, peers)
-        self.slots = SlotKeeper(self._parts, self.notices, owners)
+        self.slots = SlotKeeper(
+            self._parts,
+            guard=guard,
+            notices=self.notices,
+            owners=owners,
+            unrecorded=lambda: self.desk.unrecorded,
+        )
         self._ticker = Ticker()
         self._home = Home(settings.incarnation)
 
--- a/src/dandelioncleat/app/log_guard.py
+++ b/src/dandelioncleat/app/log_guard.py
@@ -29,6 +29,15 @@
         """Take the home's surroundings and the notices to the others."""
         self._parts = parts
         self._notices = notices
+        self._released: frozenset[int] = frozenset()
+
+    def release(self, slots: tuple[int, ...]) -> None:
+        """Permit nothing for slots whose guard is about to end."""
+        self._released = frozenset(slots)
+
+    def end_release(self) -> None:
+        """Go by the slots' own guard again."""
+        self._released = frozenset()
 
     def is_near(self, service: Service) -> bool:
         """Return whether it is of little use to wait for the log."""
@@ -51,6 +60,8 @@
         slot = parts.claims.slot(number)
         if slot.guard_after_s <= 0 or guard_after_s(service) <= 0:
             return False
+        if number in self._released:
+            return False
         if slot.owner != parts.incarnation or parts.closed():
             return False
         if parts.claims.log_time < slot.closed_until:
--- /dev/null
+++ b/src/dandelioncleat/core/slot_ranking.py
@@ -0,0 +1,64 @@
+"""Which sidecar should own each slot of a service."""
+
+from dandelioncleat.core.home import home_order
+from dandelioncleat.core.identity import Incarnation, RequestKey
+from dandelioncleat.core.slot import NOBODY
+
+SETTLED_S = 10.0
+
+
+class SlotRanking:
+    """Orders the live sidecars for each slot by rendezvous hash.
+
+    It remembers since when the first of a slot is the first, so that slots
+    do not move to and fro while sidecars come and go.
+    """
+
+    def __init__(self, service: str) -> None:
+        """Take the service whose slots are ranked."""
+        self._service = service
+        self._candidates: tuple[Incarnation, ...] = ()
+        self._orders: list[tuple[Incarnation, ...]] = []
+        self._first_since: list[float] = []
+
+    def update(
+        self,
+        candidates: tuple[Incarnation, ...],
+        slots: int,
+        now: float,
+    ) -> None:
+        """Take the sidecars that could own slots.
+
+        :param slots: number of slots of the service
+        :param now: monotonic time in seconds
+        """
+        if candidates == self._candidates and slots == len(self._orders):
+            return
+        earlier = [self.first(number) for number in range(slots)]
+        earlier_since = self._first_since
+        self._candidates = candidates
+        self._orders = [
+            home_order(RequestKey(self._service, str(number)), candidates)
+            for number in range(slots)
+        ]
+        self._first_since = [
+            earlier_since[number]
+            if number < len(earlier_since) and self.first(number) == first
+            else now
+            for number, first in enumerate(earlier)
+        ]
+
+    def first(self, number: int) -> Incarnation:
+        """Return the sidecar that should own a slot, if there is one."""
+        if number >= len(self._orders) or not self._orders[number]:
+            return NOBODY
+        return self._orders[number][0]
+
+    def rank(self, number: int, sidecar: Incarnation) -> int:
+        """Return how many sidecars come before one."""
+        order = self._orders[number]
+        return order.index(sidecar) if sidecar in order else len(order)
+
+    def is_settled(self, number: int, now: float) -> bool:
+        """Return whether the first of a slot has been so for a while."""
+        return now - self._first_since[number] >= SETTLED_S
--- a/tests/builders/sidecar.py
+++ b/tests/builders/sidecar.py
@@ -175,7 +175,7 @@
     queue_limit: int = 2,
     on_log_outage: LogOutagePolicy = LogOutagePolicy.REFUSE,
     drain: bool = False,
-    key_slots: int = 4,
+    key_slots: int = 16,
 ) -> Configuration:
     """Return a configuration of one model and one plain service."""
     services = (
--- a/tests/builders/sidecar_fleet.py
+++ b/tests/builders/sidecar_fleet.py
@@ -22,6 +22,7 @@
 from dandelioncleat.standin.log import MemoryLog
 from tests.builders.sidecar import ROUTER, FakeTarget, new_configuration
 
+PATIENCE_S = 2000
 CONTEXT = CallContext(ROUTER, 1, '')
 
 
@@ -266,10 +267,11 @@
 async def until(condition) -> float:
     """Let virtual time pass until a condition holds; return how long."""
     start = asyncio.get_running_loop().time()
-    while True:
-        if condition():
-            return asyncio.get_running_loop().time() - start
-        await asyncio.sleep(0.1)
+    async with asyncio.timeout(PATIENCE_S):
+        while True:
+            if condition():
+                return asyncio.get_running_loop().time() - start
+            await asyncio.sleep(0.1)
 
 
 async def collect(messages) -> list[Message]:
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -6,7 +6,7 @@
 
 from dandelioncleat.core.configuration import LogOutagePolicy
 from dandelioncleat.core.failure import Code
-from dandelioncleat.core.identity import RequestKey
+from dandelioncleat.core.identity import RequestKey, request_key_of
 from dandelioncleat.core.message import (
     Begin,
     NotHome,
@@ -15,6 +15,7 @@
     Report,
     SealRun,
 )
+from dandelioncleat.core.slot import slot_of
 from tests.builders.sidecar_fleet import (
     Node,
     SidecarFleet,
@@ -24,6 +25,7 @@
 )
 
 KEY = RequestKey('org', 'invoice')
+SLOTS = 16
 GUARDED = {'on_log_outage': LogOutagePolicy.GUARDED}
 
 
@@ -34,9 +36,19 @@
     return node
 
 
+def key_of(home: Node) -> str:
+    """Return a key whose slot a node owns."""
+    for number in range(1000):
+        request = RequestKey('org', f'invoice {number}')
+        slot = home.claims.slot(slot_of(request, SLOTS))
+        if slot.owner == home.incarnation:
+            return request.key
+    raise AssertionError('the node owns no slot')
+
+
 async def wait_until_owned(node: Node) -> float:
     """Wait until a node owns every slot and return how long it took."""
-    return await until(lambda: node.owned() == 4)
+    return await until(lambda: node.owned() == SLOTS)
 
 
 class ClaimDeskTest(TestCase):
@@ -138,8 +150,8 @@
             new = await fleet.start('b')
             await old.ask(new_attach('invoice', old))
             await fleet.kill(old)
-            successor = await fleet.start('a')
             await wait_until_owned(new)
+            successor = await fleet.start('a')
             reply = await new.ask(new_attach('invoice', new))
             self.assertIsInstance(reply, Placed | Refusal)
             self.assertNotIsInstance(reply, Begin)
@@ -164,6 +176,58 @@
         on_fleet(scenario, **GUARDED)
 
 
+class BalanceTest(TestCase):
+    """Slots move to the sidecars that should own them, and stay open."""
+
+    def check(self, **settings) -> None:
+        async def scenario(fleet: SidecarFleet) -> None:
+            first = await owner_of_all(fleet)
+            begun = await first.ask(new_attach('invoice', first))
+            others = [await fleet.start(host) for host in ('b', 'c')]
+            await asyncio.sleep(40)
+            nodes = [first, *others]
+            shares = [node.owned() for node in nodes]
+            self.assertEqual(SLOTS, sum(shares))
+            self.assertGreater(min(shares), 0)
+            for node in nodes:
+                reply = await node.ask(new_attach(key_of(node), node))
+                self.assertIsInstance(reply, Begin)
+            replies = [
+                await node.ask(new_attach('invoice', node)) for node in nodes
+            ]
+            placed = [one for one in replies if isinstance(one, Placed)]
+            self.assertEqual([begun.run], [one.run for one in placed])
+
+        on_fleet(scenario, **settings)
+
+    def test_refuse(self) -> None:
+        self.check()
+
+    def test_guarded(self) -> None:
+        self.check(**GUARDED)
+
+    def test_owner_with_unrecorded_runs_keeps_its_slots(self) -> None:
+        async def scenario(fleet: SidecarFleet) -> None:
+            first = await owner_of_all(fleet)
+            await asyncio.sleep(20)
+            fleet.log.outage = True
+            begun = await first.ask(new_attach('invoice', first))
+            self.assertIsInstance(begun, Begin)
+            second = await fleet.start('b', ready=False)
+            await asyncio.sleep(30)
+            fleet.log.outage = False
+            await asyncio.sleep(60)
+            self.assertGreater(second.owned(), 0)
+            replies = [
+                await node.ask(new_attach('invoice', node))
+                for node in (first, second)
+            ]
+            placed = [one for one in replies if isinstance(one, Placed)]
+            self.assertEqual([begun.run], [one.run for one in placed])
+
+        on_fleet(scenario, **GUARDED)
+
+
 class RefuseTest(TestCase):
     """With the policy ``refuse`` nothing runs while the log is out."""
 
@@ -199,7 +263,7 @@
 
     async def begin_unrecorded(self, home: Node) -> Begin:
         """Begin a run that the log does not know of."""
-        attach = new_attach('invoice', home)
+        attach = new_attach(key_of(home), home)
         begun = await home.ask(attach)
         self.assertIsInstance(begun, Begin)
         self.assertEqual(
@@ -216,9 +280,10 @@
             self.assertEqual(1, home.sidecar.homes.desk.unrecorded)
             fleet.log.outage = False
             await asyncio.sleep(5)
-            self.assertEqual(begun.run, home.claims.claim_of(KEY).run)
+            request = request_key_of(begun.run)
+            self.assertEqual(begun.run, home.claims.claim_of(request).run)
             self.assertEqual(0, home.sidecar.homes.desk.unrecorded)
-            reply = await home.ask(new_attach('invoice', home))
+            reply = await home.ask(new_attach(begun.run.key, home))
             self.assertEqual(begun.run, reply.run)
 
         on_fleet(scenario, **GUARDED)
@@ -229,13 +294,13 @@
             new = await fleet.start('b')
             await asyncio.sleep(20)
             fleet.log.outage = True
-            await self.begin_unrecorded(old)
+            begun = await self.begin_unrecorded(old)
             await fleet.kill(old)
             fleet.hosts.leaving_by_host.pop('a')
             await asyncio.sleep(10)
             fleet.log.outage = False
             await wait_until_owned(new)
-            attach = new_attach('invoice', new)
+            attach = new_attach(begun.run.key, new)
             reply = await new.ask(attach)
             self.assertEqual((Code.UNKNOWN, True), (reply.code, reply.ran))
             await asyncio.sleep(3600)
@@ -250,10 +315,11 @@
             old = await owner_of_all(fleet)
             new = await fleet.start('b')
             await asyncio.sleep(60)
+            key = key_of(old)
             await fleet.kill(old)
             fleet.hosts.leaving_by_host.pop('a')
             self.assertLess(await wait_until_owned(new), 15)
-            reply = await new.ask(new_attach('invoice', new))
+            reply = await new.ask(new_attach(key, new))
             self.assertIsInstance(reply, Begin)
 
         on_fleet(scenario, **GUARDED)
@@ -272,7 +338,7 @@
             await wait_until_owned(new)
             reply = await new.ask(new_attach('another', new))
             self.assertIsInstance(reply, Begin)
-            reply = await new.ask(new_attach('invoice', new))
+            reply = await new.ask(new_attach(begun.run.key, new))
             self.assertEqual(begun.run, reply.run)
 
         on_fleet(scenario, **GUARDED)
@@ -284,10 +350,11 @@
             await asyncio.sleep(20)
             fleet.peers.cut.add('a')
             fleet.log.outage = True
-            reply = await old.ask(new_attach('invoice', old))
+            attach = new_attach(key_of(old), old)
+            reply = await old.ask(attach)
             self.assertEqual((Code.LOG, False), (reply.code, reply.ran))
             await asyncio.sleep(45)
-            reply = await old.ask(new_attach('invoice', old))
+            reply = await old.ask(attach)
             self.assertIsInstance(reply, Begin)
 
         on_fleet(scenario, **GUARDED)
@@ -300,10 +367,11 @@
             notices = new.sidecar.homes.notices
             notices.begin_vouching(frozenset((old.incarnation,)))
             fleet.log.outage = True
-            reply = await old.ask(new_attach('invoice', old))
+            attach = new_attach(key_of(old), old)
+            reply = await old.ask(attach)
             self.assertEqual(Code.LOG, reply.code)
             notices.end_vouching()
-            reply = await old.ask(new_attach('invoice', old))
+            reply = await old.ask(attach)
             self.assertIsInstance(reply, Begin)
 
         on_fleet(scenario, **GUARDED)
