Set the fields of a frame one by one

Cause: a frame was made of a dict, which the library reads field by field through checks of each type; a profile of streams showed a seventh of all processor time there.

Before: a chunk takes 33.5 us to encode, a load report with 128 prefixes 44.1 us.

--- a/src/dandelioncleat/adapters/frames/_conversion.py
+++ b/src/dandelioncleat/adapters/frames/_conversion.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable
 from enum import Enum
-from functools import cache
+from functools import cache, partial
 from typing import Any, NamedTuple, cast, get_args, get_origin, get_type_hints
 
 Convert = Callable[[Any], Any]
+Write = Callable[[Any, str, Any], None]
 
 
 class Field(NamedTuple):
@@ -13,7 +14,7 @@
 
     name: str
     schema_name: str
-    write: Convert | None
+    write: Write
     read: Convert | None
 
 
@@ -39,13 +40,13 @@
     return first + ''.join(other.title() for other in others)
 
 
-def write_fields(struct: type, value: Any) -> dict[str, Any]:
-    """Return the schema's fields of a value."""
-    written = {}
+def write_fields(struct: type, value: Any, builder: Any) -> None:
+    """Set the fields of a schema's builder one by one.
+
+    This takes a fraction of the time of a builder that is made of a ``dict``.
+    """
     for field in fields_of(struct):
-        part = getattr(value, field.name)
-        written[field.schema_name] = field.write(part) if field.write else part
-    return written
+        field.write(builder, field.schema_name, getattr(value, field.name))
 
 
 def read_fields(struct: type, reader: Any) -> Any:
@@ -67,17 +68,40 @@
     return isinstance(hint, type) and hasattr(hint, '_fields')
 
 
-def _writer(hint: Any) -> Convert | None:
+def _writer(hint: Any) -> Write:
     if get_origin(hint) is tuple:
-        write = _writer(_plain_type(get_args(hint)[0]))
-        if write is None:
-            return list
-        return lambda parts: [write(part) for part in parts]
+        part_hint = _plain_type(get_args(hint)[0])
+        if _is_value_class(part_hint):
+            return partial(_write_values, part_hint)
+        return _write_list
     if _is_value_class(hint):
-        return lambda part: write_fields(hint, part)
+        return partial(_write_value, hint)
     if issubclass(hint, Enum):
-        return str
-    return None
+        return _write_enum
+    return setattr
+
+
+def _write_values(
+    struct: type,
+    builder: Any,
+    name: str,
+    parts: tuple[Any, ...],
+) -> None:
+    written = builder.init(name, len(parts))
+    for position, part in enumerate(parts):
+        write_fields(struct, part, written[position])
+
+
+def _write_list(builder: Any, name: str, parts: tuple[Any, ...]) -> None:
+    setattr(builder, name, list(parts))
+
+
+def _write_value(struct: type, builder: Any, name: str, part: Any) -> None:
+    write_fields(struct, part, getattr(builder, name))
+
+
+def _write_enum(builder: Any, name: str, part: Enum) -> None:
+    setattr(builder, name, str(part))
 
 
 def _reader(hint: Any) -> Convert | None:
--- a/src/dandelioncleat/adapters/frames/codec.py
+++ b/src/dandelioncleat/adapters/frames/codec.py
@@ -1,6 +1,7 @@
 """Encodes and decodes the frames of connections between processes."""
 
 from enum import StrEnum
+from functools import cache
 from typing import Any, NamedTuple
 
 import capnp
@@ -34,6 +35,7 @@
     body: Message | None = None
 
 
+@cache
 def _field_name(message_type: type[Message]) -> str:
     name = message_type.__name__
     return name[0].lower() + name[1:]
@@ -56,20 +58,18 @@
 
 def encode_frame(frame: Frame) -> bytes:
     """Encode a frame."""
-    written: dict[str, Any] = {
-        'call': frame.call,
-        'kind': frame.kind.value,
-        'version': frame.version,
-    }
+    builder = schema.Frame.new_message()
+    builder.call = frame.call
+    builder.kind = frame.kind.value
+    builder.version = frame.version
     if frame.traceparent:
-        written['traceparent'] = frame.traceparent
+        builder.traceparent = frame.traceparent
     body = frame.body
     if body is not None:
         message_type = type(body)
-        written['body'] = {
-            _field_name(message_type): write_fields(message_type, body),
-        }
-    encoded: bytes = schema.Frame.new_message(**written).to_bytes()
+        fields = builder.body.init(_field_name(message_type))
+        write_fields(message_type, body, fields)
+    encoded: bytes = builder.to_bytes()
     return encoded
 
 
