Gather bills of a data centre in a router

Cause: each sidecar appended its own bills, so that the appends grew with the number of sidecars, while the log takes a few hundred a second.

A sidecar now hands its entry to a router of its data centre, which waits 50 ms and appends the envelopes of all senders as one entry. A sender that is not answered within a second, or is refused, appends the entry itself.

--- a/src/dandelioncleat/app/billing.py
+++ b/src/dandelioncleat/app/billing.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Protocol
 
 from dandelioncleat.core.configuration import Configuration
 from dandelioncleat.core.envelope import Envelope, ledger_codec
@@ -13,20 +14,26 @@
 from dandelioncleat.core.identity import Incarnation
 from dandelioncleat.core.record import Bill, LedgerRecord
 from dandelioncleat.core.shard import ledger_stream, shard_of
-from dandelioncleat.ports.log import Log
 
 LINGER_S = 0.02
 RETRY_DELAY_S = 0.25
 MAX_BATCH_BILLS = 500
 
 
+class Appends(Protocol):
+    """Appends entries, as a log does; raises ``FailureError``."""
+
+    async def append(self, stream: str, data: bytes) -> object:
+        """Return once the entry is in the log."""
+
+
 class BillSender:
     """Queues bills by ledger shard and appends them in batches."""
 
     def __init__(
         self,
         *,
-        log: Log,
+        log: Appends,
         incarnation: Incarnation,
         configuration: Callable[[], Configuration],
         linger_s: float = LINGER_S,
@@ -82,7 +89,7 @@
 
     def __init__(
         self,
-        log: Log,
+        log: Appends,
         stream: str,
         producer: Incarnation,
         linger_s: float,
--- a/src/dandelioncleat/core/message.py
+++ b/src/dandelioncleat/core/message.py
@@ -210,7 +210,7 @@
 
 
 class AppendEnvelope(Message, frozen=True):
-    """Asks a follower of a stream to append an entry for its producer."""
+    """Asks a router to append an entry of bills for its producer."""
 
     stream: str
     data: bytes
--- a/src/dandelioncleat/core/relay.py
+++ b/src/dandelioncleat/core/relay.py
@@ -41,6 +41,20 @@
     return tuple(sorted(relays, key=partial(_rank, process)))
 
 
+def bill_relay_order(
+    data_centre: str,
+    stream: str,
+    routers: Iterable[RouterPlace],
+) -> tuple[RouterPlace, ...]:
+    """Order the routers of a data centre that append a stream's bills.
+
+    All senders of the data centre have the same order.
+    """
+    own = (place for place in routers if place.data_centre == data_centre)
+    salt = f'{data_centre}\n{stream}'
+    return tuple(sorted(own, key=partial(_rank, salt)))
+
+
 def _rank(salt: str, place: RouterPlace) -> tuple[int, str]:
     text = f'{salt}\n{place.incarnation}'
     return (xxhash.xxh3_64_intdigest(text.encode()), place.incarnation)
--- a/src/dandelioncleat/daemons/router_process.py
+++ b/src/dandelioncleat/daemons/router_process.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from dandelioncleat.adapters.http_host_list import HttpHostList
+from dandelioncleat.app.bill_relay import BillRelay, BillRelayHandler
 from dandelioncleat.app.budgets import Budgets
 from dandelioncleat.app.ledger_desk import ShardedLedgerDesk
 from dandelioncleat.app.operator import OperatorBackend
@@ -33,6 +34,7 @@
     budgets: Budgets
     router: Router
     handler: RelayHandler
+    bill_relay: BillRelay
     retirer: Retirer
     backend: OperatorBackend
     gauges: ProcessGauges
@@ -41,7 +43,13 @@
     def tasks(self) -> tuple[RunsForever, ...]:
         """Return the parts that run until cancelled."""
         keepers = (self.shared.configuration, self.shared.fleet, self.budgets)
-        return (*keepers, self.retirer, self.gauges, self.router)
+        return (
+            *keepers,
+            self.bill_relay,
+            self.retirer,
+            self.gauges,
+            self.router,
+        )
 
 
 def new_router_process(
@@ -81,11 +89,17 @@
         hosts=host_list,
         shards=budgets.shards,
     )
+    bill_relay = BillRelay(
+        log=shared.log,
+        incarnation=incarnation,
+        configuration=lambda: configuration.current,
+    )
     return RouterProcess(
         shared,
         budgets,
         router,
-        RelayHandler(shared.relay, router),
+        RelayHandler(shared.relay, BillRelayHandler(bill_relay, router)),
+        bill_relay,
         retirer,
         OperatorBackend(
             configuration=configuration,
--- a/src/dandelioncleat/daemons/sidecar.py
+++ b/src/dandelioncleat/daemons/sidecar.py
@@ -10,9 +10,10 @@
 from dandelioncleat.adapters.http_plain_target import HttpPlainTarget
 from dandelioncleat.adapters.log_lines import configure_log_lines
 from dandelioncleat.adapters.telemetry import OtelTelemetry, new_telemetry
+from dandelioncleat.app.bill_relay import RelayedBills
 from dandelioncleat.app.billing import BillSender
 from dandelioncleat.app.process_gauges import ProcessGauges
-from dandelioncleat.app.relay_handler import RelayHandler
+from dandelioncleat.app.relay_handler import RelayHandler, router_places
 from dandelioncleat.app.sidecar import Sidecar, new_sidecar
 from dandelioncleat.core.fleet import SIDECAR
 from dandelioncleat.core.identity import Incarnation
@@ -115,7 +116,12 @@
     shared = new_shared(settings, incarnation=incarnation, session=session)
     configuration = shared.configuration
     bills = BillSender(
-        log=shared.log,
+        log=RelayedBills(
+            log=shared.log,
+            data_centre=settings.data_centre,
+            peers=shared.peers,
+            routers=lambda: router_places(shared.fleet),
+        ),
         incarnation=incarnation,
         configuration=lambda: configuration.current,
     )
--- a/src/dandelioncleat/replay/process.py
+++ b/src/dandelioncleat/replay/process.py
@@ -9,9 +9,11 @@
     MemoryNetwork,
     MemoryPeers,
 )
+from dandelioncleat.app.bill_relay import RelayedBills
 from dandelioncleat.app.billing import BillSender
 from dandelioncleat.app.configuration import ConfigurationKeeper
 from dandelioncleat.app.fleet import FleetKeeper
+from dandelioncleat.app.relay_handler import router_places
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.identity import Incarnation
 from dandelioncleat.ports.peer import PeerHandler
@@ -107,22 +109,29 @@
         )
         configuration = ConfigurationKeeper(log=log, producer=incarnation)
         configuration.on_change(self._note_version)
+        fleet = FleetKeeper(log=log, producer=incarnation)
+        peers = MemoryPeers(
+            around.network,
+            address=self.name,
+            incarnation=incarnation,
+            version=lambda: configuration.current.version,
+            on_version=lambda *_: None,
+        )
         self.ports = Ports(
             incarnation,
             hold,
             log,
             HeldHostList(around.host_list, hold),
-            MemoryPeers(
-                around.network,
-                address=self.name,
-                incarnation=incarnation,
-                version=lambda: configuration.current.version,
-                on_version=lambda *_: None,
-            ),
+            peers,
             configuration,
-            FleetKeeper(log=log, producer=incarnation),
+            fleet,
             BillSender(
-                log=log,
+                log=RelayedBills(
+                    log=log,
+                    data_centre=self.data_centre,
+                    peers=peers,
+                    routers=lambda: router_places(fleet),
+                ),
                 incarnation=incarnation,
                 configuration=lambda: configuration.current,
             ),
--- a/src/dandelioncleat/replay/world.py
+++ b/src/dandelioncleat/replay/world.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from dandelioncleat.adapters.memory_peers import MemoryNetwork
+from dandelioncleat.app.bill_relay import BillRelay, BillRelayHandler
 from dandelioncleat.app.budgets import Budgets
 from dandelioncleat.app.retirement import Retirer
 from dandelioncleat.app.router import Router, new_router
@@ -50,6 +51,11 @@
         """Take the router and its parts."""
         self.router = router
         self.budgets = budgets
+        self.bill_relay = BillRelay(
+            log=ports.log,
+            incarnation=ports.incarnation,
+            configuration=lambda: ports.configuration.current,
+        )
         self._ports = ports
         self._retirer = Retirer(
             incarnation=ports.incarnation,
@@ -64,6 +70,7 @@
             group.create_task(self._ports.configuration.run())
             group.create_task(self._ports.fleet.run())
             group.create_task(self.budgets.run())
+            group.create_task(self.bill_relay.run())
             group.create_task(self._retirer.run())
             group.create_task(self.router.run())
 
@@ -164,7 +171,9 @@
             telemetry=NullTelemetry(),
             source=random.Random(f'{self._seed}/{ports.incarnation}'),
         )
-        process.serve(RouterDaemon(router, ports, budgets), router)
+        daemon = RouterDaemon(router, ports, budgets)
+        handler = BillRelayHandler(daemon.bill_relay, router)
+        process.serve(daemon, handler)
 
     def start_sidecar(self, process: Process) -> None:
         """Start a fresh incarnation of a sidecar."""
