--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -18,7 +18,7 @@
 RELAYS = 4
 RELAY_ASKS_S = 2 / 1.5
 RELAY_FRAME_BYTES = 100
-BILL_LINGER_S = 0.02
+GATHERED_APPENDS_S = 16.7
 HOST_POLLS_S = 1.0
 RETIRER_POLLS_S = 0.5
 MB = 1e6
@@ -54,7 +54,7 @@
     @property
     def appends_s(self) -> float:
         """Return the appends of bills in a second."""
-        return min(self.requests_s, self.sidecars / BILL_LINGER_S)
+        return min(self.requests_s, self.data_centres * GATHERED_APPENDS_S)
 
 
 SIZES = (
@@ -123,9 +123,9 @@
     return s.at('load_report_codec', PREFIXES) / 2
 
 
-def _bill_bytes(s: Slopes, z: Size) -> float:
-    batch = z.requests_s / max(z.appends_s, 1e-9)
-    return s.figure('bill_bytes_in_1' if batch < 5 else 'bill_bytes_in_5')
+def _bill_bytes(s: Slopes) -> float:
+    # Gathered bills keep the envelopes of their senders, mostly one in each.
+    return s.figure('bill_bytes_in_1')
 
 
 def _percent(us_per_s: float) -> float:
@@ -139,8 +139,8 @@
          lambda s, z: z.watched * BUSY_REPORTS_S * _report_bytes(s) / KB),
     Cell('router', 'load reports, busy: decoding', '% of a core', 'watched x 4/s x half of encode and decode', 'control: load_report_codec',
          lambda s, z: _percent(z.watched * BUSY_REPORTS_S * _codec_us(s))),
-    Cell('router', 'ledger: reading', 'KB/s', 'requests/s x bytes of a bill (all shards)', 'folds: bill_bytes_in_n',
-         lambda s, z: z.requests_s * _bill_bytes(s, z) / KB),
+    Cell('router', 'ledger: reading', 'KB/s', 'requests/s x bytes of a bill (all shards)', 'folds: bill_bytes_in_1',
+         lambda s, z: z.requests_s * _bill_bytes(s) / KB),
     Cell('router', 'ledger: applying', '% of a core', 'requests/s x us of a bill', 'folds: bill_apply',
          lambda s, z: _percent(z.requests_s * s.at('bill_apply', z.budgets))),
     Cell('router', 'grants: renewing, all budgets held', '% of a core', 'budgets x us each second', 'decisions: tick',
@@ -149,6 +149,8 @@
          lambda s, z: (z.routers + z.sidecars) * (HOST_POLLS_S + RETIRER_POLLS_S) * s.slope('host_list_bytes') / KB),
     Cell('router', 'relaying configuration and fleet', 'KB/s', 'askers of a relay x 2 streams / 1.5 s x 2 frames of 100 B', 'derived, frame size assumed',
          lambda s, z: (z.routers + z.sidecars) / min(z.routers, RELAYS * z.data_centres) * RELAY_ASKS_S * 2 * RELAY_FRAME_BYTES / KB),
+    Cell('router', 'bills gathered, at one router of a data centre', 'KB/s', 'requests/s / data centres x bytes, in and out', 'folds: bill_bytes_in_1',
+         lambda s, z: 2 * z.requests_s / z.data_centres * _bill_bytes(s) / KB),
     Cell('router', 'subset: one change of the fleet', '% of a core', 'us of a refresh, if one change a second', 'decisions: subset_refresh',
          lambda s, z: _percent(s.at('subset_refresh', z.sidecars))),
     Cell('router', 'memory: process with its libraries', 'MB', 'peak at start', 'control: start_memory',
@@ -175,16 +177,16 @@
          lambda s, z: _percent(z.watchers * BUSY_REPORTS_S * _codec_us(s))),
     Cell('sidecar', 'host list', 'KB/s', 'hosts x 1 read/s x bytes', 'control: host_list_bytes',
          lambda s, z: (z.routers + z.sidecars) * HOST_POLLS_S * s.slope('host_list_bytes') / KB),
-    Cell('sidecar', 'bills', 'KB/s', 'requests/s a sidecar x bytes', 'folds: bill_bytes_in_n',
-         lambda s, z: z.requests_s / z.sidecars * _bill_bytes(s, z) / KB),
+    Cell('sidecar', 'bills', 'KB/s', 'requests/s a sidecar x bytes', 'folds: bill_bytes_in_1',
+         lambda s, z: z.requests_s / z.sidecars * _bill_bytes(s) / KB),
     Cell('sidecar', 'memory: process with its libraries', 'MB', 'peak at start', 'control: start_memory',
          lambda s, z: s.figure('start_memory') * 1.048576),
-    Cell('log', 'appends of bills', 'appends/s', 'the lesser of requests/s and sidecars / linger', 'control: load_appends',
+    Cell('log', 'appends of bills', 'appends/s', 'the lesser of requests/s and data centres x 16.7 (one shard)', 'commit afcd29f, on virtual time',
          lambda s, z: z.appends_s, control=False),
-    Cell('log', 'bytes appended', 'KB/s in', 'requests/s x bytes of a bill', 'folds: bill_bytes_in_n',
-         lambda s, z: z.requests_s * _bill_bytes(s, z) / KB, control=False),
-    Cell('log', 'bytes read by all routers', 'MB/s out', 'routers x requests/s x bytes of a bill', 'folds: bill_bytes_in_n',
-         lambda s, z: z.routers * z.requests_s * _bill_bytes(s, z) / MB, control=False),
+    Cell('log', 'bytes appended', 'KB/s in', 'requests/s x bytes of a bill', 'folds: bill_bytes_in_1',
+         lambda s, z: z.requests_s * _bill_bytes(s) / KB, control=False),
+    Cell('log', 'bytes read by all routers', 'MB/s out', 'routers x requests/s x bytes of a bill', 'folds: bill_bytes_in_1',
+         lambda s, z: z.routers * z.requests_s * _bill_bytes(s) / MB, control=False),
     Cell('log', 'one checkpoint of the ledger', 'MB', 'budgets x bytes + requests/s x 7,200 s x bytes', 'folds: ledger_checkpoint, billed_checkpoint',
          lambda s, z: (z.budgets * s.slope('ledger_checkpoint') + z.requests_s * BILLED_MEMORY_S * s.slope('billed_checkpoint')) / MB, control=False),
     Cell('log', 'waiting readers of configuration and fleet', 'reads', 'relays of all data centres x 2 streams', 'derived',
