Have a prompt counted before a request is refused for budget

Cause: a prompt is bounded by its bytes, several times its tokens; at the end of a budget requests were refused that the rest would have covered. The count costs one call of a sidecar and only before a refusal.

--- a/src/dandelioncleat/adapters/frames/frames.capnp
+++ b/src/dandelioncleat/adapters/frames/frames.capnp
@@ -40,6 +40,8 @@
     askStatus @27 :AskStatus;
     status @28 :Status;
     noteGuard @29 :NoteGuard;
+    askTokenCount @30 :AskTokenCount;
+    tokenCount @31 :TokenCount;
   }
 
   enum Kind {
@@ -241,3 +243,13 @@
   digest @4 :Text;
   details @5 :Data;
 }
+
+struct AskTokenCount {
+  path @0 :Text;
+  contentType @1 :Text;
+  body @2 :Data;
+}
+
+struct TokenCount {
+  tokens @0 :Int64;
+}
--- a/src/dandelioncleat/app/preparation.py
+++ b/src/dandelioncleat/app/preparation.py
@@ -6,6 +6,7 @@
 from dandelioncleat.app.gate import Demand, Place
 from dandelioncleat.app.home_finder import Permission
 from dandelioncleat.app.parts import Parts
+from dandelioncleat.app.prompt_count import PromptCounter
 from dandelioncleat.core.failure import Code, Failure, FailureError
 from dandelioncleat.core.identity import Incarnation
 from dandelioncleat.core.message import (
@@ -27,6 +28,11 @@
     def __init__(self, parts: Parts) -> None:
         """Take the parts of the router."""
         self._parts = parts
+        self._prompts = PromptCounter(
+            peers=parts.peers,
+            watch=parts.watch,
+            configuration=parts.configuration,
+        )
 
     async def prepare(
         self,
@@ -75,6 +81,26 @@
         raise error
 
     async def _reserve(self, course: Course) -> None:
+        try:
+            await self._reserve_bound(course)
+        except FailureError as error:
+            if not await self._tighten(course, error.failure):
+                raise
+            await self._reserve_bound(course)
+
+    async def _tighten(self, course: Course, failure: Failure) -> bool:
+        """Return whether a counted prompt needs fewer tokens than its bound."""
+        if failure.code != Code.BUDGET:
+            return False
+        request = course.request
+        tokens = await self._prompts.count(request)
+        if tokens is None or tokens >= request.prompt_bound:
+            return False
+        course.request = request._replace(prompt_bound=tokens)
+        self._parts.telemetry.count('router.prompts_counted')
+        return True
+
+    async def _reserve_bound(self, course: Course) -> None:
         left_s = course.deadline - asyncio.get_running_loop().time()
         request = course.request
         with self._parts.telemetry.span(
--- a/src/dandelioncleat/app/sidecar.py
+++ b/src/dandelioncleat/app/sidecar.py
@@ -8,6 +8,7 @@
 import msgspec
 import structlog
 
+from dandelioncleat.app._target_answer import uncounted_call
 from dandelioncleat.app._task_scope import TaskScope
 from dandelioncleat.app.billing import BillSender
 from dandelioncleat.app.configuration import ConfigurationKeeper
@@ -26,6 +27,7 @@
 from dandelioncleat.core.identity import Incarnation, RunId
 from dandelioncleat.core.message import (
     AskStatus,
+    AskTokenCount,
     Attach,
     Cancel,
     Dispatch,
@@ -36,6 +38,7 @@
     Resume,
     SealRun,
     Status,
+    TokenCount,
     WatchLoad,
 )
 from dandelioncleat.core.record import End, Join, Leave
@@ -108,6 +111,7 @@
         self._fleet = fleet
         self._bills = bills
         self._telemetry = ports.telemetry
+        self._client = ports.target_client
         self._hosts = HostWatch(ports.host_list)
         self._tasks = TaskScope()
         self._hurry = asyncio.Event()
@@ -275,6 +279,8 @@
                 yield self.executor.seal(message)
             case Cancel():
                 yield self.executor.cancel(message)
+            case AskTokenCount():
+                yield await self._count_tokens(message)
             case AskStatus():
                 yield self.status()
             case _:
@@ -285,6 +291,13 @@
             return self._refusal(Code.NOT_READY, 'not in the fleet yet')
         return await self.homes.attach(message)
 
+    async def _count_tokens(self, ask: AskTokenCount) -> Message:
+        call = uncounted_call(ask, self._place.incarnation)
+        tokens = await self._client.count_tokens(call)
+        if tokens is None:
+            return self._refusal(Code.TARGET, 'the target counts no tokens')
+        return TokenCount(tokens)
+
     async def _serve(self) -> None:
         async with asyncio.TaskGroup() as group:
             self._tasks.open(group)
--- a/src/dandelioncleat/core/message.py
+++ b/src/dandelioncleat/core/message.py
@@ -170,6 +170,20 @@
     seen: float
 
 
+class AskTokenCount(Message, frozen=True):
+    """Asks a sidecar for the tokens of a prompt, by its target's count."""
+
+    path: str
+    content_type: str
+    body: bytes
+
+
+class TokenCount(Message, frozen=True):
+    """States the tokens of a prompt."""
+
+    tokens: int
+
+
 class WatchLoad(Message, frozen=True):
     """Asks a sidecar for its target's load, now and at each change."""
 
--- a/tests/builders/router.py
+++ b/tests/builders/router.py
@@ -31,6 +31,7 @@
 from dandelioncleat.core.message import (
     Accepted,
     AskStatus,
+    AskTokenCount,
     Attach,
     Cancel,
     Chunk,
@@ -44,6 +45,7 @@
     Sealed,
     SealRun,
     Status,
+    TokenCount,
     WatchLoad,
 )
 from dandelioncleat.core.record import Bill, Join
@@ -209,6 +211,7 @@
         self.mute = False
         self.attach_s = 0.0
         self.never_seals = False
+        self.prompt_tokens: int | None = None
         self.leaving = False
         self.ran: list[RequestKey] = []
         self.cancelled: list[Any] = []
@@ -253,6 +256,10 @@
                 ran = message.run in self.runs or self.never_seals
                 self.sealed[message.run] = True
                 yield Sealed(message.run, ran)
+            case AskTokenCount() if self.prompt_tokens is not None:
+                yield TokenCount(self.prompt_tokens)
+            case AskTokenCount():
+                yield _refuse(Code.TARGET)
             case Cancel():
                 self.cancelled.append(message.run)
                 yield Accepted()
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -359,6 +359,18 @@
 
         run(scenario())
 
+    def test_a_counted_prompt_fits_where_its_bound_does_not(self) -> None:
+        async def scenario() -> None:
+            async with Bench('t1', budgets=FakeBudgets(tokens=60)) as bench:
+                request = new_request(fresh_key=True)
+                _, end = await collect(bench.router, request)
+                self.assertEqual(Code.BUDGET, end.failure.code)
+                bench.sidecars['t1'].prompt_tokens = 4
+                _, end = await collect(bench.router, request)
+                self.assertEqual(Outcome.ANSWERED, end.outcome)
+
+        run(scenario())
+
     def test_same_key_with_another_body_conflicts(self) -> None:
         async def scenario() -> None:
             async with Bench() as bench:
