Remove the message that nobody sends

Cause: the verdicts of relayed records are read back by each process itself, so that the message Verdicts had no user. The frame codec's test took NaN for a time, which is not equal to itself, and failed or passed by chance of its examples; it now draws every other float. Also: a target whose sidecar restarts stays on the host list as leaving in replay, as its host does.

--- a/src/dandelioncleat/adapters/frames/frames.capnp
+++ b/src/dandelioncleat/adapters/frames/frames.capnp
@@ -34,14 +34,13 @@
     askPart @21 :AskPart;
     part @22 :Part;
     appendEnvelope @23 :AppendEnvelope;
-    verdicts @24 :Verdicts;
-    askEntries @25 :AskEntries;
-    streamEntries @26 :StreamEntries;
-    askStatus @27 :AskStatus;
-    status @28 :Status;
-    noteGuard @29 :NoteGuard;
-    askTokenCount @30 :AskTokenCount;
-    tokenCount @31 :TokenCount;
+    askEntries @24 :AskEntries;
+    streamEntries @25 :StreamEntries;
+    askStatus @26 :AskStatus;
+    status @27 :Status;
+    noteGuard @28 :NoteGuard;
+    askTokenCount @29 :AskTokenCount;
+    tokenCount @30 :TokenCount;
   }
 
   enum Kind {
@@ -205,10 +204,6 @@
   data @1 :Data;
 }
 
-struct Verdicts {
-  data @0 :Data;
-}
-
 struct AskEntries {
   stream @0 :Text;
   start @1 :Int64;
--- a/src/dandelioncleat/core/message.py
+++ b/src/dandelioncleat/core/message.py
@@ -191,7 +191,6 @@
 class Load(Message, frozen=True):
     """Describes a target's load; ``age_ms`` is the age of the engine's report.
 
-    ``running`` and ``queued`` are counted by the sidecar when it sends this.
     ``demand_tokens`` are the KV tokens of running and queued requests.
     ``prefixes`` are digests of cached prompt prefixes, newest last.
     """
@@ -230,12 +229,6 @@
     data: bytes
 
 
-class Verdicts(Message, frozen=True):
-    """Returns the encoded verdicts of an appended envelope, in order."""
-
-    data: bytes
-
-
 class AskEntries(Message, frozen=True):
     """Asks a process that reads a stream for the entries from ``start`` on.
 
--- a/src/dandelioncleat/replay/process.py
+++ b/src/dandelioncleat/replay/process.py
@@ -136,7 +136,8 @@
                 configuration=lambda: configuration.current,
             ),
         )
-        around.host_list.set_live(self.name, self.data_centre)
+        if self._starts == 1:
+            around.host_list.set_live(self.name, self.data_centre)
         return self.ports
 
     def serve(self, daemon: Daemon, handler: PeerHandler) -> None:
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -25,6 +25,8 @@
 def messages() -> st.SearchStrategy[Message]:
     st.register_type_strategy(str, texts())
     st.register_type_strategy(int, st.integers(0, 2**40))
+    # NaN survives but is not equal to itself.
+    st.register_type_strategy(float, st.floats(allow_nan=False))
     return st.one_of([st.from_type(kind) for kind in MESSAGE_TYPES])
 
 
