--- a/src/dandelioncleat/app/_target_answer.py
+++ b/src/dandelioncleat/app/_target_answer.py
@@ -5,8 +5,8 @@
 from dandelioncleat.core.configuration import Service, ServiceKind
 from dandelioncleat.core.dispatch_check import drawn_tokens
 from dandelioncleat.core.failure import Code, Failure
-from dandelioncleat.core.identity import Incarnation, RunId
-from dandelioncleat.core.message import AskTokenCount, Dispatch
+from dandelioncleat.core.identity import Incarnation
+from dandelioncleat.core.message import Dispatch
 from dandelioncleat.core.record import Bill
 from dandelioncleat.core.run import Ending, Run
 from dandelioncleat.ports.target import Ended, TargetCall
@@ -50,20 +50,6 @@
     )
 
 
-def uncounted_call(ask: AskTokenCount, sidecar: Incarnation) -> TargetCall:
-    """Return the call whose prompt is to be counted; it is never run."""
-    return TargetCall(
-        run=RunId('', '', sidecar, 0),
-        method='POST',
-        path=ask.path,
-        content_type=ask.content_type,
-        body=ask.body,
-        cap=0,
-        priority=0,
-        fence=0,
-    )
-
-
 def never_reached(failure: Failure) -> bool:
     """Return whether a failed call cannot have run at the target."""
     return failure.code == Code.FENCED or failure.step == CONNECT_STEP
--- a/src/dandelioncleat/app/sidecar.py
+++ b/src/dandelioncleat/app/sidecar.py
@@ -8,7 +8,6 @@
 import msgspec
 import structlog
 
-from dandelioncleat.app._target_answer import uncounted_call
 from dandelioncleat.app._task_scope import TaskScope
 from dandelioncleat.app.billing import BillSender
 from dandelioncleat.app.configuration import ConfigurationKeeper
@@ -22,6 +21,7 @@
 from dandelioncleat.app.host_watch import HostWatch
 from dandelioncleat.app.load_report import LoadReport
 from dandelioncleat.app.sidecar_life import SidecarLife
+from dandelioncleat.app.token_count import count_prompt
 from dandelioncleat.core.failure import Code
 from dandelioncleat.core.fleet import SIDECAR
 from dandelioncleat.core.identity import Incarnation, RunId
@@ -38,7 +38,6 @@
     Resume,
     SealRun,
     Status,
-    TokenCount,
     WatchLoad,
 )
 from dandelioncleat.core.record import End, Join, Leave
@@ -189,6 +188,8 @@
                 replies = self.executor.resume(message)
             case WatchLoad():
                 replies = self._load.watch()
+            case AskTokenCount():
+                replies = count_prompt(message, self._client, self._place)
             case _:
                 replies = self._reply(message, context.traceparent)
         async with aclosing(replies):  # type: ignore[type-var]
@@ -279,8 +280,6 @@
                 yield self.executor.seal(message)
             case Cancel():
                 yield self.executor.cancel(message)
-            case AskTokenCount():
-                yield await self._count_tokens(message)
             case AskStatus():
                 yield self.status()
             case _:
@@ -291,13 +290,6 @@
             return self._refusal(Code.NOT_READY, 'not in the fleet yet')
         return await self.homes.attach(message)
 
-    async def _count_tokens(self, ask: AskTokenCount) -> Message:
-        call = uncounted_call(ask, self._place.incarnation)
-        tokens = await self._client.count_tokens(call)
-        if tokens is None:
-            return self._refusal(Code.TARGET, 'the target counts no tokens')
-        return TokenCount(tokens)
-
     async def _serve(self) -> None:
         async with asyncio.TaskGroup() as group:
             self._tasks.open(group)
