Keep one way to run a process and one handler that answers a type

Cause: the commands and the start of routers and sidecars stood twice, and two relays each had the same handler around the process's own. After: daemons/process.py, daemons/commands.py and app/typed_handler.py serve both. No behaviour changes.

--- a/src/dandelioncleat/__main__.py
+++ b/src/dandelioncleat/__main__.py
@@ -5,11 +5,8 @@
 from collections.abc import Sequence
 
 from dandelioncleat.bench import commands as bench_commands
-from dandelioncleat.daemons import (
-    router_command,
-    settings_command,
-    sidecar_command,
-)
+from dandelioncleat.daemons import commands as daemon_commands
+from dandelioncleat.daemons import settings_command
 from dandelioncleat.demo import command as demo_command
 from dandelioncleat.operator import command as operator_command
 from dandelioncleat.replay import commands as replay_commands
@@ -23,8 +20,7 @@
         description='A router fleet for prepaid token budgets.',
     )
     subparsers = parser.add_subparsers(required=True, metavar='COMMAND')
-    router_command.add_parser(subparsers)
-    sidecar_command.add_parser(subparsers)
+    daemon_commands.add_parsers(subparsers)
     settings_command.add_parser(subparsers)
     demo_command.add_parser(subparsers)
     standin_commands.add_parser(subparsers)
--- a/src/dandelioncleat/app/bill_relay.py
+++ b/src/dandelioncleat/app/bill_relay.py
@@ -7,12 +7,12 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
-from contextlib import aclosing
+from collections.abc import Callable
 from typing import NamedTuple
 
 import msgspec
 
+from dandelioncleat.app.typed_handler import TypedHandler
 from dandelioncleat.core.configuration import Configuration
 from dandelioncleat.core.envelope import Envelope, ledger_codec
 from dandelioncleat.core.failure import Code, FailureError
@@ -28,7 +28,7 @@
 from dandelioncleat.core.relay import RouterPlace, bill_relay_order
 from dandelioncleat.core.shard import ledger_stream
 from dandelioncleat.ports.log import Log
-from dandelioncleat.ports.peer import CallContext, PeerHandler, Peers
+from dandelioncleat.ports.peer import PeerHandler, Peers
 
 LINGER_S = 0.05
 RELAY_TIMEOUT_S = 1.0
@@ -105,27 +105,9 @@
         return Refusal(code, 'append_bills', self._incarnation, text)
 
 
-class BillRelayHandler:
-    """Passes every other message on to the process's handler."""
-
-    def __init__(self, relay: BillRelay, handler: PeerHandler) -> None:
-        """Take the relay and the handler of all other messages."""
-        self._relay = relay
-        self._handler = handler
-
-    async def answer(
-        self,
-        message: Message,
-        context: CallContext,
-    ) -> AsyncIterator[Message]:
-        """Yield the replies to a message."""
-        if isinstance(message, AppendEnvelope):
-            yield await self._relay.answer(message)
-            return
-        replies = self._handler.answer(message, context)
-        async with aclosing(replies):  # type: ignore[type-var]
-            async for reply in replies:
-                yield reply
+def new_bill_handler(relay: BillRelay, handler: PeerHandler) -> PeerHandler:
+    """Return a handler that gathers the bills of others as well."""
+    return TypedHandler(AppendEnvelope, relay.answer, handler)
 
 
 class RelayedBills:
--- a/src/dandelioncleat/app/relay_handler.py
+++ b/src/dandelioncleat/app/relay_handler.py
@@ -1,39 +1,19 @@
 """Answers the askers of shared streams, beside a process's own handler."""
 
-from collections.abc import AsyncIterator
-from contextlib import aclosing
-
 from dandelioncleat.app.configuration import CONFIGURATION_STREAM
 from dandelioncleat.app.fleet import FleetKeeper
 from dandelioncleat.app.log_relay import LogRelay
+from dandelioncleat.app.typed_handler import TypedHandler
 from dandelioncleat.core.fleet import ROUTER
 from dandelioncleat.core.identity import Incarnation
-from dandelioncleat.core.message import AskEntries, Message
+from dandelioncleat.core.message import AskEntries
 from dandelioncleat.core.relay import RouterPlace
-from dandelioncleat.ports.peer import CallContext, PeerHandler
-
-
-class RelayHandler:
-    """Passes every other message on to the process's handler."""
-
-    def __init__(self, relay: LogRelay, handler: PeerHandler) -> None:
-        """Take the relay and the handler of all other messages."""
-        self._relay = relay
-        self._handler = handler
-
-    async def answer(
-        self,
-        message: Message,
-        context: CallContext,
-    ) -> AsyncIterator[Message]:
-        """Yield the replies to a message."""
-        if isinstance(message, AskEntries):
-            yield await self._relay.answer(message)
-            return
-        replies = self._handler.answer(message, context)
-        async with aclosing(replies):  # type: ignore[type-var]
-            async for reply in replies:
-                yield reply
+from dandelioncleat.ports.peer import PeerHandler
+
+
+def new_relay_handler(relay: LogRelay, handler: PeerHandler) -> PeerHandler:
+    """Return a handler that answers the askers of shared streams as well."""
+    return TypedHandler(AskEntries, relay.answer, handler)
 
 
 def router_places(fleet: FleetKeeper) -> tuple[RouterPlace, ...]:
--- a/src/dandelioncleat/bench/loopback.py
+++ b/src/dandelioncleat/bench/loopback.py
@@ -17,9 +17,9 @@
 )
 from dandelioncleat.core.identity import BudgetId
 from dandelioncleat.core.record import Patch
+from dandelioncleat.daemons.process import new_incarnation
 from dandelioncleat.daemons.router import (
     RouterDaemon,
-    new_incarnation,
     new_router_daemon,
 )
 from dandelioncleat.daemons.settings import RouterSettings, SidecarSettings
--- /dev/null
+++ b/src/dandelioncleat/daemons/process.py
@@ -0,0 +1,73 @@
+"""Runs a daemon as a process: its name, its telemetry and its signals."""
+
+import asyncio
+import secrets
+from typing import Protocol, TypeVar
+
+from dandelioncleat.adapters.log_lines import configure_log_lines
+from dandelioncleat.adapters.telemetry import OtelTelemetry, new_telemetry
+from dandelioncleat.core.identity import Incarnation
+from dandelioncleat.daemons.settings import Settings
+from dandelioncleat.daemons.supervision import (
+    Daemon,
+    StopSignals,
+    supervise,
+)
+
+UNIQUE_BYTES = 6
+
+SettingsT_contra = TypeVar(
+    'SettingsT_contra',
+    bound=Settings,
+    contravariant=True,
+)
+
+
+class NewDaemon(Protocol[SettingsT_contra]):
+    """Makes the daemon of a role; needs a running event loop."""
+
+    def __call__(
+        self,
+        settings: SettingsT_contra,
+        *,
+        telemetry: OtelTelemetry,
+        incarnation: Incarnation,
+    ) -> Daemon:
+        """Return a daemon that does not run yet."""
+
+
+def new_incarnation(host: str) -> Incarnation:
+    """Name one start of a process on a host."""
+    unique = secrets.token_hex(UNIQUE_BYTES)
+    return Incarnation(f'{host}/{unique}')
+
+
+async def run_process(
+    settings: SettingsT_contra,
+    *,
+    role: str,
+    new_daemon: NewDaemon[SettingsT_contra],
+) -> int:
+    """Run a daemon until it is told to stop; return the exit code."""
+    incarnation = new_incarnation(settings.host)
+    telemetry = new_telemetry(
+        role=role,
+        incarnation=incarnation,
+        endpoint=settings.telemetry.otlp_endpoint,
+    )
+    configure_log_lines(
+        settings.telemetry.logs,
+        role=role,
+        incarnation=incarnation,
+    )
+    signals = StopSignals()
+    signals.install()
+    daemon = new_daemon(
+        settings,
+        telemetry=telemetry,
+        incarnation=incarnation,
+    )
+    try:
+        return await supervise(daemon, signals, limit_s=settings.stop.limit_s)
+    finally:
+        await asyncio.to_thread(telemetry.stop)
--- a/src/dandelioncleat/daemons/router.py
+++ b/src/dandelioncleat/daemons/router.py
@@ -1,7 +1,6 @@
 """The daemon of an entry host."""
 
 import asyncio
-import secrets
 
 import structlog
 from aiohttp import ClientSession, web
@@ -10,10 +9,9 @@
     CallerBackend,
     new_caller_application,
 )
-from dandelioncleat.adapters.log_lines import configure_log_lines
 from dandelioncleat.adapters.operator_http import add_operator_routes
 from dandelioncleat.adapters.system_clock import SystemClock
-from dandelioncleat.adapters.telemetry import OtelTelemetry, new_telemetry
+from dandelioncleat.adapters.telemetry import OtelTelemetry
 from dandelioncleat.core.account import Balance
 from dandelioncleat.core.fleet import ROUTER
 from dandelioncleat.core.identity import BudgetId, Incarnation
@@ -24,9 +22,6 @@
     new_router_process,
 )
 from dandelioncleat.daemons.settings import RouterSettings
-from dandelioncleat.daemons.supervision import StopSignals, supervise
-
-UNIQUE_BYTES = 6
 
 _logger = structlog.get_logger(__name__)
 
@@ -136,35 +131,3 @@
         callers=callers,
         peers=peers,
     )
-
-
-def new_incarnation(host: str) -> Incarnation:
-    """Name one start of a process on a host."""
-    unique = secrets.token_hex(UNIQUE_BYTES)
-    return Incarnation(f'{host}/{unique}')
-
-
-async def run_router(settings: RouterSettings) -> int:
-    """Run a router until it is told to stop; return the exit code."""
-    incarnation = new_incarnation(settings.host)
-    telemetry = new_telemetry(
-        role=ROUTER,
-        incarnation=incarnation,
-        endpoint=settings.telemetry.otlp_endpoint,
-    )
-    configure_log_lines(
-        settings.telemetry.logs,
-        role=ROUTER,
-        incarnation=incarnation,
-    )
-    signals = StopSignals()
-    signals.install()
-    daemon = new_router_daemon(
-        settings,
-        telemetry=telemetry,
-        incarnation=incarnation,
-    )
-    try:
-        return await supervise(daemon, signals, limit_s=settings.stop.limit_s)
-    finally:
-        await asyncio.to_thread(telemetry.stop)
--- a/src/dandelioncleat/daemons/router_process.py
+++ b/src/dandelioncleat/daemons/router_process.py
@@ -6,17 +6,18 @@
 import aiohttp
 
 from dandelioncleat.adapters.http_host_list import HttpHostList
-from dandelioncleat.app.bill_relay import BillRelay, BillRelayHandler
+from dandelioncleat.app.bill_relay import BillRelay, new_bill_handler
 from dandelioncleat.app.budgets import Budgets
 from dandelioncleat.app.ledger_desk import ShardedLedgerDesk
 from dandelioncleat.app.operator import OperatorBackend
 from dandelioncleat.app.process_gauges import ProcessGauges
-from dandelioncleat.app.relay_handler import RelayHandler
+from dandelioncleat.app.relay_handler import new_relay_handler
 from dandelioncleat.app.retirement import Retirer
 from dandelioncleat.app.router import Router, new_router
 from dandelioncleat.core.record import Join
 from dandelioncleat.daemons.settings import RouterSettings
 from dandelioncleat.daemons.shared_parts import Shared, new_shared
+from dandelioncleat.ports.peer import PeerHandler
 from dandelioncleat.ports.telemetry import Telemetry
 
 
@@ -33,7 +34,7 @@
     shared: Shared
     budgets: Budgets
     router: Router
-    handler: RelayHandler
+    handler: PeerHandler
     bill_relay: BillRelay
     retirer: Retirer
     backend: OperatorBackend
@@ -98,7 +99,7 @@
         shared,
         budgets,
         router,
-        RelayHandler(shared.relay, BillRelayHandler(bill_relay, router)),
+        new_relay_handler(shared.relay, new_bill_handler(bill_relay, router)),
         bill_relay,
         retirer,
         OperatorBackend(
--- a/src/dandelioncleat/daemons/sidecar.py
+++ b/src/dandelioncleat/daemons/sidecar.py
@@ -8,20 +8,16 @@
 from dandelioncleat.adapters.http_host_list import HttpHostList
 from dandelioncleat.adapters.http_model_target import HttpModelTarget
 from dandelioncleat.adapters.http_plain_target import HttpPlainTarget
-from dandelioncleat.adapters.log_lines import configure_log_lines
-from dandelioncleat.adapters.telemetry import OtelTelemetry, new_telemetry
+from dandelioncleat.adapters.telemetry import OtelTelemetry
 from dandelioncleat.app.bill_relay import RelayedBills
 from dandelioncleat.app.billing import BillSender
 from dandelioncleat.app.process_gauges import ProcessGauges
-from dandelioncleat.app.relay_handler import RelayHandler, router_places
+from dandelioncleat.app.relay_handler import new_relay_handler, router_places
 from dandelioncleat.app.sidecar import Sidecar, new_sidecar
-from dandelioncleat.core.fleet import SIDECAR
 from dandelioncleat.core.identity import Incarnation
 from dandelioncleat.daemons.http_server import HttpServer
-from dandelioncleat.daemons.router import new_incarnation
 from dandelioncleat.daemons.settings import SidecarSettings, SidecarTarget
 from dandelioncleat.daemons.shared_parts import Shared, new_shared
-from dandelioncleat.daemons.supervision import StopSignals, supervise
 from dandelioncleat.ports.target import TargetClient
 
 HEALTH_PATH = '/healthz'
@@ -87,7 +83,7 @@
         self.peers.abort()
 
     def _application(self) -> web.Application:
-        handler = RelayHandler(self.shared.relay, self.sidecar)
+        handler = new_relay_handler(self.shared.relay, self.sidecar)
         application = self.shared.peer_application(handler)
         application.router.add_get(HEALTH_PATH, _answer_health)
         application.router.add_get(READY_PATH, self._answer_readiness)
@@ -168,31 +164,5 @@
             return HttpPlainTarget(session, target.url)
 
 
-async def run_sidecar(settings: SidecarSettings) -> int:
-    """Run a sidecar until it is told to stop; return the exit code."""
-    incarnation = new_incarnation(settings.host)
-    telemetry = new_telemetry(
-        role=SIDECAR,
-        incarnation=incarnation,
-        endpoint=settings.telemetry.otlp_endpoint,
-    )
-    configure_log_lines(
-        settings.telemetry.logs,
-        role=SIDECAR,
-        incarnation=incarnation,
-    )
-    signals = StopSignals()
-    signals.install()
-    daemon = new_sidecar_daemon(
-        settings,
-        telemetry=telemetry,
-        incarnation=incarnation,
-    )
-    try:
-        return await supervise(daemon, signals, limit_s=settings.stop.limit_s)
-    finally:
-        await asyncio.to_thread(telemetry.stop)
-
-
 async def _answer_health(request: web.Request) -> web.Response:
     return web.Response(text='running')
--- a/src/dandelioncleat/demo/stage.py
+++ b/src/dandelioncleat/demo/stage.py
@@ -17,9 +17,9 @@
     new_key,
 )
 from dandelioncleat.core.fleet import ROUTER, SIDECAR
+from dandelioncleat.daemons.process import new_incarnation
 from dandelioncleat.daemons.router import (
     RouterDaemon,
-    new_incarnation,
     new_router_daemon,
 )
 from dandelioncleat.daemons.sidecar import SidecarDaemon, new_sidecar_daemon
--- a/src/dandelioncleat/replay/world.py
+++ b/src/dandelioncleat/replay/world.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from dandelioncleat.adapters.memory_peers import MemoryNetwork
-from dandelioncleat.app.bill_relay import BillRelay, BillRelayHandler
+from dandelioncleat.app.bill_relay import BillRelay, new_bill_handler
 from dandelioncleat.app.budgets import Budgets
 from dandelioncleat.app.retirement import Retirer
 from dandelioncleat.app.router import Router, new_router
@@ -172,7 +172,7 @@
             source=random.Random(f'{self._seed}/{ports.incarnation}'),
         )
         daemon = RouterDaemon(router, ports, budgets)
-        handler = BillRelayHandler(daemon.bill_relay, router)
+        handler = new_bill_handler(daemon.bill_relay, router)
         process.serve(daemon, handler)
 
     def start_sidecar(self, process: Process) -> None:
--- a/tests/builders/deployment.py
+++ b/tests/builders/deployment.py
@@ -10,9 +10,9 @@
 from aiohttp import ClientSession
 
 from dandelioncleat.adapters.telemetry import new_telemetry
+from dandelioncleat.daemons.process import new_incarnation
 from dandelioncleat.daemons.router import (
     RouterDaemon,
-    new_incarnation,
     new_router_daemon,
 )
 from dandelioncleat.daemons.settings import RouterSettings, SidecarSettings
--- a/tests/test_bill_relay.py
+++ b/tests/test_bill_relay.py
@@ -13,8 +13,8 @@
     MAX_DATA_BYTES,
     MAX_WAITING_BYTES,
     BillRelay,
-    BillRelayHandler,
     RelayedBills,
+    new_bill_handler,
 )
 from dandelioncleat.app.billing import BillSender
 from dandelioncleat.core.configuration import empty_configuration
@@ -119,7 +119,7 @@
             )
             self.logs[place.address] = log
             self.relays[place.address] = asyncio.create_task(relay.run())
-            handler = BillRelayHandler(relay, Inner())
+            handler = new_bill_handler(relay, Inner())
             self.network.serve(place.address, handler)
         self.tasks = [
             asyncio.create_task(sender.run()) for sender in self.senders
@@ -271,7 +271,7 @@
                 configuration=empty_configuration,
             )
             task = asyncio.create_task(relay.run())
-            handler = BillRelayHandler(relay, Inner())
+            handler = new_bill_handler(relay, Inner())
             try:
                 return await asyncio.gather(
                     *(anext(handler.answer(m, None)) for m in messages)
--- a/tests/test_log_relay.py
+++ b/tests/test_log_relay.py
@@ -12,7 +12,7 @@
     ConfigurationKeeper,
 )
 from dandelioncleat.app.log_relay import LogRelay
-from dandelioncleat.app.relay_handler import RelayHandler
+from dandelioncleat.app.relay_handler import new_relay_handler
 from dandelioncleat.core.failure import Code, failure_error
 from dandelioncleat.core.identity import Incarnation
 from dandelioncleat.core.message import (
@@ -191,7 +191,7 @@
         self.assertEqual((False, True), virtual_time.run(scenario()))
 
 
-class RelayHandlerTest(TestCase):
+class new_relay_handlerTest(TestCase):
     """Other messages go to the process's own handler."""
 
     def test_answers_askers_and_passes_the_rest_on(self):
@@ -202,7 +202,7 @@
 
         async def scenario():
             fleet = Fleet(2)
-            handler = RelayHandler(fleet.relays[0], Inner())
+            handler = new_relay_handler(fleet.relays[0], Inner())
             ask = AskEntries('other', 0, 1, 0)
             return [
                 [type(reply) async for reply in handler.answer(message, None)]
--- a/tests/test_router_daemon.py
+++ b/tests/test_router_daemon.py
@@ -8,9 +8,9 @@
 
 from dandelioncleat.adapters.telemetry import new_telemetry
 from dandelioncleat.core.record import End, Leave
+from dandelioncleat.daemons.process import new_incarnation
 from dandelioncleat.daemons.router import (
     RouterDaemon,
-    new_incarnation,
     new_router_daemon,
 )
 from dandelioncleat.daemons.settings import RouterSettings
