Begin no run of an attempt that another router's answer has overtaken

Cause: a router held up before it asked a home, or between the home's permit and its order, could begin a run after another router had been told that the request has no run, or had sealed it, and had answered not-run. Before: the new test of homes fails for both kinds of request; after: the home refuses attempts that arrived before its answer, with superseded, and a run that someone else sealed is not tried again.

--- a/src/dandelioncleat/adapters/frames/frames.capnp
+++ b/src/dandelioncleat/adapters/frames/frames.capnp
@@ -58,6 +58,7 @@
   body @2 :Text;
   idempotent @3 :Bool;
   executor @4 :Text;
+  ageMs @5 :Int64;
 }
 
 struct RequestKey {
--- a/src/dandelioncleat/app/home_finder.py
+++ b/src/dandelioncleat/app/home_finder.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterator
 from contextlib import suppress
 
+from msgspec import structs
+
 from dandelioncleat.app.configuration import ConfigurationKeeper
 from dandelioncleat.app.fleet import FleetKeeper
 from dandelioncleat.core.failure import Code, FailureError, failure_error
@@ -34,6 +36,7 @@
 PROBE_TIMEOUT_S = 0.5
 SEARCH_SHARE = 0.5
 MAX_HOMES = 4
+MS_PER_S = 1000
 TRANSIENT_CODES = frozenset((Code.NOT_READY, Code.LEAVING, Code.NOT_HOME))
 
 Permission = Begin | Placed | Refusal
@@ -92,8 +95,9 @@
         )
         give_up_at = _search_end(deadline)
         for attempt, home in enumerate(homes, start=1):
+            aged = _aged(message, deadline - request.deadline_s)
             try:
-                return await self._ask(home, message, deadline, traceparent)
+                return await self._ask(home, aged, deadline, traceparent)
             except FailureError as error:
                 failure = error
             if asyncio.get_running_loop().time() > give_up_at:
@@ -269,6 +273,11 @@
         )
 
 
+def _aged(message: Attach, arrived_at: float) -> Attach:
+    age_s = asyncio.get_running_loop().time() - arrived_at
+    return structs.replace(message, age_ms=max(0, int(age_s * MS_PER_S)))
+
+
 def _search_end(deadline: float) -> float:
     now = asyncio.get_running_loop().time()
     return now + SEARCH_SHARE * (deadline - now)
--- a/src/dandelioncleat/app/homes.py
+++ b/src/dandelioncleat/app/homes.py
@@ -17,6 +17,7 @@
 from dandelioncleat.app.stream import StreamFollower
 from dandelioncleat.core.claim import ClaimFold
 from dandelioncleat.core.configuration import Configuration, ServiceKind
+from dandelioncleat.core.denial import Denials
 from dandelioncleat.core.envelope import claim_codec
 from dandelioncleat.core.failure import Code
 from dandelioncleat.core.home import ATTACH_STEP, Home
@@ -33,6 +34,7 @@
 from dandelioncleat.ports.telemetry import Telemetry
 
 EXPIRY_INTERVAL_S = 10.0
+MS_PER_S = 1000
 CHECK_INTERVAL_S = 1.0
 
 
@@ -104,6 +106,7 @@
         )
         self._ticker = Ticker()
         self._home = Home(settings.incarnation)
+        self._denials = Denials()
 
     def nudge(self) -> None:
         """Look at a change of the process or the configuration at once."""
@@ -114,6 +117,18 @@
         """Place a request or find its run."""
         if attach.service != self._parts.service_name:
             return self._refusal(Code.INVALID, 'the home has another service')
+        now = asyncio.get_running_loop().time()
+        arrived_at = now - attach.age_ms / MS_PER_S
+        if attach.executor and self._denials.covers(attach.request, arrived_at):
+            text = 'another router was told that the request has no run'
+            return self._refusal(Code.SUPERSEDED, text)
+        reply = await self._place(attach)
+        if isinstance(reply, Refusal) and reply.code == Code.NOT_FOUND:
+            now = asyncio.get_running_loop().time()
+            self._denials.note(attach.request, now)
+        return reply
+
+    async def _place(self, attach: Attach) -> Message:
         if not attach.idempotent:
             return await self.desk.attach(attach)
         now = asyncio.get_running_loop().time()
@@ -152,7 +167,9 @@
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
             now = asyncio.get_running_loop().time()
-            self._home.expire(now - self._parts.window_s())
+            before = now - self._parts.window_s()
+            self._home.expire(before)
+            self._denials.expire(before)
 
     def _is_plain(self) -> bool:
         service = self._parts.service()
--- a/src/dandelioncleat/core/failure.py
+++ b/src/dandelioncleat/core/failure.py
@@ -21,6 +21,7 @@
     NOT_READY = 'not_ready'
     POISON = 'poison'
     SEALED = 'sealed'
+    SUPERSEDED = 'superseded'
     TARGET = 'target'
     TOO_LARGE = 'too_large'
     UNKNOWN = 'unknown'
--- a/src/dandelioncleat/core/message.py
+++ b/src/dandelioncleat/core/message.py
@@ -24,6 +24,7 @@
 
     An empty ``executor`` only asks for a run that exists; the home refuses
     with code ``not_found`` if there is none.
+    ``age_ms`` is the time since the request arrived at the asking router.
     """
 
     request: RequestKey
@@ -31,6 +32,7 @@
     body: Digest
     idempotent: bool
     executor: Incarnation
+    age_ms: int = 0
 
 
 class Begin(Message, frozen=True):
--- a/src/dandelioncleat/core/retry.py
+++ b/src/dandelioncleat/core/retry.py
@@ -16,11 +16,14 @@
         Code.NOT_READY,
         Code.TARGET,
         Code.UNREACHABLE,
-        Code.SEALED,
         Code.NOT_FOUND,
     )
 )
-"""Refusals of an executor after which another one may do better."""
+"""Refusals of an executor after which another one may do better.
+
+A sealed run is not among them: who sealed it may have told the caller that
+the request did not run.
+"""
 
 
 class RetryBudget:
--- a/tests/builders/sidecar_fleet.py
+++ b/tests/builders/sidecar_fleet.py
@@ -287,6 +287,7 @@
     body: str = 'body',
     service: str = 'app',
     idempotent: bool = False,
+    age_ms: int = 0,
 ) -> Attach:
     """Return an attach of a key."""
     return Attach(
@@ -295,4 +296,5 @@
         Digest(body),
         idempotent,
         Incarnation('') if executor is None else executor.incarnation,
+        age_ms,
     )
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -108,6 +108,25 @@
 
         on_fleet(scenario)
 
+    def test_attempt_that_was_held_up_does_not_begin_after_a_denial(
+        self,
+    ) -> None:
+        async def scenario(fleet: SidecarFleet) -> None:
+            home = await owner_of_all(fleet)
+            for key, idempotent in (('invoice', False), ('lookup', True)):
+                await home.ask(new_attach(key, None, idempotent=idempotent))
+                await asyncio.sleep(1)
+                held_up = new_attach(
+                    key, home, idempotent=idempotent, age_ms=5000
+                )
+                reply = await home.ask(held_up)
+                self.assertEqual(Code.SUPERSEDED, reply.code)
+                self.assertFalse(reply.ran)
+                fresh = new_attach(key, home, idempotent=idempotent, age_ms=100)
+                self.assertIsInstance(await home.ask(fresh), Begin)
+
+        on_fleet(scenario)
+
     def test_not_ready_before_it_joined(self) -> None:
         async def scenario(fleet: SidecarFleet) -> None:
             fleet.log.outage = True
