--- a/src/dandelioncleat/app/claim_desk.py
+++ b/src/dandelioncleat/app/claim_desk.py
@@ -38,7 +38,7 @@
 from dandelioncleat.core.slot import slot_of
 
 CLAIM_TIMEOUT_S = 6.0
-GUARD_WAIT_S = 0.5
+OUTAGE_WAIT_S = 0.5
 SEAL_TIMEOUT_S = 2.0
 
 _logger = structlog.get_logger(__name__)
@@ -216,8 +216,8 @@
         service: Service,
     ) -> Message:
         number = slot_of(attach.request, service.slots)
-        is_near = self._guard.is_near(service)
-        limit_s = GUARD_WAIT_S if is_near else CLAIM_TIMEOUT_S
+        is_out = self._guard.is_log_out(service)
+        limit_s = OUTAGE_WAIT_S if is_out else CLAIM_TIMEOUT_S
         is_permitted = False
         with pending.waiter():
             await asyncio.wait((pending.verdict,), timeout=limit_s)
--- a/src/dandelioncleat/app/log_guard.py
+++ b/src/dandelioncleat/app/log_guard.py
@@ -8,6 +8,7 @@
 
 GUARD_AFTER_S = 40.0
 LIST_AGE_S = 5.0
+KNOWN_OUTAGE_S = 3.0
 
 
 def guard_after_s(service: Service) -> float:
@@ -39,10 +40,16 @@
         """Go by the slots' own guard again."""
         self._released = frozenset()
 
-    def is_near(self, service: Service) -> bool:
-        """Return whether it is of little use to wait for the log."""
-        is_guarded = guard_after_s(service) > 0
-        return is_guarded and self._parts.follower.log_failing
+    def is_log_out(self, service: Service) -> bool:
+        """Return whether it is of little use to wait for the log.
+
+        A guarded service need not wait; another one would refuse the call,
+        and does so only once an outage is no mere hiccup.
+        """
+        outage = self._parts.follower.outage
+        if guard_after_s(service) > 0:
+            return outage.is_on
+        return outage.lasted_s() >= KNOWN_OUTAGE_S
 
     async def permits(self, service: Service, number: int) -> bool:
         """Return whether a run of a slot may begin now."""
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -4,6 +4,7 @@
 
 from testtools import TestCase
 
+from dandelioncleat.app.claim_desk import OUTAGE_WAIT_S
 from dandelioncleat.core.configuration import LogOutagePolicy
 from dandelioncleat.core.failure import Code
 from dandelioncleat.core.identity import RequestKey, request_key_of
@@ -255,8 +256,11 @@
             home = await owner_of_all(fleet)
             fleet.log.outage = True
             await asyncio.sleep(60)
+            start = asyncio.get_running_loop().time()
             reply = await home.ask(new_attach('invoice', home))
             self.assertEqual((Code.LOG, False), (reply.code, reply.ran))
+            waited_s = asyncio.get_running_loop().time() - start
+            self.assertLessEqual(waited_s, OUTAGE_WAIT_S)
             fleet.log.outage = False
             await asyncio.sleep(2)
             attach = new_attach('invoice', home)
