Connect a router's parts in one place for daemon and replay

Cause: the replay connected a router by itself and had fallen behind the daemon: a change of configuration did not nudge its budgets. Before: two lists of parts; after: app/router_parts.py serves both.

--- a/src/dandelioncleat/replay/world.py
+++ b/src/dandelioncleat/replay/world.py
@@ -8,12 +8,15 @@
 import msgspec
 
 from dandelioncleat.adapters.memory_peers import MemoryNetwork
-from dandelioncleat.app.bill_relay import BillRelay, new_bill_handler
-from dandelioncleat.app.budgets import Budgets
-from dandelioncleat.app.retirement import Retirer
-from dandelioncleat.app.router import Router, new_router
+from dandelioncleat.app.router import Router
+from dandelioncleat.app.router_parts import (
+    RouterParts,
+    RouterPorts,
+    new_router_parts,
+)
 from dandelioncleat.app.sidecar import Sidecar, new_sidecar
 from dandelioncleat.core.configuration import Policy, ServiceKind
+from dandelioncleat.core.fleet import ROUTER
 from dandelioncleat.core.identity import Incarnation
 from dandelioncleat.core.patch_verdict import PatchAccepted
 from dandelioncleat.core.record import Join, Patch
@@ -47,36 +50,19 @@
 class RouterDaemon:
     """A router with the tasks that it needs, in one start."""
 
-    def __init__(self, router: Router, ports: Ports, budgets: Budgets) -> None:
+    def __init__(self, parts: RouterParts) -> None:
         """Take the router and its parts."""
-        self.router = router
-        self.budgets = budgets
-        self.bill_relay = BillRelay(
-            log=ports.log,
-            incarnation=ports.incarnation,
-            configuration=lambda: ports.configuration.current,
-        )
-        self._ports = ports
-        self._retirer = Retirer(
-            incarnation=ports.incarnation,
-            fleet=ports.fleet,
-            hosts=ports.host_list,
-            shards=budgets.shards,
-        )
+        self.parts = parts
 
     async def run(self) -> None:
         """Run until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._ports.configuration.run())
-            group.create_task(self._ports.fleet.run())
-            group.create_task(self.budgets.run())
-            group.create_task(self.bill_relay.run())
-            group.create_task(self._retirer.run())
-            group.create_task(self.router.run())
+            for part in self.parts.tasks:
+                group.create_task(part.run())
 
     async def stop(self) -> None:
         """Stop as planned."""
-        await self.router.stop(limit_s=STOP_LIMIT_S)
+        await self.parts.router.stop(limit_s=STOP_LIMIT_S)
 
 
 class SidecarDaemon:
@@ -149,31 +135,25 @@
     def start_router(self, process: Process) -> None:
         """Start a fresh incarnation of a router."""
         ports = process.open_ports()
-        budgets = Budgets(
-            log=ports.log,
-            incarnation=ports.incarnation,
-            configuration=lambda: ports.configuration.current,
-            fleet=ports.fleet,
-            peers=ports.peers,
+        join = Join(
+            ports.incarnation,
+            ROUTER,
+            process.data_centre,
+            process.name,
         )
-        router = new_router(
-            join=Join(
-                ports.incarnation,
-                'router',
-                process.data_centre,
-                process.name,
+        parts = new_router_parts(
+            RouterPorts(
+                ports.log,
+                ports.host_list,
+                ports.peers,
+                ports.configuration,
+                ports.fleet,
+                NullTelemetry(),
             ),
-            host_list=ports.host_list,
-            peers=ports.peers,
-            configuration=ports.configuration,
-            fleet=ports.fleet,
-            budgets=budgets,
-            telemetry=NullTelemetry(),
+            join=join,
             source=random.Random(f'{self._seed}/{ports.incarnation}'),
         )
-        daemon = RouterDaemon(router, ports, budgets)
-        handler = new_bill_handler(daemon.bill_relay, router)
-        process.serve(daemon, handler)
+        process.serve(RouterDaemon(parts), parts.handler)
 
     def start_sidecar(self, process: Process) -> None:
         """Start a fresh incarnation of a sidecar."""
@@ -200,14 +180,15 @@
     def router(self, name: str) -> Router | None:
         """Return a running router, paused or not."""
         daemon = self.routers_by_name[name].daemon
-        return daemon.router if isinstance(daemon, RouterDaemon) else None
+        return daemon.parts.router if isinstance(daemon, RouterDaemon) else None
 
     def is_ready(self, name: str) -> bool:
         """Return whether a router takes requests and the ledger is read."""
         daemon = self.routers_by_name[name].daemon
         if not isinstance(daemon, RouterDaemon):
             return False
-        return daemon.router.ready and daemon.budgets.caught_up
+        parts = daemon.parts
+        return parts.router.ready and parts.budgets.caught_up
 
     @property
     def ledger_shards(self) -> int:
