Name parts by the field's terms

Cause: purse, course, gate, desk and ground need explaining to a newcomer. After: budget holdings, exchange (of a request and its answer), placement queue, operations, manager and view, ground truth. No behaviour changes.

--- a/src/dandelioncleat/app/_purse.py
+++ b/src/dandelioncleat/app/_budget_holdings.py
@@ -20,7 +20,7 @@
     draws: 'asyncio.Future[tuple[Draw, ...]]'
 
 
-class Purse:
+class BudgetHoldings:
     """Reserves tokens of one budget and serves waiting requests in order."""
 
     def __init__(self, budget: BudgetId, now: float) -> None:
--- a/src/dandelioncleat/app/_grant_requester.py
+++ b/src/dandelioncleat/app/_grant_requester.py
@@ -1,8 +1,8 @@
-"""Requests grants from the ledger for a router's purses."""
+"""Requests grants from the ledger for a router's holdings."""
 
 from itertools import count
 
-from dandelioncleat.app._purse import Purse
+from dandelioncleat.app._budget_holdings import BudgetHoldings
 from dandelioncleat.app._shards import Shards
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.identity import Draw, GrantId, Incarnation
@@ -21,7 +21,7 @@
 
     async def request(
         self,
-        purse: Purse,
+        holdings: BudgetHoldings,
         *,
         returned: tuple[Draw, ...],
         size: int,
@@ -31,36 +31,36 @@
         grant = GrantId(self._incarnation, next(self._numbers))
         records: tuple[LedgerRecord, ...] = (
             *_returns(returned),
-            RequestGrant(grant, purse.budget, size, least),
+            RequestGrant(grant, holdings.budget, size, least),
         )
-        shard = self._shards.of(purse.budget)
+        shard = self._shards.of(holdings.budget)
         try:
             verdicts = await shard.follower.submit(*records)
         except FailureError:
-            self._add_known(purse, grant)
+            self._add_known(holdings, grant)
             return
         verdict = verdicts[-1]
         if isinstance(verdict, Granted):
-            _add(purse, grant, verdict.tokens)
+            _add(holdings, grant, verdict.tokens)
 
-    async def give_back(self, purse: Purse, tokens: int) -> None:
-        """Return spendable tokens of a purse to the ledger."""
-        draws = purse.wallet.take(tokens)
+    async def give_back(self, holdings: BudgetHoldings, tokens: int) -> None:
+        """Return spendable tokens of holdings to the ledger."""
+        draws = holdings.wallet.take(tokens)
         if draws:
-            shard = self._shards.of(purse.budget)
+            shard = self._shards.of(holdings.budget)
             await shard.follower.submit(*_returns(draws))
 
-    def _add_known(self, purse: Purse, grant: GrantId) -> None:
+    def _add_known(self, holdings: BudgetHoldings, grant: GrantId) -> None:
         # The verdict was not kept, but a granted request stands in the fold.
-        fold = self._shards.of(purse.budget).fold
+        fold = self._shards.of(holdings.budget).fold
         known = fold.accounts.grant_of(grant)
         if known is not None:
-            _add(purse, grant, known.tokens)
+            _add(holdings, grant, known.tokens)
 
 
-def _add(purse: Purse, grant: GrantId, tokens: int) -> None:
-    purse.granted += tokens
-    purse.add(Draw(grant, tokens))
+def _add(holdings: BudgetHoldings, grant: GrantId, tokens: int) -> None:
+    holdings.granted += tokens
+    holdings.add(Draw(grant, tokens))
 
 
 def _returns(draws: tuple[Draw, ...]) -> tuple[ReturnGrant, ...]:
--- a/src/dandelioncleat/app/_part_seeker.py
+++ b/src/dandelioncleat/app/_part_seeker.py
@@ -2,7 +2,7 @@
 
 import xxhash
 
-from dandelioncleat.app._purse import Purse
+from dandelioncleat.app._budget_holdings import BudgetHoldings
 from dandelioncleat.app.fleet import FleetKeeper
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.fleet import ROUTER, Member
@@ -14,7 +14,7 @@
 
 
 class PartSeeker:
-    """Collects parts of other routers' grants for a purse."""
+    """Collects parts of other routers' grants for holdings."""
 
     def __init__(
         self,
@@ -28,15 +28,15 @@
         self._fleet = fleet
         self._peers = peers
 
-    async def seek(self, purse: Purse) -> None:
-        """Ask one router after the other until the purse suffices."""
-        for member in self._routers_in_order(purse):
-            if not purse.need:
+    async def seek(self, holdings: BudgetHoldings) -> None:
+        """Ask one router after the other until the holdings suffice."""
+        for member in self._routers_in_order(holdings):
+            if not holdings.need:
                 return
-            ask = AskPart(purse.budget, purse.need, self._incarnation)
+            ask = AskPart(holdings.budget, holdings.need, self._incarnation)
             answer = await self._call(member, ask)
             if isinstance(answer, Part):
-                purse.add(*self._usable(answer.draws))
+                holdings.add(*self._usable(answer.draws))
 
     async def _call(self, member: Member, ask: AskPart) -> Message | None:
         try:
@@ -54,7 +54,7 @@
             draw for draw in draws if not is_retired(draw.grant.holder)
         )
 
-    def _routers_in_order(self, purse: Purse) -> list[Member]:
+    def _routers_in_order(self, holdings: BudgetHoldings) -> list[Member]:
         own = self._fleet.fold.members_by_incarnation.get(self._incarnation)
         data_centre = own.join.data_centre if own else ''
         others = (
@@ -66,11 +66,11 @@
             others,
             key=lambda member: (
                 member.join.data_centre != data_centre,
-                _weight(purse, member),
+                _weight(holdings, member),
             ),
         )
 
 
-def _weight(purse: Purse, member: Member) -> int:
+def _weight(holdings: BudgetHoldings, member: Member) -> int:
     router = member.join.incarnation
-    return xxhash.xxh64_intdigest(f'{purse.budget} {router}'.encode())
+    return xxhash.xxh64_intdigest(f'{holdings.budget} {router}'.encode())
--- a/src/dandelioncleat/app/_refill.py
+++ b/src/dandelioncleat/app/_refill.py
@@ -1,12 +1,12 @@
-"""Fills a router's purses: from the ledger, from returns and from peers."""
+"""Fills a router's holdings: from the ledger, from returns and from peers."""
 
 import asyncio
 from collections.abc import Callable
 
+from dandelioncleat.app._budget_holdings import BudgetHoldings
 from dandelioncleat.app._grant_requester import GrantRequester
 from dandelioncleat.app._initial_budgets import INITIAL_REFERENCE
 from dandelioncleat.app._part_seeker import PartSeeker
-from dandelioncleat.app._purse import Purse
 from dandelioncleat.app._shards import Shard, Shards
 from dandelioncleat.app._task_scope import TaskScope
 from dandelioncleat.app.fleet import FleetKeeper
@@ -25,7 +25,7 @@
 
 
 class Refiller:
-    """Gets tokens for the requests that wait at a purse."""
+    """Gets tokens for the requests that wait for tokens of a budget."""
 
     def __init__(
         self,
@@ -52,17 +52,17 @@
         """Return the policy in force."""
         return new_grant_policy(self._configuration().policy)
 
-    def demand(self, purse: Purse) -> Demand:
-        """Return what is known of a purse's budget."""
-        balance = self._shards.of(purse.budget).fold.balance(purse.budget)
+    def demand(self, holdings: BudgetHoldings) -> Demand:
+        """Return what is known of a budget."""
+        balance = self._shards.of(holdings.budget).fold.balance(holdings.budget)
         now = asyncio.get_running_loop().time()
         return Demand(
-            need=purse.need,
-            spendable=purse.wallet.spendable,
-            granted=purse.granted,
-            rate=purse.rate.tokens_per_s(now),
-            total_rate=purse.total_rate.tokens_per_s(now),
-            idle_s=now - purse.used_at,
+            need=holdings.need,
+            spendable=holdings.wallet.spendable,
+            granted=holdings.granted,
+            rate=holdings.rate.tokens_per_s(now),
+            total_rate=holdings.total_rate.tokens_per_s(now),
+            idle_s=now - holdings.used_at,
             left=balance.left,
             topped_up=balance.topped_up,
             routers=self._routers,
@@ -71,90 +71,90 @@
     def _count_routers(self) -> None:
         self._routers = len(self._fleet.fold.live(ROUTER))
 
-    async def fill(self, purse: Purse) -> None:
+    async def fill(self, holdings: BudgetHoldings) -> None:
         """Get tokens until no request waits, or refuse those that wait."""
-        if self._shards.of(purse.budget).is_slow:
-            await self._seek(purse)
-        while purse.is_waited_for and not self._is_spent(purse):
-            asking = self.start_asking(purse)
+        if self._shards.of(holdings.budget).is_slow:
+            await self._seek(holdings)
+        while holdings.is_waited_for and not self._is_spent(holdings):
+            asking = self.start_asking(holdings)
             await asyncio.wait(
-                (asking,), timeout=self._shards.of(purse.budget).wait_s
+                (asking,), timeout=self._shards.of(holdings.budget).wait_s
             )
-            await self._wait_for_return(purse)
-            if purse.is_waited_for and not self._can_grant(purse):
-                await self._seek(purse)
+            await self._wait_for_return(holdings)
+            if holdings.is_waited_for and not self._can_grant(holdings):
+                await self._seek(holdings)
                 break
-        purse.refuse(self._refusal(purse))
+        holdings.refuse(self._refusal(holdings))
 
-    def start_asking(self, purse: Purse) -> 'asyncio.Task[None]':
+    def start_asking(self, holdings: BudgetHoldings) -> 'asyncio.Task[None]':
         """Ask the ledger unless an answer is awaited already."""
-        if purse.asking is None or purse.asking.done():
-            purse.asking = self._scope.spawn(self._ask(purse))
-        return purse.asking
+        if holdings.asking is None or holdings.asking.done():
+            holdings.asking = self._scope.spawn(self._ask(holdings))
+        return holdings.asking
 
-    async def _ask(self, purse: Purse) -> None:
+    async def _ask(self, holdings: BudgetHoldings) -> None:
         # A router that is short puts what it holds back into the same entry,
         # so that the ledger weighs whole requests in log order and no two
         # routers keep parts of the last tokens from each other.
-        demand = self.demand(purse)
+        demand = self.demand(holdings)
         size = grant_size(self.policy, demand)
-        least = max(purse.least, 1)
+        least = max(holdings.least, 1)
         if size < least:
             return
         returned: tuple[Draw, ...] = ()
         if least > demand.left and transfers(self.policy):
-            returned = purse.wallet.take(demand.spendable)
+            returned = holdings.wallet.take(demand.spendable)
             least += total_of(returned)
         await self._requester.request(
-            purse,
+            holdings,
             returned=returned,
             size=max(size, least),
             least=least,
         )
 
-    async def _wait_for_return(self, purse: Purse) -> None:
+    async def _wait_for_return(self, holdings: BudgetHoldings) -> None:
         try:
-            async with asyncio.timeout(self._shards.of(purse.budget).wait_s):
-                while self._hopes_for_return(purse):
-                    await purse.changed.wait()
+            async with asyncio.timeout(self._shards.of(holdings.budget).wait_s):
+                while self._hopes_for_return(holdings):
+                    await holdings.changed.wait()
         except TimeoutError:
             return
 
-    async def _seek(self, purse: Purse) -> None:
+    async def _seek(self, holdings: BudgetHoldings) -> None:
         if transfers(self.policy):
-            await self._seeker.seek(purse)
+            await self._seeker.seek(holdings)
 
-    def _hopes_for_return(self, purse: Purse) -> bool:
-        if not (purse.is_waited_for and self._log_answers(purse)):
+    def _hopes_for_return(self, holdings: BudgetHoldings) -> bool:
+        if not (holdings.is_waited_for and self._log_answers(holdings)):
             return False
         if not transfers(self.policy):
             return False
-        return not (self._can_grant(purse) or self._is_spent(purse))
+        return not (self._can_grant(holdings) or self._is_spent(holdings))
 
-    def _log_answers(self, purse: Purse) -> bool:
-        is_answered = purse.asking is None or purse.asking.done()
-        return is_answered and self._shards.of(purse.budget).is_available
+    def _log_answers(self, holdings: BudgetHoldings) -> bool:
+        is_answered = holdings.asking is None or holdings.asking.done()
+        return is_answered and self._shards.of(holdings.budget).is_available
 
-    def _can_grant(self, purse: Purse) -> bool:
-        demand = self.demand(purse)
+    def _can_grant(self, holdings: BudgetHoldings) -> bool:
+        demand = self.demand(holdings)
         most = min(demand.left, grant_size(self.policy, demand))
-        return self._log_answers(purse) and 0 < purse.least <= most
+        return self._log_answers(holdings) and 0 < holdings.least <= most
 
-    def _is_spent(self, purse: Purse) -> bool:
-        shard = self._shards.of(purse.budget)
-        balance = shard.fold.balance(purse.budget)
+    def _is_spent(self, holdings: BudgetHoldings) -> bool:
+        shard = self._shards.of(holdings.budget)
+        balance = shard.fold.balance(holdings.budget)
         unspent = balance.left + balance.outstanding
-        wanted = purse.least + purse.wallet.spendable
+        wanted = holdings.least + holdings.wallet.spendable
         configuration = self._configuration()
-        if _awaits_opening(purse.budget, configuration, shard):
+        if _awaits_opening(holdings.budget, configuration, shard):
             return False
         return shard.is_available and unspent < wanted
 
-    def _refusal(self, purse: Purse) -> FailureError:
-        if self._log_answers(purse):
-            left = self.demand(purse).left
-            return _refused_by_ledger(purse, left)
-        return _refused_without_log(purse)
+    def _refusal(self, holdings: BudgetHoldings) -> FailureError:
+        if self._log_answers(holdings):
+            left = self.demand(holdings).left
+            return _refused_by_ledger(holdings, left)
+        return _refused_without_log(holdings)
 
 
 def _awaits_opening(
@@ -170,19 +170,19 @@
     return not shard.fold.has_reference(budget, INITIAL_REFERENCE)
 
 
-def _refused_by_ledger(purse: Purse, left: int) -> FailureError:
+def _refused_by_ledger(holdings: BudgetHoldings, left: int) -> FailureError:
     return failure_error(
         Code.BUDGET,
         step='reserve',
         peer='ledger',
-        text=f'{purse.budget} has {left} tokens left to grant',
+        text=f'{holdings.budget} has {left} tokens left to grant',
     )
 
 
-def _refused_without_log(purse: Purse) -> FailureError:
+def _refused_without_log(holdings: BudgetHoldings) -> FailureError:
     return failure_error(
         Code.LOG,
         step='reserve',
         peer='log',
-        text=f'too few tokens of {purse.budget} held and no log answers',
+        text=f'too few tokens of {holdings.budget} held and no log answers',
     )
--- a/src/dandelioncleat/app/answering.py
+++ b/src/dandelioncleat/app/answering.py
@@ -46,7 +46,7 @@
         """Describe this process."""
         current = self._parts.configuration.current
         details = {
-            'waiting': self._parts.gate.waiting,
+            'waiting': self._parts.placement.waiting,
             'retries_left': self._parts.retries.balance,
         }
         return Status(
--- a/src/dandelioncleat/app/budget_desk.py
+++ b/src/dandelioncleat/app/budget_operations.py
@@ -18,13 +18,13 @@
 )
 from dandelioncleat.core.operator_view import OrganisationView
 from dandelioncleat.core.record import Absolve, FleetRecord, Retire
-from dandelioncleat.ports.ledger_desk import LedgerDesk
+from dandelioncleat.ports.ledger_desk import LedgerView
 
 VERDICT_TIMEOUT_S = 10.0
 RESERVED_REFERENCE = 'initial'
 
 
-class BudgetDesk:
+class BudgetOperations:
     """Tops up budgets, fences holders and frees what they hold."""
 
     def __init__(
@@ -32,7 +32,7 @@
         *,
         configuration: ConfigurationKeeper,
         fleet: FleetKeeper,
-        ledger: LedgerDesk,
+        ledger: LedgerView,
     ) -> None:
         """Take the keepers of this router."""
         self._configuration = configuration
--- a/src/dandelioncleat/app/budgets.py
+++ b/src/dandelioncleat/app/budgets.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from dandelioncleat.app._budget_holdings import BudgetHoldings
 from dandelioncleat.app._grant_requester import GrantRequester
+from dandelioncleat.app._holdings_by_budget import HoldingsByBudget
 from dandelioncleat.app._initial_budgets import InitialBudgets
 from dandelioncleat.app._part_seeker import PartSeeker
-from dandelioncleat.app._purse import Purse
-from dandelioncleat.app._purses import Purses
 from dandelioncleat.app._refill import Refiller
 from dandelioncleat.app._second_source import SecondSource
 from dandelioncleat.app._shards import Shards
@@ -86,7 +86,7 @@
             turns=Turns(fleet.fold, incarnation),
             scope=self._scope,
         )
-        self._purses = Purses(
+        self._holdings = HoldingsByBudget(
             shards=self.shards,
             fleet=fleet,
             refiller=self._refiller,
@@ -125,12 +125,12 @@
         left, and with code ``log`` where that cannot be found out.
         """
         self._check_usable()
-        purse = self._purses.of(budget)
-        purse.used_at = asyncio.get_running_loop().time()
-        draws = purse.reserve(tokens)
+        holdings = self._holdings.of(budget)
+        holdings.used_at = asyncio.get_running_loop().time()
+        draws = holdings.reserve(tokens)
         if draws is None:
-            draws = await self._wait(purse, tokens, timeout_s)
-        self._purses.renew(purse)
+            draws = await self._wait(holdings, tokens, timeout_s)
+        self._holdings.renew(holdings)
         return draws
 
     def settle(
@@ -141,10 +141,10 @@
     ) -> None:
         """End a reservation of which ``tokens`` were spent."""
         now = asyncio.get_running_loop().time()
-        purse = self._purses.of(budget)
-        purse.settle(draws, tokens, now)
-        self._purses.drop_fenced(purse, draws)
-        self._purses.share(purse)
+        holdings = self._holdings.of(budget)
+        holdings.settle(draws, tokens, now)
+        self._holdings.drop_fenced(holdings, draws)
+        self._holdings.share(holdings)
 
     def forfeit(
         self,
@@ -160,7 +160,7 @@
         """
         if run is None:
             now = asyncio.get_running_loop().time()
-            self._purses.of(budget).forfeit(draws, now)
+            self._holdings.of(budget).forfeit(draws, now)
         else:
             self._unsettled.keep(run, Reservation(budget, draws))
 
@@ -174,12 +174,12 @@
 
     def pass_part(self, ask: AskPart) -> Part | Refusal:
         """Pass spare tokens to another router; they are deducted at once."""
-        purse = self._purses.of(ask.budget)
-        demand = self._refiller.demand(purse)
+        holdings = self._holdings.of(ask.budget)
+        demand = self._refiller.demand(holdings)
         spare = spare_part(self._refiller.policy, demand, ask.tokens)
         is_trusted = not self._fleet.fold.is_retired(ask.holder)
         if spare > 0 and is_trusted and not self.is_fenced:
-            return Part(ask.budget, purse.wallet.take(spare))
+            return Part(ask.budget, holdings.wallet.take(spare))
         return Refusal(
             Code.BUDGET,
             'pass_part',
@@ -191,13 +191,13 @@
         """Send the held bills and return all spendable tokens."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._bills.flush())
-            group.create_task(self._purses.return_all())
+            group.create_task(self._holdings.return_all())
 
     def balances(self) -> dict[BudgetId, BudgetState]:
         """Return the state of every budget in the ledger, by budget."""
         return {
             budget: _state_of(
-                self._purses.by_budget.get(budget),
+                self._holdings.by_budget.get(budget),
                 account.balance,
             )
             for shard in self.shards.by_number.values()
@@ -220,26 +220,26 @@
             self._bills.send_due()
             if not self.is_fenced:
                 self._initial.add_missing()
-                self._purses.return_surplus()
+                self._holdings.return_surplus()
             pause_s = TICK_S if self.caught_up else START_TICK_S
             await self.ticker.wait(pause_s)
 
     async def _wait(
         self,
-        purse: Purse,
+        holdings: BudgetHoldings,
         tokens: int,
         timeout_s: float,
     ) -> tuple[Draw, ...]:
-        waiter = purse.new_waiter(tokens)
-        self._purses.refill(purse)
+        waiter = holdings.new_waiter(tokens)
+        self._holdings.refill(holdings)
         try:
-            return await purse.wait(waiter, timeout_s)
+            return await holdings.wait(waiter, timeout_s)
         except TimeoutError as error:
             raise failure_error(
                 Code.LOG,
                 step='reserve',
                 peer='ledger',
-                text=f'no grant of {purse.budget} in {timeout_s} s',
+                text=f'no grant of {holdings.budget} in {timeout_s} s',
             ) from error
 
     def _check_usable(self) -> None:
@@ -259,7 +259,9 @@
             )
 
 
-def _state_of(purse: Purse | None, balance: Balance) -> BudgetState:
-    if purse is None:
+def _state_of(holdings: BudgetHoldings | None, balance: Balance) -> BudgetState:
+    if holdings is None:
         return BudgetState(balance, 0, 0)
-    return BudgetState(balance, purse.wallet.spendable, purse.wallet.reserved)
+    return BudgetState(
+        balance, holdings.wallet.spendable, holdings.wallet.reserved
+    )
--- a/src/dandelioncleat/app/claim_desk.py
+++ b/src/dandelioncleat/app/claim_manager.py
@@ -74,7 +74,7 @@
             self.waiting -= 1
 
 
-class ClaimDesk:
+class ClaimManager:
     """Answers routers that ask to run a non-idempotent request.
 
     While the log is out, an owner of a guarded slot permits runs on its
--- a/src/dandelioncleat/app/configuration_desk.py
+++ b/src/dandelioncleat/app/configuration_operations.py
@@ -18,7 +18,7 @@
 VERSION_WAIT_S = 3.0
 
 
-class ConfigurationDesk:
+class ConfigurationOperations:
     """Submits patches and looks up versions."""
 
     def __init__(self, keeper: ConfigurationKeeper) -> None:
--- a/src/dandelioncleat/app/dispatching.py
+++ b/src/dandelioncleat/app/dispatching.py
@@ -5,7 +5,7 @@
 
 from dandelioncleat.app.answer_reader import AnswerReader, Reading
 from dandelioncleat.app.conclusion import Conclusion
-from dandelioncleat.app.course import Course
+from dandelioncleat.app.exchange import Exchange
 from dandelioncleat.app.parts import Parts
 from dandelioncleat.app.preparation import Preparation
 from dandelioncleat.core.failure import (
@@ -29,65 +29,65 @@
 
     async def serve(
         self,
-        course: Course,
+        exchange: Exchange,
         objection: Failure | None,
     ) -> AsyncIterator[AnswerPiece]:
-        """Yield the answer; ``course.end_event`` is set at the end.
+        """Yield the answer; ``exchange.end_event`` is set at the end.
 
         :param objection: why no run may begin; one that exists is followed
         """
-        while course.end_event is None:
-            course.attempts += 1
-            attempt = self._guarded_attempt(course, objection)
+        while exchange.end_event is None:
+            exchange.attempts += 1
+            attempt = self._guarded_attempt(exchange, objection)
             async with aclosing(attempt):  # type: ignore[type-var]
                 async for piece in attempt:
                     yield piece
 
     async def _guarded_attempt(
         self,
-        course: Course,
+        exchange: Exchange,
         objection: Failure | None,
     ) -> AsyncIterator[AnswerPiece]:
-        attempt = self._attempt(course, objection)
+        attempt = self._attempt(exchange, objection)
         try:
             async with aclosing(attempt):  # type: ignore[type-var]
                 async for piece in attempt:
                     yield piece
         finally:
-            self._let_go(course)
+            self._let_go(exchange)
 
     async def _attempt(
         self,
-        course: Course,
+        exchange: Exchange,
         objection: Failure | None,
     ) -> AsyncIterator[AnswerPiece]:
         try:
-            message = await self._preparation.prepare(course, objection)
-            reader = self._reader(course)
+            message = await self._preparation.prepare(exchange, objection)
+            reader = self._reader(exchange)
         except FailureError as error:
-            await self._conclusion.recover(course, error.failure)
+            await self._conclusion.recover(exchange, error.failure)
             return
         pieces = reader.read(message)
         async with aclosing(pieces):  # type: ignore[type-var]
             async for piece in pieces:
-                course.delivered += len(piece.data)
+                exchange.delivered += len(piece.data)
                 yield piece
-        await self._conclusion.conclude(course, reader)
+        await self._conclusion.conclude(exchange, reader)
 
-    def _reader(self, course: Course) -> AnswerReader:
-        permit = course.sent_permit
-        course.may_run = True
+    def _reader(self, exchange: Exchange) -> AnswerReader:
+        permit = exchange.sent_permit
+        exchange.may_run = True
         executor = self._parts.watch.join_of(permit.executor)
         if executor is None:
             raise _gone(permit.executor)
-        course.target = executor.target
+        exchange.target = executor.target
         reading = Reading(
             permit.run,
             executor,
-            course.deadline,
-            course.can_rerun,
+            exchange.deadline,
+            exchange.can_rerun,
             lambda: self._parts.watch.join_of(permit.executor) is not None,
-            course.traceparent,
+            exchange.traceparent,
         )
         return AnswerReader(
             reading,
@@ -96,14 +96,14 @@
             source=self._parts.random,
         )
 
-    def _let_go(self, course: Course) -> None:
-        if course.place is not None:
-            self._parts.gate.leave(course.place)
-            course.place = None
-        if course.may_run:
-            self._parts.settlement.leave(course)
+    def _let_go(self, exchange: Exchange) -> None:
+        if exchange.place is not None:
+            self._parts.placement.leave(exchange.place)
+            exchange.place = None
+        if exchange.may_run:
+            self._parts.settlement.leave(exchange)
         else:
-            self._parts.settlement.release(course)
+            self._parts.settlement.release(exchange)
 
 
 def _gone(executor: Incarnation) -> FailureError:
--- a/src/dandelioncleat/app/course.py
+++ b/src/dandelioncleat/app/exchange.py
@@ -4,7 +4,7 @@
 
 from transitions import Machine
 
-from dandelioncleat.app.gate import Place
+from dandelioncleat.app.placement_queue import Place
 from dandelioncleat.core.failure import Failure
 from dandelioncleat.core.identity import BudgetId, Draw, Incarnation, RunId
 from dandelioncleat.core.request import (
@@ -55,7 +55,7 @@
     is_cancelled: bool
 
 
-class Course:
+class Exchange:
     """What a request holds, what was sent for it and what is known of it.
 
     ``is_vouched`` says that no earlier run of the request exists: its key
--- a/src/dandelioncleat/app/fleet_status.py
+++ b/src/dandelioncleat/app/fleet_status.py
@@ -19,7 +19,7 @@
     SuspectView,
     TargetView,
 )
-from dandelioncleat.ports.ledger_desk import LedgerDesk
+from dandelioncleat.ports.ledger_desk import LedgerView
 from dandelioncleat.ports.peer import Peers
 
 STATUS_TIMEOUT_S = 2.0
@@ -34,7 +34,7 @@
         *,
         configuration: ConfigurationKeeper,
         fleet: FleetKeeper,
-        ledger: LedgerDesk,
+        ledger: LedgerView,
         peers: Peers,
         own_status: Callable[[], Status],
     ) -> None:
--- a/src/dandelioncleat/app/homes.py
+++ b/src/dandelioncleat/app/homes.py
@@ -6,7 +6,7 @@
 
 from dandelioncleat.app._task_scope import TaskScope
 from dandelioncleat.app._ticker import Ticker
-from dandelioncleat.app.claim_desk import ClaimDesk
+from dandelioncleat.app.claim_manager import ClaimManager
 from dandelioncleat.app.fleet import FleetKeeper
 from dandelioncleat.app.guard_notices import GuardNotices
 from dandelioncleat.app.home_parts import HomeParts
@@ -95,7 +95,7 @@
         )
         self.notices = GuardNotices(self._parts, peers)
         guard = LogGuard(self._parts, self.notices)
-        self.desk = ClaimDesk(self._parts, guard, tasks)
+        self.desk = ClaimManager(self._parts, guard, tasks)
         owners = OwnerWatch(self._parts, peers)
         self.slots = SlotKeeper(
             self._parts,
--- a/src/dandelioncleat/app/ledger_desk.py
+++ b/src/dandelioncleat/app/ledger_view.py
@@ -13,8 +13,8 @@
 LEDGER_TIMEOUT_S = 10.0
 
 
-class ShardedLedgerDesk:
-    """Implements the ``LedgerDesk`` port.
+class ShardedLedgerView:
+    """Implements the ``LedgerView`` port.
 
     Before the first version there is no shard and no budget.
     """
--- a/src/dandelioncleat/app/operator.py
+++ b/src/dandelioncleat/app/operator.py
@@ -2,15 +2,15 @@
 
 from collections.abc import Callable
 
-from dandelioncleat.app.budget_desk import BudgetDesk
+from dandelioncleat.app.budget_operations import BudgetOperations
 from dandelioncleat.app.configuration import ConfigurationKeeper
-from dandelioncleat.app.configuration_desk import ConfigurationDesk
+from dandelioncleat.app.configuration_operations import ConfigurationOperations
 from dandelioncleat.app.fleet import FleetKeeper
 from dandelioncleat.app.fleet_status import FleetStatus
 from dandelioncleat.core.configuration import CredentialHash
 from dandelioncleat.core.credential import CredentialIndex, verify_key
 from dandelioncleat.core.message import Status
-from dandelioncleat.ports.ledger_desk import LedgerDesk
+from dandelioncleat.ports.ledger_desk import LedgerView
 from dandelioncleat.ports.peer import Peers
 
 BOOTSTRAP_OPERATOR = 'bootstrap'
@@ -24,7 +24,7 @@
         *,
         configuration: ConfigurationKeeper,
         fleet: FleetKeeper,
-        ledger: LedgerDesk,
+        ledger: LedgerView,
         peers: Peers,
         own_status: Callable[[], Status],
         bootstrap: CredentialHash | None = None,
@@ -34,8 +34,8 @@
         :param own_status: what this router answers to ``AskStatus``
         :param bootstrap: hash of the key that works before any patch
         """
-        self.configuration = ConfigurationDesk(configuration)
-        self.budgets = BudgetDesk(
+        self.configuration = ConfigurationOperations(configuration)
+        self.budgets = BudgetOperations(
             configuration=configuration,
             fleet=fleet,
             ledger=ledger,
--- a/src/dandelioncleat/app/parts.py
+++ b/src/dandelioncleat/app/parts.py
@@ -5,9 +5,9 @@
 
 from dandelioncleat.app.budgets import Budgets
 from dandelioncleat.app.configuration import ConfigurationKeeper
-from dandelioncleat.app.gate import Gate
 from dandelioncleat.app.home_finder import HomeFinder
 from dandelioncleat.app.load_watch import LoadWatch
+from dandelioncleat.app.placement_queue import PlacementQueue
 from dandelioncleat.app.settlement import Settlement
 from dandelioncleat.core.identity import Incarnation
 from dandelioncleat.core.retry import RetryBudget
@@ -23,7 +23,7 @@
     budgets: Budgets
     configuration: ConfigurationKeeper
     watch: LoadWatch
-    gate: Gate
+    placement: PlacementQueue
     homes: HomeFinder
     settlement: Settlement
     retries: RetryBudget
--- a/src/dandelioncleat/app/gate.py
+++ b/src/dandelioncleat/app/placement_queue.py
@@ -46,7 +46,7 @@
     excluded: tuple[Incarnation, ...]
 
 
-class Gate:
+class PlacementQueue:
     """Places requests, at once or when their turn in the queue comes."""
 
     def __init__(
--- a/src/dandelioncleat/app/preparation.py
+++ b/src/dandelioncleat/app/preparation.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-from dandelioncleat.app.course import Course, Permit
-from dandelioncleat.app.gate import Demand, Place
+from dandelioncleat.app.exchange import Exchange, Permit
 from dandelioncleat.app.home_finder import Permission
 from dandelioncleat.app.parts import Parts
+from dandelioncleat.app.placement_queue import Demand, Place
 from dandelioncleat.app.prompt_count import PromptCounter
 from dandelioncleat.core.failure import Code, Failure, FailureError
 from dandelioncleat.core.identity import Incarnation
@@ -36,7 +36,7 @@
 
     async def prepare(
         self,
-        course: Course,
+        exchange: Exchange,
         objection: Failure | None,
     ) -> Message:
         """Return the message that starts or follows the request's run.
@@ -44,114 +44,118 @@
         Raises ``FailureError`` if there is neither.
         """
         try:
-            place = await self._find_place(course, objection)
+            place = await self._find_place(exchange, objection)
         except FailureError as error:
-            if course.is_vouched or course.lost_runs:
+            if exchange.is_vouched or exchange.lost_runs:
                 raise
-            return await self._find_run(course, error)
-        return await self._attach(course, place.sidecar)
+            return await self._find_run(exchange, error)
+        return await self._attach(exchange, place.sidecar)
 
     async def _find_place(
         self,
-        course: Course,
+        exchange: Exchange,
         objection: Failure | None,
     ) -> Place:
         if objection is not None:
             raise FailureError(objection)
-        await self._reserve(course)
-        course.move('reserve')
-        demand = Demand(course.request, course.deadline, course.excluded)
-        course.place = await self._parts.gate.enter(demand)
-        course.move('place')
-        return course.place
-
-    async def _find_run(self, course: Course, error: FailureError) -> Message:
+        await self._reserve(exchange)
+        exchange.move('reserve')
+        demand = Demand(exchange.request, exchange.deadline, exchange.excluded)
+        exchange.place = await self._parts.placement.enter(demand)
+        exchange.move('place')
+        return exchange.place
+
+    async def _find_run(
+        self, exchange: Exchange, error: FailureError
+    ) -> Message:
         """Follow an earlier run though there is no room for a new one."""
         try:
-            reply = await self._ask_home(course, Incarnation(''))
+            reply = await self._ask_home(exchange, Incarnation(''))
         except FailureError:
             raise error from None
         match reply:
             case Placed() if error.failure.code != Code.NOT_READY:
-                return self._follow(course, reply)
+                return self._follow(exchange, reply)
             case Refusal(code=Code.NOT_FOUND):
-                course.is_vouched = True
+                exchange.is_vouched = True
             case Refusal():
-                raise FailureError(_note_refusal(course, reply))
+                raise FailureError(_note_refusal(exchange, reply))
         raise error
 
-    async def _reserve(self, course: Course) -> None:
+    async def _reserve(self, exchange: Exchange) -> None:
         try:
-            await self._reserve_bound(course)
+            await self._reserve_bound(exchange)
         except FailureError as error:
-            if not await self._tighten(course, error.failure):
+            if not await self._tighten(exchange, error.failure):
                 raise
-            await self._reserve_bound(course)
+            await self._reserve_bound(exchange)
 
-    async def _tighten(self, course: Course, failure: Failure) -> bool:
+    async def _tighten(self, exchange: Exchange, failure: Failure) -> bool:
         """Return whether a counted prompt needs fewer tokens than its bound."""
         if failure.code != Code.BUDGET:
             return False
-        request = course.request
+        request = exchange.request
         tokens = await self._prompts.count(request)
         if tokens is None or tokens >= request.prompt_bound:
             return False
-        course.request = request._replace(prompt_bound=tokens)
+        exchange.request = request._replace(prompt_bound=tokens)
         self._parts.telemetry.count('router.prompts_counted')
         return True
 
-    async def _reserve_bound(self, course: Course) -> None:
-        left_s = course.deadline - asyncio.get_running_loop().time()
-        request = course.request
+    async def _reserve_bound(self, exchange: Exchange) -> None:
+        left_s = exchange.deadline - asyncio.get_running_loop().time()
+        request = exchange.request
         with self._parts.telemetry.span(
             'router.reserve',
-            traceparent=course.traceparent,
+            traceparent=exchange.traceparent,
         ):
-            course.draws = await self._parts.budgets.reserve(
+            exchange.draws = await self._parts.budgets.reserve(
                 request.budget,
                 request.prompt_bound + request.cap,
                 timeout_s=max(0, min(BUDGET_WAIT_S, left_s)),
             )
 
-    async def _attach(self, course: Course, executor: Incarnation) -> Message:
-        reply = await self._ask_home(course, executor)
+    async def _attach(
+        self, exchange: Exchange, executor: Incarnation
+    ) -> Message:
+        reply = await self._ask_home(exchange, executor)
         match reply:
             case Begin():
-                course.is_vouched = True
-                course.permit = Permit(reply.run, reply.executor, is_new=True)
-                course.move('order')
-                return self._dispatch(course, course.permit)
+                exchange.is_vouched = True
+                exchange.permit = Permit(reply.run, reply.executor, is_new=True)
+                exchange.move('order')
+                return self._dispatch(exchange, exchange.permit)
             case Placed():
-                return self._follow(course, reply)
+                return self._follow(exchange, reply)
             case Refusal():
-                raise FailureError(_note_refusal(course, reply))
+                raise FailureError(_note_refusal(exchange, reply))
 
     async def _ask_home(
         self,
-        course: Course,
+        exchange: Exchange,
         executor: Incarnation,
     ) -> Permission:
         with self._parts.telemetry.span(
             'router.attach',
-            traceparent=course.traceparent,
+            traceparent=exchange.traceparent,
         ) as traceparent:
             return await self._parts.homes.attach(
-                course.request,
+                exchange.request,
                 executor,
-                deadline=course.deadline,
+                deadline=exchange.deadline,
                 traceparent=traceparent,
             )
 
-    def _follow(self, course: Course, placed: Placed) -> Message:
+    def _follow(self, exchange: Exchange, placed: Placed) -> Message:
         # The run that is found spends its own draws.
-        self._parts.settlement.release(course)
-        course.permit = Permit(placed.run, placed.executor, is_new=False)
-        course.move('follow')
-        return Resume(placed.run, placed.executor, course.delivered)
-
-    def _dispatch(self, course: Course, permit: Permit) -> Dispatch:
-        request = course.request
-        left_s = course.deadline - asyncio.get_running_loop().time()
+        self._parts.settlement.release(exchange)
+        exchange.permit = Permit(placed.run, placed.executor, is_new=False)
+        exchange.move('follow')
+        return Resume(placed.run, placed.executor, exchange.delivered)
+
+    def _dispatch(self, exchange: Exchange, permit: Permit) -> Dispatch:
+        request = exchange.request
+        left_s = exchange.deadline - asyncio.get_running_loop().time()
         return Dispatch(
             run=permit.run,
             executor=permit.executor,
@@ -164,7 +168,7 @@
             digest=request.digest,
             idempotent=request.idempotent,
             budget=request.budget,
-            draws=course.draws,
+            draws=exchange.draws,
             prompt_bound=request.prompt_bound,
             cap=request.cap,
             priority=request.priority,
@@ -172,7 +176,7 @@
         )
 
 
-def _note_refusal(course: Course, refusal: Refusal) -> Failure:
-    course.may_run = refusal.ran
-    course.is_vouched = not refusal.ran
+def _note_refusal(exchange: Exchange, refusal: Refusal) -> Failure:
+    exchange.may_run = refusal.ran
+    exchange.is_vouched = not refusal.ran
     return Failure(refusal.code, refusal.step, refusal.peer, refusal.text)
--- a/src/dandelioncleat/app/process_gauges.py
+++ b/src/dandelioncleat/app/process_gauges.py
@@ -9,7 +9,7 @@
 from dandelioncleat.app.fleet import FleetKeeper
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.identity import BudgetId, Incarnation
-from dandelioncleat.ports.ledger_desk import LedgerDesk
+from dandelioncleat.ports.ledger_desk import LedgerView
 from dandelioncleat.ports.telemetry import Telemetry
 
 SAMPLE_INTERVAL_S = 5.0
@@ -33,7 +33,7 @@
         incarnation: Incarnation,
         configuration: ConfigurationKeeper,
         fleet: FleetKeeper,
-        ledger: LedgerDesk | None = None,
+        ledger: LedgerView | None = None,
     ) -> None:
         """Take the keepers; routers have a ledger as well."""
         self._telemetry = telemetry
@@ -81,7 +81,7 @@
         self._telemetry.gauge('quarantine.refused_requests', len(refused))
         self._telemetry.gauge('fleet.draining_holders', len(waiting))
 
-    def _sample_ledger(self, ledger: LedgerDesk) -> None:
+    def _sample_ledger(self, ledger: LedgerView) -> None:
         try:
             holdings = ledger.holdings()
             late = sum(view.late for view in ledger.budgets())
--- a/src/dandelioncleat/app/router.py
+++ b/src/dandelioncleat/app/router.py
@@ -9,11 +9,11 @@
 from dandelioncleat.app.budgets import Budgets
 from dandelioncleat.app.configuration import ConfigurationKeeper
 from dandelioncleat.app.fleet import FleetKeeper
-from dandelioncleat.app.gate import Gate
 from dandelioncleat.app.home_finder import HomeFinder
 from dandelioncleat.app.host_watch import HostWatch
 from dandelioncleat.app.load_watch import LoadWatch
 from dandelioncleat.app.parts import Parts
+from dandelioncleat.app.placement_queue import PlacementQueue
 from dandelioncleat.app.router_life import RouterLife
 from dandelioncleat.app.serving import Serving
 from dandelioncleat.app.settlement import Settlement
@@ -205,7 +205,7 @@
         configuration=configuration,
         source=source,
     )
-    gate = Gate(
+    placement = PlacementQueue(
         data_centre=join.data_centre,
         configuration=configuration,
         watch=watch,
@@ -217,7 +217,7 @@
         budgets=budgets,
         configuration=configuration,
         watch=watch,
-        gate=gate,
+        placement=placement,
         homes=homes,
         retries=RetryBudget(),
         settlement=settlement,
--- a/src/dandelioncleat/app/serving.py
+++ b/src/dandelioncleat/app/serving.py
@@ -4,8 +4,8 @@
 from collections.abc import AsyncIterator
 from contextlib import aclosing
 
-from dandelioncleat.app.course import Course
 from dandelioncleat.app.dispatching import Dispatcher
+from dandelioncleat.app.exchange import Exchange
 from dandelioncleat.app.parts import Parts
 from dandelioncleat.app.router_life import RouterLife
 from dandelioncleat.core.admission import RunningCounts
@@ -71,36 +71,36 @@
         traceparent: str,
     ) -> AsyncIterator[AnswerEvent]:
         now = asyncio.get_running_loop().time()
-        course = Course(request, arrived_at=now, traceparent=traceparent)
+        exchange = Exchange(request, arrived_at=now, traceparent=traceparent)
         self._open()
-        events = self._serve(course)
+        events = self._serve(exchange)
         try:
             async with aclosing(events):  # type: ignore[type-var]
                 async for event in events:
                     yield event
         finally:
-            self._close(course)
+            self._close(exchange)
 
-    async def _serve(self, course: Course) -> AsyncIterator[AnswerEvent]:
+    async def _serve(self, exchange: Exchange) -> AsyncIterator[AnswerEvent]:
         if self._life.takes_requests:
             await self._parts.configuration.wait_ready(VERSION_WAIT_S)
-        objection = self._objection(course.request)
-        organisation = course.request.request.organisation
+        objection = self._objection(exchange.request)
+        organisation = exchange.request.request.organisation
         if objection is None:
             self._running.begin(organisation)
             policy = self._parts.configuration.current.policy
             self._parts.retries.note_request(policy.retry_share)
-        pieces = self._dispatcher.serve(course, objection)
+        pieces = self._dispatcher.serve(exchange, objection)
         try:
             async with aclosing(pieces):  # type: ignore[type-var]
                 async for piece in pieces:
-                    self._note_first(course)
+                    self._note_first(exchange)
                     yield piece
         finally:
             if objection is None:
                 self._running.end(organisation)
-        if course.end_event is not None:
-            yield course.end_event
+        if exchange.end_event is not None:
+            yield exchange.end_event
 
     def _objection(self, request: CallerRequest) -> Failure | None:
         """Return why a new run is not wanted, if so."""
@@ -124,16 +124,16 @@
     def _failure(self, code: Code, text: str) -> Failure:
         return Failure(code, 'router', self._parts.incarnation, text)
 
-    def _note_first(self, course: Course) -> None:
-        if course.first_at is None:
-            course.first_at = asyncio.get_running_loop().time()
-            place = course.place
+    def _note_first(self, exchange: Exchange) -> None:
+        if exchange.first_at is None:
+            exchange.first_at = asyncio.get_running_loop().time()
+            place = exchange.place
             if place is not None:
                 self._parts.watch.note_first(place.sidecar, place.ticket)
             self._parts.telemetry.observe(
                 'router.first_piece_s',
-                course.first_at - course.arrived_at,
-                service=course.request.service,
+                exchange.first_at - exchange.arrived_at,
+                service=exchange.request.service,
             )
 
     def _open(self) -> None:
@@ -141,12 +141,12 @@
         self.idle.clear()
         self._parts.telemetry.gauge('router.open', self.open_requests)
 
-    def _close(self, course: Course) -> None:
-        course.close()
+    def _close(self, exchange: Exchange) -> None:
+        exchange.close()
         self.open_requests -= 1
         if self.open_requests == 0:
             self.idle.set()
-        end = course.end_event
+        end = exchange.end_event
         outcome = 'gone' if end is None else end.outcome
         code = '' if end is None or end.failure is None else end.failure.code
         telemetry = self._parts.telemetry
--- a/src/dandelioncleat/app/settlement.py
+++ b/src/dandelioncleat/app/settlement.py
@@ -6,7 +6,7 @@
 
 from dandelioncleat.app.answer_reader import AnswerReader, Lost, Reading
 from dandelioncleat.app.budgets import Budgets
-from dandelioncleat.app.course import Course, Holding
+from dandelioncleat.app.exchange import Exchange, Holding
 from dandelioncleat.app.load_watch import LoadWatch
 from dandelioncleat.app.sealing import is_sealed
 from dandelioncleat.app.task_set import TaskSet
@@ -50,22 +50,22 @@
         self._telemetry = telemetry
         self._random = source
 
-    def release(self, course: Course) -> None:
+    def release(self, exchange: Exchange) -> None:
         """Give back the draws of a run that never begins."""
-        if course.draws:
-            self._budgets.settle(course.request.budget, course.draws, 0)
-            course.draws = ()
+        if exchange.draws:
+            self._budgets.settle(exchange.request.budget, exchange.draws, 0)
+            exchange.draws = ()
 
-    def finish(self, course: Course, finished: Finished) -> None:
+    def finish(self, exchange: Exchange, finished: Finished) -> None:
         """Charge what a request's run consumed."""
-        course.may_run = False
-        holding = course.hand_over()
+        exchange.may_run = False
+        holding = exchange.hand_over()
         if holding is not None:
             self._settle(holding, finished)
 
-    def leave(self, course: Course) -> None:
+    def leave(self, exchange: Exchange) -> None:
         """Settle a run that may run still, in the background."""
-        holding = course.hand_over()
+        holding = exchange.hand_over()
         if holding is not None:
             self._tasks.start(self._wind_up(holding))
 
--- a/src/dandelioncleat/daemons/router_process.py
+++ b/src/dandelioncleat/daemons/router_process.py
@@ -7,7 +7,7 @@
 
 from dandelioncleat.adapters.http_host_list import HttpHostList
 from dandelioncleat.app.budgets import Budgets
-from dandelioncleat.app.ledger_desk import ShardedLedgerDesk
+from dandelioncleat.app.ledger_view import ShardedLedgerView
 from dandelioncleat.app.operator import OperatorBackend
 from dandelioncleat.app.process_gauges import ProcessGauges
 from dandelioncleat.app.relay_handler import new_relay_handler
@@ -70,7 +70,7 @@
     )
     source = random.Random(incarnation)
     parts = new_router_parts(ports, join=join, source=source)
-    ledger = ShardedLedgerDesk(parts.budgets.shards)
+    ledger = ShardedLedgerView(parts.budgets.shards)
     return RouterProcess(
         shared,
         parts,
--- a/src/dandelioncleat/ports/ledger_desk.py
+++ b/src/dandelioncleat/ports/ledger_desk.py
@@ -6,7 +6,7 @@
 from dandelioncleat.core.operator_view import BudgetView
 
 
-class LedgerDesk(Protocol):
+class LedgerView(Protocol):
     """Reads the shards and appends to them.
 
     Appends raise ``FailureError`` with code ``log`` if no verdict was read
--- a/src/dandelioncleat/replay/caller.py
+++ b/src/dandelioncleat/replay/caller.py
@@ -16,7 +16,7 @@
 )
 from dandelioncleat.replay.expected import expected_answer
 from dandelioncleat.replay.facts import Circumstances, Receipt
-from dandelioncleat.replay.ground import request_body
+from dandelioncleat.replay.ground_truth import request_body
 from dandelioncleat.replay.process import Process
 from dandelioncleat.replay.trace import Request
 from dandelioncleat.replay.world import World
--- a/src/dandelioncleat/replay/expected.py
+++ b/src/dandelioncleat/replay/expected.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from dandelioncleat.core.configuration import ServiceKind
-from dandelioncleat.replay.ground import request_body
+from dandelioncleat.replay.ground_truth import request_body
 from dandelioncleat.replay.trace import Request
 from dandelioncleat.standin.prompt import answer_text, new_prompt
 
--- a/src/dandelioncleat/replay/ground.py
+++ b/src/dandelioncleat/replay/ground_truth.py
@@ -21,7 +21,7 @@
 CHECKPOINTS_SUFFIX = '.checkpoints'
 
 
-class Ground:
+class GroundTruth:
     """Reads the truth off the stand-ins and the log."""
 
     def __init__(
--- a/src/dandelioncleat/replay/ledger_truth.py
+++ b/src/dandelioncleat/replay/ledger_truth.py
@@ -21,7 +21,7 @@
 from dandelioncleat.core.shard import ledger_stream, shard_of
 from dandelioncleat.ports.log import Entry
 from dandelioncleat.replay.facts import Charge
-from dandelioncleat.replay.ground import is_ledger
+from dandelioncleat.replay.ground_truth import is_ledger
 from dandelioncleat.standin.log import MemoryLog
 
 OPERATOR = Incarnation('operator/1')
--- a/src/dandelioncleat/replay/world.py
+++ b/src/dandelioncleat/replay/world.py
@@ -21,7 +21,7 @@
 from dandelioncleat.core.patch_verdict import PatchAccepted
 from dandelioncleat.core.record import Join, Patch
 from dandelioncleat.ports.telemetry import NullTelemetry
-from dandelioncleat.replay.ground import Ground
+from dandelioncleat.replay.ground_truth import GroundTruth
 from dandelioncleat.replay.hold import HeldTarget
 from dandelioncleat.replay.links import Links
 from dandelioncleat.replay.process import Ports, Process, Surroundings
@@ -106,7 +106,7 @@
         self.standins_by_target = {
             name: new_standin(name, deployment) for name in deployment.targets
         }
-        self.ground = Ground(deployment, self.standins_by_target)
+        self.ground = GroundTruth(deployment, self.standins_by_target)
         self.log.on_append(self.ground.note_entry)
         self._seed = seed
         self._policy = policy
--- a/tests/builders/operator.py
+++ b/tests/builders/operator.py
@@ -15,7 +15,7 @@
 from dandelioncleat.app._shards import Shards
 from dandelioncleat.app.configuration import ConfigurationKeeper
 from dandelioncleat.app.fleet import FleetKeeper
-from dandelioncleat.app.ledger_desk import ShardedLedgerDesk
+from dandelioncleat.app.ledger_view import ShardedLedgerView
 from dandelioncleat.app.operator import OperatorBackend
 from dandelioncleat.core.failure import Code, failure_error
 from dandelioncleat.core.identity import Incarnation
@@ -90,7 +90,7 @@
     backend = OperatorBackend(
         configuration=keeper,
         fleet=fleet,
-        ledger=ShardedLedgerDesk(shards),
+        ledger=ShardedLedgerView(shards),
         peers=peers,
         own_status=own_status,
         bootstrap=BOOTSTRAP.entry,
--- a/tests/builders/sidecar_fleet.py
+++ b/tests/builders/sidecar_fleet.py
@@ -45,21 +45,21 @@
 
 
 class GatedLog:
-    """A log that one process cannot reach while its gate is closed."""
+    """A log that one process cannot reach while its placement is closed."""
 
     def __init__(self, log: MemoryLog) -> None:
         self._log = log
-        self.gate = asyncio.Event()
-        self.gate.set()
+        self.placement = asyncio.Event()
+        self.placement.set()
 
     async def append(self, stream: str, data: bytes) -> int:
-        await self.gate.wait()
+        await self.placement.wait()
         return await self._log.append(stream, data)
 
     async def read(self, stream: str, **options):
-        await self.gate.wait()
+        await self.placement.wait()
         page = await self._log.read(stream, **options)
-        await self.gate.wait()
+        await self.placement.wait()
         return page
 
 
@@ -218,12 +218,12 @@
 
     def part(self, node: Node) -> None:
         """Cut a process off from the log and from the others."""
-        node.log.gate.clear()
+        node.log.placement.clear()
         self.peers.cut.add(host_of(node.incarnation))
 
     def rejoin(self, node: Node) -> None:
         """End the partition of a process."""
-        node.log.gate.set()
+        node.log.placement.set()
         self.peers.cut.discard(host_of(node.incarnation))
 
     async def close(self) -> None:
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -258,13 +258,13 @@
         async def scenario(routers: list[BudgetRouter]) -> None:
             await spender.request(routers[0], 10)
             part = (Draw(GrantId(routers[0].incarnation, 1), 20),)
-            purse = routers[1].budgets._purses.of(BUDGET)
-            purse.add(*part)
+            holdings = routers[1].budgets._holdings.of(BUDGET)
+            holdings.add(*part)
             await routers[2].fleet.submit(
                 Retire(routers[0].incarnation, 'test')
             )
             await asyncio.sleep(1)
-            self.assertThat(purse.wallet.spendable, Equals(0))
+            self.assertThat(holdings.wallet.spendable, Equals(0))
 
         self.run_routers(scenario, log=log)
 
--- a/tests/test_configuration_keeper.py
+++ b/tests/test_configuration_keeper.py
@@ -8,7 +8,7 @@
 
 from dandelioncleat.adapters import virtual_time
 from dandelioncleat.app.configuration import ConfigurationKeeper
-from dandelioncleat.app.configuration_desk import ConfigurationDesk
+from dandelioncleat.app.configuration_operations import ConfigurationOperations
 from dandelioncleat.core.identity import Incarnation
 from dandelioncleat.core.patch_verdict import PatchAccepted, PatchConflict
 from dandelioncleat.standin.log import MemoryLog
@@ -150,7 +150,7 @@
             second = build_patch(
                 {'policy': {'subset_size': 3}}, against=1, patch='patch-2'
             )
-            desk = ConfigurationDesk(behind)
+            desk = ConfigurationOperations(behind)
             async with running(ahead, behind):
                 too_early = await desk.submit(second)
                 waiting = asyncio.create_task(desk.submit(second))
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -4,7 +4,7 @@
 
 from testtools import TestCase
 
-from dandelioncleat.app.claim_desk import OUTAGE_WAIT_S
+from dandelioncleat.app.claim_manager import OUTAGE_WAIT_S
 from dandelioncleat.core.configuration import LogOutagePolicy
 from dandelioncleat.core.failure import Code
 from dandelioncleat.core.identity import RequestKey, request_key_of
@@ -52,7 +52,7 @@
     return await until(lambda: node.owned() == SLOTS)
 
 
-class ClaimDeskTest(TestCase):
+class ClaimManagerTest(TestCase):
     """A non-idempotent request begins once."""
 
     def test_retries_find_the_one_run(self) -> None:
@@ -405,7 +405,7 @@
         async def scenario(fleet: SidecarFleet) -> None:
             old = await owner_of_all(fleet)
             await asyncio.sleep(20)
-            old.log.gate.clear()
+            old.log.placement.clear()
             new = await fleet.start('b')
             await asyncio.sleep(5)
             await fleet.kill(old)
