Drop what nothing uses and finish the renaming

Cause: a read of the whole change found seven definitions without a use (a clock, an error check, a text of a defect, four constants) and names that an earlier renaming had left. No behaviour changes.

--- a/src/dandelioncleat/adapters/_completion_events.py
+++ b/src/dandelioncleat/adapters/_completion_events.py
@@ -7,7 +7,6 @@
 EVENT_END = b'\n\n'
 DATA_PREFIX = b'data:'
 DONE = b'[DONE]'
-UNKNOWN_REASON = 'error'
 
 
 class _Delta(msgspec.Struct, frozen=True):
--- a/src/dandelioncleat/adapters/virtual_time.py
+++ b/src/dandelioncleat/adapters/virtual_time.py
@@ -46,18 +46,6 @@
         return self._jumping.now
 
 
-class VirtualClock:
-    """Is the clock port on a virtual-time loop."""
-
-    def monotonic(self) -> float:
-        """Return the loop's time."""
-        return asyncio.get_running_loop().time()
-
-    def wall(self) -> float:
-        """Return the loop's time, as if the epoch were its start."""
-        return asyncio.get_running_loop().time()
-
-
 def run(main: Coroutine[Any, Any, ResultT]) -> ResultT:
     """Run a coroutine to its end on a virtual-time loop."""
     with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
--- a/src/dandelioncleat/adapters/websocket_peers.py
+++ b/src/dandelioncleat/adapters/websocket_peers.py
@@ -10,7 +10,6 @@
     PeerConnection,
     unreachable,
 )
-from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.identity import Incarnation
 from dandelioncleat.core.message import Message
 
@@ -130,8 +129,3 @@
             version=self._version,
             on_version=self._on_version,
         )
-
-
-def is_unreachable(error: FailureError) -> bool:
-    """Return whether a call failed for want of a connection."""
-    return error.failure.code == 'unreachable'
--- a/src/dandelioncleat/app/budget_operations.py
+++ b/src/dandelioncleat/app/budget_operations.py
@@ -18,7 +18,7 @@
 )
 from dandelioncleat.core.operator_view import OrganisationView
 from dandelioncleat.core.record import Absolve, FleetRecord, Retire
-from dandelioncleat.ports.ledger_desk import LedgerView
+from dandelioncleat.ports.ledger_view import LedgerView
 
 VERDICT_TIMEOUT_S = 10.0
 RESERVED_REFERENCE = 'initial'
--- a/src/dandelioncleat/app/end_reports.py
+++ b/src/dandelioncleat/app/end_reports.py
@@ -43,7 +43,7 @@
             status = ending.status
         if ran and not run.dispatch.idempotent:
             if status:
-                self._homes.desk.note_outcome(run.id, status)
+                self._homes.claim_manager.note_outcome(run.id, status)
             return
         with suppress(asyncio.QueueFull):
             self._reports.put_nowait(Report(run.id, status, ran))
--- a/src/dandelioncleat/app/fleet_status.py
+++ b/src/dandelioncleat/app/fleet_status.py
@@ -19,7 +19,7 @@
     SuspectView,
     TargetView,
 )
-from dandelioncleat.ports.ledger_desk import LedgerView
+from dandelioncleat.ports.ledger_view import LedgerView
 from dandelioncleat.ports.peer import Peers
 
 STATUS_TIMEOUT_S = 2.0
--- a/src/dandelioncleat/app/homes.py
+++ b/src/dandelioncleat/app/homes.py
@@ -95,14 +95,14 @@
         )
         self.notices = GuardNotices(self._parts, peers)
         guard = LogGuard(self._parts, self.notices)
-        self.desk = ClaimManager(self._parts, guard, tasks)
+        self.claim_manager = ClaimManager(self._parts, guard, tasks)
         owners = OwnerWatch(self._parts, peers)
         self.slots = SlotKeeper(
             self._parts,
             guard=guard,
             notices=self.notices,
             owners=owners,
-            unrecorded=lambda: self.desk.unrecorded,
+            unrecorded=lambda: self.claim_manager.unrecorded,
         )
         self._ticker = Ticker()
         self._home = Home(settings.incarnation)
@@ -130,7 +130,7 @@
 
     async def _place(self, attach: Attach) -> Message:
         if not attach.idempotent:
-            return await self.desk.attach(attach)
+            return await self.claim_manager.attach(attach)
         now = asyncio.get_running_loop().time()
         return self._home.attach(attach, now)
 
@@ -138,7 +138,7 @@
         """Note how a run of a request ended."""
         self._home.report(report)
         if not report.ran:
-            await self.desk.release(report.run)
+            await self.claim_manager.release(report.run)
         return Accepted()
 
     async def flush(self) -> None:
--- a/src/dandelioncleat/app/operator.py
+++ b/src/dandelioncleat/app/operator.py
@@ -10,14 +10,14 @@
 from dandelioncleat.core.configuration import CredentialHash
 from dandelioncleat.core.credential import CredentialIndex, verify_key
 from dandelioncleat.core.message import Status
-from dandelioncleat.ports.ledger_desk import LedgerView
+from dandelioncleat.ports.ledger_view import LedgerView
 from dandelioncleat.ports.peer import Peers
 
 BOOTSTRAP_OPERATOR = 'bootstrap'
 
 
 class OperatorBackend:
-    """Knows the operators' keys and holds the desks that serve them."""
+    """Knows the operators' keys and holds the operations that serve them."""
 
     def __init__(
         self,
--- a/src/dandelioncleat/app/process_gauges.py
+++ b/src/dandelioncleat/app/process_gauges.py
@@ -9,7 +9,7 @@
 from dandelioncleat.app.fleet import FleetKeeper
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.identity import BudgetId, Incarnation
-from dandelioncleat.ports.ledger_desk import LedgerView
+from dandelioncleat.ports.ledger_view import LedgerView
 from dandelioncleat.ports.telemetry import Telemetry
 
 SAMPLE_INTERVAL_S = 5.0
--- a/src/dandelioncleat/app/sidecar.py
+++ b/src/dandelioncleat/app/sidecar.py
@@ -226,7 +226,7 @@
         self._report = StopReport(
             await self.executor.close(),
             self._bills.pending,
-            self.homes.desk.unrecorded,
+            self.homes.claim_manager.unrecorded,
         )
         _log_report(self._report)
         self.life.end()
@@ -238,7 +238,7 @@
         return StopReport(
             tuple(active.run.id for active in open_runs),
             self._bills.pending,
-            self.homes.desk.unrecorded,
+            self.homes.claim_manager.unrecorded,
         )
 
     def status(self) -> Status:
--- a/src/dandelioncleat/core/defect.py
+++ b/src/dandelioncleat/core/defect.py
@@ -28,11 +28,6 @@
     )
 
 
-def describe_defect(defect: Defect) -> str:
-    """Return a defect as one line of text."""
-    return f'{defect.key} = {defect.value}: expected {defect.expected}'
-
-
 def shorten(text: str) -> str:
     """Cut a value to a length that fits on a line."""
     if len(text) <= SHOWN_VALUE_CHARACTERS:
--- a/src/dandelioncleat/core/placement.py
+++ b/src/dandelioncleat/core/placement.py
@@ -12,7 +12,6 @@
 from dandelioncleat.core.failure import Code, Failure
 from dandelioncleat.core.identity import Digest, Incarnation
 
-DEFAULT_POLICY = 'two_choices'
 PREFIX_WEIGHT = 0.3
 PREFIX_AGE_S = 30.0
 DISTANCE_WEIGHT = 0.25
--- a/src/dandelioncleat/core/prompt.py
+++ b/src/dandelioncleat/core/prompt.py
@@ -8,7 +8,6 @@
 from dandelioncleat.core.identity import Digest
 
 SHORTEST_PREFIX_BYTES = 256
-MESSAGE_SEPARATOR = '\n'
 
 
 class _Message(msgspec.Struct):
--- a/src/dandelioncleat/demo/witness.py
+++ b/src/dandelioncleat/demo/witness.py
@@ -15,7 +15,6 @@
 from dandelioncleat.demo.caller import ANSWERED, CUT, NOT_RUN, Answer
 from dandelioncleat.demo.cast import BUDGET_BY_ORGANISATION
 
-BUDGET_CODE = 'budget'
 LOG_CODE = 'log'
 
 
--- a/tests/test_configuration_keeper.py
+++ b/tests/test_configuration_keeper.py
@@ -150,10 +150,10 @@
             second = build_patch(
                 {'policy': {'subset_size': 3}}, against=1, patch='patch-2'
             )
-            desk = ConfigurationOperations(behind)
+            operations = ConfigurationOperations(behind)
             async with running(ahead, behind):
-                too_early = await desk.submit(second)
-                waiting = asyncio.create_task(desk.submit(second))
+                too_early = await operations.submit(second)
+                waiting = asyncio.create_task(operations.submit(second))
                 await ahead.submit(build_patch(build_document()))
                 return too_early, await waiting
 
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -300,12 +300,12 @@
             await asyncio.sleep(20)
             fleet.log.outage = True
             begun = await self.begin_unrecorded(home)
-            self.assertEqual(1, home.sidecar.homes.desk.unrecorded)
+            self.assertEqual(1, home.sidecar.homes.claim_manager.unrecorded)
             fleet.log.outage = False
             await asyncio.sleep(5)
             request = request_key_of(begun.run)
             self.assertEqual(begun.run, home.claims.claim_of(request).run)
-            self.assertEqual(0, home.sidecar.homes.desk.unrecorded)
+            self.assertEqual(0, home.sidecar.homes.claim_manager.unrecorded)
             reply = await home.ask(new_attach(begun.run.key, home))
             self.assertEqual(begun.run, reply.run)
 
