Print operators' answers in one way

Cause: nine commands each decided for themselves between a refusal, JSON and text. After: output.show decides, the commands only say how the text looks.

--- a/src/dandelioncleat/operator/budget_commands.py
+++ b/src/dandelioncleat/operator/budget_commands.py
@@ -1,6 +1,7 @@
 """Commands on organisations and their budgets."""
 
 import argparse
+from functools import partial
 from typing import Any
 
 from dandelioncleat.operator.client import OperatorClient
@@ -11,6 +12,7 @@
     print_rows,
     print_table,
     report,
+    show,
 )
 from dandelioncleat.operator.session import new_options, runner
 
@@ -84,21 +86,20 @@
     arguments: argparse.Namespace,
 ) -> ExitCode:
     answer = await client.get(f'organisations/{arguments.name}')
-    code = report(answer, as_json=arguments.json)
-    if code is not ExitCode.DONE:
-        return code
-    if arguments.json:
-        print_json(answer.document)
-        return code
+    return show(
+        answer,
+        as_json=arguments.json,
+        display=_print_organisation,
+    )
+
+
+def _print_organisation(document: dict[str, Any]) -> None:
     settings = {
-        field: part
-        for field, part in answer.document.items()
-        if field != 'budgets'
+        field: part for field, part in document.items() if field != 'budgets'
     }
     print_table('organisation', ('field', 'value'), settings.items())
     columns = ('budget', *_TOKEN_COLUMNS)
-    print_rows('tokens', columns, answer.document['budgets'])
-    return code
+    print_rows('tokens', columns, document['budgets'])
 
 
 def _print_organisations(
@@ -136,17 +137,20 @@
     }
     path = f'organisations/{arguments.name}/top-ups'
     answer = await client.post(path, order)
-    code = report(answer, as_json=arguments.json)
-    if code is not ExitCode.DONE:
-        return code
-    if arguments.json:
-        print_json(answer.document)
-    elif answer.document['repeated']:
-        print_line(f'Reference {arguments.reference} was topped up before.')
-    else:
-        budget = answer.document['budget']
-        print_line(f'Added {arguments.tokens} tokens to {budget}.')
-    return code
+    return show(
+        answer,
+        as_json=arguments.json,
+        display=partial(_print_top_up, order),
+    )
+
+
+def _print_top_up(order: dict[str, Any], document: dict[str, Any]) -> None:
+    if document['repeated']:
+        reference = order['reference']
+        print_line(f'Reference {reference} was topped up before.')
+        return
+    budget = document['budget']
+    print_line(f'Added {order["tokens"]} tokens to {budget}.')
 
 
 async def _holders(
@@ -176,12 +180,11 @@
 ) -> ExitCode:
     order = {'holder': arguments.holder, 'reason': arguments.reason}
     answer = await client.post('retirements', order)
-    code = report(answer, as_json=arguments.json)
-    if code is ExitCode.DONE and arguments.json:
-        print_json(answer.document)
-    elif code is ExitCode.DONE:
-        print_line(f'{arguments.holder} is fenced.')
-    return code
+    return show(
+        answer,
+        as_json=arguments.json,
+        display=lambda _: print_line(f'{arguments.holder} is fenced.'),
+    )
 
 
 async def _release(
@@ -190,9 +193,12 @@
 ) -> ExitCode:
     order = {'holder': arguments.holder, 'gone': arguments.gone}
     answer = await client.post('releases', order)
-    code = report(answer, as_json=arguments.json)
-    if code is ExitCode.DONE and arguments.json:
-        print_json(answer.document)
-    elif code is ExitCode.DONE:
-        print_line(f'Freed {answer.document["tokens"]} tokens.')
-    return code
+    return show(
+        answer,
+        as_json=arguments.json,
+        display=_print_freed,
+    )
+
+
+def _print_freed(document: dict[str, Any]) -> None:
+    print_line(f'Freed {document["tokens"]} tokens.')
--- a/src/dandelioncleat/operator/fleet_commands.py
+++ b/src/dandelioncleat/operator/fleet_commands.py
@@ -2,6 +2,7 @@
 
 import argparse
 import json
+from functools import partial
 from typing import Any
 
 from dandelioncleat.operator.client import Answer, OperatorClient
@@ -11,10 +12,19 @@
     print_line,
     print_rows,
     report,
+    show,
 )
 from dandelioncleat.operator.patch_commands import patch_id
 from dandelioncleat.operator.session import new_options, runner
 
+TARGET_COLUMNS = (
+    'name',
+    'service',
+    'data_centre',
+    'slots',
+    'drain',
+    'sidecars',
+)
 DRAIN_ATTEMPTS = 5
 MEMBER_COLUMNS = ('incarnation', 'role', 'data_centre', 'state', 'version')
 HOLDER_COLUMNS = ('holder', 'state', 'budget', 'tokens', 'waiting')
@@ -56,20 +66,11 @@
     arguments: argparse.Namespace,
 ) -> ExitCode:
     answer = await client.get('targets')
-    code = report(answer, as_json=arguments.json)
-    if code is ExitCode.DONE and arguments.json:
-        print_json(answer.document)
-    elif code is ExitCode.DONE:
-        columns = (
-            'name',
-            'service',
-            'data_centre',
-            'slots',
-            'drain',
-            'sidecars',
-        )
-        print_rows('targets', columns, answer.document)
-    return code
+    return show(
+        answer,
+        as_json=arguments.json,
+        display=partial(print_rows, 'targets', TARGET_COLUMNS),
+    )
 
 
 async def _drain(
@@ -125,12 +126,11 @@
     arguments: argparse.Namespace,
 ) -> ExitCode:
     answer = await client.post('absolutions', {'digest': arguments.digest})
-    code = report(answer, as_json=arguments.json)
-    if code is ExitCode.DONE and arguments.json:
-        print_json(answer.document)
-    elif code is ExitCode.DONE:
-        print_line(f'{arguments.digest} may run again.')
-    return code
+    return show(
+        answer,
+        as_json=arguments.json,
+        display=lambda _: print_line(f'{arguments.digest} may run again.'),
+    )
 
 
 async def _status(
@@ -138,12 +138,11 @@
     arguments: argparse.Namespace,
 ) -> ExitCode:
     answer = await client.get('status')
-    code = report(answer, as_json=arguments.json)
-    if code is ExitCode.DONE and arguments.json:
-        print_json(answer.document)
-    elif code is ExitCode.DONE:
-        _print_status(answer.document)
-    return code
+    return show(
+        answer,
+        as_json=arguments.json,
+        display=_print_status,
+    )
 
 
 def _print_status(fleet: dict[str, Any]) -> None:
--- a/src/dandelioncleat/operator/output.py
+++ b/src/dandelioncleat/operator/output.py
@@ -2,7 +2,7 @@
 
 import json
 import sys
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from rich.console import Console
@@ -67,6 +67,23 @@
     return ExitCode.REFUSED
 
 
+def show(
+    answer: Answer,
+    *,
+    as_json: bool,
+    display: Callable[[Any], None],
+) -> ExitCode:
+    """Print an answer as JSON or by ``display``, or its refusal.
+
+    :param display: prints the document of an answer that is no refusal
+    """
+    code = report(answer, as_json=as_json)
+    if code is ExitCode.DONE:
+        printer = print_json if as_json else display
+        printer(answer.document)
+    return code
+
+
 def _print_refusal(document: dict[str, Any]) -> None:
     match document:
         case {'verdict': 'invalid', 'defects': defects}:
--- a/src/dandelioncleat/operator/patch_commands.py
+++ b/src/dandelioncleat/operator/patch_commands.py
@@ -17,6 +17,7 @@
     print_rows,
     print_table,
     report,
+    show,
 )
 from dandelioncleat.operator.session import new_options, runner
 
@@ -152,20 +153,21 @@
     arguments: argparse.Namespace,
 ) -> ExitCode:
     answer = await _get_version(client, arguments.version)
-    code = report(answer, as_json=arguments.json)
-    if code is not ExitCode.DONE:
-        return code
-    if arguments.json:
-        print_json(answer.document)
-        return code
-    document = answer.document['document']
-    print_line(f'Version {answer.document["version"]}')
+    return show(
+        answer,
+        as_json=arguments.json,
+        display=_print_version,
+    )
+
+
+def _print_version(found: dict[str, Any]) -> None:
+    document = found['document']
+    print_line(f'Version {found["version"]}')
     for section, entries in document.items():
         if section == 'policy':
             print_table(section, ('setting', 'value'), entries.items())
         elif entries:
             _print_section(section, entries)
-    return code
 
 
 def _print_section(section: str, entries: dict[str, Any]) -> None:
@@ -200,12 +202,14 @@
     arguments: argparse.Namespace,
 ) -> ExitCode:
     answer = await client.get('configuration/history')
-    code = report(answer, as_json=arguments.json)
-    if code is not ExitCode.DONE:
-        return code
-    if arguments.json:
-        print_json(answer.document)
-        return code
+    return show(
+        answer,
+        as_json=arguments.json,
+        display=_print_history,
+    )
+
+
+def _print_history(entries: list[dict[str, Any]]) -> None:
     columns = ('version', 'appended', 'operator', 'patch', 'digest')
     rows = (
         (
@@ -215,10 +219,9 @@
             entry['patch'],
             entry['digest'][:12],
         )
-        for entry in answer.document
+        for entry in entries
     )
     print_table('history', columns, rows)
-    return code
 
 
 async def _show_differences(
