--- a/src/dandelioncleat/adapters/log_lines.py
+++ b/src/dandelioncleat/adapters/log_lines.py
@@ -2,7 +2,7 @@
 
 import logging
 import sys
-from typing import Literal, TextIO
+from typing import Literal, Protocol, TextIO, cast
 
 import structlog
 from structlog.typing import Processor
@@ -10,10 +10,20 @@
 LineFormat = Literal['json', 'console']
 
 
+class LineStream(Protocol):
+    """Takes the text of log lines."""
+
+    def write(self, text: str, /) -> object:
+        """Take text."""
+
+    def flush(self) -> None:
+        """Pass on what was taken."""
+
+
 def configure_log_lines(
     line_format: LineFormat,
     *,
-    stream: TextIO | None = None,
+    stream: LineStream | None = None,
     level: int = logging.INFO,
     **context: str,
 ) -> None:
@@ -33,7 +43,9 @@
             _renderer(line_format),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.WriteLoggerFactory(stream or sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(
+            cast(TextIO, stream or sys.stderr),
+        ),
         cache_logger_on_first_use=False,
     )
 
--- /dev/null
+++ b/src/dandelioncleat/adapters/log_writer.py
@@ -0,0 +1,62 @@
+"""Writes log lines without ever holding the event loop up."""
+
+import sys
+import threading
+from collections import deque
+from typing import TextIO
+
+MOST_LINES = 4000
+FLUSH_INTERVAL_S = 0.1
+
+
+class LogWriter:
+    """Queues lines for a thread; it drops and counts them if that is slow."""
+
+    def __init__(self, stream: TextIO | None = None) -> None:
+        """Take the stream, standard output by default."""
+        self.dropped = 0
+        self._stream = stream or sys.stdout
+        self._lines: deque[str] = deque()
+        self._wake = threading.Event()
+        self._is_closed = False
+        self._thread = threading.Thread(
+            target=self._run, name='log-writer', daemon=True
+        )
+        self._thread.start()
+
+    def write(self, text: str) -> None:
+        """Queue text; structlog writes a line in one or two parts."""
+        if len(self._lines) >= MOST_LINES:
+            self.dropped += 1
+            return
+        self._lines.append(text)
+        self._wake.set()
+
+    def flush(self) -> None:
+        """Do nothing: the thread writes soon."""
+
+    def close(self, *, limit_s: float) -> None:
+        """Write what is queued and end the thread.
+
+        :param limit_s: time after which the rest is given up, in seconds
+        """
+        self._is_closed = True
+        self._wake.set()
+        self._thread.join(limit_s)
+
+    def _run(self) -> None:
+        while not self._is_closed:
+            self._wake.wait()
+            self._wake.clear()
+            self._write_queued()
+            # Lines that come together cost one write.
+            threading.Event().wait(FLUSH_INTERVAL_S)
+        self._write_queued()
+
+    def _write_queued(self) -> None:
+        parts = []
+        while self._lines:
+            parts.append(self._lines.popleft())
+        if parts:
+            self._stream.write(''.join(parts))
+            self._stream.flush()
--- a/src/dandelioncleat/adapters/telemetry.py
+++ b/src/dandelioncleat/adapters/telemetry.py
@@ -1,34 +1,23 @@
 """Metrics and traces by OpenTelemetry.
 
-Everything goes to an OTLP endpoint where one is set; the metrics stand on
-a Prometheus page in any case.
+The metrics stand on a Prometheus page; what exports them further, and the
+traces, is passed in.
 """
 
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 
-from opentelemetry.exporter.otlp.proto.http.metric_exporter import (
-    OTLPMetricExporter,
-)
-from opentelemetry.exporter.otlp.proto.http.trace_exporter import (
-    OTLPSpanExporter,
-)
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import Counter, Histogram, _Gauge
 from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.metrics.export import (
-    MetricReader,
-    PeriodicExportingMetricReader,
-)
+from opentelemetry.sdk.metrics.export import MetricReader
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import SpanProcessor, TracerProvider
-from opentelemetry.sdk.trace.export import BatchSpanProcessor
 from prometheus_client import CollectorRegistry, generate_latest
 
 from dandelioncleat.adapters.trace_context import context_of, traceparent_of
 
 SCOPE = 'dandelioncleat'
-EXPORT_INTERVAL_MS = 15000
 
 
 class OtelTelemetry:
@@ -105,51 +94,30 @@
     *,
     role: str,
     incarnation: str,
-    endpoint: str | None = None,
+    metric_readers: Sequence[MetricReader] = (),
     span_processors: Sequence[SpanProcessor] = (),
 ) -> OtelTelemetry:
     """Set up the metrics and traces of one process.
 
-    :param endpoint: base URL of an OTLP collector, if there is one
-    :param span_processors: further receivers of finished spans
+    :param metric_readers: further exporters of metrics
+    :param span_processors: receivers of finished spans
     """
     resource = Resource.create(
         {'service.name': f'{SCOPE}-{role}', 'service.instance.id': incarnation}
     )
     registry = CollectorRegistry()
+    page_reader = PrometheusMetricReader(registry=registry)
     return OtelTelemetry(
         registry=registry,
         meter_provider=MeterProvider(
-            _metric_readers(registry, endpoint),
+            (page_reader, *metric_readers),
             resource=resource,
             shutdown_on_exit=False,
         ),
-        tracer_provider=_new_tracer_provider(
-            resource, (*span_processors, *_exporting_processors(endpoint))
-        ),
+        tracer_provider=_new_tracer_provider(resource, span_processors),
     )
 
 
-def _metric_readers(
-    registry: CollectorRegistry,
-    endpoint: str | None,
-) -> list[MetricReader]:
-    readers: list[MetricReader] = [PrometheusMetricReader(registry=registry)]
-    if endpoint is not None:
-        exporter = OTLPMetricExporter(endpoint=f'{endpoint}/v1/metrics')
-        readers.append(
-            PeriodicExportingMetricReader(exporter, EXPORT_INTERVAL_MS)
-        )
-    return readers
-
-
-def _exporting_processors(endpoint: str | None) -> tuple[SpanProcessor, ...]:
-    if endpoint is None:
-        return ()
-    exporter = OTLPSpanExporter(endpoint=f'{endpoint}/v1/traces')
-    return (BatchSpanProcessor(exporter),)
-
-
 def _new_tracer_provider(
     resource: Resource,
     processors: Sequence[SpanProcessor],
--- /dev/null
+++ b/src/dandelioncleat/app/direct/__init__.py
@@ -0,0 +1,1 @@
+"""The router that dials targets itself and keeps its state in a store."""
--- /dev/null
+++ b/src/dandelioncleat/app/direct/admission.py
@@ -0,0 +1,59 @@
+"""Decides whether a request may be served, before anything is sent."""
+
+from typing import NamedTuple
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from dandelioncleat.core.deployment import (
+    Deployment,
+    Organisation,
+    Route,
+    Service,
+)
+from dandelioncleat.core.direct_request import (
+    DirectRequest,
+    Reason,
+    Refusal,
+)
+
+NO_CONFIGURATION_RETRY_S = 0.5
+
+
+class Admitted(NamedTuple):
+    """What the configuration says of a request."""
+
+    version: int
+    route: Route
+    service: Service
+    organisation: Organisation | None
+
+    @property
+    def priority(self) -> int:
+        """Return the rank; that of the organisation goes first."""
+        organisation = self.organisation
+        if organisation is None or organisation.priority is None:
+            return self.route.priority
+        return organisation.priority
+
+
+def admit(
+    request: DirectRequest, deployment: Deployment | None
+) -> Result[Admitted, Refusal]:
+    """Return the route and organisation of a request, or why it has none."""
+    if deployment is None:
+        retry_s = NO_CONFIGURATION_RETRY_S
+        return Failed(Refusal(Reason.NO_CONFIGURATION, retry_after_s=retry_s))
+    path = request.path.partition('?')[0]
+    route = deployment.routes.find(request.host, path)
+    if route is None:
+        return Failed(Refusal(Reason.NO_ROUTE))
+    organisation = deployment.organisations_by_key.get(request.key or '')
+    is_open = route.is_public or not deployment.organisations_by_name
+    if organisation is None and not is_open:
+        return Failed(Refusal(Reason.BAD_KEY))
+    name = route.service_for(request.id)
+    service = deployment.services_by_name.get(name)
+    if service is None:
+        return Failed(Refusal(Reason.NO_TARGET, retry_after_s=1))
+    return Success(Admitted(deployment.version, route, service, organisation))
--- /dev/null
+++ b/src/dandelioncleat/app/direct/holdings_sync.py
@@ -0,0 +1,202 @@
+"""Keeps the holdings of a host and the store's records in step."""
+
+import asyncio
+from collections.abc import Callable
+from typing import TypeVar
+
+import msgspec
+import structlog
+
+from dandelioncleat.app.direct.ceiling_writer import CeilingWriter
+from dandelioncleat.app.direct.mark_writer import MarkWriter
+from dandelioncleat.app.direct.topic_follower import (
+    TopicChange,
+    TopicFollower,
+)
+from dandelioncleat.core.failure import FailureError
+from dandelioncleat.core.holding import Ceiling, Moment, UsageMark
+from dandelioncleat.core.host_holdings import HostHoldings
+from dandelioncleat.ports.clock import Clock
+from dandelioncleat.ports.store import KeyedRecord, KeyedStore
+
+CEILINGS_TOPIC = 'keyed.ceilings'
+MARKS_TOPIC = 'keyed.usage'
+READ_PAUSE_S = 0.05
+MARK_INTERVAL_S = 0.2
+RETRY_PAUSE_S = 0.1
+REBALANCE_INTERVAL_S = 0.5
+# A call to the store that takes longer means that it is away.
+UNANSWERED_S = 0.4
+STORE_SILENCE_S = 3.0
+
+RecordT = TypeVar('RecordT', Ceiling, UsageMark)
+
+_logger = structlog.get_logger(__name__)
+
+
+class HoldingsSync:
+    """Follows the records of all hosts and writes those of its own."""
+
+    def __init__(
+        self,
+        store: KeyedStore,
+        holdings: HostHoldings,
+        *,
+        clock: Clock,
+        on_news: Callable[[], None],
+    ) -> None:
+        """Take the holdings, whose host's earlier processes are dead.
+
+        :param on_news: is called when anything has changed
+        """
+        self.opened = asyncio.Event()
+        self._holdings = holdings
+        self._clock = clock
+        self._on_news = on_news
+        self._ceilings_due = asyncio.Event()
+        self._marks_due = asyncio.Event()
+        self._sent_at: float | None = None
+        self._mark_writer = MarkWriter(store, MARKS_TOPIC, host=holdings.host)
+        self._ceilings = TopicFollower(
+            store, CEILINGS_TOPIC, on_change=self._take_ceilings
+        )
+        self._marks = TopicFollower(
+            store, MARKS_TOPIC, on_change=self._take_marks, pause_s=READ_PAUSE_S
+        )
+        self._ceiling_writer = CeilingWriter(
+            store,
+            self._ceilings,
+            book=holdings.book,
+            accounts_by_budget=holdings.accounts_by_budget,
+        )
+
+    @property
+    def silence_s(self) -> float:
+        """Return the time since the store was heard, in seconds."""
+        return self._marks.silence_s
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether the store does not answer now."""
+        if self._marks.silence_s > STORE_SILENCE_S:
+            return True
+        if self._sent_at is None:
+            return False
+        return self._clock.monotonic() - self._sent_at > UNANSWERED_S
+
+    def note_change(self, *, is_urgent: bool) -> None:
+        """Have the records written; at once if a request waits for them."""
+        self._ceilings_due.set()
+        if is_urgent:
+            self._marks_due.set()
+
+    def open_accounts(self) -> None:
+        """Open the accounts of new budgets, and say with what."""
+        for account in self._holdings.open_accounts(self._now()):
+            _logger.info('budget opened', **account._asdict())
+
+    async def run(self) -> None:
+        """Take over from the host's earlier process, then keep in step."""
+        await self._open_until_answered()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._ceilings.run())
+            group.create_task(self._marks.run())
+            group.create_task(self._keep_marks())
+            group.create_task(self._keep_ceilings())
+
+    def _now(self) -> Moment:
+        return Moment(self._clock.monotonic(), self._clock.wall())
+
+    async def _open_until_answered(self) -> None:
+        while not self.opened.is_set():
+            try:
+                await self._open()
+            except FailureError as error:
+                _logger.warning('budgets not opened', reason=str(error))
+                await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def _open(self) -> None:
+        await self._marks.start()
+        host = self._holdings.host
+        await self._mark_writer.fence(self._holdings.book.epoch_of(host))
+        # Read again, as the earlier process may have written until the fence.
+        await self._marks.start()
+        await self._ceilings.start()
+        self.open_accounts()
+        self.opened.set()
+        _logger.info('budgets opened', epoch=self._mark_writer.epoch)
+
+    def _take_ceilings(self, change: TopicChange) -> None:
+        for record in change.records:
+            ceiling = _decoded(record, Ceiling)
+            if ceiling is not None:
+                self._holdings.book.set_ceiling(ceiling)
+        self.note_change(is_urgent=True)
+        self._on_news()
+
+    def _take_marks(self, change: TopicChange) -> None:
+        for record in change.records:
+            mark = _decoded(record, UsageMark)
+            if mark is not None:
+                self._holdings.book.set_mark(mark)
+        self.note_change(is_urgent=False)
+        self._on_news()
+
+    async def _keep_marks(self) -> None:
+        while True:
+            self._marks_due.clear()
+            await self._write_due_marks()
+            await _wait(self._marks_due, MARK_INTERVAL_S)
+
+    async def _write_due_marks(self) -> None:
+        now = self._now()
+        epoch = self._mark_writer.epoch
+        marks = self._holdings.due_marks(now, epoch=epoch)
+        if not marks:
+            return
+        accounts_by_budget = self._holdings.accounts_by_budget
+        for mark in marks:
+            accounts_by_budget[mark.budget].sent = mark
+        self._sent_at = now.monotonic
+        await self._mark_writer.write(marks)
+        self._sent_at = None
+        for mark in marks:
+            accounts_by_budget[mark.budget].confirm_mark(mark)
+            self._holdings.book.set_mark(mark)
+        self._on_news()
+
+    async def _keep_ceilings(self) -> None:
+        rebalance_at = float('-inf')
+        while True:
+            self._ceilings_due.clear()
+            now = self._clock.monotonic()
+            may_rebalance = now >= rebalance_at
+            if may_rebalance:
+                rebalance_at = now + REBALANCE_INTERVAL_S
+            ceilings = self._holdings.due_ceilings(may_rebalance=may_rebalance)
+            if ceilings:
+                await self._ceiling_writer.write(ceilings)
+                self._marks_due.set()
+                self._on_news()
+            else:
+                await _wait(self._ceilings_due, REBALANCE_INTERVAL_S)
+
+
+async def _wait(event: asyncio.Event, limit_s: float) -> None:
+    try:
+        async with asyncio.timeout(limit_s):
+            await event.wait()
+    except TimeoutError:
+        return
+
+
+def _decoded(record: KeyedRecord, kind: type[RecordT]) -> RecordT | None:
+    if not record.value:
+        return None
+    try:
+        return msgspec.msgpack.decode(record.value, type=kind)
+    except msgspec.DecodeError as error:
+        _logger.warning(
+            'record cannot be read', key=record.key, reason=str(error)
+        )
+        return None
--- /dev/null
+++ b/src/dandelioncleat/app/direct/placement.py
@@ -0,0 +1,73 @@
+"""Places requests on targets, and bounds how often they are sent again."""
+
+import asyncio
+
+from dandelioncleat.app.direct.run_context import RunContext
+from dandelioncleat.app.direct.target_directory import TargetDirectory
+from dandelioncleat.app.direct.target_state import TargetState
+from dandelioncleat.core.retry_window import RetryTerms, RetryWindow
+from dandelioncleat.core.target_choice import choose_for_prompt, choose_plain
+
+
+class Placement:
+    """Chooses a target for each attempt."""
+
+    def __init__(
+        self,
+        directory: TargetDirectory,
+        *,
+        data_centre: str,
+        terms: RetryTerms,
+    ) -> None:
+        """Take the targets and the bounds of retries."""
+        self.routers = 1
+        self._directory = directory
+        self._data_centre = data_centre
+        self._terms = terms
+        self._windows_by_service: dict[str, RetryWindow] = {}
+
+    def note_request(self, service: str) -> None:
+        """Count a request of a service."""
+        self._window(service).note_request(_now())
+
+    def take_retry(self, service: str) -> bool:
+        """Take one retry from the budget; return whether there was one."""
+        return self._window(service).take(_now(), routers=self.routers)
+
+    def choose(self, context: RunContext) -> TargetState | None:
+        """Return the best target that was not tried, if there is one."""
+        now = _now()
+        states = self._candidates(context, now)
+        if not states:
+            return None
+        views = [
+            state.view(data_centre=self._data_centre, now=now)
+            for state in states
+        ]
+        prompt = context.request.prompt
+        if prompt is None:
+            chosen = choose_plain(views, context.request.id)
+        else:
+            chosen = choose_for_prompt(views, prompt)
+        return states[views.index(chosen)]
+
+    def _candidates(self, context: RunContext, now: float) -> list[TargetState]:
+        service = context.admitted.service.name
+        untried = [
+            state
+            for state in self._directory.available(service)
+            if state.entry.id not in context.tried
+        ]
+        sound = [state for state in untried if not state.is_paused(now)]
+        return sound or untried
+
+    def _window(self, service: str) -> RetryWindow:
+        window = self._windows_by_service.get(service)
+        if window is None:
+            window = RetryWindow(self._terms)
+            self._windows_by_service[service] = window
+        return window
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -0,0 +1,250 @@
+"""Serves a request: its tokens, a target, another target, its end."""
+
+import asyncio
+from typing import NamedTuple
+
+import structlog
+from returns.pipeline import is_successful
+
+from dandelioncleat.app.direct.admission import admit
+from dandelioncleat.app.direct.attempt import AttemptEnd, attempt
+from dandelioncleat.app.direct.deployment_watch import DeploymentWatch
+from dandelioncleat.app.direct.forwarding import Forwarding
+from dandelioncleat.app.direct.placement import Placement
+from dandelioncleat.app.direct.run_context import RunContext
+from dandelioncleat.app.direct.wallet import Verdict, Wallet
+from dandelioncleat.core.direct_request import (
+    DirectRequest,
+    Reason,
+    Refusal,
+)
+from dandelioncleat.core.host_holdings import Need
+from dandelioncleat.ports.direct_caller import Reply
+from dandelioncleat.ports.direct_target import DirectTargets
+from dandelioncleat.ports.telemetry import Telemetry
+
+TOKEN_WAIT_SHARE = 0.5
+TOKENS_RETRY_S = 0.3
+NO_TARGET_RETRY_S = 1.0
+NO_ROOM_RETRY_S = 0.5
+
+_logger = structlog.get_logger(__name__)
+
+
+class ServingParts(NamedTuple):
+    """The surroundings of the requests."""
+
+    deployment: DeploymentWatch
+    wallet: Wallet
+    placement: Placement
+    targets: DirectTargets
+    forwarding: Forwarding
+    telemetry: Telemetry
+
+
+class Serving:
+    """Serves requests of callers, each in the task of its caller."""
+
+    def __init__(self, parts: ServingParts) -> None:
+        """Take the surroundings."""
+        self.open_requests = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self._parts = parts
+
+    async def serve(self, request: DirectRequest, reply: Reply) -> None:
+        """Answer a request; cancelling this stops its run."""
+        self.open_requests += 1
+        self.idle.clear()
+        try:
+            await self._serve(request, reply)
+        finally:
+            self.open_requests -= 1
+            if self.open_requests == 0:
+                self.idle.set()
+
+    async def _serve(self, request: DirectRequest, reply: Reply) -> None:
+        verdict = admit(request, self._parts.deployment.current)
+        if not is_successful(verdict):
+            refusal = verdict.failure()
+            _log_not_admitted(request, refusal, self._parts.deployment)
+            self._count(refusal.reason)
+            await reply.refuse(refusal)
+            return
+        context = RunContext(request, verdict.unwrap())
+        need = self._need(context)
+        try:
+            await self._serve_admitted(context, need, reply)
+        finally:
+            self._note_end(context, need)
+
+    async def _serve_admitted(
+        self, context: RunContext, need: Need | None, reply: Reply
+    ) -> None:
+        if need is not None:
+            verdict = await self._reserve(context, need)
+            if verdict is not Verdict.RESERVED:
+                await self._serve_without_tokens(context, need, verdict, reply)
+                return
+        try:
+            await self._run(context, reply)
+        finally:
+            if need is not None:
+                self._parts.wallet.settle(need, _used_tokens(context, need))
+
+    def _need(self, context: RunContext) -> Need | None:
+        prompt = context.request.prompt
+        organisation = context.admitted.organisation
+        if prompt is None or organisation is None:
+            return None
+        if not self._parts.wallet.is_prepaid(organisation.name):
+            return None
+        request = context.request.id
+        return Need(request, organisation.name, prompt.most_tokens)
+
+    async def _reserve(self, context: RunContext, need: Need) -> Verdict:
+        limit_s = TOKEN_WAIT_SHARE * context.admitted.route.objective_s
+        return await self._parts.wallet.reserve(need, limit_s=limit_s)
+
+    async def _serve_without_tokens(
+        self,
+        context: RunContext,
+        need: Need,
+        verdict: Verdict,
+        reply: Reply,
+    ) -> None:
+        refusal: Refusal | None = Refusal(Reason.PREPAID_SPENT)
+        if verdict is Verdict.ELSEWHERE:
+            refusal = await self._parts.forwarding.forward(context, need, reply)
+        if refusal is None:
+            context.outcome = 'forwarded'
+            return
+        if not refusal.has_run and refusal.reason is not Reason.PREPAID_SPENT:
+            refusal = Refusal(refusal.reason, retry_after_s=TOKENS_RETRY_S)
+        await _refuse(context, refusal, reply)
+
+    async def _run(self, context: RunContext, reply: Reply) -> None:
+        service = context.admitted.service.name
+        self._parts.placement.note_request(service)
+        try:
+            end = await self._send(context, reply)
+            while end is not AttemptEnd.DELIVERED:
+                if not self._goes_on(context, end):
+                    await _give_up(context, end, reply)
+                    return
+                end = await self._send(context, reply)
+        except TimeoutError:
+            await _give_up(context, None, reply)
+        else:
+            context.outcome = 'delivered'
+
+    async def _send(self, context: RunContext, reply: Reply) -> AttemptEnd:
+        state = self._parts.placement.choose(context)
+        if state is None:
+            return AttemptEnd.NOT_SENT
+        return await attempt(
+            context, state, targets=self._parts.targets, reply=reply
+        )
+
+    def _goes_on(self, context: RunContext, end: AttemptEnd) -> bool:
+        if not context.may_send_again or not context.has_runs_left:
+            return False
+        if self._parts.placement.choose(context) is None:
+            return False
+        if end is AttemptEnd.NOT_SENT:
+            return True
+        service = context.admitted.service.name
+        return self._parts.placement.take_retry(service)
+
+    def _note_end(self, context: RunContext, need: Need | None) -> None:
+        budget = (
+            {} if need is None else self._parts.wallet.inputs_of(need.budget)
+        )
+        organisation = context.admitted.organisation
+        _logger.info(
+            'request ended',
+            request=context.request.id,
+            outcome=context.outcome,
+            reason=context.refusal,
+            route=context.admitted.route.name,
+            version=context.admitted.version,
+            organisation=None if organisation is None else organisation.name,
+            sent=context.sent,
+            targets=sorted(context.tried),
+            passed_ms=int(1000 * context.passed_s),
+            needed=0 if need is None else need.tokens,
+            **budget,
+        )
+        self._count(context.refusal or context.outcome)
+        self._parts.telemetry.observe(
+            'direct.request_s', context.passed_s, outcome=context.outcome
+        )
+
+    def _count(self, outcome: str) -> None:
+        self._parts.telemetry.count('direct.requests', outcome=str(outcome))
+
+
+async def _give_up(
+    context: RunContext, end: AttemptEnd | None, reply: Reply
+) -> None:
+    """End a request that no target could complete.
+
+    :param end: how its last attempt ended, ``None`` if its time was over
+    """
+    if context.has_begun:
+        context.outcome = 'cut'
+        await reply.cut()
+        return
+    if context.failed_answer is not None:
+        context.outcome = 'failed at the target'
+        await reply.whole(context.failed_answer)
+        return
+    await _refuse(context, _refusal_after(context, end), reply)
+
+
+def _refusal_after(context: RunContext, end: AttemptEnd | None) -> Refusal:
+    has_run = context.may_have_run
+    if end is None:
+        return Refusal(Reason.NOT_IN_TIME, has_run=True)
+    if has_run:
+        return Refusal(Reason.ANSWER_LOST, has_run=True)
+    if end is AttemptEnd.NOT_RUN:
+        return Refusal(Reason.NO_ROOM, retry_after_s=NO_ROOM_RETRY_S)
+    return Refusal(Reason.NO_TARGET, retry_after_s=NO_TARGET_RETRY_S)
+
+
+async def _refuse(context: RunContext, refusal: Refusal, reply: Reply) -> None:
+    context.outcome = 'refused'
+    context.refusal = refusal.reason
+    await reply.refuse(refusal)
+
+
+def _used_tokens(context: RunContext, need: Need) -> int:
+    prompt = context.request.prompt
+    if prompt is None or not context.may_have_run:
+        return 0
+    engine = context.admitted.service.engine
+    per_event = (
+        prompt.output_tokens if engine is None else (engine.tokens_per_event)
+    )
+    # An event may be on its way to the caller beside the whole ones.
+    events = context.events.events
+    if context.outcome != 'delivered':
+        events += 1
+    used = prompt.input_tokens + per_event * events
+    return min(need.tokens, used)
+
+
+def _log_not_admitted(
+    request: DirectRequest, refusal: Refusal, deployment: DeploymentWatch
+) -> None:
+    current = deployment.current
+    _logger.info(
+        'request ended',
+        request=request.id,
+        outcome='refused',
+        reason=refusal.reason,
+        host=request.host,
+        path=request.path,
+        version=None if current is None else current.version,
+    )
--- /dev/null
+++ b/src/dandelioncleat/app/direct/target_directory.py
@@ -0,0 +1,127 @@
+"""Follows the platform's list of targets."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+import structlog
+
+from dandelioncleat.app.direct.target_state import TargetState
+from dandelioncleat.app.direct.topic_follower import TopicChange
+from dandelioncleat.core.deployment import Service, TargetEntry
+from dandelioncleat.ports.store import KeyedRecord
+
+# Entries that lapsed while the store was away come back within this time.
+RETURN_S = 2.0
+
+_logger = structlog.get_logger(__name__)
+
+DecodeTarget = Callable[[str, bytes], TargetEntry | None]
+
+
+class TargetDirectory:
+    """Keeps the state of each listed target."""
+
+    def __init__(
+        self,
+        decode: DecodeTarget,
+        *,
+        silence_s: Callable[[], float],
+    ) -> None:
+        """Take the decoder of the platform's entries.
+
+        :param silence_s: returns for how long the store has not answered
+        """
+        self._decode = decode
+        self._silence_s = silence_s
+        self._states_by_id: dict[str, TargetState] = {}
+        self._services_by_name: Mapping[str, Service] = {}
+        self._calm_from = float('-inf')
+
+    def set_services(self, services_by_name: Mapping[str, Service]) -> None:
+        """Take the services of the configuration in force."""
+        self._services_by_name = services_by_name
+        for state in self._states_by_id.values():
+            state.kv_tokens = self._kv_tokens(state.entry.service)
+
+    def available(self, service: str) -> list[TargetState]:
+        """Return the targets of a service that take new work."""
+        return [
+            state
+            for state in self._states_by_id.values()
+            if state.entry.service == service and not state.entry.is_draining
+        ]
+
+    def take(self, change: TopicChange) -> None:
+        """Take changed entries."""
+        was_silent = self._silence_s() > RETURN_S
+        if was_silent:
+            self._calm_from = _now() + RETURN_S
+        if change.is_whole:
+            listed = {record.key for record in change.records if record.value}
+            for target in self._states_by_id.keys() - listed:
+                self._lose(target)
+        for record in change.records:
+            self._take_record(record)
+
+    def _take_record(self, record: KeyedRecord) -> None:
+        if not record.value:
+            self._lose(record.key)
+            return
+        entry = self._decode(record.key, record.value)
+        if entry is None:
+            _logger.warning('target entry cannot be used', target=record.key)
+            self._remove(record.key)
+            return
+        self._set(entry)
+
+    def _set(self, entry: TargetEntry) -> None:
+        known = self._states_by_id.get(entry.id)
+        if known is not None and known.entry.born == entry.born:
+            if known.entry != entry:
+                self._log_entry(entry)
+            known.entry = entry
+            return
+        self._log_entry(entry)
+        self._states_by_id[entry.id] = TargetState(
+            entry, kv_tokens=self._kv_tokens(entry.service)
+        )
+
+    def _log_entry(self, entry: TargetEntry) -> None:
+        _logger.info(
+            'target listed',
+            target=entry.id,
+            service=entry.service,
+            address=entry.address,
+            draining=entry.is_draining,
+        )
+
+    def _lose(self, target: str) -> None:
+        if target not in self._states_by_id:
+            return
+        delay_s = self._calm_from - _now()
+        if delay_s <= 0:
+            self._remove(target)
+            return
+        state = self._states_by_id[target]
+        asyncio.get_running_loop().call_later(
+            delay_s, self._remove_same, target, state.entry
+        )
+
+    def _remove_same(self, target: str, entry: TargetEntry) -> None:
+        state = self._states_by_id.get(target)
+        if state is not None and state.entry is entry:
+            self._remove(target)
+
+    def _remove(self, target: str) -> None:
+        if self._states_by_id.pop(target, None) is not None:
+            _logger.info('target gone', target=target)
+
+    def _kv_tokens(self, service: str) -> int:
+        known = self._services_by_name.get(service)
+        if known is None or known.engine is None:
+            return 0
+        return known.engine.kv_tokens
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/dandelioncleat/app/direct/target_state.py
@@ -0,0 +1,127 @@
+"""What a router knows of one target."""
+
+from collections import OrderedDict, deque
+from typing import NamedTuple
+
+from dandelioncleat.core.deployment import TargetEntry
+from dandelioncleat.core.direct_request import DirectRequest, ModelPrompt
+from dandelioncleat.core.target_choice import TargetView, unread_tokens
+from dandelioncleat.ports.direct_target import TargetOccupancy
+
+FAILURE_PAUSE_S = 1.0
+REFUSAL_PAUSE_S = 0.2
+MOST_ERRORS = 32
+LONGEST_PAUSE_S = 4.0
+OCCUPANCY_AGE_S = 1.0
+KV_SHARE = 0.9
+
+
+class SentRequest(NamedTuple):
+    """A request that is at the target, with its tokens."""
+
+    unread_tokens: int
+    kv_tokens: int
+
+
+class TargetState:
+    """Keeps the own requests at a target and what its answers told."""
+
+    def __init__(self, entry: TargetEntry, *, kv_tokens: int) -> None:
+        """Start with a target that has no request of this router."""
+        self.entry = entry
+        self.kv_tokens = kv_tokens
+        self._sent_by_id: dict[str, SentRequest] = {}
+        self._unread_by_id: dict[str, int] = {}
+        self._held_parts: OrderedDict[str, int] = OrderedDict()
+        self._held_tokens = 0
+        self._occupancy: TargetOccupancy | None = None
+        self._occupancy_at = float('-inf')
+        self._failures = 0
+        self._errors_at: deque[float] = deque(maxlen=MOST_ERRORS)
+        self._paused_until = float('-inf')
+
+    @property
+    def running(self) -> int:
+        """Return the number of own requests at the target."""
+        return len(self._sent_by_id)
+
+    def is_paused(self, now: float) -> bool:
+        """Return whether the target failed a moment ago."""
+        return now < self._paused_until
+
+    def view(self, *, data_centre: str, now: float) -> TargetView:
+        """Return what a choice needs to know."""
+        running, waiting = self.running, 0
+        seen = self._occupancy
+        if seen is not None and now - self._occupancy_at < OCCUPANCY_AGE_S:
+            running = max(running, seen.running)
+            waiting = seen.waiting
+        own_kv = sum(sent.kv_tokens for sent in self._sent_by_id.values())
+        return TargetView(
+            id=self.entry.id,
+            is_near=self.entry.data_centre == data_centre,
+            slots=self.entry.slots,
+            running=running,
+            waiting=waiting,
+            backlog_tokens=sum(self._unread_by_id.values()),
+            kv_free=int(KV_SHARE * self.kv_tokens) - own_kv,
+            held_parts=self._held_parts,
+        )
+
+    def begin(self, request: DirectRequest) -> None:
+        """Note that a request is sent to the target."""
+        prompt = request.prompt
+        if prompt is None:
+            self._sent_by_id[request.id] = SentRequest(0, 0)
+            return
+        unread = unread_tokens(self._held_parts, prompt)
+        self._sent_by_id[request.id] = SentRequest(unread, prompt.most_tokens)
+        self._unread_by_id[request.id] = unread
+        self._hold(prompt)
+
+    def note_first_token(self, request: str) -> None:
+        """Note that a request's prompt has been read."""
+        self._unread_by_id.pop(request, None)
+
+    def end(self, request: str) -> None:
+        """Note that a request has left the target."""
+        self._sent_by_id.pop(request, None)
+        self._unread_by_id.pop(request, None)
+
+    def note_answer(
+        self, occupancy: TargetOccupancy | None, now: float
+    ) -> None:
+        """Note a sound answer and what it said of the load."""
+        self._failures = 0
+        self._paused_until = float('-inf')
+        if occupancy is not None:
+            self._occupancy = occupancy
+            self._occupancy_at = now
+
+    def note_refusal(
+        self, occupancy: TargetOccupancy | None, now: float
+    ) -> None:
+        """Pause a target that had no room for a moment."""
+        if occupancy is not None:
+            self._occupancy = occupancy
+            self._occupancy_at = now
+        self._paused_until = max(self._paused_until, now + REFUSAL_PAUSE_S)
+
+    def note_error(self, now: float) -> None:
+        """Let an error that the target answered make it less preferred."""
+        self._errors_at.append(now)
+
+    def note_failure(self, now: float) -> None:
+        """Pause a target that failed, longer each time in a row."""
+        pause_s = min(LONGEST_PAUSE_S, FAILURE_PAUSE_S * 2**self._failures)
+        self._failures += 1
+        self._paused_until = now + pause_s
+
+    def _hold(self, prompt: ModelPrompt) -> None:
+        for part in prompt.parts:
+            self._held_tokens -= self._held_parts.pop(part.id, 0)
+            self._held_parts[part.id] = part.tokens
+            self._held_tokens += part.tokens
+        while self._held_tokens > KV_SHARE * self.kv_tokens:
+            _, tokens = self._held_parts.popitem(last=False)
+            self._held_tokens -= tokens
--- /dev/null
+++ b/src/dandelioncleat/core/deployment.py
@@ -0,0 +1,157 @@
+"""What an operator's configuration says of a deployment."""
+
+from collections.abc import Iterable, Mapping
+from enum import StrEnum
+from typing import NamedTuple
+
+from dandelioncleat.core.ranking import rank
+
+
+class CallKind(StrEnum):
+    """Says whether a call may run more than once.
+
+    A stream runs once unless its route lets it be resumed.
+    """
+
+    IDEMPOTENT = 'idempotent'
+    ONCE = 'once'
+    STREAM = 'stream'
+
+
+class ServiceShare(NamedTuple):
+    """A service and its part of a route's requests."""
+
+    service: str
+    weight: int
+
+
+class Route(NamedTuple):
+    """Where the requests of a host and path prefix go.
+
+    ``timeout_s`` bounds a request, ``objective_s`` is the time within which
+    it is on time. ``priority`` 0 is the most urgent. ``attempts`` is the
+    greatest number of targets that one request may be sent to.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: CallKind
+    shares: tuple[ServiceShare, ...]
+    timeout_s: float
+    objective_s: float
+    priority: int
+    attempts: int
+    is_public: bool
+    is_resumable: bool
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Return whether a request may run more than once."""
+        match self.kind:
+            case CallKind.IDEMPOTENT:
+                return True
+            case CallKind.STREAM:
+                return self.is_resumable
+            case CallKind.ONCE:
+                return False
+
+    def service_for(self, request: str) -> str:
+        """Return the service of a request; equal requests get the same."""
+        total = sum(share.weight for share in self.shares)
+        if total <= 0:
+            return self.shares[0].service
+        point = rank(request) % total
+        for share in self.shares:
+            point -= share.weight
+            if point < 0:
+                return share.service
+        return self.shares[-1].service
+
+
+class RouteTable:
+    """Finds the route of a request by its host and longest path prefix."""
+
+    def __init__(self, routes: Iterable[Route]) -> None:
+        """Index the routes."""
+        self._by_prefix_by_host: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            by_prefix = self._by_prefix_by_host.setdefault(route.host, {})
+            by_prefix[route.prefix] = route
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins a path."""
+        by_prefix = self._by_prefix_by_host.get(host.lower(), {})
+        end = path.rfind('/') + 1
+        while end > 0:
+            route = by_prefix.get(path[:end])
+            if route is not None:
+                return route
+            end = path.rfind('/', 0, end - 1) + 1
+        return None
+
+
+class Engine(NamedTuple):
+    """What the model engines of a service can hold.
+
+    ``tokens_per_event`` bounds the generated tokens in a stream's event.
+    """
+
+    slots: int
+    kv_tokens: int
+    tokens_per_event: int
+
+
+class Service(NamedTuple):
+    """A service; ``engine`` is set where its targets run a model."""
+
+    name: str
+    health_path: str
+    max_connections: int
+    engine: Engine | None = None
+
+
+class Organisation(NamedTuple):
+    """A customer; ``prepaid`` is its total of tokens, ``None`` if unbounded.
+
+    A ``priority`` that is set goes before the priority of a route.
+    """
+
+    name: str
+    priority: int | None = None
+    prepaid: int | None = None
+
+
+class CallerLimits(NamedTuple):
+    """Bounds on what a caller may send, in bytes and seconds."""
+
+    header_bytes: int
+    body_bytes: int
+    header_s: float
+    idle_s: float
+
+
+class Deployment(NamedTuple):
+    """One version of the configuration, indexed for serving."""
+
+    version: int
+    routes: RouteTable
+    services_by_name: Mapping[str, Service]
+    organisations_by_name: Mapping[str, Organisation]
+    organisations_by_key: Mapping[str, Organisation]
+    limits: CallerLimits
+
+
+class TargetEntry(NamedTuple):
+    """What the platform lists of one target.
+
+    ``born`` distinguishes starts under the same id.
+    """
+
+    id: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    is_draining: bool
+    born: int
--- /dev/null
+++ b/src/dandelioncleat/core/event_stream.py
@@ -0,0 +1,50 @@
+"""Follows a stream of events to know what of it was delivered."""
+
+EVENT_END = b'\n\n'
+ID_FIELD = b'id:'
+MOST_EVENT_BYTES = 1 << 20
+
+
+class EventStream:
+    """Splits bytes into whole events, so that a resumed one joins exactly."""
+
+    def __init__(self) -> None:
+        """Start before the first event."""
+        self.last_id: str | None = None
+        self.events = 0
+        self._rest = b''
+
+    @property
+    def is_between_events(self) -> bool:
+        """Return whether every event that began has ended."""
+        return not self._rest
+
+    def take(self, data: bytes) -> bytes:
+        """Return the whole events that stand complete with these bytes."""
+        text = self._rest + data
+        end = text.rfind(EVENT_END)
+        if end < 0:
+            self._rest = text
+            return b''
+        end += len(EVENT_END)
+        whole = text[:end]
+        self._rest = text[end:]
+        for event in whole.split(EVENT_END)[:-1]:
+            self._note(event)
+        return whole
+
+    def finish(self) -> bytes:
+        """Return what follows the last whole event."""
+        rest = self._rest
+        self._rest = b''
+        return rest
+
+    def drop_partial(self) -> None:
+        """Forget an event that broke off, as a resumed stream repeats it."""
+        self._rest = b''
+
+    def _note(self, event: bytes) -> None:
+        self.events += 1
+        for line in event.split(b'\n'):
+            if line.startswith(ID_FIELD):
+                self.last_id = line[len(ID_FIELD) :].strip().decode('latin-1')
--- /dev/null
+++ b/src/dandelioncleat/core/holding_policy.py
@@ -0,0 +1,146 @@
+"""Sizes a host's part of a budget.
+
+The load that it answers: requests of very unequal size arrive at hosts
+unevenly, all hosts lose the platform's store for many seconds without
+notice, and processes are killed. Everything that is left is therefore held
+by the hosts in proportion to their recent use, and moves when one is short.
+"""
+
+from typing import NamedTuple
+
+from dandelioncleat.core.holding import Share
+
+FLOOR_SHARE = 0.5
+EXCESS_FACTOR = 1.35
+DEFICIT_FACTOR = 0.8
+GIVE_FACTOR = 1.25
+# Moves of less than this part of a budget aren't worth a record.
+LEAST_MOVE_SHARE = 0.002
+IDLE_RATE = 1.0
+BURST_SHARE = 0.06
+SPEED_SHARE = 0.015
+SPEED_FACTOR = 1.2
+
+
+class Position(NamedTuple):
+    """What a host knows of a budget when it sizes its part.
+
+    :param paid: tokens that the organisation has paid for
+    :param claimed: sum of all hosts' ceilings
+    :param own: the host's own part, with what it knows of itself
+    :param others: the parts of the other hosts
+    :param waiting: tokens that requests wait for here
+    :param may_rebalance: whether tokens may move that nobody waits for
+    """
+
+    paid: int
+    claimed: int
+    own: Share
+    others: tuple[Share, ...]
+    waiting: int
+    may_rebalance: bool
+
+    @property
+    def pool(self) -> int:
+        """Return the tokens in no host's part; negative after a cut."""
+        return self.paid - self.claimed
+
+    @property
+    def missing(self) -> int:
+        """Return the tokens that waiting requests miss here."""
+        return max(0, self.waiting - self.own.free)
+
+    @property
+    def spare(self) -> int:
+        """Return the free tokens that no request waits for here."""
+        return max(0, self.own.free - self.waiting)
+
+
+def next_ceiling(position: Position) -> int:
+    """Return the ceiling that the host should have now."""
+    own = position.own
+    if position.pool < 0:
+        return own.ceiling - min(own.free, _fair_return(position))
+    if position.missing > 0:
+        return own.ceiling + _claim_for_waiting(position)
+    given = _given_to_waiting(position)
+    if given > 0:
+        return own.ceiling - given
+    return own.ceiling + _rebalanced(position)
+
+
+def fair_part(position: Position) -> int:
+    """Return the tokens that the host should hold of what is left."""
+    left = position.pool + _free(position.others) + position.own.free
+    return int(left * _weight(position))
+
+
+def burst_of(free: int, large_need: int) -> int:
+    """Return the tokens that may be used at once without a new mark.
+
+    :param large_need: size of a large request of the budget, in tokens
+    """
+    return min(free, max(int(free * BURST_SHARE), large_need))
+
+
+def speed_of(free: int, rate: float) -> float:
+    """Return the tokens a second that may be used without a new mark."""
+    if free <= 0:
+        return float(0)
+    return max(free * SPEED_SHARE, rate * SPEED_FACTOR)
+
+
+def _claim_for_waiting(position: Position) -> int:
+    if position.pool < position.missing:
+        return 0
+    deficit = fair_part(position) - position.own.free
+    return min(position.pool, max(position.missing, deficit))
+
+
+def _given_to_waiting(position: Position) -> int:
+    wanted = sum(share.wanted for share in position.others)
+    short = int(wanted * GIVE_FACTOR) - position.pool
+    if short <= 0 or position.spare <= 0:
+        return 0
+    givers = position.spare + sum(
+        share.free for share in position.others if share.wanted == 0
+    )
+    part = -(-short * position.spare // givers)
+    return min(position.spare, part)
+
+
+def _rebalanced(position: Position) -> int:
+    if not position.may_rebalance or position.waiting:
+        return 0
+    if any(share.wanted for share in position.others):
+        return 0
+    fair = fair_part(position)
+    free = position.own.free
+    if abs(fair - free) < LEAST_MOVE_SHARE * position.paid:
+        return 0
+    if free > fair * EXCESS_FACTOR:
+        return fair - free
+    if free < fair * DEFICIT_FACTOR:
+        return min(position.pool, fair - free)
+    return 0
+
+
+def _fair_return(position: Position) -> int:
+    free = position.own.free + _free(position.others)
+    if free <= 0:
+        return 0
+    return -(position.pool * position.own.free // free)
+
+
+def _weight(position: Position) -> float:
+    rates = [share.rate for share in position.others]
+    hosts = len(rates) + 1
+    total = sum(rates) + position.own.rate
+    if total <= IDLE_RATE:
+        return 1 / hosts
+    by_use = position.own.rate / total
+    return FLOOR_SHARE / hosts + (1 - FLOOR_SHARE) * by_use
+
+
+def _free(shares: tuple[Share, ...]) -> int:
+    return sum(share.free for share in shares)
--- /dev/null
+++ b/src/dandelioncleat/core/retry_window.py
@@ -0,0 +1,50 @@
+"""Bounds what a router sends again, as its part of the fleet's budget."""
+
+from collections import deque
+from typing import NamedTuple
+
+# What all routers together may send stays below the budget by this.
+MARGIN = 0.7
+
+
+class RetryTerms(NamedTuple):
+    """Bounds retries in any window of ``window_s`` seconds.
+
+    They may reach ``ratio`` of the requests and ``slack`` more, over the
+    whole fleet.
+    """
+
+    ratio: float
+    slack: float
+    window_s: float
+
+
+class RetryWindow:
+    """Counts the requests and the retries of one service."""
+
+    def __init__(self, terms: RetryTerms) -> None:
+        """Start with nothing counted."""
+        self._terms = terms
+        self._requests: deque[float] = deque()
+        self._retries: deque[float] = deque()
+
+    def note_request(self, now: float) -> None:
+        """Count a request at a time in seconds."""
+        self._requests.append(now)
+        self._forget(now)
+
+    def take(self, now: float, *, routers: int) -> bool:
+        """Take one retry; return whether the budget has one left."""
+        self._forget(now)
+        slack = self._terms.slack / max(1, routers)
+        most = MARGIN * (self._terms.ratio * len(self._requests) + slack)
+        if len(self._retries) + 1 > most:
+            return False
+        self._retries.append(now)
+        return True
+
+    def _forget(self, now: float) -> None:
+        start = now - self._terms.window_s
+        for times in (self._requests, self._retries):
+            while times and times[0] < start:
+                times.popleft()
--- /dev/null
+++ b/src/dandelioncleat/core/target_choice.py
@@ -0,0 +1,102 @@
+"""Chooses a target by the time until it would begin to answer.
+
+The load that it answers: prompts that share long beginnings, most of whose
+cost is the prefill. A target that holds a prompt's beginning answers soon,
+but a target that all prompts of one beginning go to falls behind.
+"""
+
+from collections.abc import Container, Sequence
+from typing import NamedTuple
+
+from dandelioncleat.core.direct_request import ModelPrompt
+from dandelioncleat.core.ranking import rank
+
+# A running request slows the prefill of the next about as much as this.
+RUNNING_TOKENS = 250
+EXPECTED_HIT = 0.7
+NEAR_TOKENS = 200
+
+
+class TargetView(NamedTuple):
+    """What a router knows of a target when it chooses.
+
+    :param running: requests that are believed to run or wait there
+    :param backlog_tokens: prompt tokens there that are not read yet
+    :param kv_free: tokens of memory that are believed to be free
+    :param held_parts: parts of prompts that the target is known to hold
+    """
+
+    id: str
+    is_near: bool
+    slots: int
+    running: int
+    waiting: int
+    backlog_tokens: int
+    kv_free: int
+    held_parts: Container[str]
+
+    @property
+    def occupancy(self) -> float:
+        """Return the requests there for each slot."""
+        return (self.running + self.waiting) / max(1, self.slots)
+
+
+def choose_plain(targets: Sequence[TargetView], request: str) -> TargetView:
+    """Return the least occupied target, one that is near if they are equal."""
+    return min(
+        targets,
+        key=lambda each: (
+            each.occupancy,
+            not each.is_near,
+            rank(each.id + request),
+        ),
+    )
+
+
+def choose_for_prompt(
+    targets: Sequence[TargetView], prompt: ModelPrompt
+) -> TargetView:
+    """Return the target that would begin to answer first."""
+    preferred = preferred_target(targets, prompt)
+    costs = [
+        cost_tokens(target, prompt, is_preferred=target.id == preferred)
+        for target in targets
+    ]
+    return targets[costs.index(min(costs))]
+
+
+def cost_tokens(
+    target: TargetView, prompt: ModelPrompt, *, is_preferred: bool
+) -> float:
+    """Return the work before the first token, in prompt tokens."""
+    missing = unread_tokens(target.held_parts, prompt)
+    if is_preferred and missing == prompt.input_tokens and prompt.parts:
+        # Other routers send the prompt's beginning there as well.
+        missing -= int(prompt.parts[0].tokens * EXPECTED_HIT)
+    load = target.backlog_tokens + RUNNING_TOKENS * target.running
+    queue = target.waiting * RUNNING_TOKENS
+    lacking = max(0, missing + prompt.output_tokens - target.kv_free)
+    distance = 0 if target.is_near else NEAR_TOKENS
+    return missing + load + queue + lacking + distance
+
+
+def unread_tokens(held_parts: Container[str], prompt: ModelPrompt) -> int:
+    """Return the prompt's tokens after the beginning that is held."""
+    unread = prompt.input_tokens
+    for part in prompt.parts:
+        if part.id not in held_parts:
+            break
+        unread -= part.tokens
+    return max(0, unread)
+
+
+def preferred_target(targets: Sequence[TargetView], prompt: ModelPrompt) -> str:
+    """Return the target that ranks first for a prompt's beginning.
+
+    Rendezvous hashing: all routers agree on it without a word.
+    """
+    if not prompt.parts:
+        return ''
+    first = prompt.parts[0].id
+    best = max(targets, key=lambda each: rank(first + each.id))
+    return best.id
--- /dev/null
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -0,0 +1,217 @@
+"""Connects the parts of a direct router."""
+
+import asyncio
+import socket
+from typing import NamedTuple
+
+import structlog
+from aiohttp import web
+
+from dandelioncleat.adapters.system_clock import SystemClock
+from dandelioncleat.app.direct.deployment_watch import DeploymentWatch
+from dandelioncleat.app.direct.forwarding import Forwarding
+from dandelioncleat.app.direct.placement import Placement
+from dandelioncleat.app.direct.router_directory import (
+    RouterDirectory,
+    RouterEntry,
+)
+from dandelioncleat.app.direct.serving import Serving, ServingParts
+from dandelioncleat.app.direct.target_directory import TargetDirectory
+from dandelioncleat.app.direct.topic_follower import TopicFollower
+from dandelioncleat.app.direct.wallet import Wallet
+from dandelioncleat.app.router_life import RouterLife
+from dandelioncleat.core.deployment import CallerLimits, Deployment
+from dandelioncleat.core.retry_window import RetryTerms
+from dandelioncleat.daemons.direct_settings import DirectSettings
+from dandelioncleat.platform import names
+from dandelioncleat.platform.callers import DEFAULT_LIMITS, CallerHandler
+from dandelioncleat.platform.documents import decode_deployment, decode_target
+from dandelioncleat.platform.sockets import watch_peer
+from dandelioncleat.platform.status_page import StatusPage
+from dandelioncleat.platform.store import PlatformStore, new_store_session
+from dandelioncleat.platform.targets import HttpTargets
+from dandelioncleat.ports.telemetry import Telemetry
+
+BACKLOG = 1024
+STORE_CONNECT_TIMEOUT_S = 1.0
+# What is left of a stop for giving tokens back.
+SETTLE_S = 1.0
+
+_logger = structlog.get_logger(__name__)
+
+
+class Sockets(NamedTuple):
+    """The listening sockets.
+
+    The callers' address can be bound once only, so that who has bound it
+    knows that the host's earlier process is dead.
+    """
+
+    callers: socket.socket
+    ready: socket.socket
+    metrics: socket.socket
+
+
+class DirectRouter:
+    """Serves callers until it is stopped."""
+
+    def __init__(
+        self,
+        settings: DirectSettings,
+        *,
+        sockets: Sockets,
+        telemetry: Telemetry,
+        status_page: StatusPage,
+    ) -> None:
+        """Connect the parts; needs a running event loop."""
+        self._settings = settings
+        self._sockets = sockets
+        self._life = RouterLife()
+        self._status_page = status_page
+        self._limits = DEFAULT_LIMITS
+        self._session = new_store_session(
+            connect_timeout_s=STORE_CONNECT_TIMEOUT_S
+        )
+        store = PlatformStore(self._session, settings.store)
+        self._targets = HttpTargets()
+        self._wallet = Wallet(store, host=settings.host, clock=SystemClock())
+        self._routers = RouterDirectory(
+            store,
+            RouterEntry(
+                settings.host,
+                settings.data_centre,
+                settings.listen.callers,
+            ),
+        )
+        self._deployment = DeploymentWatch(
+            decode_deployment,
+            key=names.CONFIGURATION_KEY,
+            on_change=self._take_deployment,
+        )
+        self._operator_topic = TopicFollower(
+            store, names.OPERATOR_TOPIC, on_change=self._deployment.take
+        )
+        self._directory = TargetDirectory(
+            decode_target, silence_s=lambda: self._targets_topic.silence_s
+        )
+        self._targets_topic = TopicFollower(
+            store, names.TARGETS_TOPIC, on_change=self._directory.take
+        )
+        self._placement = Placement(
+            self._directory,
+            data_centre=settings.data_centre,
+            terms=RetryTerms(*_retry_terms(settings)),
+        )
+        self._serving = Serving(
+            ServingParts(
+                self._deployment,
+                self._wallet,
+                self._placement,
+                self._targets,
+                Forwarding(
+                    self._routers, wallet=self._wallet, targets=self._targets
+                ),
+                telemetry,
+            )
+        )
+        self._handler = CallerHandler(
+            self._serving,
+            limits=lambda: self._limits,
+            is_stopping=lambda: self._life.state == 'stopping',
+        )
+        self._server = self._new_server(DEFAULT_LIMITS)
+        self._servers: list[web.Server] = [self._server]
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether new connections should come here."""
+        return self._life.takes_requests
+
+    async def run(self) -> None:
+        """Listen and run every task until cancelled."""
+        loop = asyncio.get_running_loop()
+        for sock in self._sockets:
+            watch_peer(sock)
+        await loop.create_server(
+            lambda: self._server(), sock=self._sockets.callers, backlog=BACKLOG
+        )
+        await self._status_page.start(
+            ready=self._sockets.ready,
+            metrics=self._sockets.metrics,
+            is_ready=lambda: self.is_ready,
+        )
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._operator_topic.run())
+            group.create_task(self._targets_topic.run())
+            group.create_task(self._routers.run())
+            group.create_task(self._run_wallet())
+            group.create_task(self._become_ready())
+
+    async def stop(self, *, limit_s: float) -> str:
+        """Finish what is open and give tokens back; return what was lost."""
+        self._life.move('stop')
+        lost = []
+        try:
+            async with asyncio.timeout(max(0, limit_s - SETTLE_S)):
+                await self._serving.idle.wait()
+        except TimeoutError:
+            lost.append(self.losses())
+        try:
+            async with asyncio.timeout(SETTLE_S / 2):
+                await self._routers.leave()
+                await self._wallet.close()
+        except TimeoutError:
+            lost.append('tokens that were not given back')
+        return ', '.join(lost)
+
+    def losses(self) -> str:
+        """Return what would be lost if the process ended now."""
+        open_requests = self._serving.open_requests
+        return f'{open_requests} open requests' if open_requests else ''
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for server in self._servers:
+            await server.shutdown(0)
+        await self._status_page.stop()
+        await self._targets.close()
+        await self._session.close()
+
+    async def _run_wallet(self) -> None:
+        await self._deployment.known.wait()
+        await self._wallet.run()
+
+    async def _become_ready(self) -> None:
+        await self._deployment.known.wait()
+        await self._wallet.opened.wait()
+        self._life.move('become_ready')
+        _logger.info('ready')
+
+    def _take_deployment(self, deployment: Deployment) -> None:
+        self._directory.set_services(deployment.services_by_name)
+        self._wallet.set_paid(
+            {
+                organisation.name: organisation.prepaid
+                for organisation in deployment.organisations_by_name.values()
+                if organisation.prepaid is not None
+            }
+        )
+        if deployment.limits != self._limits:
+            self._limits = deployment.limits
+            self._server = self._new_server(deployment.limits)
+            self._servers.append(self._server)
+
+    def _new_server(self, limits: CallerLimits) -> web.Server:
+        return web.Server(
+            self._handler.handle,
+            keepalive_timeout=limits.idle_s,
+            max_line_size=limits.header_bytes,
+            max_field_size=limits.header_bytes,
+            handler_cancellation=True,
+            access_log=None,
+        )
+
+
+def _retry_terms(settings: DirectSettings) -> tuple[float, float, float]:
+    retries = settings.retries
+    return (retries.ratio, retries.slack, retries.window_s)
--- a/src/dandelioncleat/daemons/process.py
+++ b/src/dandelioncleat/daemons/process.py
@@ -5,6 +5,7 @@
 from typing import Protocol, TypeVar
 
 from dandelioncleat.adapters.log_lines import configure_log_lines
+from dandelioncleat.adapters.otlp import new_exporters
 from dandelioncleat.adapters.telemetry import OtelTelemetry, new_telemetry
 from dandelioncleat.core.identity import Incarnation
 from dandelioncleat.daemons.settings import Settings
@@ -50,10 +51,12 @@
 ) -> int:
     """Run a daemon until it is told to stop; return the exit code."""
     incarnation = new_incarnation(settings.host)
+    exporters = new_exporters(settings.telemetry.otlp_endpoint)
     telemetry = new_telemetry(
         role=role,
         incarnation=incarnation,
-        endpoint=settings.telemetry.otlp_endpoint,
+        metric_readers=exporters.metric_readers,
+        span_processors=exporters.span_processors,
     )
     configure_log_lines(
         settings.telemetry.logs,
--- /dev/null
+++ b/src/dandelioncleat/platform/caller_reply.py
@@ -0,0 +1,108 @@
+"""Encodes the answers to callers."""
+
+from aiohttp import web
+
+from dandelioncleat.core.direct_request import (
+    AnswerHead,
+    Reason,
+    Refusal,
+    WholeAnswer,
+)
+from dandelioncleat.platform import names
+
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
+
+# The statuses of requests that no target runs, now or later.
+_STATUS_BY_REASON = {
+    Reason.NO_CONFIGURATION: UNAVAILABLE,
+    Reason.NO_ROUTE: 404,
+    Reason.BAD_KEY: 401,
+    Reason.BAD_REQUEST: 400,
+    Reason.TOO_LARGE: 413,
+    Reason.PREPAID_SPENT: 402,
+    Reason.NO_TOKENS_HERE: UNAVAILABLE,
+    Reason.NO_TARGET: UNAVAILABLE,
+    Reason.NO_ROOM: UNAVAILABLE,
+    Reason.CRASHES_TARGETS: BAD_GATEWAY,
+    Reason.NOT_IN_TIME: GATEWAY_TIMEOUT,
+    Reason.ANSWER_LOST: BAD_GATEWAY,
+    Reason.STOPPING: UNAVAILABLE,
+}
+
+
+class HttpReply:
+    """Implements the ``Reply`` port for one HTTP request."""
+
+    def __init__(self, request: web.BaseRequest, *, is_last: bool) -> None:
+        """Take the request.
+
+        :param is_last: whether its connection closes after the answer
+        """
+        self.response: web.StreamResponse | None = None
+        self._request = request
+        self._is_last = is_last
+
+    async def whole(self, answer: WholeAnswer) -> None:
+        """Deliver a complete answer of a target."""
+        response = web.Response(
+            status=answer.head.status,
+            reason=answer.head.reason,
+            body=answer.body,
+        )
+        _set_headers(response, answer.head)
+        await self._send(response)
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """Answer in the router's own name."""
+        status = _STATUS_BY_REASON[refusal.reason]
+        if refusal.has_run and status == UNAVAILABLE:
+            status = BAD_GATEWAY
+        response = web.Response(status=status, text=refusal.reason.value)
+        response.headers[names.REFUSAL] = refusal.reason.value
+        if refusal.retry_after_s is not None:
+            response.headers['Retry-After'] = f'{refusal.retry_after_s:.2f}'
+        await self._send(response)
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Begin a stream."""
+        response = web.StreamResponse(status=head.status, reason=head.reason)
+        _set_headers(response, head)
+        self.response = response
+        if self._is_last:
+            response.force_close()
+        await response.prepare(self._request)
+
+    async def write(self, data: bytes) -> None:
+        """Deliver the next bytes of a stream."""
+        await self._begun.write(data)
+
+    async def finish(self) -> None:
+        """End a stream that is complete."""
+        await self._begun.write_eof()
+
+    async def cut(self) -> None:
+        """Close the connection before the stream's end."""
+        transport = self._request.transport
+        if transport is not None:
+            transport.close()
+
+    @property
+    def _begun(self) -> web.StreamResponse:
+        if self.response is None:
+            raise RuntimeError('the stream has not begun')
+        return self.response
+
+    async def _send(self, response: web.Response) -> None:
+        self.response = response
+        if self._is_last:
+            response.force_close()
+        await response.prepare(self._request)
+        await response.write_eof()
+
+
+def _set_headers(response: web.StreamResponse, head: AnswerHead) -> None:
+    response.headers.clear()
+    for name, text in head.headers:
+        response.headers.add(name, text)
--- /dev/null
+++ b/src/dandelioncleat/platform/caller_request.py
@@ -0,0 +1,109 @@
+"""Decodes a caller's HTTP request."""
+
+from aiohttp import web
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from dandelioncleat.core.direct_request import (
+    DirectRequest,
+    Headers,
+    ModelPrompt,
+    PromptPart,
+)
+from dandelioncleat.platform import names
+
+_MS = 1000
+_MOST_WAIT_S = 3600.0
+
+
+class _MalformedError(ValueError):
+    """Says what a header has to hold."""
+
+
+def decode_request(
+    request: web.BaseRequest, body: bytes
+) -> Result[DirectRequest, str]:
+    """Return the request, or what is wrong with it in words."""
+    headers = request.headers
+    name = headers.get(names.REQUEST_ID)
+    if not name:
+        return Failed(f'{names.REQUEST_ID} is missing')
+    try:
+        return Success(
+            DirectRequest(
+                id=name,
+                method=request.method,
+                host=headers.get('Host', '').rpartition(':')[0]
+                or headers.get('Host', ''),
+                path=request.raw_path,
+                headers=_passed_on(request),
+                body=body,
+                key=_key(headers.get(names.KEY)),
+                wait_s=_wait_s(headers.get(names.WAIT_MS)),
+                prompt=_prompt(request),
+                resume_after=headers.get(names.RESUME_AFTER),
+                is_forwarded=names.FORWARDED in headers,
+            )
+        )
+    except _MalformedError as error:
+        return Failed(str(error))
+
+
+def _passed_on(request: web.BaseRequest) -> Headers:
+    dropped = names.OWN_HEADERS | names.CONNECTION_HEADERS | _listed(request)
+    return tuple(
+        (name, text)
+        for name, text in request.headers.items()
+        if name.lower() not in dropped
+    )
+
+
+def _listed(request: web.BaseRequest) -> frozenset[str]:
+    """Return the headers that concern only the caller's connection."""
+    listed = request.headers.get('Connection', '')
+    found = (name.strip().lower() for name in listed.split(','))
+    kept = {'host', names.REQUEST_ID.lower(), 'content-type'}
+    return frozenset(name for name in found if name and name not in kept)
+
+
+def _key(text: str | None) -> str | None:
+    if text is None or not text.lower().startswith(names.KEY_SCHEME):
+        return None
+    return text[len(names.KEY_SCHEME) :].strip()
+
+
+def _wait_s(text: str | None) -> float | None:
+    if text is None:
+        return None
+    if not text.isdecimal():
+        raise _MalformedError(f'{names.WAIT_MS} has to be a whole number')
+    return min(_MOST_WAIT_S, int(text) / _MS)
+
+
+def _prompt(request: web.BaseRequest) -> ModelPrompt | None:
+    counts = request.headers.get(names.TOKENS)
+    if counts is None:
+        return None
+    first, _, second = counts.partition(',')
+    return ModelPrompt(
+        model=request.headers.get(names.MODEL, ''),
+        input_tokens=_count(first),
+        output_tokens=_count(second),
+        parts=_parts(request.headers.get(names.PROMPT_PARTS, '')),
+    )
+
+
+def _parts(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for entry in text.split(','):
+        name, _, tokens = entry.strip().partition(':')
+        if name:
+            parts.append(PromptPart(name, _count(tokens)))
+    return tuple(parts)
+
+
+def _count(text: str) -> int:
+    stripped = text.strip()
+    if not stripped.isdecimal():
+        raise _MalformedError(f'a count of tokens, not {stripped!r}')
+    return int(stripped)
--- /dev/null
+++ b/src/dandelioncleat/platform/documents.py
@@ -0,0 +1,207 @@
+"""Decodes the operator's configuration and the entries of targets."""
+
+import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from dandelioncleat.core.deployment import (
+    CallerLimits,
+    CallKind,
+    Deployment,
+    Engine,
+    Organisation,
+    Route,
+    RouteTable,
+    Service,
+    ServiceShare,
+    TargetEntry,
+)
+
+_KINDS = {
+    'idempotent': CallKind.IDEMPOTENT,
+    'non_idempotent': CallKind.ONCE,
+    'streaming': CallKind.STREAM,
+}
+_MS = 1000
+_DEFAULT_OBJECTIVE_MS = 1000
+_DRAINING_BY_STATE = {'ready': False, 'draining': True}
+
+
+class _Backend(msgspec.Struct):
+    service: str
+    weight: float = 1
+
+
+class _Route(msgspec.Struct, rename='camel'):
+    """``backends`` splits the requests; else all go to ``service``."""
+
+    name: str
+    host: str
+    path_prefix: str
+    type: str
+    timeout_ms: float
+    slo_ms: float = _DEFAULT_OBJECTIVE_MS
+    priority: int = 0
+    service: str | None = None
+    backends: list[_Backend] = msgspec.field(default_factory=list)
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+
+class _Engine(msgspec.Struct, rename='camel'):
+    """``stride`` is the most tokens in one event of a stream."""
+
+    slots: int = 1
+    kv_capacity: int = 0
+    stride: int = 1
+
+
+class _Service(msgspec.Struct, rename='camel'):
+    name: str
+    health_path: str = '/health'
+    max_connections: int = 0
+    engine: _Engine | None = None
+
+
+class _Tenant(msgspec.Struct, rename='camel'):
+    """``prepaid`` is what may be consumed in total, not what is left."""
+
+    name: str
+    api_keys: list[str] = msgspec.field(default_factory=list)
+    priority: int | None = None
+    prepaid: int | None = None
+
+
+class _Limits(msgspec.Struct, rename='camel'):
+    header_bytes: int = 16384
+    body_bytes: int = 4194304
+    header_ms: float = 3000
+    idle_ms: float = 15000
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = msgspec.field(default_factory=list)
+
+
+class _Server(msgspec.Struct, rename='camel'):
+    """``born`` is the time of the start, which tells starts apart."""
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int
+    born: int = 0
+
+
+_CONFIG_DECODER = msgspec.json.Decoder(_Config)
+_SERVER_DECODER = msgspec.json.Decoder(_Server)
+
+
+def decode_deployment(data: bytes) -> Result[Deployment, str]:
+    """Return the configuration in a record, or why it can't be read."""
+    try:
+        config = _CONFIG_DECODER.decode(data)
+        routes = [_route(route) for route in config.routes]
+    except (msgspec.DecodeError, KeyError) as error:
+        return Failed(f'{type(error).__name__}: {error}')
+    organisations = [_organisation(tenant) for tenant in config.tenants]
+    return Success(
+        Deployment(
+            version=config.version,
+            routes=RouteTable(routes),
+            services_by_name={
+                service.name: _service(service) for service in config.services
+            },
+            organisations_by_name={each.name: each for each in organisations},
+            organisations_by_key=_by_key(config.tenants, organisations),
+            limits=_limits(config.limits),
+        )
+    )
+
+
+def decode_target(key: str, data: bytes) -> TargetEntry | None:
+    """Return the target of an entry; ``None`` if it names none to use."""
+    try:
+        server = _SERVER_DECODER.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    is_draining = _DRAINING_BY_STATE.get(server.state)
+    if is_draining is None or not _is_address(server.address):
+        return None
+    return TargetEntry(
+        id=key,
+        service=server.service,
+        address=server.address,
+        data_centre=server.zone,
+        slots=server.slots,
+        is_draining=is_draining,
+        born=server.born,
+    )
+
+
+def _is_address(text: str) -> bool:
+    ip, _, port = text.rpartition(':')
+    return bool(ip) and port.isdecimal()
+
+
+def _route(route: _Route) -> Route:
+    if route.backends:
+        shares = tuple(
+            ServiceShare(each.service, int(each.weight))
+            for each in route.backends
+        )
+    else:
+        shares = (ServiceShare(route.service or '', 1),)
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.path_prefix,
+        kind=_KINDS[route.type],
+        shares=shares,
+        timeout_s=route.timeout_ms / _MS,
+        objective_s=route.slo_ms / _MS,
+        priority=route.priority,
+        attempts=route.max_attempts,
+        is_public=route.public,
+        is_resumable=route.resumable,
+    )
+
+
+def _service(service: _Service) -> Service:
+    engine = service.engine
+    return Service(
+        name=service.name,
+        health_path=service.health_path,
+        max_connections=service.max_connections,
+        engine=None
+        if engine is None
+        else Engine(engine.slots, engine.kv_capacity, engine.stride),
+    )
+
+
+def _organisation(tenant: _Tenant) -> Organisation:
+    return Organisation(tenant.name, tenant.priority, tenant.prepaid)
+
+
+def _by_key(
+    tenants: list[_Tenant], organisations: list[Organisation]
+) -> dict[str, Organisation]:
+    by_key: dict[str, Organisation] = {}
+    for tenant, organisation in zip(tenants, organisations, strict=True):
+        by_key.update(dict.fromkeys(tenant.api_keys, organisation))
+    return by_key
+
+
+def _limits(limits: _Limits) -> CallerLimits:
+    return CallerLimits(
+        header_bytes=limits.header_bytes,
+        body_bytes=limits.body_bytes,
+        header_s=limits.header_ms / _MS,
+        idle_s=limits.idle_ms / _MS,
+    )
--- /dev/null
+++ b/src/dandelioncleat/platform/status_page.py
@@ -0,0 +1,53 @@
+"""Answers whether the router is ready, and shows its metrics."""
+
+import socket
+from collections.abc import Callable
+
+from aiohttp import web
+
+from dandelioncleat.platform.names import METRICS_PATH, READY_PATH
+
+NOT_READY = 503
+SHUTDOWN_S = 0.1
+
+
+class StatusPage:
+    """Serves two small pages."""
+
+    def __init__(self, metrics_page: Callable[[], bytes]) -> None:
+        """Take what makes the page of metrics."""
+        self._metrics_page = metrics_page
+        self._is_ready: Callable[[], bool] = bool
+        self._runner: web.AppRunner | None = None
+
+    async def start(
+        self,
+        *,
+        ready: socket.socket,
+        metrics: socket.socket,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        """Serve both pages at both addresses."""
+        self._is_ready = is_ready
+        application = web.Application()
+        application.router.add_get(READY_PATH, self._show_ready)
+        application.router.add_get(METRICS_PATH, self._show_metrics)
+        self._runner = web.AppRunner(
+            application, access_log=None, shutdown_timeout=SHUTDOWN_S
+        )
+        await self._runner.setup()
+        for sock in (ready, metrics):
+            await web.SockSite(self._runner, sock).start()
+
+    async def stop(self) -> None:
+        """Close the pages."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _show_ready(self, request: web.Request) -> web.Response:
+        if self._is_ready():
+            return web.Response(text='ready')
+        return web.Response(status=NOT_READY, text='not ready')
+
+    async def _show_metrics(self, request: web.Request) -> web.Response:
+        return web.Response(body=self._metrics_page())
--- /dev/null
+++ b/src/dandelioncleat/platform/store.py
@@ -0,0 +1,216 @@
+"""The platform's store as the port of keyed topics."""
+
+import struct
+from base64 import b64decode
+from collections.abc import Iterator
+from typing import NoReturn
+
+import aiohttp
+import msgspec
+
+from dandelioncleat.adapters._http_call import Origin, Reply, call
+from dandelioncleat.core.failure import Code, failure_error
+from dandelioncleat.platform.names import (
+    APPEND_PATH,
+    NEWEST_PATH,
+    READ_PATH,
+)
+from dandelioncleat.platform.sockets import new_watched_socket
+from dandelioncleat.ports.store import (
+    ConflictError,
+    FencedError,
+    KeyedPage,
+    KeyedRecord,
+    OutdatedReadError,
+    Producer,
+)
+
+CALL_TIMEOUT_S = 1.0
+READ_SLACK_S = 1.0
+PART = '0'
+OK = 200
+FENCED = 409
+GONE = 410
+MOVED_ON = 412
+
+_LENGTH = struct.Struct('>I')
+_PAGE_HEAD = struct.Struct('>QQ')
+_MS = 1000
+
+
+class _Item(msgspec.Struct):
+    """A record of a key; ``value`` is in base64."""
+
+    key: str
+    offset: int
+    value: str = ''
+
+
+class _Newest(msgspec.Struct, rename='camel'):
+    items: list[_Item]
+    has_more: bool
+    end: int
+
+
+class _Appended(msgspec.Struct):
+    end: int
+
+
+class _Rejected(msgspec.Struct):
+    """``reason`` is ``fenced`` where a higher epoch has written."""
+
+    reason: str = ''
+
+
+_NEWEST_DECODER = msgspec.json.Decoder(_Newest)
+_APPENDED_DECODER = msgspec.json.Decoder(_Appended)
+_REJECTED_DECODER = msgspec.json.Decoder(_Rejected)
+
+
+class PlatformStore:
+    """Implements the ``KeyedStore`` port."""
+
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        """Take the session and the address ``ip:port`` of the store."""
+        self._session = session
+        self._address = address
+
+    async def newest(self, topic: str) -> KeyedPage:
+        """Return the newest record of each key."""
+        page = await self._newest_page(topic, None)
+        records = [_record_of(item) for item in page.items]
+        end = page.end
+        while page.has_more:
+            page = await self._newest_page(topic, records[-1].key)
+            records.extend(_record_of(item) for item in page.items)
+        return KeyedPage(end, tuple(records))
+
+    async def read(self, topic: str, *, start: int, wait_s: float) -> KeyedPage:
+        """Return the records from ``start`` on."""
+        reply = await self._call(
+            'GET',
+            READ_PATH,
+            topic,
+            timeout_s=wait_s + READ_SLACK_S,
+            query={'from': str(start), 'waitMs': str(int(wait_s * _MS))},
+        )
+        if reply.status == GONE:
+            raise OutdatedReadError
+        self._check(reply, READ_PATH)
+        records = tuple(_split(reply.body, start))
+        return KeyedPage(start + len(records), records)
+
+    async def append(
+        self,
+        topic: str,
+        records: tuple[tuple[str, bytes], ...],
+        *,
+        at: int | None = None,
+        producer: Producer | None = None,
+    ) -> int:
+        """Append records and return the new end of the topic."""
+        query: dict[str, str] = {}
+        if at is not None:
+            query['at'] = str(at)
+        if producer is not None:
+            query['producer'] = producer.name
+            query['epoch'] = str(producer.epoch)
+            query['sequence'] = str(producer.sequence)
+        body = b''.join(_framed(key, value) for key, value in records)
+        reply = await self._call(
+            'POST', APPEND_PATH, topic, body=body, query=query
+        )
+        if reply.status == MOVED_ON:
+            raise ConflictError
+        if reply.status == FENCED:
+            _reject(reply)
+        self._check(reply, APPEND_PATH)
+        return _APPENDED_DECODER.decode(reply.body).end
+
+    async def _newest_page(self, topic: str, after: str | None) -> _Newest:
+        query = {} if after is None else {'after': after}
+        reply = await self._call('GET', NEWEST_PATH, topic, query=query)
+        self._check(reply, NEWEST_PATH)
+        return _NEWEST_DECODER.decode(reply.body)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        topic: str,
+        *,
+        body: bytes | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+        query: dict[str, str] | None = None,
+    ) -> Reply:
+        params = {'topic': topic, 'part': PART, **(query or {})}
+        return await call(
+            self._session,
+            method,
+            f'http://{self._address}{path}',
+            origin=self._origin(path),
+            timeout_s=timeout_s,
+            params=params,
+            data=body,
+        )
+
+    def _check(self, reply: Reply, path: str) -> None:
+        if reply.status != OK:
+            raise failure_error(
+                Code.LOG,
+                step=path,
+                peer=self._address,
+                text=f'HTTP status {reply.status}',
+            )
+
+    def _origin(self, path: str) -> Origin:
+        return Origin(Code.LOG, path, self._address)
+
+
+def new_store_session(*, connect_timeout_s: float) -> aiohttp.ClientSession:
+    """Return a session for calls to the store; needs a running event loop."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0, socket_factory=new_watched_socket
+        ),
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=connect_timeout_s
+        ),
+        trust_env=False,
+    )
+
+
+def _reject(reply: Reply) -> NoReturn:
+    rejected = _REJECTED_DECODER.decode(reply.body)
+    if rejected.reason == 'fenced':
+        raise FencedError
+    raise failure_error(
+        Code.LOG, step=APPEND_PATH, peer='store', text=rejected.reason
+    )
+
+
+def _framed(key: str, value: bytes) -> bytes:
+    name = key.encode()
+    content = bytes((len(name),)) + name + value
+    return _LENGTH.pack(len(content)) + content
+
+
+def _split(body: bytes, start: int) -> Iterator[KeyedRecord]:
+    at = _PAGE_HEAD.size
+    offset = start
+    while at < len(body):
+        size = _LENGTH.unpack_from(body, at)[0]
+        at += _LENGTH.size
+        yield _record(body[at : at + size], offset)
+        at += size
+        offset += 1
+
+
+def _record(content: bytes, offset: int) -> KeyedRecord:
+    size = content[0] if content else 0
+    key = content[1 : 1 + size].decode('utf-8', 'replace')
+    return KeyedRecord(key, content[1 + size :], offset)
+
+
+def _record_of(item: _Item) -> KeyedRecord:
+    return KeyedRecord(item.key, b64decode(item.value), item.offset)
--- /dev/null
+++ b/tests/builders/wallets.py
@@ -0,0 +1,90 @@
+"""Builders of wallets that share a store on virtual time."""
+
+import asyncio
+
+from dandelioncleat.app.direct.wallet import Wallet
+from dandelioncleat.core.host_holdings import Need
+from dandelioncleat.standin.keyed_store import MemoryKeyedStore
+
+WALL_START = 1_800_000_000.0
+
+
+class HostClock:
+    """A host's clocks; a power loss begins the monotonic one anew."""
+
+    def __init__(self):
+        """Start with both clocks in step with the event loop."""
+        self.monotonic_offset = 1000.0
+        self.wall_offset = WALL_START
+
+    def monotonic(self):
+        """Return the monotonic time in seconds."""
+        return asyncio.get_running_loop().time() + self.monotonic_offset
+
+    def wall(self):
+        """Return the time of day in seconds."""
+        return asyncio.get_running_loop().time() + self.wall_offset
+
+
+class WalletHost:
+    """A host whose process can be cut off, killed and started again."""
+
+    def __init__(self, store, name, paid):
+        """Take the store and what the budgets have paid."""
+        self.name = name
+        self.clock = HostClock()
+        self.spent = 0
+        self._store = store
+        self._paid = dict(paid)
+        self._task = None
+        self.client = None
+        self.wallet = None
+
+    def start(self):
+        """Start a process."""
+        self.client = self._store.client()
+        self.wallet = Wallet(self.client, host=self.name, clock=self.clock)
+        self.wallet.set_paid(self._paid)
+        self._task = asyncio.ensure_future(self.wallet.run())
+
+    async def ready(self):
+        """Wait until the accounts are open."""
+        await self.wallet.opened.wait()
+
+    async def kill(self):
+        """End the process at once, whatever it was doing."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        self.client.is_cut = True
+
+    def pay(self, paid):
+        """Raise what the budgets have paid."""
+        self._paid = dict(paid)
+        self.wallet.set_paid(self._paid)
+
+    async def spend(self, budget, tokens, *, request='r', limit_s=0.3):
+        """Reserve tokens and use all; return the verdict."""
+        need = Need(request, budget, tokens)
+        verdict = await self.wallet.reserve(need, limit_s=limit_s)
+        if verdict == 'reserved':
+            self.spent += tokens
+            self.wallet.settle(need, tokens)
+        return verdict
+
+
+async def new_hosts(count, paid, store=None):
+    """Return started hosts that share a store, and the store."""
+    store = store or MemoryKeyedStore()
+    hosts = [WalletHost(store, f'h{n}', paid) for n in range(count)]
+    for host in hosts:
+        host.start()
+    for host in hosts:
+        await host.ready()
+    await asyncio.sleep(2)
+    return hosts, store
+
+
+async def end(hosts):
+    """End all hosts."""
+    for host in hosts:
+        await host.kill()
--- /dev/null
+++ b/tests/test_wallet.py
@@ -0,0 +1,219 @@
+"""Tests of prepaid tokens over hosts that share a store."""
+
+import asyncio
+import random
+
+import testtools
+
+from dandelioncleat.adapters.virtual_time import run
+from dandelioncleat.core.holding import CLOCK_ERROR_S, Moment
+from dandelioncleat.standin.keyed_store import MemoryKeyedStore, StoreFaults
+from tests.builders.wallets import end, new_hosts
+
+PAID = {'o': 100_000}
+
+
+async def _spend_all(hosts, size=1000, pause_s=0.02):
+    """Spend in turn until every host says that nothing is left."""
+    open_hosts = list(hosts)
+    while open_hosts:
+        host = open_hosts.pop(0)
+        if await host.spend('o', size) != 'exhausted':
+            open_hosts.append(host)
+        await asyncio.sleep(pause_s)
+
+
+class SharedBudgetTest(testtools.TestCase):
+    """The hosts use what was paid, and no more."""
+
+    def test_all_of_a_budget_can_be_used(self):
+        async def scenario():
+            hosts, _ = await new_hosts(3, PAID)
+            await _spend_all(hosts)
+            await end(hosts)
+            return sum(host.spent for host in hosts)
+
+        self.assertEqual(100_000, run(scenario()))
+
+    def test_one_host_gets_the_tokens_that_others_hold(self):
+        async def scenario():
+            hosts, _ = await new_hosts(4, PAID)
+            verdict = await hosts[0].spend('o', 95_000)
+            await end(hosts)
+            return verdict
+
+        self.assertEqual('reserved', run(scenario()))
+
+    def test_a_request_beyond_what_is_left_is_exhausted(self):
+        async def scenario():
+            hosts, _ = await new_hosts(2, PAID)
+            verdict = await hosts[0].spend('o', 100_001)
+            await end(hosts)
+            return verdict
+
+        self.assertEqual('exhausted', run(scenario()))
+
+    def test_a_top_up_can_be_used(self):
+        async def scenario():
+            hosts, _ = await new_hosts(2, PAID)
+            await _spend_all(hosts)
+            for host in hosts:
+                host.pay({'o': 130_000})
+            await _spend_all(hosts)
+            await end(hosts)
+            return sum(host.spent for host in hosts)
+
+        self.assertEqual(130_000, run(scenario()))
+
+    def test_hosts_cut_off_use_what_they_hold(self):
+        async def scenario():
+            hosts, _ = await new_hosts(4, PAID)
+            for host in hosts:
+                host.client.is_cut = True
+            first = [await host.spend('o', 1_000) for host in hosts]
+            for _ in range(50):
+                for host in hosts:
+                    await host.spend('o', 5_000)
+            await end(hosts)
+            return first, sum(host.spent for host in hosts)
+
+        first, spent = run(scenario())
+        self.assertEqual(['reserved'] * 4, first)
+        self.assertLessEqual(spent, 100_000)
+
+
+class SuccessorTest(testtools.TestCase):
+    """A process starts from what its predecessor may have used."""
+
+    def _left_after(self, change):
+        async def scenario():
+            hosts, _ = await new_hosts(2, PAID)
+            host = hosts[0]
+            await host.spend('o', 5_000)
+            await asyncio.sleep(1)
+            await host.kill()
+            await asyncio.sleep(2)
+            change(host)
+            host.start()
+            await host.ready()
+            await _spend_all(hosts)
+            await end(hosts)
+            return sum(each.spent for each in hosts)
+
+        return run(scenario())
+
+    def test_most_tokens_are_left_after_a_kill(self):
+        spent = self._left_after(lambda host: None)
+        self.assertBetween(60_000, spent, 100_000)
+
+    def test_a_new_monotonic_clock_proves_nothing(self):
+        def lose_power(host):
+            host.clock.monotonic_offset = 999.0
+
+        killed = self._left_after(lambda host: None)
+        self.assertLess(self._left_after(lose_power), killed)
+
+    def test_what_was_used_behind_a_cut_is_presumed_used(self):
+        async def scenario():
+            hosts, _ = await new_hosts(2, PAID)
+            host = hosts[0]
+            host.client.is_cut = True
+            for _ in range(20):
+                await host.spend('o', 2_000)
+                await asyncio.sleep(0.5)
+            await host.kill()
+            host.start()
+            await host.ready()
+            await _spend_all(hosts)
+            await end(hosts)
+            return sum(each.spent for each in hosts)
+
+        self.assertLessEqual(run(scenario()), 100_000)
+
+    def test_a_stop_gives_everything_back(self):
+        async def scenario():
+            hosts, _ = await new_hosts(2, PAID)
+            await hosts[0].spend('o', 5_000)
+            await hosts[0].wallet.close()
+            await hosts[0].kill()
+            await _spend_all(hosts[1:])
+            await end(hosts)
+            return sum(each.spent for each in hosts)
+
+        self.assertEqual(100_000, run(scenario()))
+
+    def assertBetween(self, least, value, most):
+        """Check that a value lies between two others."""
+        self.assertLessEqual(least, value)
+        self.assertLessEqual(value, most)
+
+
+class MomentTest(testtools.TestCase):
+    """Bounds the time since a moment from above."""
+
+    def test_clocks_in_step_tell_the_time(self):
+        passed = Moment(110, 1010).most_since(Moment(100, 1000))
+        self.assertEqual(10, passed)
+
+    def test_a_time_of_day_that_went_back_is_corrected(self):
+        passed = Moment(5, 1000).most_since(Moment(100, 1002))
+        self.assertEqual(CLOCK_ERROR_S, passed)
+
+    def test_a_monotonic_clock_ahead_by_chance_is_not_believed(self):
+        passed = Moment(101, 1030).most_since(Moment(100, 1000))
+        self.assertEqual(30 + CLOCK_ERROR_S, passed)
+
+
+class RandomFaultsTest(testtools.TestCase):
+    """No mix of faults lets the hosts use more than was paid."""
+
+    def _overspent(self, seed):
+        return run(_play(seed))
+
+    def test_never_more_than_was_paid(self):
+        for seed in range(25):
+            spent, paid = self._overspent(seed)
+            self.assertLessEqual(spent, paid, f'seed {seed}')
+
+
+async def _play(seed):
+    """Play faults and spending at random; return what was used and paid."""
+    source = random.Random(seed)
+    store = MemoryKeyedStore(random.Random(seed))
+    paid = 60_000
+    hosts, _ = await new_hosts(3, {'o': paid}, store)
+    for step in range(120):
+        host = source.choice(hosts)
+        match source.randrange(14):
+            case 0:
+                host.client.is_cut = not host.client.is_cut
+            case 1:
+                await host.kill()
+                await asyncio.sleep(source.random())
+                if source.random() < 0.3:
+                    host.clock.monotonic_offset = source.uniform(0, 2000)
+                if source.random() < 0.3:
+                    host.clock.wall_offset += source.uniform(-2, 2)
+                host.start()
+            case 2:
+                store.faults = StoreFaults(
+                    lost_share=source.random() / 2,
+                    late_share=source.random() / 2,
+                    slow_s=source.choice((0, 0.2)),
+                )
+            case 3:
+                store.faults = StoreFaults(is_out=source.random() < 0.5)
+            case 4:
+                for topic in ('keyed.ceilings', 'keyed.usage'):
+                    store.drop_history(topic)
+            case 5 if source.random() < 0.2:
+                paid += 10_000
+                for each in hosts:
+                    each.pay({'o': paid})
+            case _:
+                for each in hosts:
+                    size = source.randrange(200, 3000)
+                    await each.spend('o', size, request=f'{step}', limit_s=0.05)
+        await asyncio.sleep(source.random() / 4)
+    await end(hosts)
+    return sum(host.spent for host in hosts), paid
