--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -127,6 +127,16 @@
         """Return whether new connections should come here."""
         return self._life.takes_requests
 
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in force, 0 without one."""
+        current = self._deployment.current
+        return 0 if current is None else current.version
+
+    def target_count(self, service: str) -> int:
+        """Return the number of a service's targets that take new work."""
+        return len(self._directory.available(service))
+
     async def run(self) -> None:
         """Listen and run every task until cancelled."""
         loop = asyncio.get_running_loop()
--- /dev/null
+++ b/tests/builders/direct.py
@@ -0,0 +1,325 @@
+"""Builders of a direct router with its store and targets on loopback."""
+
+import asyncio
+import socket
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from dandelioncleat.daemons.direct_router import DirectRouter, Sockets
+from dandelioncleat.daemons.direct_settings import (
+    DirectListen,
+    DirectRetries,
+    DirectSettings,
+    DirectStop,
+)
+from dandelioncleat.platform.status_page import StatusPage
+from dandelioncleat.platform.store_standin import new_store_application
+from dandelioncleat.ports.telemetry import NullTelemetry
+from dandelioncleat.standin.keyed_store import MemoryKeyedStore
+
+KEY = 'k-1'
+HOST = 'api.example'
+
+
+def route(prefix, kind, service, **changes):
+    """Return a route as the operator writes it."""
+    fields = {
+        'name': f'r{prefix}',
+        'host': HOST,
+        'pathPrefix': prefix,
+        'type': kind,
+        'timeoutMs': 5000,
+        'sloMs': 1000,
+        'priority': 0,
+        'service': service,
+        'maxAttempts': 2,
+        'public': False,
+        'resumable': False,
+    }
+    return {**fields, **changes}
+
+
+def configuration(version=1, *, routes=None, prepaid=100_000, **limits):
+    """Return a configuration as the operator writes it."""
+    return {
+        'version': version,
+        'routes': routes
+        or [
+            route('/safe/', 'idempotent', 'app'),
+            route('/once/', 'non_idempotent', 'app', maxAttempts=1),
+            route('/stream/', 'streaming', 'llm', resumable=True),
+            route('/single/', 'streaming', 'llm', maxAttempts=1),
+        ],
+        'services': [
+            {'name': 'app', 'healthPath': '/health', 'maxConnections': 9},
+            {
+                'name': 'llm',
+                'healthPath': '/health',
+                'maxConnections': 9,
+                'engine': {'slots': 8, 'kvCapacity': 90000, 'stride': 5},
+            },
+        ],
+        'limits': {
+            'headerBytes': 8000,
+            'bodyBytes': 1000,
+            'headerMs': 3000,
+            'idleMs': 15000,
+            **limits,
+        },
+        'tenants': [{'name': 'o', 'apiKeys': [KEY], 'prepaid': prepaid}],
+    }
+
+
+class Target:
+    """A target whose answers a test states, in order."""
+
+    def __init__(self, name, service):
+        """Take the target's id and service."""
+        self.name = name
+        self.service = service
+        self.answers = []
+        self.requests = []
+        self.bodies = []
+        self.left = asyncio.Event()
+        self._server = None
+        self.address = ''
+
+    async def start(self):
+        """Listen on loopback."""
+        loop = asyncio.get_running_loop()
+        server = web.Server(self._handle, handler_cancellation=True)
+        self._server = await loop.create_server(server, '127.0.0.1', 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+
+    def close(self):
+        """Stop listening."""
+        self._server.close()
+
+    def entry(self, state='ready'):
+        """Return the entry as targets write it."""
+        return {
+            'service': self.service,
+            'address': self.address,
+            'zone': 'z1',
+            'version': 'v1',
+            'slots': 8,
+            'state': state,
+            'coldMs': 0,
+            'sequence': 1,
+        }
+
+    async def _handle(self, request):
+        body = await request.read()
+        self.requests.append(request)
+        self.bodies.append(body)
+        answer = self.answers.pop(0) if self.answers else text_answer('ok')
+        try:
+            return await answer(request)
+        except asyncio.CancelledError:
+            self.left.set()
+            raise
+
+
+def text_answer(text, status=200, **headers):
+    """Return an answer with a stamp and the request's id."""
+
+    async def answer(request):
+        return web.Response(
+            text=text, status=status, headers=_headers(request, headers)
+        )
+
+    return answer
+
+
+def not_run():
+    """Return the answer of a target that has no room."""
+    return text_answer('full', 503, **{'Not-Run': '1'})
+
+
+def lost():
+    """Return an answer that breaks off before its head."""
+
+    async def answer(request):
+        request.transport.abort()
+        return web.Response()
+
+    return answer
+
+
+def silent():
+    """Return an answer that never comes."""
+
+    async def answer(request):
+        await asyncio.Event().wait()
+
+    return answer
+
+
+def events(first, last, *, cut=False, until=None):
+    """Return a stream of numbered events, which may break off.
+
+    :param until: an event that must be set before the stream ends
+    """
+
+    async def answer(request):
+        response = web.StreamResponse(
+            headers=_headers(request, {'Content-Type': 'text/event-stream'})
+        )
+        await response.prepare(request)
+        for number in range(first, last + 1):
+            await response.write(f'id: {number}\ndata: x\n\n'.encode())
+        if until is not None:
+            await until.wait()
+        if cut:
+            await response.write(b'id: 99\nda')
+            request.transport.close()
+        return response
+
+    return answer
+
+
+def cut_then_resumed(cut_after, last):
+    """Return a stream that breaks off, and goes on where it is resumed."""
+
+    async def answer(request):
+        if 'Last-Event-Id' in request.headers:
+            return await events(cut_after + 1, last)(request)
+        return await events(0, cut_after, cut=True)(request)
+
+    return answer
+
+
+def _headers(request, more):
+    return {
+        'Request-Id': request.headers['Request-Id'],
+        'Server-Stamp': 's.1',
+        **more,
+    }
+
+
+class Fleet:
+    """A store, some targets and one direct router."""
+
+    def __init__(self):
+        """Start with nothing."""
+        self.store = MemoryKeyedStore()
+        self.app = Target('i-app', 'app')
+        self.llm = Target('i-llm', 'llm')
+        self.llm2 = Target('i-llm2', 'llm')
+        self.router = None
+        self.session = None
+        self.stopped = None
+        self._store_runner = None
+        self._task = None
+        self._url = ''
+
+    async def start(self, *, document=None, targets=None):
+        """Start all; the router is ready if there is a configuration."""
+        await self._start_store()
+        for target in (self.app, self.llm, self.llm2):
+            await target.start()
+        for target in targets or (self.app, self.llm):
+            await self.put('keyed.servers', target.name, target.entry())
+        if document is not None:
+            await self.put('keyed.op', 'config', document)
+        await self._start_router()
+        self.session = aiohttp.ClientSession()
+
+    async def put(self, topic, key, document):
+        """Write a record as the operator or a target does."""
+        value = msgspec.json.encode(document) if document else b''
+        await self.store.append(topic, ((key, value),))
+
+    async def wait_until(self, condition):
+        """Wait until something holds."""
+        async with asyncio.timeout(20):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def ready(self):
+        """Wait until the router takes requests and knows the targets."""
+        await self.wait_until(lambda: self.router.is_ready)
+        await self.wait_until(
+            lambda: (
+                self.router.target_count('app')
+                and self.router.target_count('llm')
+            )
+        )
+
+    async def call(self, path, *, method='POST', body=b'{}', **headers):
+        """Send a request; return its status, headers and body."""
+        sent = {
+            'Host': HOST,
+            'Request-Id': 'r-1',
+            'Deadline-Ms': '4000',
+            'Authorization': f'Bearer {KEY}',
+            **headers,
+        }
+        sent = {name: text for name, text in sent.items() if text is not None}
+        async with self.session.request(
+            method, self._url + path, data=body, headers=sent
+        ) as response:
+            return response.status, response.headers, await response.read()
+
+    async def raw(self, data):
+        """Send bytes over a connection of its own; return the answer."""
+        host, port = self._url.removeprefix('http://').split(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        async with asyncio.timeout(10):
+            answer = await reader.read(4096)
+        writer.close()
+        return answer
+
+    async def stop(self):
+        """Stop the router as planned and everything else."""
+        self.stopped = await self.router.stop(limit_s=5)
+        await self.close()
+
+    async def close(self):
+        """End everything."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        await self.router.close()
+        await self.session.close()
+        for target in (self.app, self.llm, self.llm2):
+            target.close()
+        await self._store_runner.cleanup()
+
+    async def _start_store(self):
+        self._store_runner = web.AppRunner(new_store_application(self.store))
+        await self._store_runner.setup()
+        sock = _listener()
+        self._store_address = _address(sock)
+        await web.SockSite(self._store_runner, sock).start()
+
+    async def _start_router(self):
+        sockets = Sockets(_listener(), _listener(), _listener())
+        addresses = [_address(sock) for sock in sockets]
+        self._url = f'http://{addresses[0]}'
+        self.router = DirectRouter(
+            DirectSettings(
+                host='h1',
+                data_centre='z1',
+                store=self._store_address,
+                listen=DirectListen(*addresses),
+                retries=DirectRetries(ratio=0.2, slack=50, window_s=10),
+                stop=DirectStop(limit_s=5),
+            ),
+            sockets=sockets,
+            telemetry=NullTelemetry(),
+            status_page=StatusPage(lambda: b'metrics'),
+        )
+        self._task = asyncio.ensure_future(self.router.run())
+
+
+def _listener():
+    return socket.create_server(('127.0.0.1', 0))
+
+
+def _address(sock):
+    ip, port = sock.getsockname()
+    return f'{ip}:{port}'
--- /dev/null
+++ b/tests/test_direct_router.py
@@ -0,0 +1,332 @@
+"""Tests of the direct router with its store and targets on loopback."""
+
+import asyncio
+
+import testtools
+
+from tests.builders.direct import (
+    Fleet,
+    configuration,
+    cut_then_resumed,
+    events,
+    lost,
+    not_run,
+    route,
+    silent,
+    text_answer,
+)
+
+MODEL_HEADERS = {
+    'Model': 'm',
+    'Token-Count': '100,50',
+    'Prompt-Prefix': 'aa:60,bb:40',
+}
+
+
+def play(scenario, **options):
+    """Run a scenario with a fleet and return what it returns."""
+
+    async def run():
+        fleet = Fleet()
+        options.setdefault('document', configuration())
+        await fleet.start(**options)
+        try:
+            if options['document'] is not None:
+                await fleet.ready()
+            return await scenario(fleet)
+        finally:
+            await fleet.close()
+
+    return asyncio.run(run())
+
+
+class ServingTest(testtools.TestCase):
+    """A caller gets the target's answer, and the target the request."""
+
+    def test_the_answer_is_the_targets(self):
+        async def scenario(fleet):
+            fleet.app.answers = [text_answer('paid', 201)]
+            answer = await fleet.call('/once/a?b=1', body=b'{"x": 1}')
+            return answer, fleet.app
+
+        (status, headers, body), target = play(scenario)
+        self.assertEqual((201, b'paid'), (status, body))
+        self.assertEqual('s.1', headers['Server-Stamp'])
+        request = target.requests[0]
+        self.assertEqual('/once/a?b=1', request.path_qs)
+        self.assertEqual([b'{"x": 1}'], target.bodies)
+        self.assertEqual('o', request.headers['Tenant'])
+        self.assertEqual('i-app', request.headers['Expect-Instance'])
+        self.assertLessEqual(int(request.headers['Deadline-Ms']), 4000)
+        self.assertNotIn('Authorization', request.headers)
+
+    def test_headers_of_the_system_are_not_passed_on(self):
+        async def scenario(fleet):
+            await fleet.call(
+                '/safe/a',
+                Tenant='other',
+                Hold='h',
+                **{'Kv-From': '1', 'Request-Priority': '0', 'X-Own': 'kept'},
+            )
+            return fleet.app.requests[0].headers
+
+        headers = play(scenario)
+        self.assertEqual(['o'], headers.getall('Tenant'))
+        self.assertEqual('kept', headers['X-Own'])
+        for name in ('Hold', 'Kv-From', 'Request-Priority'):
+            self.assertNotIn(name, headers)
+
+    def test_a_stream_is_passed_on_whole(self):
+        async def scenario(fleet):
+            fleet.llm.answers = [events(0, 3)]
+            return await fleet.call('/stream/a', **MODEL_HEADERS)
+
+        status, _, body = play(scenario)
+        self.assertEqual(200, status)
+        self.assertEqual(4, body.count(b'id: '))
+
+
+class RefusalTest(testtools.TestCase):
+    """What can't be served is refused at once, and truthfully."""
+
+    def _status(self, path, **headers):
+        async def scenario(fleet):
+            answer = await fleet.call(path, **headers)
+            requests = len(fleet.app.requests) + len(fleet.llm.requests)
+            return answer[0], requests
+
+        return play(scenario)
+
+    def test_an_unknown_route(self):
+        self.assertEqual((404, 0), self._status('/none/a'))
+
+    def test_an_unknown_key(self):
+        answer = self._status('/safe/a', Authorization='Bearer no')
+        self.assertEqual((401, 0), answer)
+
+    def test_a_missing_id(self):
+        answer = self._status('/safe/a', **{'Request-Id': None})
+        self.assertEqual((400, 0), answer)
+
+    def test_counts_that_are_no_numbers(self):
+        headers = {**MODEL_HEADERS, 'Token-Count': 'many,1'}
+        self.assertEqual((400, 0), self._status('/stream/a', **headers))
+
+    def test_a_request_beyond_the_budget(self):
+        headers = {**MODEL_HEADERS, 'Token-Count': '100000,1'}
+        self.assertEqual((402, 0), self._status('/stream/a', **headers))
+
+    def test_a_body_that_is_too_large(self):
+        async def scenario(fleet):
+            answer = await fleet.call('/once/a', body=b'x' * 1001)
+            return answer[0], len(fleet.app.requests)
+
+        self.assertEqual((413, 0), play(scenario))
+
+    def test_a_body_in_chunks_that_is_too_large(self):
+        async def parts():
+            for _ in range(3):
+                yield b'x' * 500
+
+        async def scenario(fleet):
+            answer = await fleet.call('/once/a', body=parts())
+            return answer[0], len(fleet.app.requests)
+
+        self.assertEqual((413, 0), play(scenario))
+
+    def test_framing_that_disagrees(self):
+        async def scenario(fleet):
+            answer = await fleet.raw(
+                b'POST /once/a HTTP/1.1\r\nHost: api.example\r\n'
+                b'Request-Id: r\r\nAuthorization: Bearer k-1\r\n'
+                b'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n'
+                b'0\r\n\r\nPOST /once/b HTTP/1.1\r\n\r\n'
+            )
+            return answer, len(fleet.app.requests)
+
+        answer, requests = play(scenario)
+        self.assertEqual(b'400', answer.split()[1])
+        self.assertEqual(0, requests)
+
+    def test_no_configuration_yet(self):
+        async def scenario(fleet):
+            return await fleet.call('/safe/a')
+
+        status, headers, _ = play(scenario, document=None)
+        self.assertEqual(503, status)
+        self.assertGreater(float(headers['Retry-After']), 0)
+
+    def test_a_target_that_has_no_room(self):
+        async def scenario(fleet):
+            fleet.app.answers = [not_run(), not_run()]
+            return await fleet.call('/once/a')
+
+        status, headers, _ = play(scenario)
+        self.assertEqual(503, status)
+        self.assertIn('Retry-After', headers)
+
+
+class LostAnswerTest(testtools.TestCase):
+    """A request runs again only where that is allowed."""
+
+    def test_a_call_that_runs_once_is_not_sent_again(self):
+        async def scenario(fleet):
+            fleet.app.answers = [lost()]
+            answer = await fleet.call('/once/a')
+            return answer[0], len(fleet.app.requests)
+
+        self.assertEqual((502, 1), play(scenario))
+
+    def test_a_stream_that_may_not_resume_is_not_sent_again(self):
+        async def scenario(fleet):
+            fleet.llm.answers = [lost()]
+            fleet.llm2.answers = [lost()]
+            answer = await fleet.call('/single/a', **MODEL_HEADERS)
+            sent = len(fleet.llm.requests) + len(fleet.llm2.requests)
+            return answer[0], sent
+
+        self.assertEqual((502, 1), play(scenario))
+
+    def test_an_answer_of_another_request_is_not_delivered(self):
+        async def scenario(fleet):
+            fleet.app.answers = [
+                text_answer('other', **{'Request-Id': 'r-0'}),
+            ]
+            return await fleet.call('/once/a')
+
+        status, _, body = play(scenario)
+        self.assertEqual(502, status)
+        self.assertNotIn(b'other', body)
+
+    def test_a_stream_resumes_after_its_last_whole_event(self):
+        async def scenario(fleet):
+            await fleet.put('keyed.servers', 'i-llm2', fleet.llm2.entry())
+            await fleet.wait_until(lambda: fleet.router.target_count('llm') > 1)
+            for target in (fleet.llm, fleet.llm2):
+                target.answers = [cut_then_resumed(2, 5)]
+            answer = await fleet.call('/stream/a', **MODEL_HEADERS)
+            requests = fleet.llm.requests + fleet.llm2.requests
+            resumed = [
+                request.headers['Last-Event-Id']
+                for request in requests
+                if 'Last-Event-Id' in request.headers
+            ]
+            return answer, resumed
+
+        (status, _, body), resumed = play(scenario)
+        self.assertEqual(200, status)
+        found = [line for line in body.split(b'\n') if line[:3] == b'id:']
+        self.assertEqual([b'id: %d' % n for n in range(6)], found)
+        self.assertEqual(['2'], resumed)
+
+    def test_a_stream_that_breaks_off_does_not_look_complete(self):
+        async def scenario(fleet):
+            fleet.llm.answers = [events(0, 2, cut=True)]
+            try:
+                return await fleet.call('/single/a', **MODEL_HEADERS)
+            except Exception as error:
+                return type(error).__name__
+
+        self.assertEqual('ClientPayloadError', play(scenario))
+
+    def test_a_request_past_the_time_of_its_route_ends(self):
+        document = configuration(
+            routes=[route('/safe/', 'idempotent', 'app', timeoutMs=300)]
+        )
+
+        async def scenario(fleet):
+            fleet.app.answers = [silent()]
+            answer = await fleet.call('/safe/a')
+            await fleet.app.left.wait()
+            return answer[0]
+
+        self.assertEqual(504, play(scenario, document=document))
+
+
+class CallerLeavesTest(testtools.TestCase):
+    """A caller that leaves ends its run."""
+
+    def test_the_target_is_told(self):
+        async def scenario(fleet):
+            fleet.llm.answers = [events(0, 1, until=asyncio.Event())]
+            call = asyncio.ensure_future(
+                fleet.call('/stream/a', **MODEL_HEADERS)
+            )
+            await fleet.wait_until(lambda: fleet.llm.requests)
+            call.cancel()
+            async with asyncio.timeout(5):
+                await fleet.llm.left.wait()
+            return True
+
+        self.assertTrue(play(scenario))
+
+
+class PlannedStopTest(testtools.TestCase):
+    """A planned stop cuts no answer and gives the tokens back."""
+
+    def test_an_open_stream_is_finished(self):
+        async def scenario(fleet):
+            go_on = asyncio.Event()
+            fleet.llm.answers = [events(0, 3, until=go_on)]
+            call = asyncio.ensure_future(
+                fleet.call('/stream/a', **MODEL_HEADERS)
+            )
+            await fleet.wait_until(lambda: fleet.llm.requests)
+            stop = asyncio.ensure_future(fleet.router.stop(limit_s=5))
+            await fleet.wait_until(lambda: not fleet.router.is_ready)
+            go_on.set()
+            answer = await call
+            return answer[0], answer[2].count(b'id: '), await stop
+
+        self.assertEqual((200, 4, ''), play(scenario))
+
+    def test_the_tokens_go_back_to_the_budget(self):
+        async def scenario(fleet):
+            await fleet.call('/stream/a', **MODEL_HEADERS)
+            await fleet.router.stop(limit_s=5)
+            return await fleet.store.newest('keyed.ceilings')
+
+        records = play(scenario).records
+        self.assertEqual(['o/h1'], [record.key for record in records])
+
+
+class ConfigurationTest(testtools.TestCase):
+    """A new version is in force for new requests, and never goes back."""
+
+    def test_a_new_version_is_in_force(self):
+        async def scenario(fleet):
+            before = await fleet.call('/new/a')
+            routes = [route('/new/', 'idempotent', 'app')]
+            await fleet.put(
+                'keyed.op', 'config', configuration(5, routes=routes)
+            )
+            await fleet.wait_until(lambda: fleet.router.version == 5)
+            await fleet.put('keyed.op', 'config', configuration(4))
+            await fleet.put('keyed.op', 'other', {'version': 9})
+            after = await fleet.call('/new/a')
+            return before[0], after[0]
+
+        self.assertEqual((404, 200), play(scenario))
+
+    def test_a_record_that_cannot_be_read_changes_nothing(self):
+        async def scenario(fleet):
+            await fleet.store.append('keyed.op', (('config', b'\xff{'),))
+            await fleet.store.append(
+                'keyed.servers', (('i-odd', b'[1'), ('i-none', b'{}'))
+            )
+            await fleet.put('keyed.op', 'config', configuration(2))
+            await fleet.wait_until(lambda: fleet.router.version == 2)
+            return (await fleet.call('/safe/a'))[0]
+
+        self.assertEqual(200, play(scenario))
+
+    def test_a_draining_target_gets_no_new_work(self):
+        async def scenario(fleet):
+            await fleet.put(
+                'keyed.servers', 'i-app', fleet.app.entry('draining')
+            )
+            await fleet.wait_until(lambda: not fleet.router.target_count('app'))
+            answer = await fleet.call('/safe/a')
+            return answer[0], len(fleet.app.requests)
+
+        self.assertEqual((503, 0), play(scenario))
