Follow the engines' cache events and place by what they hold

Marks: burst 8% of what is free or a large request within a quarter of it, speed 3% of what is free or the rate.

--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -120,7 +120,9 @@
             context.outcome = 'forwarded'
             return
         if not refusal.has_run and refusal.reason is not Reason.PREPAID_SPENT:
-            refusal = Refusal(refusal.reason, retry_after_s=TOKENS_RETRY_S)
+            room_in_s = self._parts.wallet.room_in_s(need)
+            retry_s = max(TOKENS_RETRY_S, room_in_s or 0)
+            refusal = Refusal(refusal.reason, retry_after_s=retry_s)
         await _refuse(context, refusal, reply)
 
     async def _run(self, context: RunContext, reply: Reply) -> None:
--- a/src/dandelioncleat/app/direct/target_directory.py
+++ b/src/dandelioncleat/app/direct/target_directory.py
@@ -51,6 +51,14 @@
             if state.entry.service == service and not state.entry.is_draining
         ]
 
+    def engines(self) -> dict[str, TargetState]:
+        """Return the targets that run a model, by id."""
+        return {
+            target: state
+            for target, state in self._states_by_id.items()
+            if state.kv_tokens > 0
+        }
+
     def take(self, change: TopicChange) -> None:
         """Take changed entries."""
         was_silent = self._silence_s() > RETURN_S
--- a/src/dandelioncleat/app/direct/target_state.py
+++ b/src/dandelioncleat/app/direct/target_state.py
@@ -1,11 +1,12 @@
 """What a router knows of one target."""
 
-from collections import OrderedDict, deque
+from collections import deque
 from typing import NamedTuple
 
 from dandelioncleat.core.deployment import TargetEntry
-from dandelioncleat.core.direct_request import DirectRequest, ModelPrompt
-from dandelioncleat.core.target_choice import TargetView, unread_tokens
+from dandelioncleat.core.direct_request import DirectRequest
+from dandelioncleat.core.held_parts import HeldParts
+from dandelioncleat.core.target_choice import TargetView
 from dandelioncleat.ports.direct_target import TargetOccupancy
 
 FAILURE_PAUSE_S = 1.0
@@ -32,8 +33,7 @@
         self.kv_tokens = kv_tokens
         self._sent_by_id: dict[str, SentRequest] = {}
         self._unread_by_id: dict[str, int] = {}
-        self._held_parts: OrderedDict[str, int] = OrderedDict()
-        self._held_tokens = 0
+        self.cache = HeldParts()
         self._occupancy: TargetOccupancy | None = None
         self._occupancy_at = float('-inf')
         self._failures = 0
@@ -65,7 +65,7 @@
             waiting=waiting,
             backlog_tokens=sum(self._unread_by_id.values()),
             kv_free=int(KV_SHARE * self.kv_tokens) - own_kv,
-            held_parts=self._held_parts,
+            held_parts=self.cache,
         )
 
     def begin(self, request: DirectRequest) -> None:
@@ -74,10 +74,10 @@
         if prompt is None:
             self._sent_by_id[request.id] = SentRequest(0, 0)
             return
-        unread = unread_tokens(self._held_parts, prompt)
+        unread = self.cache.unread_tokens(prompt)
         self._sent_by_id[request.id] = SentRequest(unread, prompt.most_tokens)
         self._unread_by_id[request.id] = unread
-        self._hold(prompt)
+        self.cache.note_sent(prompt, room=self.kv_tokens)
 
     def note_first_token(self, request: str) -> None:
         """Note that a request's prompt has been read."""
@@ -116,12 +116,3 @@
         pause_s = min(LONGEST_PAUSE_S, FAILURE_PAUSE_S * 2**self._failures)
         self._failures += 1
         self._paused_until = now + pause_s
-
-    def _hold(self, prompt: ModelPrompt) -> None:
-        for part in prompt.parts:
-            self._held_tokens -= self._held_parts.pop(part.id, 0)
-            self._held_parts[part.id] = part.tokens
-            self._held_tokens += part.tokens
-        while self._held_tokens > KV_SHARE * self.kv_tokens:
-            _, tokens = self._held_parts.popitem(last=False)
-            self._held_tokens -= tokens
--- a/src/dandelioncleat/app/direct/wallet.py
+++ b/src/dandelioncleat/app/direct/wallet.py
@@ -76,7 +76,12 @@
 
     def others_with(self, need: Need) -> tuple[str, ...]:
         """Return the other hosts that could cover a request, best first."""
-        return self._holdings.richest_others(need)
+        silence_s = self._sync.silence_s
+        return self._holdings.richest_others(need, silence_s=silence_s)
+
+    def room_in_s(self, need: Need) -> float | None:
+        """Return when a request may begin here, if time alone brings that."""
+        return self._holdings.room_in_s(need, self._clock.monotonic())
 
     def inputs_of(self, budget: str) -> dict[str, float]:
         """Return the inputs of decisions on a budget and their age."""
--- a/src/dandelioncleat/core/holding.py
+++ b/src/dandelioncleat/core/holding.py
@@ -83,12 +83,21 @@
     used: int
     rate: float
     wanted: int
+    burst: int = 0
+    speed: float = 0
 
     @property
     def free(self) -> int:
         """Return the tokens that the host may still use."""
         return max(0, self.ceiling - self.used)
 
+    def room_after(self, silence_s: float) -> float:
+        """Return the tokens that the host may use without the store.
+
+        :param silence_s: time since the store took its last mark
+        """
+        return min(self.free, self.burst + self.speed * silence_s)
+
 
 class HoldingBook:
     """Keeps the newest ceilings and usage marks of all hosts."""
@@ -170,4 +179,12 @@
 def _share(host: str, ceiling: int, mark: UsageMark | None) -> Share:
     if mark is None:
         return Share(host, ceiling, 0, float(0), 0)
-    return Share(host, ceiling, mark.used, mark.rate, mark.wanted)
+    return Share(
+        host,
+        ceiling,
+        mark.used,
+        mark.rate,
+        mark.wanted,
+        mark.burst,
+        mark.speed,
+    )
--- a/src/dandelioncleat/core/holding_policy.py
+++ b/src/dandelioncleat/core/holding_policy.py
@@ -17,9 +17,9 @@
 # Moves of less than this part of a budget aren't worth a record.
 LEAST_MOVE_SHARE = 0.002
 IDLE_RATE = 1.0
-BURST_SHARE = 0.06
-SPEED_SHARE = 0.015
-SPEED_FACTOR = 1.2
+BURST_SHARE = 0.08
+SPEED_SHARE = 0.03
+SPEED_FACTOR = 1.0
 
 
 class Position(NamedTuple):
@@ -80,7 +80,7 @@
 
     :param large_need: size of a large request of the budget, in tokens
     """
-    return min(free, max(int(free * BURST_SHARE), large_need))
+    return min(free, max(int(free * BURST_SHARE), min(large_need, free // 4)))
 
 
 def speed_of(free: int, rate: float) -> float:
--- a/src/dandelioncleat/core/host_holdings.py
+++ b/src/dandelioncleat/core/host_holdings.py
@@ -78,15 +78,38 @@
         paid = self.paid_by_budget.get(need.budget, 0)
         return paid - others - own < need.tokens
 
-    def richest_others(self, need: Need) -> tuple[str, ...]:
-        """Return the other hosts that could cover a request, best first."""
-        able = [
-            share
+    def richest_others(
+        self, need: Need, *, silence_s: float
+    ) -> tuple[str, ...]:
+        """Return the other hosts that could cover a request, best first.
+
+        :param silence_s: time since the store was heard, in seconds
+        """
+        room_by_host = {
+            share.host: share.room_after(silence_s)
             for share in self._others(need.budget)
-            if share.free >= need.tokens
+        }
+        able = [
+            host for host, room in room_by_host.items() if room >= need.tokens
         ]
-        able.sort(key=lambda share: share.free, reverse=True)
-        return tuple(share.host for share in able)
+        able.sort(key=room_by_host.__getitem__, reverse=True)
+        return tuple(able)
+
+    def room_in_s(self, need: Need, now: float) -> float | None:
+        """Return when the marks will let a request begin, in seconds.
+
+        ``None`` if they never will, without more tokens.
+
+        :param now: monotonic time of the host, in seconds
+        """
+        account = self.accounts_by_budget.get(need.budget)
+        if account is None or need.tokens > account.free:
+            return None
+        mark = account.confirmed
+        if mark is None or mark.speed <= 0:
+            return None
+        lacking = need.tokens - account.marked_room(now)
+        return max(0, lacking / mark.speed)
 
     def due_marks(self, now: Moment, *, epoch: int) -> list[UsageMark]:
         """Return the usage marks that should be written now."""
--- a/src/dandelioncleat/core/target_choice.py
+++ b/src/dandelioncleat/core/target_choice.py
@@ -5,10 +5,11 @@
 but a target that all prompts of one beginning go to falls behind.
 """
 
-from collections.abc import Container, Sequence
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from dandelioncleat.core.direct_request import ModelPrompt
+from dandelioncleat.core.held_parts import HeldParts
 from dandelioncleat.core.ranking import rank
 
 # A running request slows the prefill of the next about as much as this.
@@ -33,7 +34,7 @@
     waiting: int
     backlog_tokens: int
     kv_free: int
-    held_parts: Container[str]
+    held_parts: HeldParts
 
     @property
     def occupancy(self) -> float:
@@ -69,7 +70,7 @@
     target: TargetView, prompt: ModelPrompt, *, is_preferred: bool
 ) -> float:
     """Return the work before the first token, in prompt tokens."""
-    missing = unread_tokens(target.held_parts, prompt)
+    missing = target.held_parts.unread_tokens(prompt)
     if is_preferred and missing == prompt.input_tokens and prompt.parts:
         # Other routers send the prompt's beginning there as well.
         missing -= int(prompt.parts[0].tokens * EXPECTED_HIT)
@@ -80,16 +81,6 @@
     return missing + load + queue + lacking + distance
 
 
-def unread_tokens(held_parts: Container[str], prompt: ModelPrompt) -> int:
-    """Return the prompt's tokens after the beginning that is held."""
-    unread = prompt.input_tokens
-    for part in prompt.parts:
-        if part.id not in held_parts:
-            break
-        unread -= part.tokens
-    return max(0, unread)
-
-
 def preferred_target(targets: Sequence[TargetView], prompt: ModelPrompt) -> str:
     """Return the target that ranks first for a prompt's beginning.
 
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -1,6 +1,7 @@
 """Connects the parts of a direct router."""
 
 import asyncio
+import random
 import socket
 from typing import NamedTuple
 
@@ -8,6 +9,7 @@
 from aiohttp import web
 
 from dandelioncleat.adapters.system_clock import SystemClock
+from dandelioncleat.app.direct.cache_watch import CacheWatch
 from dandelioncleat.app.direct.deployment_watch import DeploymentWatch
 from dandelioncleat.app.direct.forwarding import Forwarding
 from dandelioncleat.app.direct.placement import Placement
@@ -24,6 +26,7 @@
 from dandelioncleat.core.retry_window import RetryTerms
 from dandelioncleat.daemons.direct_settings import DirectSettings
 from dandelioncleat.platform import names
+from dandelioncleat.platform.cache_events import HttpCacheEvents
 from dandelioncleat.platform.callers import DEFAULT_LIMITS, CallerHandler
 from dandelioncleat.platform.documents import decode_deployment, decode_target
 from dandelioncleat.platform.sockets import watch_peer
@@ -97,6 +100,11 @@
         self._targets_topic = TopicFollower(
             store, names.TARGETS_TOPIC, on_change=self._directory.take
         )
+        self._cache_watch = CacheWatch(
+            self._directory,
+            HttpCacheEvents(self._session),
+            source=random.Random(settings.host),
+        )
         self._placement = Placement(
             self._directory,
             data_centre=settings.data_centre,
@@ -154,6 +162,7 @@
             group.create_task(self._operator_topic.run())
             group.create_task(self._targets_topic.run())
             group.create_task(self._routers.run())
+            group.create_task(self._cache_watch.run())
             group.create_task(self._run_wallet())
             group.create_task(self._become_ready())
 
--- a/src/dandelioncleat/platform/names.py
+++ b/src/dandelioncleat/platform/names.py
@@ -55,6 +55,8 @@
     )
 )
 
+CACHE_EVENTS_PATH: Final = '/dandelioncleat/kv-events'
+WAIT_LIMIT: Final = 'Wait-Ms'
 READY_PATH: Final = '/dandelioncleat/readiness'
 METRICS_PATH: Final = '/metrics'
 APPEND_PATH: Final = '/dandelioncleat/log-append'
