Log each placement with what decided it, and forward sooner

A request waits 0.15 s for tokens in place of half its objective before it is forwarded: a store that answers moves tokens in a few round trips. Lines of libraries go out as JSON as well; dropped lines are counted.

--- a/src/dandelioncleat/adapters/log_lines.py
+++ b/src/dandelioncleat/adapters/log_lines.py
@@ -32,6 +32,7 @@
     :param stream: where the lines go, standard error by default
     :param context: fields that every line carries
     """
+    _take_library_lines()
     structlog.contextvars.clear_contextvars()
     structlog.contextvars.bind_contextvars(**context)
     structlog.configure(
@@ -54,3 +55,19 @@
     if line_format == 'json':
         return structlog.processors.JSONRenderer()
     return structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
+
+
+class _LibraryHandler(logging.Handler):
+    """Passes on what libraries log by the standard module."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log a record as a line of the process."""
+        structlog.get_logger(record.name).log(
+            record.levelno, record.getMessage(), exc_info=record.exc_info
+        )
+
+
+def _take_library_lines() -> None:
+    root = logging.getLogger()
+    root.handlers = [_LibraryHandler()]
+    root.setLevel(logging.WARNING)
--- a/src/dandelioncleat/adapters/log_writer.py
+++ b/src/dandelioncleat/adapters/log_writer.py
@@ -1,5 +1,6 @@
 """Writes log lines without ever holding the event loop up."""
 
+import json
 import sys
 import threading
 from collections import deque
@@ -15,6 +16,7 @@
     def __init__(self, stream: TextIO | None = None) -> None:
         """Take the stream, standard output by default."""
         self.dropped = 0
+        self._told = 0
         self._stream = stream or sys.stdout
         self._lines: deque[str] = deque()
         self._wake = threading.Event()
@@ -55,8 +57,16 @@
 
     def _write_queued(self) -> None:
         parts = []
+        if self.dropped > self._told:
+            parts.append(_dropped_line(self.dropped - self._told))
+            self._told = self.dropped
         while self._lines:
             parts.append(self._lines.popleft())
         if parts:
             self._stream.write(''.join(parts))
             self._stream.flush()
+
+
+def _dropped_line(count: int) -> str:
+    line = {'event': 'log lines dropped', 'level': 'warning', 'count': count}
+    return f'{json.dumps(line)}\n'
--- a/src/dandelioncleat/app/direct/placement.py
+++ b/src/dandelioncleat/app/direct/placement.py
@@ -2,12 +2,16 @@
 
 import asyncio
 
+import structlog
+
 from dandelioncleat.app.direct.run_context import RunContext
 from dandelioncleat.app.direct.target_directory import TargetDirectory
 from dandelioncleat.app.direct.target_state import TargetState
 from dandelioncleat.core.retry_window import RetryTerms, RetryWindow
 from dandelioncleat.core.target_choice import choose_for_prompt, choose_plain
 
+_logger = structlog.get_logger(__name__)
+
 
 class Placement:
     """Chooses a target for each attempt."""
@@ -51,6 +55,28 @@
             chosen = choose_for_prompt(views, prompt)
         return states[views.index(chosen)]
 
+    def log_choice(self, context: RunContext, state: TargetState) -> None:
+        """Log a placement with what decided it."""
+        now = _now()
+        view = state.view(data_centre=self._data_centre, now=now)
+        prompt = context.request.prompt
+        unread = 0 if prompt is None else view.held_parts.unread_tokens(prompt)
+        _logger.info(
+            'request placed',
+            request=context.request.id,
+            target=view.id,
+            service=context.admitted.service.name,
+            candidates=len(self._candidates(context, now)),
+            running=view.running,
+            waiting=view.waiting,
+            load_age_s=state.occupancy_age_s(now),
+            backlog_tokens=view.backlog_tokens,
+            unread_tokens=unread,
+            version=context.admitted.version,
+            attempt=context.sent + 1,
+            left_ms=int(1000 * context.left_s),
+        )
+
     def _candidates(self, context: RunContext, now: float) -> list[TargetState]:
         service = context.admitted.service.name
         untried = [
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -24,6 +24,8 @@
 from dandelioncleat.ports.telemetry import Telemetry
 
 TOKEN_WAIT_SHARE = 0.5
+# A store that answers moves tokens in a few round trips.
+MOST_TOKEN_WAIT_S = 0.15
 TOKENS_RETRY_S = 0.3
 NO_TARGET_RETRY_S = 1.0
 NO_ROOM_RETRY_S = 0.5
@@ -74,7 +76,8 @@
         context = RunContext(request, verdict.unwrap())
         need = self._need(context)
         try:
-            await self._serve_admitted(context, need, reply)
+            with self._parts.telemetry.span('direct.request'):
+                await self._serve_admitted(context, need, reply)
         finally:
             self._note_end(context, need)
 
@@ -103,7 +106,8 @@
         return Need(request, organisation.name, prompt.most_tokens)
 
     async def _reserve(self, context: RunContext, need: Need) -> Verdict:
-        limit_s = TOKEN_WAIT_SHARE * context.admitted.route.objective_s
+        share_s = TOKEN_WAIT_SHARE * context.admitted.route.objective_s
+        limit_s = min(MOST_TOKEN_WAIT_S, share_s)
         return await self._parts.wallet.reserve(need, limit_s=limit_s)
 
     async def _serve_without_tokens(
@@ -144,9 +148,13 @@
         state = self._parts.placement.choose(context)
         if state is None:
             return AttemptEnd.NOT_SENT
-        return await attempt(
-            context, state, targets=self._parts.targets, reply=reply
-        )
+        self._parts.placement.log_choice(context, state)
+        with self._parts.telemetry.span(
+            'direct.attempt', target=state.entry.id
+        ):
+            return await attempt(
+                context, state, targets=self._parts.targets, reply=reply
+            )
 
     def _goes_on(self, context: RunContext, end: AttemptEnd) -> bool:
         if not context.may_send_again or not context.has_runs_left:
--- a/src/dandelioncleat/app/direct/target_state.py
+++ b/src/dandelioncleat/app/direct/target_state.py
@@ -49,6 +49,12 @@
         """Return whether the target failed a moment ago."""
         return now < self._paused_until
 
+    def occupancy_age_s(self, now: float) -> float | None:
+        """Return the age of what the target told of its load, in seconds."""
+        if self._occupancy is None:
+            return None
+        return round(now - self._occupancy_at, 3)
+
     def view(self, *, data_centre: str, now: float) -> TargetView:
         """Return what a choice needs to know."""
         running, waiting = self.running, 0
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -147,17 +147,7 @@
 
     async def run(self) -> None:
         """Listen and run every task until cancelled."""
-        loop = asyncio.get_running_loop()
-        for sock in self._sockets:
-            watch_peer(sock)
-        await loop.create_server(
-            lambda: self._server(), sock=self._sockets.callers, backlog=BACKLOG
-        )
-        await self._status_page.start(
-            ready=self._sockets.ready,
-            metrics=self._sockets.metrics,
-            is_ready=lambda: self.is_ready,
-        )
+        await self._listen()
         async with asyncio.TaskGroup() as group:
             group.create_task(self._operator_topic.run())
             group.create_task(self._targets_topic.run())
@@ -196,6 +186,18 @@
         await self._targets.close()
         await self._session.close()
 
+    async def _listen(self) -> None:
+        for sock in self._sockets:
+            watch_peer(sock)
+        await asyncio.get_running_loop().create_server(
+            lambda: self._server(), sock=self._sockets.callers, backlog=BACKLOG
+        )
+        await self._status_page.start(
+            ready=self._sockets.ready,
+            metrics=self._sockets.metrics,
+            is_ready=lambda: self.is_ready,
+        )
+
     async def _run_wallet(self) -> None:
         await self._deployment.known.wait()
         await self._wallet.run()
