--- a/src/dandelioncleat/app/direct/holdings_sync.py
+++ b/src/dandelioncleat/app/direct/holdings_sync.py
@@ -19,8 +19,8 @@
 from dandelioncleat.ports.clock import Clock
 from dandelioncleat.ports.store import KeyedRecord, KeyedStore
 
-CEILINGS_TOPIC = 'keyed.ceilings'
-MARKS_TOPIC = 'keyed.usage'
+CEILINGS_TOPIC = 'ceilings'
+MARKS_TOPIC = 'usage'
 READ_PAUSE_S = 0.05
 MARK_INTERVAL_S = 0.2
 RETRY_PAUSE_S = 0.1
--- a/src/dandelioncleat/app/direct/router_directory.py
+++ b/src/dandelioncleat/app/direct/router_directory.py
@@ -12,7 +12,7 @@
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.ports.store import KeyedStore
 
-ROUTERS_TOPIC = 'keyed.routers'
+ROUTERS_TOPIC = 'routers'
 RETRY_PAUSE_S = 0.2
 
 _logger = structlog.get_logger(__name__)
--- a/src/dandelioncleat/daemons/direct.py
+++ b/src/dandelioncleat/daemons/direct.py
@@ -24,9 +24,9 @@
     load_direct_settings,
 )
 from dandelioncleat.daemons.supervision import StopSignals, supervise
+from dandelioncleat.platform.names import SETTINGS_VARIABLE
 from dandelioncleat.platform.status_page import StatusPage
 
-SETTINGS_VARIABLE = 'DANDELIONCLEAT_SETTINGS'
 ROLE = 'direct-router'
 EXIT_ERRORS = 1
 LOG_CLOSE_S = 0.2
--- a/src/dandelioncleat/platform/names.py
+++ b/src/dandelioncleat/platform/names.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+SETTINGS_VARIABLE: Final = 'DANDELIONCLEAT_SETTINGS'
+
 REQUEST_ID: Final = 'Request-Id'
 WAIT_MS: Final = 'Deadline-Ms'
 KEY: Final = 'Authorization'
@@ -63,6 +65,8 @@
 READ_PATH: Final = '/dandelioncleat/log-read'
 NEWEST_PATH: Final = '/dandelioncleat/log-newest'
 
-OPERATOR_TOPIC: Final = 'keyed.op'
+# Topics whose newest record of each key lasts begin so.
+KEYED_PREFIX: Final = 'keyed.'
+OPERATOR_TOPIC: Final = 'op'
 CONFIGURATION_KEY: Final = 'config'
-TARGETS_TOPIC: Final = 'keyed.servers'
+TARGETS_TOPIC: Final = 'servers'
--- a/src/dandelioncleat/platform/store.py
+++ b/src/dandelioncleat/platform/store.py
@@ -12,6 +12,7 @@
 from dandelioncleat.core.failure import Code, failure_error
 from dandelioncleat.platform.names import (
     APPEND_PATH,
+    KEYED_PREFIX,
     NEWEST_PATH,
     READ_PATH,
 )
@@ -143,7 +144,11 @@
         timeout_s: float = CALL_TIMEOUT_S,
         query: dict[str, str] | None = None,
     ) -> Reply:
-        params = {'topic': topic, 'part': PART, **(query or {})}
+        params = {
+            'topic': f'{KEYED_PREFIX}{topic}',
+            'part': PART,
+            **(query or {}),
+        }
         return await call(
             self._session,
             method,
--- a/src/dandelioncleat/platform/store_standin.py
+++ b/src/dandelioncleat/platform/store_standin.py
@@ -10,6 +10,7 @@
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.platform.names import (
     APPEND_PATH,
+    KEYED_PREFIX,
     NEWEST_PATH,
     READ_PATH,
 )
@@ -49,7 +50,7 @@
     records = tuple(_records(await request.read()))
     try:
         end = await request.app[STORE].append(
-            query['topic'],
+            _topic(request),
             records,
             at=int(query['at']) if 'at' in query else None,
             producer=_producer(request),
@@ -67,7 +68,7 @@
     query = request.query
     try:
         page = await request.app[STORE].read(
-            query['topic'],
+            _topic(request),
             start=int(query['from']),
             wait_s=int(query.get('waitMs', 0)) / _MS,
         )
@@ -82,7 +83,7 @@
 
 async def _newest(request: web.Request) -> web.Response:
     try:
-        page = await request.app[STORE].newest(request.query['topic'])
+        page = await request.app[STORE].newest(_topic(request))
     except FailureError:
         return _answer({}, UNAVAILABLE)
     after = request.query.get('after', '')
@@ -102,6 +103,10 @@
     return _answer({'items': items, 'hasMore': has_more, 'end': page.end})
 
 
+def _topic(request: web.Request) -> str:
+    return request.query['topic'].removeprefix(KEYED_PREFIX)
+
+
 def _producer(request: web.Request) -> Producer | None:
     query = request.query
     if 'producer' not in query:
--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -222,9 +222,9 @@
         for target in (self.app, self.llm, self.llm2):
             await target.start()
         for target in targets or (self.app, self.llm):
-            await self.put('keyed.servers', target.name, target.entry())
+            await self.put('servers', target.name, target.entry())
         if document is not None:
-            await self.put('keyed.op', 'config', document)
+            await self.put('op', 'config', document)
         await self._start_router()
         self.session = aiohttp.ClientSession()
 
@@ -236,7 +236,7 @@
     async def wait_until(self, condition):
         """Wait until something holds."""
         async with asyncio.timeout(20):
-            while not condition():
+            while not condition():  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
 
     async def ready(self):
--- /dev/null
+++ b/tests/test_direct_decisions.py
@@ -0,0 +1,285 @@
+"""Tests of the direct router's pure decisions, by the load they answer."""
+
+import io
+import json
+
+import testtools
+
+from dandelioncleat.adapters.log_writer import MOST_LINES, LogWriter
+from dandelioncleat.core.cache_news import CacheNews, HeldPart
+from dandelioncleat.core.deployment import (
+    CallKind,
+    Route,
+    RouteTable,
+    ServiceShare,
+)
+from dandelioncleat.core.direct_request import ModelPrompt, PromptPart
+from dandelioncleat.core.event_stream import EventStream
+from dandelioncleat.core.held_parts import HeldParts
+from dandelioncleat.core.holding import Share
+from dandelioncleat.core.holding_policy import Position, next_ceiling
+from dandelioncleat.core.retry_window import RetryTerms, RetryWindow
+from dandelioncleat.core.target_choice import (
+    TargetView,
+    choose_for_prompt,
+    choose_plain,
+)
+from dandelioncleat.daemons.direct_settings import parse_direct_settings
+
+SETTINGS = b"""
+host = "h"
+data_centre = "z"
+store = "10.0.0.1:80"
+[listen]
+callers = "10.0.0.2:80"
+ready = "10.0.0.2:81"
+metrics = "10.0.0.2:82"
+[retries]
+ratio = 0.2
+slack = 52
+window_s = 10
+[stop]
+limit_s = 8
+"""
+
+
+def prompt_of(*parts, output=50):
+    """Return a prompt of parts, each an id and its tokens."""
+    tokens = sum(count for _, count in parts)
+    return ModelPrompt(
+        'm', tokens, output, tuple(PromptPart(*part) for part in parts)
+    )
+
+
+def target(name, **changes):
+    """Return a target that is idle and holds nothing."""
+    fields = {
+        'id': name,
+        'is_near': True,
+        'slots': 8,
+        'running': 0,
+        'waiting': 0,
+        'backlog_tokens': 0,
+        'kv_free': 100_000,
+        'held_parts': HeldParts(),
+    }
+    return TargetView(**{**fields, **changes})
+
+
+def held(*parts):
+    """Return a cache that a target told of."""
+    cache = HeldParts()
+    changes = tuple(HeldPart(*part) for part in parts)
+    cache.take(CacheNews('e1', len(parts), is_gap=False, changes=changes))
+    return cache
+
+
+def position(**changes):
+    """Return a budget of 1000 tokens that two hosts share evenly."""
+    fields = {
+        'paid': 1000,
+        'claimed': 1000,
+        'own': Share('a', 500, 100, 1.0, 0),
+        'others': (Share('b', 500, 100, 1.0, 0),),
+        'waiting': 0,
+        'may_rebalance': True,
+    }
+    return Position(**{**fields, **changes})
+
+
+class PlacementTest(testtools.TestCase):
+    """Prompts share long beginnings; the prefill is most of their cost."""
+
+    def test_a_prompt_goes_where_its_beginning_is(self):
+        prompt = prompt_of(('aa', 13_000), ('bb', 3_000))
+        targets = [target('x'), target('y', held_parts=held(('aa', 13_000)))]
+        self.assertEqual('y', choose_for_prompt(targets, prompt).id)
+
+    def test_a_target_that_has_fallen_behind_is_passed_over(self):
+        prompt = prompt_of(('aa', 13_000), ('bb', 3_000))
+        behind = target(
+            'y', held_parts=held(('aa', 13_000)), backlog_tokens=60_000
+        )
+        chosen = choose_for_prompt([target('x'), behind], prompt)
+        self.assertEqual('x', chosen.id)
+
+    def test_routers_agree_on_a_beginning_that_nobody_holds(self):
+        prompt = prompt_of(('aa', 13_000))
+        targets = [target(name) for name in 'vwxyz']
+        first = choose_for_prompt(targets, prompt)
+        second = choose_for_prompt(targets[::-1], prompt)
+        self.assertEqual(first.id, second.id)
+
+    def test_a_target_without_memory_is_passed_over(self):
+        prompt = prompt_of(('aa', 13_000))
+        full = target('x', held_parts=held(('aa', 13_000)), kv_free=-30_000)
+        chosen = choose_for_prompt([full, target('y')], prompt)
+        self.assertEqual('y', chosen.id)
+
+    def test_a_plain_call_goes_to_the_least_occupied(self):
+        targets = [target('x', running=3), target('y', running=1)]
+        self.assertEqual('y', choose_plain(targets, 'r').id)
+
+
+class HeldPartsTest(testtools.TestCase):
+    """What is held follows what was sent and what the target told."""
+
+    def test_a_part_counts_only_after_all_before_it(self):
+        cache = held(('bb', 40))
+        prompt = prompt_of(('aa', 60), ('bb', 40))
+        self.assertEqual(100, cache.unread_tokens(prompt))
+
+    def test_a_part_that_is_held_in_part(self):
+        cache = held(('aa', 50))
+        prompt = prompt_of(('aa', 60), ('bb', 40))
+        self.assertEqual(50, cache.unread_tokens(prompt))
+
+    def test_an_evicted_part(self):
+        cache = held(('aa', 60), ('aa', 0))
+        self.assertEqual(60, cache.unread_tokens(prompt_of(('aa', 60))))
+
+    def test_a_target_that_started_anew_holds_nothing(self):
+        cache = held(('aa', 60))
+        cache.take(CacheNews('e2', 0, is_gap=False, changes=()))
+        self.assertEqual(60, cache.unread_tokens(prompt_of(('aa', 60))))
+
+    def test_the_oldest_parts_make_room(self):
+        cache = HeldParts()
+        for name in ('aa', 'bb', 'cc'):
+            cache.note_sent(prompt_of((name, 60)), room=150)
+        self.assertEqual(0, cache.tokens_of('aa'))
+        self.assertEqual(60, cache.tokens_of('cc'))
+
+
+class HoldingPolicyTest(testtools.TestCase):
+    """Tokens move to where requests wait, and nowhere without need."""
+
+    def test_an_even_budget_stays_as_it_is(self):
+        self.assertEqual(500, next_ceiling(position()))
+
+    def test_a_host_gives_to_one_that_waits(self):
+        others = (Share('b', 500, 450, 1.0, 200),)
+        self.assertLess(next_ceiling(position(others=others)), 500)
+
+    def test_a_host_keeps_what_its_own_requests_wait_for(self):
+        others = (Share('b', 500, 450, 1.0, 200),)
+        ceiling = next_ceiling(position(others=others, waiting=400))
+        self.assertEqual(500, ceiling)
+
+    def test_a_waiting_host_takes_from_the_pool(self):
+        own = Share('a', 500, 450, 1.0, 0)
+        ceiling = next_ceiling(position(own=own, paid=1200, waiting=150))
+        self.assertGreaterEqual(ceiling, 600)
+
+    def test_a_lowered_budget_is_given_back(self):
+        self.assertLess(next_ceiling(position(paid=700)), 500)
+
+    def test_nothing_moves_for_a_trifle(self):
+        own = Share('a', 500, 499, 1.0, 0)
+        others = (Share('b', 500, 498, 1.0, 0),)
+        self.assertEqual(500, next_ceiling(position(own=own, others=others)))
+
+
+class RetryWindowTest(testtools.TestCase):
+    """Retries stay within a part of the fleet's budget."""
+
+    def test_a_burst_of_retries_is_bounded(self):
+        window = RetryWindow(RetryTerms(0.2, 40, 10))
+        for number in range(100):
+            window.note_request(number / 100)
+        taken = sum(window.take(1.0, routers=4) for _ in range(100))
+        self.assertLessEqual(taken, 0.2 * 100 + 40 / 4)
+        self.assertGreater(taken, 0)
+
+    def test_the_budget_comes_back(self):
+        window = RetryWindow(RetryTerms(0.0, 10, 10))
+        while window.take(0.0, routers=1):
+            continue
+        self.assertTrue(window.take(10.5, routers=1))
+
+
+class EventStreamTest(testtools.TestCase):
+    """A stream is cut between events only."""
+
+    def test_events_in_pieces(self):
+        stream = EventStream()
+        pieces = (b'id: 1\ndata: a\n', b'\nid: 2\nda', b'ta: b\n\n')
+        taken = [stream.take(piece) for piece in pieces]
+        self.assertEqual(
+            [b'', b'id: 1\ndata: a\n\n', b'id: 2\ndata: b\n\n'], taken
+        )
+        self.assertEqual(('2', 2), (stream.last_id, stream.events))
+
+    def test_a_broken_event_is_dropped(self):
+        stream = EventStream()
+        stream.take(b'id: 1\n\nid: 2\n')
+        stream.drop_partial()
+        self.assertEqual(b'id: 2\n\n', stream.take(b'id: 2\n\n'))
+
+
+class RouteTableTest(testtools.TestCase):
+    """The longest prefix of the host wins."""
+
+    def _route(self, prefix, **changes):
+        fields = {
+            'name': prefix,
+            'host': 'h',
+            'prefix': prefix,
+            'kind': CallKind.IDEMPOTENT,
+            'shares': (ServiceShare('s', 1),),
+            'timeout_s': 1,
+            'objective_s': 1,
+            'priority': 0,
+            'attempts': 1,
+            'is_public': False,
+            'is_resumable': False,
+        }
+        return Route(**{**fields, **changes})
+
+    def test_the_longest_prefix(self):
+        table = RouteTable([self._route('/a/'), self._route('/a/b/')])
+        self.assertEqual('/a/b/', table.find('H', '/a/b/c').name)
+        self.assertEqual('/a/', table.find('h', '/a/bb').name)
+        self.assertIsNone(table.find('h', '/ab/c'))
+        self.assertIsNone(table.find('x', '/a/b'))
+
+    def test_requests_are_split_by_weight(self):
+        shares = (ServiceShare('s', 90), ServiceShare('t', 10))
+        route = self._route('/a/', shares=shares)
+        found = [route.service_for(f'r{number}') for number in range(1000)]
+        self.assertTrue(50 < found.count('t') < 200)
+
+
+class LogWriterTest(testtools.TestCase):
+    """Log lines never hold the process up."""
+
+    def test_lines_beyond_the_bound_are_counted(self):
+        stream = io.StringIO()
+        writer = LogWriter(stream)
+        for _ in range(3 * MOST_LINES):
+            writer.write('{}\n')
+        writer.close(limit_s=5)
+        lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+        told = sum(line.get('count', 0) for line in lines)
+        self.assertEqual(writer.dropped, told)
+        written = sum(1 for line in lines if not line)
+        self.assertEqual(3 * MOST_LINES, written + writer.dropped)
+
+
+class DirectSettingsTest(testtools.TestCase):
+    """Settings with errors are refused with the reason."""
+
+    def test_sound_settings(self):
+        settings = parse_direct_settings(SETTINGS).unwrap()
+        self.assertEqual('10.0.0.2:80', settings.listen.callers)
+
+    def test_errors_are_named(self):
+        for text, name in (
+            (SETTINGS.replace(b'10.0.0.1:80', b'nowhere'), 'store'),
+            (SETTINGS.replace(b'window_s = 10', b'window_s = 0'), 'window_s'),
+            (SETTINGS.replace(b'ratio = 0.2', b''), 'ratio'),
+            (SETTINGS + b'\nodd = 1\n', 'odd'),
+            (b'host = ', 'Invalid'),
+        ):
+            reason = parse_direct_settings(text).failure()
+            self.assertIn(name, reason)
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -200,7 +200,7 @@
 
     def test_a_stream_resumes_after_its_last_whole_event(self):
         async def scenario(fleet):
-            await fleet.put('keyed.servers', 'i-llm2', fleet.llm2.entry())
+            await fleet.put('servers', 'i-llm2', fleet.llm2.entry())
             await fleet.wait_until(lambda: fleet.router.target_count('llm') > 1)
             for target in (fleet.llm, fleet.llm2):
                 target.answers = [cut_then_resumed(2, 5)]
@@ -284,7 +284,7 @@
         async def scenario(fleet):
             await fleet.call('/stream/a', **MODEL_HEADERS)
             await fleet.router.stop(limit_s=5)
-            return await fleet.store.newest('keyed.ceilings')
+            return await fleet.store.newest('ceilings')
 
         records = play(scenario).records
         self.assertEqual(['o/h1'], [record.key for record in records])
@@ -297,12 +297,10 @@
         async def scenario(fleet):
             before = await fleet.call('/new/a')
             routes = [route('/new/', 'idempotent', 'app')]
-            await fleet.put(
-                'keyed.op', 'config', configuration(5, routes=routes)
-            )
+            await fleet.put('op', 'config', configuration(5, routes=routes))
             await fleet.wait_until(lambda: fleet.router.version == 5)
-            await fleet.put('keyed.op', 'config', configuration(4))
-            await fleet.put('keyed.op', 'other', {'version': 9})
+            await fleet.put('op', 'config', configuration(4))
+            await fleet.put('op', 'other', {'version': 9})
             after = await fleet.call('/new/a')
             return before[0], after[0]
 
@@ -310,11 +308,11 @@
 
     def test_a_record_that_cannot_be_read_changes_nothing(self):
         async def scenario(fleet):
-            await fleet.store.append('keyed.op', (('config', b'\xff{'),))
+            await fleet.store.append('op', (('config', b'\xff{'),))
             await fleet.store.append(
-                'keyed.servers', (('i-odd', b'[1'), ('i-none', b'{}'))
+                'servers', (('i-odd', b'[1'), ('i-none', b'{}'))
             )
-            await fleet.put('keyed.op', 'config', configuration(2))
+            await fleet.put('op', 'config', configuration(2))
             await fleet.wait_until(lambda: fleet.router.version == 2)
             return (await fleet.call('/safe/a'))[0]
 
@@ -322,9 +320,7 @@
 
     def test_a_draining_target_gets_no_new_work(self):
         async def scenario(fleet):
-            await fleet.put(
-                'keyed.servers', 'i-app', fleet.app.entry('draining')
-            )
+            await fleet.put('servers', 'i-app', fleet.app.entry('draining'))
             await fleet.wait_until(lambda: not fleet.router.target_count('app'))
             answer = await fleet.call('/safe/a')
             return answer[0], len(fleet.app.requests)
--- a/tests/test_wallet.py
+++ b/tests/test_wallet.py
@@ -204,7 +204,7 @@
             case 3:
                 store.faults = StoreFaults(is_out=source.random() < 0.5)
             case 4:
-                for topic in ('keyed.ceilings', 'keyed.usage'):
+                for topic in ('ceilings', 'usage'):
                     store.drop_history(topic)
             case 5 if source.random() < 0.2:
                 paid += 10_000
