Let a stopping router end in time, and refuse late what could not end

Cause: closing the callers' servers with a limit of 0, which the library takes for no limit, so that the process never ended while a connection was open; and requests that came late, on new connections of a data centre with one router, were begun. Ruled out: a request that hung (the open one was a stream of 5.3 s). Now a late request begins only if its time ends within the stop; the closing is bounded.

--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -29,6 +29,7 @@
 TOKENS_RETRY_S = 0.3
 NO_TARGET_RETRY_S = 1.0
 NO_ROOM_RETRY_S = 0.5
+STOPPING_RETRY_S = 0.05
 
 _logger = structlog.get_logger(__name__)
 
@@ -44,25 +45,47 @@
     telemetry: Telemetry
 
 
+class StopTimes(NamedTuple):
+    """Times of the event loop in a planned stop, in seconds.
+
+    Until ``accept_until`` every request is served, as new connections may
+    still come; later ones only if they are over by ``end_at``.
+    """
+
+    accept_until: float
+    end_at: float
+
+    def admits(self, context: RunContext) -> bool:
+        """Return whether a request may still begin."""
+        if context.started <= self.accept_until:
+            return True
+        return context.answer_by <= self.end_at
+
+
 class Serving:
     """Serves requests of callers, each in the task of its caller."""
 
     def __init__(self, parts: ServingParts) -> None:
         """Take the surroundings."""
-        self.open_requests = 0
+        self.open_ids: set[str] = set()
         self.idle = asyncio.Event()
         self.idle.set()
         self._parts = parts
+        self._stop: StopTimes | None = None
+
+    def begin_stop(self, times: StopTimes) -> None:
+        """Refuse from now on what could not end before the process does."""
+        self._stop = times
 
     async def serve(self, request: DirectRequest, reply: Reply) -> None:
         """Answer a request; cancelling this stops its run."""
-        self.open_requests += 1
+        self.open_ids.add(request.id)
         self.idle.clear()
         try:
             await self._serve(request, reply)
         finally:
-            self.open_requests -= 1
-            if self.open_requests == 0:
+            self.open_ids.discard(request.id)
+            if not self.open_ids:
                 self.idle.set()
 
     async def _serve(self, request: DirectRequest, reply: Reply) -> None:
@@ -84,6 +107,10 @@
     async def _serve_admitted(
         self, context: RunContext, need: Need | None, reply: Reply
     ) -> None:
+        if self._stop is not None and not self._stop.admits(context):
+            refusal = Refusal(Reason.STOPPING, retry_after_s=STOPPING_RETRY_S)
+            await _refuse(context, refusal, reply)
+            return
         if need is not None:
             verdict = await self._reserve(context, need)
             if verdict is not Verdict.RESERVED:
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -17,7 +17,11 @@
     RouterDirectory,
     RouterEntry,
 )
-from dandelioncleat.app.direct.serving import Serving, ServingParts
+from dandelioncleat.app.direct.serving import (
+    Serving,
+    ServingParts,
+    StopTimes,
+)
 from dandelioncleat.app.direct.target_directory import TargetDirectory
 from dandelioncleat.app.direct.topic_follower import TopicFollower
 from dandelioncleat.app.direct.wallet import Wallet
@@ -37,8 +41,13 @@
 
 BACKLOG = 1024
 STORE_CONNECT_TIMEOUT_S = 1.0
-# What is left of a stop for giving tokens back.
-SETTLE_S = 1.0
+# The entry goes on sending connections until it has noticed the stop.
+ACCEPT_S = 2.5
+# What is left of a stop for giving tokens back, and for ending.
+SETTLE_S = 1.2
+GIVE_BACK_S = 0.5
+# The library takes 0 for no limit.
+SHUTDOWN_S = 0.05
 
 _logger = structlog.get_logger(__name__)
 
@@ -156,17 +165,25 @@
             group.create_task(self._run_wallet())
             group.create_task(self._become_ready())
 
-    async def stop(self, *, limit_s: float) -> str:
-        """Finish what is open and give tokens back; return what was lost."""
+    async def stop(self, *, limit_s: float, accept_s: float = ACCEPT_S) -> str:
+        """Finish what is open and give tokens back; return what was lost.
+
+        :param limit_s: time after which the rest is given up, in seconds
+        :param accept_s: time in which every request is still served
+        """
         self._life.move('stop')
+        now = asyncio.get_running_loop().time()
+        end_at = now + limit_s - SETTLE_S
+        self._serving.begin_stop(StopTimes(now + accept_s, end_at))
         lost = []
         try:
-            async with asyncio.timeout(max(0, limit_s - SETTLE_S)):
+            async with asyncio.timeout_at(end_at):
                 await self._serving.idle.wait()
         except TimeoutError:
             lost.append(self.losses())
+        _logger.info('requests finished', lost=lost)
         try:
-            async with asyncio.timeout(SETTLE_S / 2):
+            async with asyncio.timeout(GIVE_BACK_S):
                 await self._routers.leave()
                 await self._wallet.close()
         except TimeoutError:
@@ -175,13 +192,13 @@
 
     def losses(self) -> str:
         """Return what would be lost if the process ended now."""
-        open_requests = self._serving.open_requests
-        return f'{open_requests} open requests' if open_requests else ''
+        open_ids = sorted(self._serving.open_ids)
+        return f'open requests: {open_ids}' if open_ids else ''
 
     async def close(self) -> None:
         """Close every connection."""
         for server in self._servers:
-            await server.shutdown(0)
+            await server.shutdown(SHUTDOWN_S)
         await self._status_page.stop()
         await self._targets.close()
         await self._session.close()
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -280,6 +280,41 @@
 
         self.assertEqual((200, 4, ''), play(scenario))
 
+    def test_a_late_request_is_refused_if_it_might_not_end(self):
+        async def scenario(fleet):
+            go_on = asyncio.Event()
+            fleet.llm.answers = [events(0, 3, until=go_on)]
+            first = asyncio.ensure_future(
+                fleet.call('/stream/a', **MODEL_HEADERS)
+            )
+            await fleet.wait_until(lambda: fleet.llm.requests)
+            stop = asyncio.ensure_future(
+                fleet.router.stop(limit_s=5, accept_s=-1)
+            )
+            await fleet.wait_until(lambda: not fleet.router.is_ready)
+            late = await fleet.call('/stream/b', **MODEL_HEADERS)
+            short = await fleet.call('/safe/b', **{'Deadline-Ms': '900'})
+            go_on.set()
+            await asyncio.gather(first, stop)
+            return late[0], short[0], len(fleet.llm.requests)
+
+        self.assertEqual((503, 200, 1), play(scenario))
+
+    def test_a_stream_that_never_ends_does_not_hold_the_process(self):
+        async def scenario(fleet):
+            fleet.llm.answers = [events(0, 1, until=asyncio.Event())]
+            call = asyncio.ensure_future(
+                fleet.call('/stream/a', **MODEL_HEADERS)
+            )
+            await fleet.wait_until(lambda: fleet.llm.requests)
+            lost = await fleet.router.stop(limit_s=1.3)
+            async with asyncio.timeout(30):
+                await fleet.router.close()
+            await asyncio.gather(call, return_exceptions=True)
+            return lost
+
+        self.assertIn('r-1', play(scenario))
+
     def test_the_tokens_go_back_to_the_budget(self):
         async def scenario(fleet):
             await fleet.call('/stream/a', **MODEL_HEADERS)
