--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -9,6 +9,11 @@
 from dandelioncleat.app.direct.admission import admit
 from dandelioncleat.app.direct.attempt import AttemptEnd, attempt
 from dandelioncleat.app.direct.deployment_watch import DeploymentWatch
+from dandelioncleat.app.direct.ending import (
+    give_up,
+    refuse,
+    used_tokens,
+)
 from dandelioncleat.app.direct.forwarding import Forwarding
 from dandelioncleat.app.direct.placement import Placement
 from dandelioncleat.app.direct.run_context import RunContext
@@ -27,8 +32,6 @@
 # A store that answers moves tokens in a few round trips.
 MOST_TOKEN_WAIT_S = 0.15
 TOKENS_RETRY_S = 0.3
-NO_TARGET_RETRY_S = 1.0
-NO_ROOM_RETRY_S = 0.5
 STOPPING_RETRY_S = 0.05
 
 _logger = structlog.get_logger(__name__)
@@ -109,7 +112,7 @@
     ) -> None:
         if self._stop is not None and not self._stop.admits(context):
             refusal = Refusal(Reason.STOPPING, retry_after_s=STOPPING_RETRY_S)
-            await _refuse(context, refusal, reply)
+            await refuse(context, refusal, reply)
             return
         if need is not None:
             verdict = await self._reserve(context, need)
@@ -120,7 +123,7 @@
             await self._run(context, reply)
         finally:
             if need is not None:
-                self._parts.wallet.settle(need, _used_tokens(context, need))
+                self._parts.wallet.settle(need, used_tokens(context, need))
 
     def _need(self, context: RunContext) -> Need | None:
         prompt = context.request.prompt
@@ -154,7 +157,7 @@
             room_in_s = self._parts.wallet.room_in_s(need)
             retry_s = max(TOKENS_RETRY_S, room_in_s or 0)
             refusal = Refusal(refusal.reason, retry_after_s=retry_s)
-        await _refuse(context, refusal, reply)
+        await refuse(context, refusal, reply)
 
     async def _run(self, context: RunContext, reply: Reply) -> None:
         service = context.admitted.service.name
@@ -163,11 +166,11 @@
             end = await self._send(context, reply)
             while end is not AttemptEnd.DELIVERED:
                 if not self._goes_on(context, end):
-                    await _give_up(context, end, reply)
+                    await give_up(context, end, reply)
                     return
                 end = await self._send(context, reply)
         except TimeoutError:
-            await _give_up(context, None, reply)
+            await give_up(context, None, reply)
         else:
             context.outcome = 'delivered'
 
@@ -221,57 +224,6 @@
         self._parts.telemetry.count('direct.requests', outcome=str(outcome))
 
 
-async def _give_up(
-    context: RunContext, end: AttemptEnd | None, reply: Reply
-) -> None:
-    """End a request that no target could complete.
-
-    :param end: how its last attempt ended, ``None`` if its time was over
-    """
-    if context.has_begun:
-        context.outcome = 'cut'
-        await reply.cut()
-        return
-    if context.failed_answer is not None:
-        context.outcome = 'failed at the target'
-        await reply.whole(context.failed_answer)
-        return
-    await _refuse(context, _refusal_after(context, end), reply)
-
-
-def _refusal_after(context: RunContext, end: AttemptEnd | None) -> Refusal:
-    has_run = context.may_have_run
-    if end is None:
-        return Refusal(Reason.NOT_IN_TIME, has_run=True)
-    if has_run:
-        return Refusal(Reason.ANSWER_LOST, has_run=True)
-    if end is AttemptEnd.NOT_RUN:
-        return Refusal(Reason.NO_ROOM, retry_after_s=NO_ROOM_RETRY_S)
-    return Refusal(Reason.NO_TARGET, retry_after_s=NO_TARGET_RETRY_S)
-
-
-async def _refuse(context: RunContext, refusal: Refusal, reply: Reply) -> None:
-    context.outcome = 'refused'
-    context.refusal = refusal.reason
-    await reply.refuse(refusal)
-
-
-def _used_tokens(context: RunContext, need: Need) -> int:
-    prompt = context.request.prompt
-    if prompt is None or not context.may_have_run:
-        return 0
-    engine = context.admitted.service.engine
-    per_event = (
-        prompt.output_tokens if engine is None else (engine.tokens_per_event)
-    )
-    # An event may be on its way to the caller beside the whole ones.
-    events = context.events.events
-    if context.outcome != 'delivered':
-        events += 1
-    used = prompt.input_tokens + per_event * events
-    return min(need.tokens, used)
-
-
 def _log_not_admitted(
     request: DirectRequest, refusal: Refusal, deployment: DeploymentWatch
 ) -> None:
--- /dev/null
+++ b/src/dandelioncleat/platform/framing.py
@@ -0,0 +1,36 @@
+"""The store's framing of records in bodies of calls and answers."""
+
+import struct
+from collections.abc import Iterable, Iterator
+
+_LENGTH = struct.Struct('>I')
+PAGE_HEAD = struct.Struct('>QQ')
+"""Before the records that were read: the end and the first kept offset."""
+
+
+def frame_records(records: Iterable[tuple[str, bytes]]) -> bytes:
+    """Return keys and values, each behind its length."""
+    return b''.join(_framed(key, value) for key, value in records)
+
+
+def split_records(body: bytes) -> Iterator[tuple[str, bytes]]:
+    """Yield the keys and values of a framed body."""
+    at = 0
+    while at < len(body):
+        size = _LENGTH.unpack_from(body, at)[0]
+        at += _LENGTH.size
+        yield _key_and_value(body[at : at + size])
+        at += size
+
+
+def _framed(key: str, value: bytes) -> bytes:
+    name = key.encode()
+    content = bytes((len(name),)) + name + value
+    return _LENGTH.pack(len(content)) + content
+
+
+def _key_and_value(content: bytes) -> tuple[str, bytes]:
+    size = content[0] if content else 0
+    key_end = 1 + size
+    key = content[1:key_end].decode('utf-8', 'replace')
+    return key, content[key_end:]
--- a/src/dandelioncleat/platform/store.py
+++ b/src/dandelioncleat/platform/store.py
@@ -1,6 +1,5 @@
 """The platform's store as the port of keyed topics."""
 
-import struct
 from base64 import b64decode
 from collections.abc import Iterator
 from typing import NoReturn
@@ -10,6 +9,11 @@
 
 from dandelioncleat.adapters._http_call import Origin, Reply, call
 from dandelioncleat.core.failure import Code, failure_error
+from dandelioncleat.platform.framing import (
+    PAGE_HEAD,
+    frame_records,
+    split_records,
+)
 from dandelioncleat.platform.names import (
     APPEND_PATH,
     KEYED_PREFIX,
@@ -34,8 +38,6 @@
 GONE = 410
 MOVED_ON = 412
 
-_LENGTH = struct.Struct('>I')
-_PAGE_HEAD = struct.Struct('>QQ')
 _MS = 1000
 
 
@@ -117,7 +119,7 @@
             query['producer'] = producer.name
             query['epoch'] = str(producer.epoch)
             query['sequence'] = str(producer.sequence)
-        body = b''.join(_framed(key, value) for key, value in records)
+        body = frame_records(records)
         reply = await self._call(
             'POST', APPEND_PATH, topic, body=body, query=query
         )
@@ -194,27 +196,10 @@
     )
 
 
-def _framed(key: str, value: bytes) -> bytes:
-    name = key.encode()
-    content = bytes((len(name),)) + name + value
-    return _LENGTH.pack(len(content)) + content
-
-
 def _split(body: bytes, start: int) -> Iterator[KeyedRecord]:
-    at = _PAGE_HEAD.size
-    offset = start
-    while at < len(body):
-        size = _LENGTH.unpack_from(body, at)[0]
-        at += _LENGTH.size
-        yield _record(body[at : at + size], offset)
-        at += size
-        offset += 1
-
-
-def _record(content: bytes, offset: int) -> KeyedRecord:
-    size = content[0] if content else 0
-    key = content[1 : 1 + size].decode('utf-8', 'replace')
-    return KeyedRecord(key, content[1 + size :], offset)
+    framed = split_records(body[PAGE_HEAD.size :])
+    for offset, (key, value) in enumerate(framed, start):
+        yield KeyedRecord(key, value, offset)
 
 
 def _record_of(item: _Item) -> KeyedRecord:
--- a/src/dandelioncleat/platform/store_standin.py
+++ b/src/dandelioncleat/platform/store_standin.py
@@ -1,13 +1,16 @@
 """The platform's store as an HTTP application, for tests and trials."""
 
-import struct
 from base64 import b64encode
-from collections.abc import Iterator
 
 import msgspec
 from aiohttp import web
 
 from dandelioncleat.core.failure import FailureError
+from dandelioncleat.platform.framing import (
+    PAGE_HEAD,
+    frame_records,
+    split_records,
+)
 from dandelioncleat.platform.names import (
     APPEND_PATH,
     KEYED_PREFIX,
@@ -17,7 +20,6 @@
 from dandelioncleat.ports.store import (
     ConflictError,
     FencedError,
-    KeyedRecord,
     OutdatedReadError,
     Producer,
 )
@@ -28,8 +30,6 @@
 CONFLICT = 409
 GONE = 410
 MOVED_ON = 412
-_LENGTH = struct.Struct('>I')
-_PAGE_HEAD = struct.Struct('>QQ')
 _MS = 1000
 
 STORE = web.AppKey('store', MemoryKeyedStore)
@@ -47,7 +47,7 @@
 
 async def _append(request: web.Request) -> web.Response:
     query = request.query
-    records = tuple(_records(await request.read()))
+    records = tuple(split_records(await request.read()))
     try:
         end = await request.app[STORE].append(
             _topic(request),
@@ -76,9 +76,10 @@
         return _answer({}, GONE)
     except FailureError:
         return _answer({}, UNAVAILABLE)
-    parts = [_PAGE_HEAD.pack(page.end, 0)]
-    parts.extend(_framed(record) for record in page.records)
-    return web.Response(body=b''.join(parts))
+    framed = frame_records(
+        (record.key, record.value) for record in page.records
+    )
+    return web.Response(body=PAGE_HEAD.pack(page.end, 0) + framed)
 
 
 async def _newest(request: web.Request) -> web.Response:
@@ -116,23 +117,6 @@
     )
 
 
-def _records(body: bytes) -> Iterator[tuple[str, bytes]]:
-    at = 0
-    while at < len(body):
-        size = _LENGTH.unpack_from(body, at)[0]
-        at += _LENGTH.size
-        content = body[at : at + size]
-        key_end = 1 + content[0]
-        yield content[1:key_end].decode(), content[key_end:]
-        at += size
-
-
-def _framed(record: KeyedRecord) -> bytes:
-    key = record.key.encode()
-    content = bytes((len(key),)) + key + record.value
-    return _LENGTH.pack(len(content)) + content
-
-
 def _answer(document: dict[str, object], status: int = 200) -> web.Response:
     return web.Response(
         body=msgspec.json.encode(document),
