Share the slack of retries, and keep a pool where many hosts share a budget

Placement took the whole fleet's slack for each router: with four routers up to four times the budget of retries.

--- a/src/dandelioncleat/app/direct/holdings_sync.py
+++ b/src/dandelioncleat/app/direct/holdings_sync.py
@@ -21,7 +21,9 @@
 
 CEILINGS_TOPIC = 'ceilings'
 MARKS_TOPIC = 'usage'
-READ_PAUSE_S = 0.05
+# Every host reads every host's marks, so that many read less often.
+READ_PAUSE_BY_HOST_S = 0.0125
+LONGEST_READ_PAUSE_S = 0.3
 MARK_INTERVAL_S = 0.2
 RETRY_PAUSE_S = 0.1
 REBALANCE_INTERVAL_S = 0.5
@@ -61,7 +63,7 @@
             store, CEILINGS_TOPIC, on_change=self._take_ceilings
         )
         self._marks = TopicFollower(
-            store, MARKS_TOPIC, on_change=self._take_marks, pause_s=READ_PAUSE_S
+            store, MARKS_TOPIC, on_change=self._take_marks
         )
         self._ceiling_writer = CeilingWriter(
             store,
@@ -139,6 +141,10 @@
             mark = _decoded(record, UsageMark)
             if mark is not None:
                 self._holdings.book.set_mark(mark)
+        self._marks.pause_s = min(
+            LONGEST_READ_PAUSE_S,
+            READ_PAUSE_BY_HOST_S * self._holdings.book.hosts,
+        )
         self.note_change(is_urgent=False)
         self._on_news()
 
--- a/src/dandelioncleat/app/direct/placement.py
+++ b/src/dandelioncleat/app/direct/placement.py
@@ -1,6 +1,7 @@
 """Places requests on targets, and bounds how often they are sent again."""
 
 import asyncio
+from collections.abc import Callable
 
 import structlog
 
@@ -22,9 +23,13 @@
         *,
         data_centre: str,
         terms: RetryTerms,
+        routers: Callable[[], int],
     ) -> None:
-        """Take the targets and the bounds of retries."""
-        self.routers = 1
+        """Take the targets and the bounds of retries.
+
+        :param routers: returns how many routers share the bounds
+        """
+        self._routers = routers
         self._directory = directory
         self._data_centre = data_centre
         self._terms = terms
@@ -36,7 +41,7 @@
 
     def take_retry(self, service: str) -> bool:
         """Take one retry from the budget; return whether there was one."""
-        return self._window(service).take(_now(), routers=self.routers)
+        return self._window(service).take(_now(), routers=self._routers())
 
     def choose(self, context: RunContext) -> TargetState | None:
         """Return the best target that was not tried, if there is one."""
--- a/src/dandelioncleat/app/direct/router_directory.py
+++ b/src/dandelioncleat/app/direct/router_directory.py
@@ -41,6 +41,11 @@
             store, ROUTERS_TOPIC, on_change=self._take
         )
 
+    @property
+    def count(self) -> int:
+        """Return the number of routers, this one included."""
+        return 1 + len(self.others_by_host)
+
     async def run(self) -> None:
         """Announce the router and follow the others until cancelled."""
         async with asyncio.TaskGroup() as group:
--- a/src/dandelioncleat/app/direct/topic_follower.py
+++ b/src/dandelioncleat/app/direct/topic_follower.py
@@ -52,7 +52,7 @@
         self.heard_at = float('-inf')
         self._store = store
         self._on_change = on_change
-        self._pause_s = pause_s
+        self.pause_s = pause_s
         self._is_started = False
         self._is_lost = False
 
@@ -79,7 +79,7 @@
                 self._note_loss(error)
                 await asyncio.sleep(RETRY_PAUSE_S)
             else:
-                await asyncio.sleep(self._pause_s)
+                await asyncio.sleep(self.pause_s)
 
     def move_to(self, position: int) -> None:
         """Note that the records before an offset are known already."""
--- a/src/dandelioncleat/core/holding.py
+++ b/src/dandelioncleat/core/holding.py
@@ -142,6 +142,11 @@
             for host in sorted(marks.keys() | ceilings.keys())
         )
 
+    @property
+    def hosts(self) -> int:
+        """Return the number of hosts that have written marks."""
+        return len({host for marks in self._marks.values() for host in marks})
+
     def marks_of(self, host: str) -> tuple[UsageMark, ...]:
         """Return a host's newest marks, one for each budget."""
         found = (by_host.get(host) for by_host in self._marks.values())
--- a/src/dandelioncleat/core/holding_policy.py
+++ b/src/dandelioncleat/core/holding_policy.py
@@ -17,6 +17,8 @@
 # Moves of less than this part of a budget aren't worth a record.
 LEAST_MOVE_SHARE = 0.002
 IDLE_RATE = 1.0
+POOLED_SHARE = 0.5
+FEW_HOSTS = 4
 BURST_SHARE = 0.08
 SPEED_SHARE = 0.03
 SPEED_FACTOR = 1.0
@@ -72,7 +74,7 @@
 def fair_part(position: Position) -> int:
     """Return the tokens that the host should hold of what is left."""
     left = position.pool + _free(position.others) + position.own.free
-    return int(left * _weight(position))
+    return int(left * (1 - _pooled_share(position)) * _weight(position))
 
 
 def burst_of(free: int, large_need: int) -> int:
@@ -132,6 +134,15 @@
     return -(position.pool * position.own.free // free)
 
 
+def _pooled_share(position: Position) -> float:
+    """Return the part that no host holds, for requests larger than a part.
+
+    A few hosts can each hold enough for one; many can't.
+    """
+    hosts = len(position.others) + 1
+    return POOLED_SHARE * max(0, 1 - FEW_HOSTS / hosts)
+
+
 def _weight(position: Position) -> float:
     rates = [share.rate for share in position.others]
     hosts = len(rates) + 1
--- a/src/dandelioncleat/core/retry_window.py
+++ b/src/dandelioncleat/core/retry_window.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 # What all routers together may send stays below the budget by this.
-MARGIN = 0.7
+MARGIN = 0.85
 
 
 class RetryTerms(NamedTuple):
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -118,6 +118,7 @@
             self._directory,
             data_centre=settings.data_centre,
             terms=RetryTerms(*_retry_terms(settings)),
+            routers=lambda: self._routers.count,
         )
         self._serving = Serving(
             ServingParts(
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -16,7 +16,7 @@
 from dandelioncleat.core.direct_request import ModelPrompt, PromptPart
 from dandelioncleat.core.event_stream import EventStream
 from dandelioncleat.core.held_parts import HeldParts
-from dandelioncleat.core.holding import Share
+from dandelioncleat.core.holding import HoldingBook, Moment, Share, UsageMark
 from dandelioncleat.core.holding_policy import Position, next_ceiling
 from dandelioncleat.core.retry_window import RetryTerms, RetryWindow
 from dandelioncleat.core.target_choice import (
@@ -283,3 +283,35 @@
         ):
             reason = parse_direct_settings(text).failure()
             self.assertIn(name, reason)
+
+
+class ManyHostsTest(testtools.TestCase):
+    """Requests larger than a host's part find tokens in the pool."""
+
+    def test_many_hosts_leave_a_part_to_the_pool(self):
+        others = tuple(
+            Share(f'h{number}', 100, 60, 1.0, 0) for number in range(24)
+        )
+        own = Share('a', 100, 0, 1.0, 0)
+        ceiling = next_ceiling(
+            position(own=own, others=others, paid=2500, claimed=2500)
+        )
+        self.assertLess(ceiling, 30)
+
+    def test_a_few_hosts_hold_everything(self):
+        own = Share('a', 0, 0, 1.0, 0)
+        others = (Share('b', 500, 0, 1.0, 0),)
+        ceiling = next_ceiling(position(own=own, others=others, claimed=500))
+        self.assertEqual(500, ceiling)
+
+
+class BookTest(testtools.TestCase):
+    """A store that is read by many hosts is read less often by each."""
+
+    def test_the_hosts_of_all_budgets_are_counted(self):
+        book = HoldingBook()
+        for budget, host in (('o', 'a'), ('o', 'b'), ('p', 'a')):
+            book.set_mark(
+                UsageMark(budget, host, 0, 0, 0.0, Moment(0, 0), 0.0, 0, 1)
+            )
+        self.assertEqual(2, book.hosts)
