--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -76,6 +76,9 @@
 ) -> AttemptEnd:
     now = asyncio.get_running_loop().time()
     if not answer.has_run:
+        if answer.is_misdirected:
+            # Another target has the address now.
+            state.note_failure(now)
         state.note_refusal(answer.occupancy, now)
         context.note_not_run()
         _log_attempt(context, state, AttemptEnd.NOT_RUN, answer.head.status)
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -1,6 +1,7 @@
 """Serves a request: its tokens, a target, another target, its end."""
 
 import asyncio
+from itertools import count
 from typing import NamedTuple
 
 import structlog
@@ -70,25 +71,32 @@
 
     def __init__(self, parts: ServingParts) -> None:
         """Take the surroundings."""
-        self.open_ids: set[str] = set()
+        self._open_ids_by_number: dict[int, str] = {}
+        self._numbers = count()
         self.idle = asyncio.Event()
         self.idle.set()
         self._parts = parts
         self._stop: StopTimes | None = None
 
+    @property
+    def open_ids(self) -> tuple[str, ...]:
+        """Return the ids of the requests that are being served."""
+        return tuple(self._open_ids_by_number.values())
+
     def begin_stop(self, times: StopTimes) -> None:
         """Refuse from now on what could not end before the process does."""
         self._stop = times
 
     async def serve(self, request: DirectRequest, reply: Reply) -> None:
         """Answer a request; cancelling this stops its run."""
-        self.open_ids.add(request.id)
+        number = next(self._numbers)
+        self._open_ids_by_number[number] = request.id
         self.idle.clear()
         try:
             await self._serve(request, reply)
         finally:
-            self.open_ids.discard(request.id)
-            if not self.open_ids:
+            self._open_ids_by_number.pop(number)
+            if not self._open_ids_by_number:
                 self.idle.set()
 
     async def _serve(self, request: DirectRequest, reply: Reply) -> None:
--- a/src/dandelioncleat/app/direct/wallet.py
+++ b/src/dandelioncleat/app/direct/wallet.py
@@ -106,7 +106,8 @@
         if self._holdings.try_reserve(need, self._clock.monotonic()):
             self._sync.note_change(is_urgent=False)
             return Verdict.RESERVED
-        if self._holdings.is_exhausted(need):
+        # Behind a cut, a top-up or an ended request may be unknown here.
+        if self._holdings.is_exhausted(need) and not self._sync.is_cut_off:
             return Verdict.EXHAUSTED
         return None
 
--- a/src/dandelioncleat/platform/targets.py
+++ b/src/dandelioncleat/platform/targets.py
@@ -34,6 +34,8 @@
 MISDIRECTED = 421
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
+# Refusals may come without the id of their request.
+FIRST_FAILURE = 400
 _MS = 1000
 _AUTOMATIC_HEADERS = (
     'Accept',
@@ -170,7 +172,9 @@
 
 def _check_echo(response: aiohttp.ClientResponse, call: _Call) -> None:
     echoed = response.headers.get(names.REQUEST_ID)
-    if echoed not in {None, call.request.id}:
+    is_success = response.status < FIRST_FAILURE
+    is_missing = echoed is None and not is_success
+    if echoed != call.request.id and not is_missing:
         raise failure_error(
             Code.TARGET,
             step=ANSWER_STEP,
--- a/src/dandelioncleat/ports/direct_target.py
+++ b/src/dandelioncleat/ports/direct_target.py
@@ -43,7 +43,8 @@
 class TargetAnswer(Protocol):
     """An answer whose head has arrived.
 
-    ``has_run`` is false where the target says that it did not run it.
+    ``has_run`` is false where the target says that it did not run it,
+    ``is_misdirected`` true where that is because it is another one.
     ``refusal`` is that of a router that the request was passed on to.
     """
 
--- a/tests/test_wallet.py
+++ b/tests/test_wallet.py
@@ -65,6 +65,18 @@
 
         self.assertEqual(130_000, run(scenario()))
 
+    def test_a_host_that_is_cut_off_does_not_call_a_budget_spent(self):
+        async def scenario():
+            hosts, _ = await new_hosts(2, PAID)
+            await _spend_all(hosts)
+            hosts[0].client.is_cut = True
+            await asyncio.sleep(5)
+            verdict = await hosts[0].spend('o', 1_000)
+            await end(hosts)
+            return verdict
+
+        self.assertEqual('elsewhere', run(scenario()))
+
     def test_hosts_cut_off_use_what_they_hold(self):
         async def scenario():
             hosts, _ = await new_hosts(4, PAID)
