--- a/src/dandelioncleat/app/direct/target_state.py
+++ b/src/dandelioncleat/app/direct/target_state.py
@@ -12,6 +12,7 @@
 FAILURE_PAUSE_S = 1.0
 REFUSAL_PAUSE_S = 0.2
 MOST_ERRORS = 32
+ERROR_AGE_S = 5.0
 LONGEST_PAUSE_S = 4.0
 OCCUPANCY_AGE_S = 1.0
 KV_SHARE = 0.9
@@ -71,6 +72,7 @@
             waiting=waiting,
             backlog_tokens=sum(self._unread_by_id.values()),
             kv_free=int(KV_SHARE * self.kv_tokens) - own_kv,
+            errors=sum(at > now - ERROR_AGE_S for at in self._errors_at),
             held_parts=self.cache,
         )
 
--- a/src/dandelioncleat/core/target_choice.py
+++ b/src/dandelioncleat/core/target_choice.py
@@ -16,6 +16,9 @@
 RUNNING_TOKENS = 250
 EXPECTED_HIT = 0.7
 NEAR_TOKENS = 200
+# An error costs its request another attempt.
+ERROR_OCCUPANCY = 0.1
+ERROR_TOKENS = 2000
 
 
 class TargetView(NamedTuple):
@@ -24,6 +27,7 @@
     :param running: requests that are believed to run or wait there
     :param backlog_tokens: prompt tokens there that are not read yet
     :param kv_free: tokens of memory that are believed to be free
+    :param errors: errors that it answered to this router lately
     :param held_parts: parts of prompts that the target is known to hold
     """
 
@@ -34,6 +38,7 @@
     waiting: int
     backlog_tokens: int
     kv_free: int
+    errors: int
     held_parts: HeldParts
 
     @property
@@ -47,7 +52,7 @@
     return min(
         targets,
         key=lambda each: (
-            each.occupancy,
+            each.occupancy + ERROR_OCCUPANCY * each.errors,
             not each.is_near,
             rank(each.id + request),
         ),
@@ -78,7 +83,8 @@
     queue = target.waiting * RUNNING_TOKENS
     lacking = max(0, missing + prompt.output_tokens - target.kv_free)
     distance = 0 if target.is_near else NEAR_TOKENS
-    return missing + load + queue + lacking + distance
+    distrust = ERROR_TOKENS * target.errors
+    return missing + load + queue + lacking + distance + distrust
 
 
 def preferred_target(targets: Sequence[TargetView], prompt: ModelPrompt) -> str:
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -61,6 +61,7 @@
         'waiting': 0,
         'backlog_tokens': 0,
         'kv_free': 100_000,
+        'errors': 0,
         'held_parts': HeldParts(),
     }
     return TargetView(**{**fields, **changes})
@@ -121,6 +122,20 @@
         self.assertEqual('y', choose_plain(targets, 'r').id)
 
 
+class GreyTargetTest(testtools.TestCase):
+    """A target that fails part of its requests looks idle."""
+
+    def test_a_plain_call_avoids_it(self):
+        targets = [target('x', errors=4), target('y', running=2)]
+        self.assertEqual('y', choose_plain(targets, 'r').id)
+
+    def test_a_prompt_avoids_it(self):
+        prompt = prompt_of(('aa', 3_000))
+        grey = target('x', held_parts=held(('aa', 3_000)), errors=4)
+        chosen = choose_for_prompt([grey, target('y')], prompt)
+        self.assertEqual('y', chosen.id)
+
+
 class HeldPartsTest(testtools.TestCase):
     """What is held follows what was sent and what the target told."""
 
