Begin nothing once the requests of a stopping router are finished

Cause, by the times of the lines: a request that arrives between the last answer and the end of the process was begun and cut. The test sends one there; it was served before.

--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -66,6 +66,9 @@
         return context.answer_by <= self.end_at
 
 
+NOTHING_ADMITTED = StopTimes(float('-inf'), float('-inf'))
+
+
 class Serving:
     """Serves requests of callers, each in the task of its caller."""
 
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -18,6 +18,7 @@
     RouterEntry,
 )
 from dandelioncleat.app.direct.serving import (
+    NOTHING_ADMITTED,
     Serving,
     ServingParts,
     StopTimes,
@@ -176,20 +177,8 @@
         now = asyncio.get_running_loop().time()
         end_at = now + limit_s - SETTLE_S
         self._serving.begin_stop(StopTimes(now + accept_s, end_at))
-        lost = []
-        try:
-            async with asyncio.timeout_at(end_at):
-                await self._serving.idle.wait()
-        except TimeoutError:
-            lost.append(self.losses())
-        _logger.info('requests finished', lost=lost)
-        try:
-            async with asyncio.timeout(GIVE_BACK_S):
-                await self._routers.leave()
-                await self._wallet.close()
-        except TimeoutError:
-            lost.append('tokens that were not given back')
-        return ', '.join(lost)
+        lost = [await self._finish_requests(end_at), await self._give_back()]
+        return ', '.join(text for text in lost if text)
 
     def losses(self) -> str:
         """Return what would be lost if the process ended now."""
@@ -204,6 +193,27 @@
         await self._targets.close()
         await self._session.close()
 
+    async def _finish_requests(self, end_at: float) -> str:
+        lost = ''
+        try:
+            async with asyncio.timeout_at(end_at):
+                await self._serving.idle.wait()
+        except TimeoutError:
+            lost = self.losses()
+        # What arrives from now on would be cut by the end of the process.
+        self._serving.begin_stop(NOTHING_ADMITTED)
+        _logger.info('requests finished', lost=lost)
+        return lost
+
+    async def _give_back(self) -> str:
+        try:
+            async with asyncio.timeout(GIVE_BACK_S):
+                await self._routers.leave()
+                await self._wallet.close()
+        except TimeoutError:
+            return 'tokens that were not given back'
+        return ''
+
     async def _listen(self) -> None:
         for sock in self._sockets:
             watch_peer(sock)
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -300,6 +300,14 @@
 
         self.assertEqual((503, 200, 1), play(scenario))
 
+    def test_nothing_begins_once_the_requests_are_finished(self):
+        async def scenario(fleet):
+            await fleet.router.stop(limit_s=5)
+            answer = await fleet.call('/safe/a', **{'Deadline-Ms': '900'})
+            return answer[0], len(fleet.app.requests)
+
+        self.assertEqual((503, 0), play(scenario))
+
     def test_an_idle_connection_does_not_hold_the_process(self):
         async def scenario(fleet):
             await fleet.call('/safe/a')
