--- a/src/dandelioncleat/core/holding.py
+++ b/src/dandelioncleat/core/holding.py
@@ -15,7 +15,7 @@
 from msgspec import Struct
 
 # A host's time of day may jump by seconds; it is believed within this.
-CLOCK_ERROR_S = 5.0
+CLOCK_ERROR_S = 4.0
 SAME_BOOT_S = 0.2
 
 
--- a/src/dandelioncleat/core/holding_policy.py
+++ b/src/dandelioncleat/core/holding_policy.py
@@ -19,9 +19,11 @@
 IDLE_RATE = 1.0
 POOLED_SHARE = 0.5
 FEW_HOSTS = 4
-BURST_SHARE = 0.08
+BURST_SHARE = 0.06
+# A large request may take one of so many parts of what is free.
+LARGE_PARTS = 6
 SPEED_SHARE = 0.03
-SPEED_FACTOR = 1.0
+SPEED_FACTOR = 0.7
 
 
 class Position(NamedTuple):
@@ -82,7 +84,9 @@
 
     :param large_need: size of a large request of the budget, in tokens
     """
-    return min(free, max(int(free * BURST_SHARE), min(large_need, free // 4)))
+    return min(
+        free, max(int(free * BURST_SHARE), min(large_need, free // LARGE_PARTS))
+    )
 
 
 def speed_of(free: int, rate: float) -> float:
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -138,7 +138,7 @@
             limits=lambda: self._limits,
             is_stopping=lambda: self._life.state == 'stopping',
         )
-        self._server = self._new_server(DEFAULT_LIMITS)
+        self._server = _new_server(self._handler, DEFAULT_LIMITS)
         self._servers: list[web.Server] = [self._server]
 
     @property
@@ -247,18 +247,19 @@
         )
         if deployment.limits != self._limits:
             self._limits = deployment.limits
-            self._server = self._new_server(deployment.limits)
+            self._server = _new_server(self._handler, deployment.limits)
             self._servers.append(self._server)
 
-    def _new_server(self, limits: CallerLimits) -> web.Server:
-        return web.Server(
-            self._handler.handle,
-            keepalive_timeout=limits.idle_s,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
-            handler_cancellation=True,
-            access_log=None,
-        )
+
+def _new_server(handler: CallerHandler, limits: CallerLimits) -> web.Server:
+    return web.Server(
+        handler.handle,
+        keepalive_timeout=limits.idle_s,
+        max_line_size=limits.header_bytes,
+        max_field_size=limits.header_bytes,
+        handler_cancellation=True,
+        access_log=None,
+    )
 
 
 def _retry_terms(settings: DirectSettings) -> tuple[float, float, float]:
