--- a/src/dandelioncleat/app/direct/holdings_sync.py
+++ b/src/dandelioncleat/app/direct/holdings_sync.py
@@ -24,10 +24,13 @@
 # Every host reads every host's marks, so that many read less often.
 READ_PAUSE_BY_HOST_S = 0.0125
 LONGEST_READ_PAUSE_S = 0.3
+# Use since the last mark is what a successor can't know.
 MARK_INTERVAL_S = 0.2
 RETRY_PAUSE_S = 0.1
+# Tokens that nobody waits for move no more often than this.
 REBALANCE_INTERVAL_S = 0.5
-# A call to the store that takes longer means that it is away.
+# The store is away if a call takes longer, or none ended for so long; a
+# read that waits ends within two seconds.
 UNANSWERED_S = 0.4
 STORE_SILENCE_S = 3.0
 
--- a/src/dandelioncleat/app/direct/target_state.py
+++ b/src/dandelioncleat/app/direct/target_state.py
@@ -1,7 +1,6 @@
 """What a router knows of one target."""
 
 from collections import deque
-from typing import NamedTuple
 
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import DirectRequest
@@ -9,22 +8,19 @@
 from dandelioncleat.core.target_choice import TargetView
 from dandelioncleat.ports.direct_target import TargetOccupancy
 
+# A target that failed is left alone, twice as long after each failure.
 FAILURE_PAUSE_S = 1.0
+LONGEST_PAUSE_S = 4.0
+# One without room is asked again once some requests may have ended.
 REFUSAL_PAUSE_S = 0.2
 MOST_ERRORS = 32
 ERROR_AGE_S = 5.0
-LONGEST_PAUSE_S = 4.0
+# What a target told of its load is believed for so long.
 OCCUPANCY_AGE_S = 1.0
+# The rest of the memory is left to requests that grow.
 KV_SHARE = 0.9
 
 
-class SentRequest(NamedTuple):
-    """A request that is at the target, with its tokens."""
-
-    unread_tokens: int
-    kv_tokens: int
-
-
 class TargetState:
     """Keeps the own requests at a target and what its answers told."""
 
@@ -32,7 +28,7 @@
         """Start with a target that has no request of this router."""
         self.entry = entry
         self.kv_tokens = kv_tokens
-        self._sent_by_id: dict[str, SentRequest] = {}
+        self._kv_tokens_by_id: dict[str, int] = {}
         self._unread_by_id: dict[str, int] = {}
         self.cache = HeldParts()
         self._occupancy: TargetOccupancy | None = None
@@ -44,7 +40,7 @@
     @property
     def running(self) -> int:
         """Return the number of own requests at the target."""
-        return len(self._sent_by_id)
+        return len(self._kv_tokens_by_id)
 
     def is_paused(self, now: float) -> bool:
         """Return whether the target failed a moment ago."""
@@ -63,7 +59,7 @@
         if seen is not None and now - self._occupancy_at < OCCUPANCY_AGE_S:
             running = max(running, seen.running)
             waiting = seen.waiting
-        own_kv = sum(sent.kv_tokens for sent in self._sent_by_id.values())
+        own_kv = sum(self._kv_tokens_by_id.values())
         return TargetView(
             id=self.entry.id,
             is_near=self.entry.data_centre == data_centre,
@@ -80,11 +76,10 @@
         """Note that a request is sent to the target."""
         prompt = request.prompt
         if prompt is None:
-            self._sent_by_id[request.id] = SentRequest(0, 0)
+            self._kv_tokens_by_id[request.id] = 0
             return
-        unread = self.cache.unread_tokens(prompt)
-        self._sent_by_id[request.id] = SentRequest(unread, prompt.most_tokens)
-        self._unread_by_id[request.id] = unread
+        self._kv_tokens_by_id[request.id] = prompt.most_tokens
+        self._unread_by_id[request.id] = self.cache.unread_tokens(prompt)
         self.cache.note_sent(prompt, room=self.kv_tokens)
 
     def note_first_token(self, request: str) -> None:
@@ -93,7 +88,7 @@
 
     def end(self, request: str) -> None:
         """Note that a request has left the target."""
-        self._sent_by_id.pop(request, None)
+        self._kv_tokens_by_id.pop(request, None)
         self._unread_by_id.pop(request, None)
 
     def note_answer(
--- a/src/dandelioncleat/core/holding_policy.py
+++ b/src/dandelioncleat/core/holding_policy.py
@@ -10,15 +10,22 @@
 
 from dandelioncleat.core.holding import Share
 
+# Part of a budget that is divided evenly; the rest goes by recent use.
 FLOOR_SHARE = 0.5
+# A host gives back above, and claims below, these multiples of its part.
 EXCESS_FACTOR = 1.35
 DEFICIT_FACTOR = 0.8
+# Givers can't see each other, so together they offer more than is wanted.
 GIVE_FACTOR = 1.25
 # Moves of less than this part of a budget aren't worth a record.
 LEAST_MOVE_SHARE = 0.002
+# Tokens a second below which the recent use says nothing.
 IDLE_RATE = 1.0
+# Part of a budget that no host holds where very many hosts share it.
 POOLED_SHARE = 0.5
 FEW_HOSTS = 4
+# Bounds of use without a new mark: at once and for each second, as parts of
+# what is free, or as a multiple of the host's recent rate.
 BURST_SHARE = 0.06
 # A large request may take one of so many parts of what is free.
 LARGE_PARTS = 6
