Choose a target once for each attempt, and keep one bounded wait

Found by reading the change again: a placement was computed a second time to ask whether another target is there, and its view and candidates a second time for the log line, on the path of each request; the line now says what the choice itself saw. The wait for an event with a limit stood twice; a property and a function that nothing needed are gone.

--- a/src/dandelioncleat/app/direct/holdings_sync.py
+++ b/src/dandelioncleat/app/direct/holdings_sync.py
@@ -13,6 +13,7 @@
     TopicChange,
     TopicFollower,
 )
+from dandelioncleat.app.event_wait import wait_at_most
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.holding import Ceiling, Moment, UsageMark
 from dandelioncleat.core.host_holdings import HostHoldings
@@ -155,7 +156,7 @@
         while True:
             self._marks_due.clear()
             await self._write_due_marks()
-            await _wait(self._marks_due, MARK_INTERVAL_S)
+            await wait_at_most(self._marks_due, MARK_INTERVAL_S)
 
     async def _write_due_marks(self) -> None:
         now = self._now()
@@ -188,15 +189,7 @@
                 self._marks_due.set()
                 self._on_news()
             else:
-                await _wait(self._ceilings_due, REBALANCE_INTERVAL_S)
-
-
-async def _wait(event: asyncio.Event, limit_s: float) -> None:
-    try:
-        async with asyncio.timeout(limit_s):
-            await event.wait()
-    except TimeoutError:
-        return
+                await wait_at_most(self._ceilings_due, REBALANCE_INTERVAL_S)
 
 
 def _decoded(record: KeyedRecord, kind: type[RecordT]) -> RecordT | None:
--- a/src/dandelioncleat/app/direct/placement.py
+++ b/src/dandelioncleat/app/direct/placement.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import NamedTuple
 
 import structlog
 
@@ -9,11 +10,23 @@
 from dandelioncleat.app.direct.target_directory import TargetDirectory
 from dandelioncleat.app.direct.target_state import TargetState
 from dandelioncleat.core.retry_window import RetryTerms, RetryWindow
-from dandelioncleat.core.target_choice import choose_for_prompt, choose_plain
+from dandelioncleat.core.target_choice import (
+    TargetView,
+    choose_for_prompt,
+    choose_plain,
+)
 
 _logger = structlog.get_logger(__name__)
 
 
+class Choice(NamedTuple):
+    """A chosen target, and what was known of it among how many."""
+
+    state: TargetState
+    view: TargetView
+    candidates: int
+
+
 class Placement:
     """Chooses a target for each attempt."""
 
@@ -43,7 +56,11 @@
         """Take one retry from the budget; return whether there was one."""
         return self._window(service).take(_now(), routers=self._routers())
 
-    def choose(self, context: RunContext) -> TargetState | None:
+    def has_candidate(self, context: RunContext) -> bool:
+        """Return whether there is a target that was not tried."""
+        return bool(self._candidates(context, _now()))
+
+    def choose(self, context: RunContext) -> Choice | None:
         """Return the best target that was not tried, if there is one."""
         now = _now()
         states = self._candidates(context, now)
@@ -58,12 +75,11 @@
             chosen = choose_plain(views, context.request.id)
         else:
             chosen = choose_for_prompt(views, prompt)
-        return states[views.index(chosen)]
+        return Choice(states[views.index(chosen)], chosen, len(states))
 
-    def log_choice(self, context: RunContext, state: TargetState) -> None:
+    def log_choice(self, context: RunContext, choice: Choice) -> None:
         """Log a placement with what decided it."""
-        now = _now()
-        view = state.view(data_centre=self._data_centre, now=now)
+        view = choice.view
         prompt = context.request.prompt
         unread = 0 if prompt is None else view.held_parts.unread_tokens(prompt)
         _logger.info(
@@ -71,10 +87,10 @@
             request=context.request.id,
             target=view.id,
             service=context.admitted.service.name,
-            candidates=len(self._candidates(context, now)),
+            candidates=choice.candidates,
             running=view.running,
             waiting=view.waiting,
-            load_age_s=state.occupancy_age_s(now),
+            load_age_s=choice.state.occupancy_age_s(_now()),
             backlog_tokens=view.backlog_tokens,
             unread_tokens=unread,
             version=context.admitted.version,
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -186,10 +186,11 @@
             context.outcome = 'delivered'
 
     async def _send(self, context: RunContext, reply: Reply) -> AttemptEnd:
-        state = self._parts.placement.choose(context)
-        if state is None:
+        choice = self._parts.placement.choose(context)
+        if choice is None:
             return AttemptEnd.NOT_SENT
-        self._parts.placement.log_choice(context, state)
+        self._parts.placement.log_choice(context, choice)
+        state = choice.state
         with self._parts.telemetry.span(
             'direct.attempt', target=state.entry.id
         ):
@@ -200,7 +201,7 @@
     def _goes_on(self, context: RunContext, end: AttemptEnd) -> bool:
         if not context.may_send_again or not context.has_runs_left:
             return False
-        if self._parts.placement.choose(context) is None:
+        if not self._parts.placement.has_candidate(context):
             return False
         if end is AttemptEnd.NOT_SENT:
             return True
--- a/src/dandelioncleat/core/event_stream.py
+++ b/src/dandelioncleat/core/event_stream.py
@@ -14,11 +14,6 @@
         self.events = 0
         self._rest = b''
 
-    @property
-    def is_between_events(self) -> bool:
-        """Return whether every event that began has ended."""
-        return not self._rest
-
     def take(self, data: bytes) -> bytes:
         """Return the whole events that stand complete with these bytes."""
         text = self._rest + data
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -118,7 +118,11 @@
         self._placement = Placement(
             self._directory,
             data_centre=settings.data_centre,
-            terms=RetryTerms(*_retry_terms(settings)),
+            terms=RetryTerms(
+                settings.retries.ratio,
+                settings.retries.slack,
+                settings.retries.window_s,
+            ),
             routers=lambda: self._routers.count,
         )
         self._serving = Serving(
@@ -260,8 +264,3 @@
         handler_cancellation=True,
         access_log=None,
     )
-
-
-def _retry_terms(settings: DirectSettings) -> tuple[float, float, float]:
-    retries = settings.retries
-    return (retries.ratio, retries.slack, retries.window_s)
--- a/src/dandelioncleat/standin/keyed_store.py
+++ b/src/dandelioncleat/standin/keyed_store.py
@@ -4,6 +4,7 @@
 import random
 from typing import NamedTuple
 
+from dandelioncleat.app.event_wait import wait_at_most
 from dandelioncleat.core.failure import Code, FailureError, failure_error
 from dandelioncleat.ports.store import (
     ConflictError,
@@ -106,7 +107,7 @@
         if start < state.first:
             raise OutdatedReadError
         if start >= state.end:
-            await _wait(state.grown, wait_s)
+            await wait_at_most(state.grown, wait_s)
             await self._answer('read')
         if start < state.first:
             raise OutdatedReadError
@@ -260,13 +261,5 @@
     )
 
 
-async def _wait(event: asyncio.Event, limit_s: float) -> None:
-    try:
-        async with asyncio.timeout(limit_s):
-            await event.wait()
-    except TimeoutError:
-        return
-
-
 def _no_answer(step: str) -> FailureError:
     return failure_error(Code.LOG, step=step, peer=PEER, text='no answer')
