--- a/deploy/write_requirements.py
+++ b/deploy/write_requirements.py
@@ -18,6 +18,7 @@
     'opentelemetry-api',
     'opentelemetry-exporter-prometheus',
     'opentelemetry-sdk',
+    'pycapnp',
     'returns',
     'structlog',
     'transitions',
--- a/src/dandelioncleat/adapters/frames/codec.py
+++ b/src/dandelioncleat/adapters/frames/codec.py
@@ -13,6 +13,7 @@
 from dandelioncleat.adapters.frames._schema import schema
 from dandelioncleat.core.failure import Code, failure_error
 from dandelioncleat.core.message import Message
+from dandelioncleat.core.topic_message import TopicMessage
 
 
 class FrameKind(StrEnum):
@@ -43,7 +44,9 @@
 
 _TYPES_BY_FIELD: dict[str, type[Message]] = {
     _field_name(message_type): message_type
-    for message_type in Message.__subclasses__()
+    for base in (Message, TopicMessage)
+    for message_type in base.__subclasses__()
+    if message_type is not TopicMessage
 }
 
 # What the library raises for bytes of another form.
--- a/src/dandelioncleat/adapters/frames/frames.capnp
+++ b/src/dandelioncleat/adapters/frames/frames.capnp
@@ -41,6 +41,11 @@
     noteGuard @28 :NoteGuard;
     askTokenCount @29 :AskTokenCount;
     tokenCount @30 :TokenCount;
+    listTopic @31 :ListTopic;
+    readTopic @32 :ReadTopic;
+    appendTopic @33 :AppendTopic;
+    topicRecords @34 :TopicRecords;
+    topicRejected @35 :TopicRejected;
   }
 
   enum Kind {
@@ -251,3 +256,37 @@
 struct TokenCount {
   tokens @0 :Int64;
 }
+
+struct KeyedRecord {
+  key @0 :Text;
+  value @1 :Data;
+  offset @2 :Int64;
+}
+
+struct ListTopic {
+  topic @0 :Text;
+}
+
+struct ReadTopic {
+  topic @0 :Text;
+  start @1 :Int64;
+  waitMs @2 :Int64;
+}
+
+struct AppendTopic {
+  topic @0 :Text;
+  records @1 :List(KeyedRecord);
+  at @2 :Int64;
+  producer @3 :Text;
+  epoch @4 :Int64;
+  sequence @5 :Int64;
+}
+
+struct TopicRecords {
+  end @0 :Int64;
+  records @1 :List(KeyedRecord);
+}
+
+struct TopicRejected {
+  reason @0 :Text;
+}
--- a/src/dandelioncleat/adapters/peer_server.py
+++ b/src/dandelioncleat/adapters/peer_server.py
@@ -18,6 +18,7 @@
     INCARNATION_HEADER,
     MAX_FRAME_BYTES,
     PEERS_PATH,
+    credential,
 )
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.identity import Incarnation
@@ -40,7 +41,7 @@
         self.handler = handler
         self.version = version
         self.on_version = on_version
-        self._expected = f'Bearer {fleet_secret}'.encode()
+        self._expected = credential(fleet_secret).encode()
         self._sockets: set[web.WebSocketResponse] = set()
 
     async def accept(self, request: web.Request) -> web.StreamResponse:
--- a/src/dandelioncleat/adapters/websocket_peers.py
+++ b/src/dandelioncleat/adapters/websocket_peers.py
@@ -37,7 +37,7 @@
         """
         self._headers = {
             INCARNATION_HEADER: incarnation,
-            'Authorization': f'Bearer {fleet_secret}',
+            'Authorization': credential(fleet_secret),
         }
         self._version = version
         self._on_version = on_version
@@ -129,3 +129,11 @@
             version=self._version,
             on_version=self._on_version,
         )
+
+
+def credential(fleet_secret: str) -> str:
+    """Return the header that proves that a process is of the fleet.
+
+    :param fleet_secret: empty where the network lets nobody else in
+    """
+    return f'Bearer {fleet_secret}'.rstrip()
--- a/src/dandelioncleat/app/direct/forwarding.py
+++ b/src/dandelioncleat/app/direct/forwarding.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from dandelioncleat.app.direct.router_directory import RouterDirectory
+from dandelioncleat.app.direct.process_directory import ProcessDirectory
 from dandelioncleat.app.direct.run_context import RunContext
 from dandelioncleat.app.direct.wallet import Wallet
 from dandelioncleat.core.direct_request import (
@@ -36,13 +36,13 @@
 
     def __init__(
         self,
-        routers: RouterDirectory,
+        processes: ProcessDirectory,
         *,
         wallet: Wallet,
         targets: DirectTargets,
     ) -> None:
-        """Take the routers and what reaches them."""
-        self._routers = routers
+        """Take the processes of the fleet and what reaches routers."""
+        self._processes = processes
         self._wallet = wallet
         self._targets = targets
 
@@ -57,7 +57,7 @@
         if context.request.is_forwarded:
             return refusal
         hosts = self._wallet.others_with(need)
-        entries = self._routers.others_by_host
+        entries = self._processes.other_routers_by_host
         known = [entries[host] for host in hosts if host in entries]
         for entry in known[:MOST_ROUTERS]:
             refusal = await self._try(context, entry.address, reply)
--- /dev/null
+++ b/src/dandelioncleat/app/direct/gateway_handler.py
@@ -0,0 +1,87 @@
+"""Answers the calls of routers that can't reach the store themselves."""
+
+from collections.abc import AsyncIterator
+
+from dandelioncleat.core.failure import Code, failure_error
+from dandelioncleat.core.message import Message
+from dandelioncleat.core.topic_message import (
+    AppendTopic,
+    ListTopic,
+    ReadTopic,
+    TopicRecords,
+    TopicRejected,
+    TopicRejection,
+)
+from dandelioncleat.ports.peer import CallContext
+from dandelioncleat.ports.store import (
+    ConflictError,
+    FencedError,
+    KeyedStore,
+    OutdatedReadError,
+    Producer,
+)
+from dandelioncleat.ports.telemetry import Telemetry
+
+_MS = 1000
+
+
+class GatewayHandler:
+    """Implements the ``PeerHandler`` port; it keeps nothing itself."""
+
+    def __init__(
+        self, store: KeyedStore, *, host: str, telemetry: Telemetry
+    ) -> None:
+        """Take the store and the name of the gateway's host."""
+        self._store = store
+        self._host = host
+        self._telemetry = telemetry
+
+    async def answer(
+        self, message: Message, context: CallContext
+    ) -> AsyncIterator[Message]:
+        """Yield the store's answer; raises ``FailureError`` without one."""
+        call = type(message).__name__
+        self._telemetry.count('gateway.calls', call=call)
+        try:
+            yield await self._ask_store(message)
+        except OutdatedReadError:
+            yield TopicRejected(TopicRejection.OUTDATED)
+        except ConflictError:
+            yield TopicRejected(TopicRejection.CONFLICT)
+        except FencedError:
+            yield TopicRejected(TopicRejection.FENCED)
+
+    async def _ask_store(self, message: Message) -> TopicRecords:
+        match message:
+            case ListTopic():
+                page = await self._store.newest(message.topic)
+                return TopicRecords(page.end, page.records)
+            case ReadTopic():
+                page = await self._store.read(
+                    message.topic,
+                    start=message.start,
+                    wait_s=message.wait_ms / _MS,
+                )
+                return TopicRecords(page.end, page.records)
+            case AppendTopic():
+                return TopicRecords(await self._append(message), ())
+            case _:
+                raise failure_error(
+                    Code.INVALID,
+                    step='answer',
+                    peer=self._host,
+                    text=f'a gateway does not take {type(message).__name__}',
+                )
+
+    async def _append(self, message: AppendTopic) -> int:
+        producer = None
+        if message.producer:
+            producer = Producer(
+                message.producer, message.epoch, message.sequence
+            )
+        return await self._store.append(
+            message.topic,
+            tuple((record.key, record.value) for record in message.records),
+            at=message.at if message.at >= 0 else None,
+            producer=producer,
+        )
--- /dev/null
+++ b/src/dandelioncleat/app/direct/gateway_store.py
@@ -0,0 +1,159 @@
+"""Reaches the store through a gateway on another host."""
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from dandelioncleat.core.failure import (
+    Code,
+    Failure,
+    FailureError,
+    failure_error,
+)
+from dandelioncleat.core.gateway_choice import GatewayChoice, GatewayPlace
+from dandelioncleat.core.keyed_record import KeyedRecord
+from dandelioncleat.core.message import Message, Refusal
+from dandelioncleat.core.topic_message import (
+    AppendTopic,
+    ListTopic,
+    ReadTopic,
+    TopicRecords,
+    TopicRejected,
+    TopicRejection,
+)
+from dandelioncleat.ports.peer import Peers
+from dandelioncleat.ports.store import (
+    ConflictError,
+    FencedError,
+    KeyedPage,
+    OutdatedReadError,
+    Producer,
+)
+
+# The store answers a gateway in a few ms; a longer silence is a cut.
+ANSWER_TIMEOUT_S = 0.5
+# Gateways that are asked for one call, one after the other.
+MOST_GATEWAYS = 3
+ANY_END = -1
+_MS = 1000
+
+_ERRORS_BY_REJECTION = {
+    TopicRejection.OUTDATED: OutdatedReadError,
+    TopicRejection.CONFLICT: ConflictError,
+    TopicRejection.FENCED: FencedError,
+}
+
+_logger = structlog.get_logger(__name__)
+
+
+class GatewayStore:
+    """Implements the ``KeyedStore`` port over calls to gateways."""
+
+    def __init__(
+        self,
+        peers: Peers,
+        choice: GatewayChoice,
+        *,
+        gateways: Callable[[], tuple[GatewayPlace, ...]],
+    ) -> None:
+        """Take what calls gateways, and which there are.
+
+        :param gateways: returns the gateways that are known now
+        """
+        self._peers = peers
+        self._choice = choice
+        self._gateways = gateways
+
+    async def newest(self, topic: str) -> KeyedPage:
+        """Return the newest record of each key."""
+        return _page(await self._call(ListTopic(topic)))
+
+    async def read(self, topic: str, *, start: int, wait_s: float) -> KeyedPage:
+        """Return the records from ``start`` on."""
+        message = ReadTopic(topic, start, int(wait_s * _MS))
+        return _page(await self._call(message, wait_s=wait_s))
+
+    async def append(
+        self,
+        topic: str,
+        records: tuple[tuple[str, bytes], ...],
+        *,
+        at: int | None = None,
+        producer: Producer | None = None,
+    ) -> int:
+        """Append records and return the new end of the topic."""
+        sender = producer or Producer('', 0, 0)
+        message = AppendTopic(
+            topic=topic,
+            records=tuple(KeyedRecord(key, data, 0) for key, data in records),
+            at=ANY_END if at is None else at,
+            producer=sender.name,
+            epoch=sender.epoch,
+            sequence=sender.sequence,
+        )
+        return (await self._call(message)).end
+
+    async def _call(
+        self, message: Message, *, wait_s: float = 0
+    ) -> TopicRecords:
+        error = _unreachable(Failure(Code.LOG, 'choose', '', 'no gateway'))
+        places = self._choice.order(self._gateways(), _now())
+        for place in places[:MOST_GATEWAYS]:
+            try:
+                reply = await self._ask(place, message, wait_s)
+            except FailureError as failed:
+                error = _unreachable(failed.failure)
+                self._note_failure(place, failed.failure)
+            else:
+                self._choice.note_answer(place.address)
+                return reply
+        raise error
+
+    async def _ask(
+        self, place: GatewayPlace, message: Message, wait_s: float
+    ) -> TopicRecords:
+        reply = await self._peers.call(
+            place.address, message, timeout_s=wait_s + ANSWER_TIMEOUT_S
+        )
+        match reply:
+            case TopicRecords():
+                return reply
+            case TopicRejected():
+                raise _ERRORS_BY_REJECTION[reply.reason]
+            case Refusal():
+                raise failure_error(
+                    reply.code,
+                    step=reply.step,
+                    peer=reply.peer,
+                    text=reply.text,
+                )
+            case _:
+                raise failure_error(
+                    Code.INVALID,
+                    step='ask gateway',
+                    peer=place.address,
+                    text=f'an answer of type {type(reply).__name__}',
+                )
+
+    def _note_failure(self, place: GatewayPlace, failure: Failure) -> None:
+        _logger.debug(
+            'gateway did not answer',
+            gateway=place.address,
+            step=failure.step,
+            reason=failure.text,
+        )
+        self._choice.note_failure(place.address, _now())
+
+
+def _page(reply: TopicRecords) -> KeyedPage:
+    return KeyedPage(reply.end, reply.records)
+
+
+def _unreachable(failure: Failure) -> FailureError:
+    """Return the error of a store that no gateway reaches."""
+    return FailureError(failure._replace(code=Code.LOG))
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/dandelioncleat/app/direct/holdings_sync.py
+++ b/src/dandelioncleat/app/direct/holdings_sync.py
@@ -17,8 +17,9 @@
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.holding import Ceiling, Moment, UsageMark
 from dandelioncleat.core.host_holdings import HostHoldings
+from dandelioncleat.core.keyed_record import KeyedRecord
 from dandelioncleat.ports.clock import Clock
-from dandelioncleat.ports.store import KeyedRecord, KeyedStore
+from dandelioncleat.ports.store import KeyedStore
 
 CEILINGS_TOPIC = 'ceilings'
 MARKS_TOPIC = 'usage'
--- a/src/dandelioncleat/app/direct/placement.py
+++ b/src/dandelioncleat/app/direct/placement.py
@@ -48,6 +48,12 @@
         self._terms = terms
         self._windows_by_service: dict[str, RetryWindow] = {}
 
+    def set_terms(self, terms: RetryTerms) -> None:
+        """Take new bounds of retries; what was counted stays."""
+        self._terms = terms
+        for window in self._windows_by_service.values():
+            window.terms = terms
+
     def note_request(self, service: str) -> None:
         """Count a request of a service."""
         self._window(service).note_request(_now())
--- a/src/dandelioncleat/app/direct/target_directory.py
+++ b/src/dandelioncleat/app/direct/target_directory.py
@@ -8,7 +8,7 @@
 from dandelioncleat.app.direct.target_state import TargetState
 from dandelioncleat.app.direct.topic_follower import TopicChange
 from dandelioncleat.core.deployment import Service, TargetEntry
-from dandelioncleat.ports.store import KeyedRecord
+from dandelioncleat.core.keyed_record import KeyedRecord
 
 # Entries that lapsed while the store was away come back within this time.
 RETURN_S = 2.0
--- a/src/dandelioncleat/app/direct/topic_follower.py
+++ b/src/dandelioncleat/app/direct/topic_follower.py
@@ -7,9 +7,9 @@
 import structlog
 
 from dandelioncleat.core.failure import FailureError
+from dandelioncleat.core.keyed_record import KeyedRecord
 from dandelioncleat.ports.store import (
     KeyedPage,
-    KeyedRecord,
     KeyedStore,
     OutdatedReadError,
 )
--- a/src/dandelioncleat/bench/loopback.py
+++ b/src/dandelioncleat/bench/loopback.py
@@ -17,7 +17,7 @@
 )
 from dandelioncleat.core.identity import BudgetId
 from dandelioncleat.core.record import Patch
-from dandelioncleat.daemons.process import new_incarnation
+from dandelioncleat.daemons.incarnation import new_incarnation
 from dandelioncleat.daemons.router import (
     RouterDaemon,
     new_router_daemon,
--- a/src/dandelioncleat/core/retry_window.py
+++ b/src/dandelioncleat/core/retry_window.py
@@ -24,7 +24,7 @@
 
     def __init__(self, terms: RetryTerms) -> None:
         """Start with nothing counted."""
-        self._terms = terms
+        self.terms = terms
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
 
@@ -36,15 +36,15 @@
     def take(self, now: float, *, routers: int) -> bool:
         """Take one retry; return whether the budget has one left."""
         self._forget(now)
-        slack = self._terms.slack / max(1, routers)
-        most = MARGIN * (self._terms.ratio * len(self._requests) + slack)
+        slack = self.terms.slack / max(1, routers)
+        most = MARGIN * (self.terms.ratio * len(self._requests) + slack)
         if len(self._retries) + 1 > most:
             return False
         self._retries.append(now)
         return True
 
     def _forget(self, now: float) -> None:
-        start = now - self._terms.window_s
+        start = now - self.terms.window_s
         for times in (self._requests, self._retries):
             while times and times[0] < start:
                 times.popleft()
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import socket
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 import structlog
@@ -12,10 +13,13 @@
 from dandelioncleat.app.direct.cache_watch import CacheWatch
 from dandelioncleat.app.direct.deployment_watch import DeploymentWatch
 from dandelioncleat.app.direct.forwarding import Forwarding
+from dandelioncleat.app.direct.gateway_store import GatewayStore
 from dandelioncleat.app.direct.placement import Placement
-from dandelioncleat.app.direct.router_directory import (
-    RouterDirectory,
-    RouterEntry,
+from dandelioncleat.app.direct.process_directory import (
+    ProcessAnnouncement,
+    ProcessDirectory,
+    ProcessEntry,
+    ProcessRole,
 )
 from dandelioncleat.app.direct.serving import (
     NOTHING_ADMITTED,
@@ -23,12 +27,15 @@
     ServingParts,
     StopTimes,
 )
+from dandelioncleat.app.direct.store_path import StorePath
 from dandelioncleat.app.direct.target_directory import TargetDirectory
 from dandelioncleat.app.direct.topic_follower import TopicFollower
 from dandelioncleat.app.direct.wallet import Wallet
 from dandelioncleat.app.router_life import RouterLife
 from dandelioncleat.core.deployment import CallerLimits, Deployment
+from dandelioncleat.core.gateway_choice import GatewayChoice
 from dandelioncleat.core.retry_window import RetryTerms
+from dandelioncleat.daemons.direct_peers import new_peers
 from dandelioncleat.daemons.direct_settings import DirectSettings
 from dandelioncleat.platform import names
 from dandelioncleat.platform.cache_events import HttpCacheEvents
@@ -85,16 +92,28 @@
         self._session = new_store_session(
             connect_timeout_s=STORE_CONNECT_TIMEOUT_S
         )
-        store = PlatformStore(self._session, settings.store)
+        self._peers = new_peers(settings)
+        store = StorePath(
+            PlatformStore(self._session, settings.store),
+            GatewayStore(
+                self._peers,
+                GatewayChoice(
+                    host=settings.host, data_centre=settings.data_centre
+                ),
+                gateways=lambda: self._processes.gateways,
+            ),
+        )
         self._targets = HttpTargets()
         self._wallet = Wallet(store, host=settings.host, clock=SystemClock())
-        self._routers = RouterDirectory(
-            store,
-            RouterEntry(
-                settings.host,
-                settings.data_centre,
-                settings.listen.callers,
-            ),
+        entry = ProcessEntry(
+            ProcessRole.ROUTER,
+            settings.host,
+            settings.data_centre,
+            settings.listen.callers,
+        )
+        self._announcement = ProcessAnnouncement(store, entry)
+        self._processes = ProcessDirectory(
+            store, entry, stated_gateways=settings.gateways
         )
         self._deployment = DeploymentWatch(
             decode_deployment,
@@ -118,12 +137,8 @@
         self._placement = Placement(
             self._directory,
             data_centre=settings.data_centre,
-            terms=RetryTerms(
-                settings.retries.ratio,
-                settings.retries.slack,
-                settings.retries.window_s,
-            ),
-            routers=lambda: self._routers.count,
+            terms=_retry_terms(settings),
+            routers=lambda: self._processes.router_count,
         )
         self._serving = Serving(
             ServingParts(
@@ -132,7 +147,7 @@
                 self._placement,
                 self._targets,
                 Forwarding(
-                    self._routers, wallet=self._wallet, targets=self._targets
+                    self._processes, wallet=self._wallet, targets=self._targets
                 ),
                 telemetry,
             )
@@ -166,9 +181,12 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._operator_topic.run())
             group.create_task(self._targets_topic.run())
-            group.create_task(self._routers.run())
+            group.create_task(self._processes.run())
+            group.create_task(self._announcement.join())
             group.create_task(self._cache_watch.run())
-            group.create_task(self._run_wallet())
+            group.create_task(
+                _run_after(self._deployment.known, self._wallet.run)
+            )
             group.create_task(self._become_ready())
 
     async def stop(self, *, limit_s: float, accept_s: float = ACCEPT_S) -> str:
@@ -195,8 +213,14 @@
             await server.shutdown(SHUTDOWN_S)
         await self._status_page.stop()
         await self._targets.close()
+        await self._peers.close()
         await self._session.close()
 
+    def reload(self, settings: DirectSettings) -> None:
+        """Take new settings; addresses hold until the next start."""
+        self._settings = settings
+        self._placement.set_terms(_retry_terms(settings))
+
     async def _finish_requests(self, end_at: float) -> str:
         lost = ''
         try:
@@ -212,7 +236,7 @@
     async def _give_back(self) -> str:
         try:
             async with asyncio.timeout(GIVE_BACK_S):
-                await self._routers.leave()
+                await self._announcement.leave()
                 await self._wallet.close()
         except TimeoutError:
             return 'tokens that were not given back'
@@ -225,15 +249,10 @@
             lambda: self._server(), sock=self._sockets.callers, backlog=BACKLOG
         )
         await self._status_page.start(
-            ready=self._sockets.ready,
-            metrics=self._sockets.metrics,
+            (self._sockets.ready, self._sockets.metrics),
             is_ready=lambda: self.is_ready,
         )
 
-    async def _run_wallet(self) -> None:
-        await self._deployment.known.wait()
-        await self._wallet.run()
-
     async def _become_ready(self) -> None:
         await self._deployment.known.wait()
         await self._wallet.opened.wait()
@@ -255,6 +274,18 @@
             self._servers.append(self._server)
 
 
+async def _run_after(
+    event: asyncio.Event, work: Callable[[], Awaitable[None]]
+) -> None:
+    await event.wait()
+    await work()
+
+
+def _retry_terms(settings: DirectSettings) -> RetryTerms:
+    retries = settings.retries
+    return RetryTerms(retries.ratio, retries.slack, retries.window_s)
+
+
 def _new_server(handler: CallerHandler, limits: CallerLimits) -> web.Server:
     return web.Server(
         handler.handle,
--- a/src/dandelioncleat/daemons/direct_settings.py
+++ b/src/dandelioncleat/daemons/direct_settings.py
@@ -1,11 +1,15 @@
-"""Settings of the direct router: a TOML file, checked as a whole."""
+"""Settings of direct routers and gateways: TOML files, checked as a whole."""
 
+from collections.abc import Callable, Mapping
 from pathlib import Path
+from typing import TypeVar
 
 import msgspec
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
+from dandelioncleat.core.address import is_address
+
 
 class DirectListen(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Where the router listens, as ``ip:port``."""
@@ -32,7 +36,8 @@
 class DirectSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """The settings of a direct router.
 
-    ``store`` is the address of the platform's store, as ``ip:port``.
+    ``store`` is the address of the platform's store, ``gateways`` are those
+    of some gateways to it, as ``ip:port``; the store names the others.
     """
 
     host: str
@@ -41,42 +46,99 @@
     listen: DirectListen
     retries: DirectRetries
     stop: DirectStop
+    gateways: tuple[str, ...] = ()
+    fleet_secret: str = ''
+
+    @property
+    def stop_limit_s(self) -> float:
+        """Return the time that a planned stop may take, in seconds."""
+        return self.stop.limit_s
+
+
+class GatewayListen(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Where the gateway listens, as ``ip:port``."""
+
+    routers: str
+    metrics: str
+
+
+class GatewaySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """The settings of a gateway to the platform's store."""
+
+    host: str
+    data_centre: str
+    store: str
+    listen: GatewayListen
+    stop: DirectStop
+    fleet_secret: str = ''
+
+    @property
+    def stop_limit_s(self) -> float:
+        """Return the time that a planned stop may take, in seconds."""
+        return self.stop.limit_s
+
+
+SettingsT = TypeVar('SettingsT', DirectSettings, GatewaySettings)
 
 
 def load_direct_settings(path: Path) -> Result[DirectSettings, str]:
-    """Read a settings file, or return what is wrong with it."""
+    """Read a router's settings file, or return what is wrong with it."""
+    return _load(path, parse_direct_settings)
+
+
+def load_gateway_settings(path: Path) -> Result[GatewaySettings, str]:
+    """Read a gateway's settings file, or return what is wrong with it."""
+    return _load(path, parse_gateway_settings)
+
+
+def parse_direct_settings(text: bytes) -> Result[DirectSettings, str]:
+    """Return the settings that a file's text states, or what is wrong."""
+    return _parse(text, DirectSettings, _direct_defects)
+
+
+def parse_gateway_settings(text: bytes) -> Result[GatewaySettings, str]:
+    """Return the settings that a file's text states, or what is wrong."""
+    return _parse(text, GatewaySettings, _gateway_defects)
+
+
+def _load(
+    path: Path, parse: Callable[[bytes], Result[SettingsT, str]]
+) -> Result[SettingsT, str]:
     try:
         text = path.read_bytes()
     except OSError as error:
         return Failed(f'{path}: {error.strerror}')
-    return parse_direct_settings(text)
+    return parse(text)
 
 
-def parse_direct_settings(text: bytes) -> Result[DirectSettings, str]:
-    """Return the settings that a file's text states, or what is wrong."""
+def _parse(
+    text: bytes,
+    kind: type[SettingsT],
+    find_defects: Callable[[SettingsT], list[str]],
+) -> Result[SettingsT, str]:
     try:
-        settings = msgspec.toml.decode(text, type=DirectSettings)
+        settings = msgspec.toml.decode(text, type=kind)
     except (msgspec.DecodeError, ValueError) as error:
         return Failed(str(error))
-    defects = tuple(_defects(settings))
+    defects = find_defects(settings)
     return Failed('; '.join(defects)) if defects else Success(settings)
 
 
-def _defects(settings: DirectSettings) -> list[str]:
+def _direct_defects(settings: DirectSettings) -> list[str]:
     listen = settings.listen
-    addresses = {
-        'store': settings.store,
-        'listen.callers': listen.callers,
-        'listen.ready': listen.ready,
-        'listen.metrics': listen.metrics,
-    }
-    defects = [
-        f'{name}: an IP number and a port, not {address!r}'
-        for name, address in addresses.items()
-        if not _is_address(address)
-    ]
-    if settings.stop.limit_s <= 0:
-        defects.append('stop.limit_s: a positive number of seconds')
+    defects = _address_defects(
+        {
+            'store': settings.store,
+            'listen.callers': listen.callers,
+            'listen.ready': listen.ready,
+            'listen.metrics': listen.metrics,
+            **{
+                f'gateways.{n}': each
+                for n, each in enumerate(settings.gateways)
+            },
+        }
+    )
+    defects.extend(_stop_defects(settings.stop))
     if settings.retries.window_s <= 0:
         defects.append('retries.window_s: a positive number of seconds')
     if min(settings.retries.ratio, settings.retries.slack) < 0:
@@ -84,6 +146,26 @@
     return defects
 
 
-def _is_address(text: str) -> bool:
-    ip, _, port = text.rpartition(':')
-    return bool(ip) and port.isdecimal() and int(port) <= 65535
+def _gateway_defects(settings: GatewaySettings) -> list[str]:
+    defects = _address_defects(
+        {
+            'store': settings.store,
+            'listen.routers': settings.listen.routers,
+            'listen.metrics': settings.listen.metrics,
+        }
+    )
+    return [*defects, *_stop_defects(settings.stop)]
+
+
+def _address_defects(addresses_by_name: Mapping[str, str]) -> list[str]:
+    return [
+        f'{name}: an IP number and a port, not {address!r}'
+        for name, address in addresses_by_name.items()
+        if not is_address(address)
+    ]
+
+
+def _stop_defects(stop: DirectStop) -> list[str]:
+    if stop.limit_s > 0:
+        return []
+    return ['stop.limit_s: a positive number of seconds']
--- /dev/null
+++ b/src/dandelioncleat/daemons/gateway.py
@@ -0,0 +1,46 @@
+"""The process of a gateway: ``python -m dandelioncleat.daemons.gateway``.
+
+It runs beside a target and reaches the store for routers that are cut off
+from it. Exit codes: 0 after a planned stop, 1 if something was lost or the
+settings have errors.
+"""
+
+import sys
+
+from dandelioncleat.adapters.telemetry import OtelTelemetry
+from dandelioncleat.daemons.direct_process import (
+    Program,
+    new_listener,
+    run_program,
+)
+from dandelioncleat.daemons.direct_settings import (
+    GatewaySettings,
+    load_gateway_settings,
+)
+from dandelioncleat.daemons.store_gateway import GatewaySockets, StoreGateway
+from dandelioncleat.platform.status_page import StatusPage
+
+ROLE = 'gateway'
+
+
+def main() -> int:
+    """Run a gateway; return the exit code."""
+    return run_program(Program(ROLE, load_gateway_settings, _new_gateway))
+
+
+def _new_gateway(
+    settings: GatewaySettings, telemetry: OtelTelemetry
+) -> StoreGateway:
+    listen = settings.listen
+    return StoreGateway(
+        settings,
+        sockets=GatewaySockets(
+            new_listener(listen.routers), new_listener(listen.metrics)
+        ),
+        telemetry=telemetry,
+        status_page=StatusPage(telemetry.metrics_page),
+    )
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/src/dandelioncleat/daemons/process.py
+++ b/src/dandelioncleat/daemons/process.py
@@ -1,13 +1,13 @@
 """Runs a daemon as a process: its name, its telemetry and its signals."""
 
 import asyncio
-import secrets
 from typing import Protocol, TypeVar
 
 from dandelioncleat.adapters.log_lines import configure_log_lines
 from dandelioncleat.adapters.otlp import new_exporters
 from dandelioncleat.adapters.telemetry import OtelTelemetry, new_telemetry
 from dandelioncleat.core.identity import Incarnation
+from dandelioncleat.daemons.incarnation import new_incarnation
 from dandelioncleat.daemons.settings import Settings
 from dandelioncleat.daemons.supervision import (
     Daemon,
@@ -15,8 +15,6 @@
     supervise,
 )
 
-UNIQUE_BYTES = 6
-
 SettingsT_contra = TypeVar(
     'SettingsT_contra',
     bound=Settings,
@@ -37,12 +35,6 @@
         """Return a daemon that does not run yet."""
 
 
-def new_incarnation(host: str) -> Incarnation:
-    """Name one start of a process on a host."""
-    unique = secrets.token_hex(UNIQUE_BYTES)
-    return Incarnation(f'{host}/{unique}')
-
-
 async def run_process(
     settings: SettingsT_contra,
     *,
--- /dev/null
+++ b/src/dandelioncleat/daemons/store_gateway.py
@@ -0,0 +1,115 @@
+"""Connects the parts of a gateway."""
+
+import asyncio
+import socket
+from typing import NamedTuple
+
+import structlog
+from aiohttp import web
+
+from dandelioncleat.adapters.peer_server import PeerServer, add_peer_routes
+from dandelioncleat.app.direct.gateway_handler import GatewayHandler
+from dandelioncleat.app.direct.process_directory import (
+    ProcessAnnouncement,
+    ProcessEntry,
+    ProcessRole,
+)
+from dandelioncleat.daemons.direct_settings import GatewaySettings
+from dandelioncleat.platform.sockets import watch_peer
+from dandelioncleat.platform.status_page import StatusPage
+from dandelioncleat.platform.store import PlatformStore, new_store_session
+from dandelioncleat.ports.telemetry import Telemetry
+
+STORE_CONNECT_TIMEOUT_S = 1.0
+SHUTDOWN_S = 0.1
+
+_logger = structlog.get_logger(__name__)
+
+
+class GatewaySockets(NamedTuple):
+    """The listening sockets."""
+
+    routers: socket.socket
+    metrics: socket.socket
+
+
+class StoreGateway:
+    """Passes calls of routers on to the store until it is stopped."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        *,
+        sockets: GatewaySockets,
+        telemetry: Telemetry,
+        status_page: StatusPage,
+    ) -> None:
+        """Connect the parts; needs a running event loop."""
+        self._sockets = sockets
+        self._status_page = status_page
+        self._session = new_store_session(
+            connect_timeout_s=STORE_CONNECT_TIMEOUT_S
+        )
+        store = PlatformStore(self._session, settings.store)
+        self._announcement = ProcessAnnouncement(
+            store,
+            ProcessEntry(
+                ProcessRole.GATEWAY,
+                settings.host,
+                settings.data_centre,
+                settings.listen.routers,
+            ),
+        )
+        self._peers = PeerServer(
+            GatewayHandler(store, host=settings.host, telemetry=telemetry),
+            fleet_secret=settings.fleet_secret,
+            version=int,
+            on_version=_ignore_version,
+        )
+        self._runner: web.AppRunner | None = None
+
+    async def run(self) -> None:
+        """Listen until cancelled."""
+        for sock in self._sockets:
+            watch_peer(sock)
+        application = web.Application()
+        add_peer_routes(application, self._peers)
+        self._runner = web.AppRunner(
+            application, access_log=None, shutdown_timeout=SHUTDOWN_S
+        )
+        await self._runner.setup()
+        await web.SockSite(self._runner, self._sockets.routers).start()
+        await self._status_page.start(
+            (self._sockets.metrics,), is_ready=lambda: True
+        )
+        await self._announcement.join()
+        _logger.info('ready')
+        await asyncio.Event().wait()
+
+    async def stop(self, *, limit_s: float) -> str:
+        """Say that the gateway leaves; routers then use another."""
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._announcement.leave()
+        except TimeoutError:
+            _logger.info('the store was not told')
+        return ''
+
+    def losses(self) -> str:
+        """Return that nothing would be lost: a gateway keeps nothing."""
+        return ''
+
+    async def close(self) -> None:
+        """Close every connection."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+        await self._status_page.stop()
+        await self._session.close()
+
+    def reload(self, settings: GatewaySettings) -> None:
+        """Keep what runs: only addresses could change."""
+        _logger.info('new settings hold from the next start')
+
+
+def _ignore_version(address: str, version: int) -> None:
+    """Take no notice: a gateway has no configuration."""
--- a/src/dandelioncleat/demo/stage.py
+++ b/src/dandelioncleat/demo/stage.py
@@ -17,7 +17,7 @@
     new_key,
 )
 from dandelioncleat.core.fleet import ROUTER, SIDECAR
-from dandelioncleat.daemons.process import new_incarnation
+from dandelioncleat.daemons.incarnation import new_incarnation
 from dandelioncleat.daemons.router import (
     RouterDaemon,
     new_router_daemon,
--- a/src/dandelioncleat/platform/documents.py
+++ b/src/dandelioncleat/platform/documents.py
@@ -4,6 +4,7 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
+from dandelioncleat.core.address import is_address
 from dandelioncleat.core.deployment import (
     CallerLimits,
     CallKind,
@@ -132,7 +133,7 @@
     except (msgspec.DecodeError, UnicodeDecodeError):
         return None
     is_draining = _DRAINING_BY_STATE.get(server.state)
-    if is_draining is None or not _is_address(server.address):
+    if is_draining is None or not is_address(server.address):
         return None
     return TargetEntry(
         id=key,
@@ -145,11 +146,6 @@
     )
 
 
-def _is_address(text: str) -> bool:
-    ip, _, port = text.rpartition(':')
-    return bool(ip) and port.isdecimal()
-
-
 def _route(route: _Route) -> Route:
     if route.backends:
         shares = tuple(
--- a/src/dandelioncleat/platform/status_page.py
+++ b/src/dandelioncleat/platform/status_page.py
@@ -1,7 +1,7 @@
 """Answers whether the router is ready, and shows its metrics."""
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from aiohttp import web
 
@@ -22,12 +22,11 @@
 
     async def start(
         self,
+        sockets: Iterable[socket.socket],
         *,
-        ready: socket.socket,
-        metrics: socket.socket,
         is_ready: Callable[[], bool],
     ) -> None:
-        """Serve both pages at both addresses."""
+        """Serve both pages at each address."""
         self._is_ready = is_ready
         application = web.Application()
         application.router.add_get(READY_PATH, self._show_ready)
@@ -36,7 +35,7 @@
             application, access_log=None, shutdown_timeout=SHUTDOWN_S
         )
         await self._runner.setup()
-        for sock in (ready, metrics):
+        for sock in sockets:
             await web.SockSite(self._runner, sock).start()
 
     async def stop(self) -> None:
--- a/src/dandelioncleat/platform/store.py
+++ b/src/dandelioncleat/platform/store.py
@@ -9,6 +9,7 @@
 
 from dandelioncleat.adapters._http_call import Origin, Reply, call
 from dandelioncleat.core.failure import Code, failure_error
+from dandelioncleat.core.keyed_record import KeyedRecord
 from dandelioncleat.platform.framing import (
     PAGE_HEAD,
     frame_records,
@@ -25,7 +26,6 @@
     ConflictError,
     FencedError,
     KeyedPage,
-    KeyedRecord,
     OutdatedReadError,
     Producer,
 )
--- a/src/dandelioncleat/ports/store.py
+++ b/src/dandelioncleat/ports/store.py
@@ -2,13 +2,7 @@
 
 from typing import NamedTuple, Protocol
 
-
-class KeyedRecord(NamedTuple):
-    """The newest record of a key; an empty ``value`` means it was dropped."""
-
-    key: str
-    value: bytes
-    offset: int
+from dandelioncleat.core.keyed_record import KeyedRecord
 
 
 class KeyedPage(NamedTuple):
--- a/src/dandelioncleat/standin/keyed_store.py
+++ b/src/dandelioncleat/standin/keyed_store.py
@@ -6,11 +6,11 @@
 
 from dandelioncleat.app.event_wait import wait_at_most
 from dandelioncleat.core.failure import Code, FailureError, failure_error
+from dandelioncleat.core.keyed_record import KeyedRecord
 from dandelioncleat.ports.store import (
     ConflictError,
     FencedError,
     KeyedPage,
-    KeyedRecord,
     OutdatedReadError,
     Producer,
 )
--- a/tests/builders/deployment.py
+++ b/tests/builders/deployment.py
@@ -10,7 +10,7 @@
 from aiohttp import ClientSession
 
 from dandelioncleat.adapters.telemetry import new_telemetry
-from dandelioncleat.daemons.process import new_incarnation
+from dandelioncleat.daemons.incarnation import new_incarnation
 from dandelioncleat.daemons.router import (
     RouterDaemon,
     new_router_daemon,
--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -13,7 +13,10 @@
     DirectRetries,
     DirectSettings,
     DirectStop,
+    GatewayListen,
+    GatewaySettings,
 )
+from dandelioncleat.daemons.store_gateway import GatewaySockets, StoreGateway
 from dandelioncleat.platform.status_page import StatusPage
 from dandelioncleat.platform.store_standin import new_store_application
 from dandelioncleat.ports.telemetry import NullTelemetry
@@ -210,15 +213,23 @@
         self.llm = Target('i-llm', 'llm')
         self.llm2 = Target('i-llm2', 'llm')
         self.router = None
+        self.gateway = None
         self.session = None
         self.stopped = None
+        self._gateway_task = None
         self._store_runner = None
         self._task = None
         self._url = ''
+        self._gateways = ()
 
-    async def start(self, *, document=None, targets=None):
-        """Start all; the router is ready if there is a configuration."""
+    async def start(self, *, document=None, targets=None, is_cut=False):
+        """Start all; the router is ready if there is a configuration.
+
+        :param is_cut: whether the router reaches the store by a gateway only
+        """
         await self._start_store()
+        if is_cut:
+            await self._start_gateway()
         for target in (self.app, self.llm, self.llm2):
             await target.start()
         for target in targets or (self.app, self.llm):
@@ -284,6 +295,8 @@
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
         await self.router.close()
+        if self.gateway is not None:
+            await self._stop_gateway()
         await self.session.close()
         for target in (self.app, self.llm, self.llm2):
             target.close()
@@ -296,6 +309,30 @@
         self._store_address = _address(sock)
         await web.SockSite(self._store_runner, sock).start()
 
+    async def _start_gateway(self):
+        sockets = GatewaySockets(_listener(), _listener())
+        addresses = [_address(sock) for sock in sockets]
+        self.gateway = StoreGateway(
+            GatewaySettings(
+                host='g1',
+                data_centre='z1',
+                store=self._store_address,
+                listen=GatewayListen(*addresses),
+                stop=DirectStop(limit_s=1),
+            ),
+            sockets=sockets,
+            telemetry=NullTelemetry(),
+            status_page=StatusPage(lambda: b'metrics'),
+        )
+        self._gateway_task = asyncio.ensure_future(self.gateway.run())
+        self._gateways = (addresses[0],)
+        self._store_address = _address(_listener())
+
+    async def _stop_gateway(self):
+        self._gateway_task.cancel()
+        await asyncio.gather(self._gateway_task, return_exceptions=True)
+        await self.gateway.close()
+
     async def _start_router(self):
         sockets = Sockets(_listener(), _listener(), _listener())
         addresses = [_address(sock) for sock in sockets]
@@ -308,6 +345,7 @@
                 listen=DirectListen(*addresses),
                 retries=DirectRetries(ratio=0.2, slack=50, window_s=10),
                 stop=DirectStop(limit_s=5),
+                gateways=self._gateways,
             ),
             sockets=sockets,
             telemetry=NullTelemetry(),
--- /dev/null
+++ b/tests/builders/gateways.py
@@ -0,0 +1,53 @@
+"""Builders of paths to a store that go through gateways."""
+
+from dandelioncleat.adapters.memory_peers import MemoryNetwork, MemoryPeers
+from dandelioncleat.app.direct.gateway_handler import GatewayHandler
+from dandelioncleat.app.direct.gateway_store import GatewayStore
+from dandelioncleat.app.direct.store_path import StorePath
+from dandelioncleat.core.gateway_choice import GatewayChoice, GatewayPlace
+from dandelioncleat.core.identity import Incarnation
+from dandelioncleat.ports.telemetry import NullTelemetry
+
+DELAY_S = 0.001
+
+
+class GatewayNetwork:
+    """Gateways to a store, each of which can be cut off from it."""
+
+    def __init__(self, store, count):
+        """Take the store and the number of gateways."""
+        self.parted = set()
+        self.clients = [store.client() for _ in range(count)]
+        self.places = tuple(
+            GatewayPlace(f'z{number}', f'g{number}') for number in range(count)
+        )
+        self._network = MemoryNetwork(self._delay_s)
+        for place, client in zip(self.places, self.clients, strict=True):
+            handler = GatewayHandler(
+                client, host=place.address, telemetry=NullTelemetry()
+            )
+            self._network.serve(place.address, handler)
+
+    def path(self, host, direct, data_centre='z0'):
+        """Return a host's path to the store.
+
+        :param direct: its own client of the store
+        """
+        return StorePath(direct, self.store(host, data_centre))
+
+    def store(self, host, data_centre='z0'):
+        """Return the store as the gateways alone show it to a host."""
+        peers = MemoryPeers(
+            self._network,
+            address=host,
+            incarnation=Incarnation(host),
+            version=int,
+            on_version=lambda address, version: None,
+        )
+        choice = GatewayChoice(host=host, data_centre=data_centre)
+        return GatewayStore(peers, choice, gateways=lambda: self.places)
+
+    def _delay_s(self, sender, receiver):
+        if self.parted & {sender, receiver}:
+            return None
+        return DELAY_S
--- a/tests/builders/wallets.py
+++ b/tests/builders/wallets.py
@@ -29,12 +29,13 @@
 class WalletHost:
     """A host whose process can be cut off, killed and started again."""
 
-    def __init__(self, store, name, paid):
-        """Take the store and what the budgets have paid."""
+    def __init__(self, store, name, paid, gateways=None):
+        """Take the store, what the budgets have paid, and the gateways."""
         self.name = name
         self.clock = HostClock()
         self.spent = 0
         self._store = store
+        self._gateways = gateways
         self._paid = dict(paid)
         self._task = None
         self.client = None
@@ -43,7 +44,10 @@
     def start(self):
         """Start a process."""
         self.client = self._store.client()
-        self.wallet = Wallet(self.client, host=self.name, clock=self.clock)
+        store = self.client
+        if self._gateways is not None:
+            store = self._gateways.path(self.name, self.client)
+        self.wallet = Wallet(store, host=self.name, clock=self.clock)
         self.wallet.set_paid(self._paid)
         self._task = asyncio.ensure_future(self.wallet.run())
 
@@ -72,10 +76,10 @@
         return verdict
 
 
-async def new_hosts(count, paid, store=None):
+async def new_hosts(count, paid, store=None, gateways=None):
     """Return started hosts that share a store, and the store."""
     store = store or MemoryKeyedStore()
-    hosts = [WalletHost(store, f'h{n}', paid) for n in range(count)]
+    hosts = [WalletHost(store, f'h{n}', paid, gateways) for n in range(count)]
     for host in hosts:
         host.start()
     for host in hosts:
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -13,9 +13,13 @@
 )
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.message import Message
+from dandelioncleat.core.topic_message import TopicMessage
 from tests.builders.message import chunk
 
-MESSAGE_TYPES = tuple(Message.__subclasses__())
+MESSAGE_TYPES = (
+    *(each for each in Message.__subclasses__() if each is not TopicMessage),
+    *TopicMessage.__subclasses__(),
+)
 
 
 def texts() -> st.SearchStrategy[str]:
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -24,7 +24,10 @@
     choose_for_prompt,
     choose_plain,
 )
-from dandelioncleat.daemons.direct_settings import parse_direct_settings
+from dandelioncleat.daemons.direct_settings import (
+    parse_direct_settings,
+    parse_gateway_settings,
+)
 
 SETTINGS = b"""
 host = "h"
@@ -300,6 +303,33 @@
             self.assertIn(name, reason)
 
 
+class GatewaySettingsTest(testtools.TestCase):
+    """Settings of a gateway are checked as those of a router are."""
+
+    text = SETTINGS[: SETTINGS.index(b'[listen]')] + (
+        b'[listen]\nrouters = "10.0.0.2:80"\nmetrics = "10.0.0.2:82"\n'
+        b'[stop]\nlimit_s = 1\n'
+    )
+
+    def test_sound_settings(self):
+        settings = parse_gateway_settings(self.text).unwrap()
+        self.assertEqual('10.0.0.2:80', settings.listen.routers)
+
+    def test_errors_are_named(self):
+        for text, name in (
+            (self.text.replace(b'10.0.0.2:80', b'10.0.0.2'), 'routers'),
+            (self.text.replace(b'10.0.0.1:80', b'10.0.0.1:99999'), 'store'),
+            (self.text.replace(b'limit_s = 1', b'limit_s = 0'), 'limit_s'),
+            (SETTINGS, 'listen'),
+        ):
+            reason = parse_gateway_settings(text).failure()
+            self.assertIn(name, reason)
+
+    def test_a_gateway_that_is_no_address(self):
+        text = b'gateways = ["nowhere"]' + SETTINGS
+        self.assertIn('gateways.0', parse_direct_settings(text).failure())
+
+
 class ManyHostsTest(testtools.TestCase):
     """Requests larger than a host's part find tokens in the pool."""
 
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -86,6 +86,27 @@
         self.assertEqual(4, body.count(b'id: '))
 
 
+class CutOffTest(testtools.TestCase):
+    """A router that can't reach the store serves by way of a gateway."""
+
+    def test_a_request_is_served_from_the_budget(self):
+        async def scenario(fleet):
+            fleet.llm.answers = [events(0, 3)]
+            return await fleet.call('/stream/a', **MODEL_HEADERS)
+
+        status, _, body = play(scenario, is_cut=True)
+        self.assertEqual(200, status)
+        self.assertEqual(4, body.count(b'id: '))
+
+    def test_a_new_version_is_in_force(self):
+        async def scenario(fleet):
+            await fleet.put('op', 'config', configuration(version=2))
+            await fleet.wait_until(lambda: fleet.router.version == 2)
+            return (await fleet.call('/safe/a'))[0]
+
+        self.assertEqual(200, play(scenario, is_cut=True))
+
+
 class RefusalTest(testtools.TestCase):
     """What can't be served is refused at once, and truthfully."""
 
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,206 @@
+"""Tests of the gateways to a store that a host can't reach itself."""
+
+import asyncio
+
+import testtools
+
+from dandelioncleat.adapters.virtual_time import run
+from dandelioncleat.app.direct.store_path import PathName
+from dandelioncleat.core.failure import FailureError
+from dandelioncleat.core.gateway_choice import (
+    AVOID_S,
+    GatewayChoice,
+    GatewayPlace,
+)
+from dandelioncleat.ports.store import (
+    ConflictError,
+    FencedError,
+    OutdatedReadError,
+    Producer,
+)
+from dandelioncleat.standin.keyed_store import MemoryKeyedStore, StoreFaults
+from tests.builders.gateways import GatewayNetwork
+
+RECORDS = (('k', b'1'),)
+
+
+class GatewayChoiceTest(testtools.TestCase):
+    """Which gateway a host asks first."""
+
+    places = tuple(
+        GatewayPlace(f'z{number % 2}', f'g{number}') for number in range(6)
+    )
+
+    def test_the_own_data_centre_comes_first(self):
+        choice = GatewayChoice(host='h', data_centre='z1')
+        order = choice.order(self.places, 0)
+        self.assertEqual(
+            ['z1'] * 3 + ['z0'] * 3, [each.data_centre for each in order]
+        )
+
+    def test_hosts_are_spread(self):
+        firsts = {
+            GatewayChoice(host=f'h{n}', data_centre='z1')
+            .order(self.places, 0)[0]
+            .address
+            for n in range(40)
+        }
+        self.assertEqual(3, len(firsts))
+
+    def test_one_that_did_not_answer_comes_last_for_a_while(self):
+        choice = GatewayChoice(host='h', data_centre='z1')
+        first = choice.order(self.places, 0)[0]
+        choice.note_failure(first.address, 0)
+        self.assertEqual(first, choice.order(self.places, 1)[-1])
+        self.assertEqual(first, choice.order(self.places, AVOID_S)[0])
+
+    def test_one_that_answers_again_is_trusted(self):
+        choice = GatewayChoice(host='h', data_centre='z1')
+        first = choice.order(self.places, 0)[0]
+        choice.note_failure(first.address, 0)
+        choice.note_answer(first.address)
+        self.assertEqual(first, choice.order(self.places, 1)[0])
+
+
+class GatewayStoreTest(testtools.TestCase):
+    """The store behind a gateway says what it says itself."""
+
+    def _play(self, scenario, count=1):
+        async def play():
+            store = MemoryKeyedStore()
+            network = GatewayNetwork(store, count)
+            return await scenario(network.store('h'), store, network)
+
+        return run(play())
+
+    def test_records_pass_unchanged(self):
+        async def scenario(store, behind, network):
+            end = await store.append('t', (('k', b'\x00\xff'), ('l', b'')))
+            page = await store.read('t', start=0, wait_s=0)
+            return end, page == await behind.read('t', start=0, wait_s=0)
+
+        self.assertEqual((2, True), self._play(scenario))
+
+    def test_the_newest_records(self):
+        async def scenario(store, behind, network):
+            await behind.append('t', RECORDS)
+            return await store.newest('t') == await behind.newest('t')
+
+        self.assertTrue(self._play(scenario))
+
+    def test_a_topic_that_ends_elsewhere(self):
+        async def scenario(store, behind, network):
+            await store.append('t', RECORDS, at=0)
+            await store.append('t', RECORDS, at=0)
+
+        self.assertRaises(ConflictError, self._play, scenario)
+
+    def test_a_producer_with_a_higher_epoch(self):
+        async def scenario(store, behind, network):
+            await behind.append('t', (), producer=Producer('p', 2, 0))
+            await store.append('t', RECORDS, producer=Producer('p', 1, 1))
+
+        self.assertRaises(FencedError, self._play, scenario)
+
+    def test_records_that_were_dropped(self):
+        async def scenario(store, behind, network):
+            await behind.append('t', RECORDS)
+            behind.drop_history('t')
+            await store.read('t', start=0, wait_s=0)
+
+        self.assertRaises(OutdatedReadError, self._play, scenario)
+
+    def test_a_gateway_that_is_cut_off_too_is_passed_over(self):
+        async def scenario(store, behind, network):
+            network.clients[0].is_cut = True
+            network.parted.add('g1')
+            return await store.append('t', RECORDS)
+
+        self.assertEqual(1, self._play(scenario, count=3))
+
+    def test_no_gateway_at_all(self):
+        async def scenario(store, behind, network):
+            await store.append('t', RECORDS)
+
+        error = self.assertRaises(FailureError, self._play, scenario, 0)
+        self.assertEqual('log', error.failure.code)
+
+
+class StorePathTest(testtools.TestCase):
+    """A host goes on through a gateway behind a cut, and comes back."""
+
+    def _play(self, scenario, count=2):
+        async def play():
+            store = MemoryKeyedStore()
+            network = GatewayNetwork(store, count)
+            direct = store.client()
+            path = network.path('h', direct)
+            return await scenario(path, direct, store)
+
+        return run(play())
+
+    def test_appends_go_on_behind_a_cut(self):
+        async def scenario(path, direct, store):
+            direct.is_cut = True
+            ends = [await path.append('t', RECORDS) for _ in range(3)]
+            return ends, path.preferred
+
+        self.assertEqual(([1, 2, 3], PathName.GATEWAY), self._play(scenario))
+
+    def test_a_store_that_never_answers_is_not_waited_for(self):
+        async def scenario(path, direct, store):
+            direct.append = _hang
+            await path.append('t', RECORDS)
+            started = asyncio.get_running_loop().time()
+            await path.append('t', RECORDS)
+            return asyncio.get_running_loop().time() - started
+
+        self.assertLess(self._play(scenario), 0.1)
+
+    def test_a_read_that_waits_follows_the_change(self):
+        async def scenario(path, direct, store):
+            direct.read = _hang
+            reading = asyncio.ensure_future(
+                path.read('t', start=0, wait_s=30.0)
+            )
+            await asyncio.sleep(0.1)
+            direct.is_cut = True
+            await path.append('other', RECORDS)
+            await store.append('t', RECORDS)
+            page = await asyncio.wait_for(reading, 1)
+            return page.records[0].value
+
+        self.assertEqual(b'1', self._play(scenario))
+
+    def test_the_direct_path_is_taken_again_once_it_answers(self):
+        async def scenario(path, direct, store):
+            direct.is_cut = True
+            await path.append('t', RECORDS, producer=Producer('p', 1, 1))
+            direct.is_cut = False
+            await asyncio.sleep(2)
+            await path.append('t', RECORDS, producer=Producer('p', 1, 2))
+            page = await store.newest('t')
+            return path.preferred, page.end
+
+        self.assertEqual((PathName.DIRECT, 2), self._play(scenario))
+
+    def test_an_append_on_both_paths_is_done_once(self):
+        async def scenario(path, direct, store):
+            store.faults = StoreFaults(slow_s=0.2)
+            end = await path.append('t', RECORDS, producer=Producer('p', 1, 1))
+            await asyncio.sleep(5)
+            store.faults = StoreFaults()
+            return end, (await store.newest('t')).end
+
+        self.assertEqual((1, 1), self._play(scenario))
+
+    def test_a_store_that_is_down_for_all(self):
+        async def scenario(path, direct, store):
+            store.faults = StoreFaults(is_out=True)
+            await path.newest('t')
+
+        self.assertRaises(FailureError, self._play, scenario)
+
+
+async def _hang(*arguments, **options):
+    await asyncio.Event().wait()
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -2,6 +2,7 @@
 
 import subprocess
 import sys
+from importlib.metadata import packages_distributions
 from pathlib import Path
 
 import testtools
@@ -59,6 +60,36 @@
         self.assertEqual([], found)
 
 
+class DeployedImportsTest(testtools.TestCase):
+    """The deployed programs run on what a deployment installs."""
+
+    def test_both_programs(self):
+        listed = (ROOT / 'deploy' / 'requirements.txt').read_text()
+        deployed = {line.partition('==')[0] for line in listed.split()}
+        missing = {
+            name
+            for name, packages in packages_distributions().items()
+            if not {_canonical(each) for each in packages} & deployed
+        }
+        missing -= {'dandelioncleat', '_distutils_hack'}
+        # Several packages share the first part of this name.
+        missing.add('opentelemetry.exporter.otlp')
+        for program in ('direct', 'gateway'):
+            code = (
+                'import importlib, sys;'
+                f'sys.modules.update(dict.fromkeys({missing!r}));'
+                f'importlib.import_module("dandelioncleat.daemons.{program}")'
+            )
+            made = subprocess.run(
+                [sys.executable, '-c', code], capture_output=True, text=True
+            )
+            self.assertEqual('', made.stderr)
+
+
+def _canonical(package):
+    return package.lower().replace('_', '-')
+
+
 class RequirementsTest(testtools.TestCase):
     """What a deployment installs is what was locked and tested."""
 
--- a/tests/test_router_daemon.py
+++ b/tests/test_router_daemon.py
@@ -8,7 +8,7 @@
 
 from dandelioncleat.adapters.telemetry import new_telemetry
 from dandelioncleat.core.record import End, Leave
-from dandelioncleat.daemons.process import new_incarnation
+from dandelioncleat.daemons.incarnation import new_incarnation
 from dandelioncleat.daemons.router import (
     RouterDaemon,
     new_router_daemon,
--- a/tests/test_sidecar_daemon.py
+++ b/tests/test_sidecar_daemon.py
@@ -12,7 +12,7 @@
 from dandelioncleat.core.identity import BudgetId, Incarnation, RunId
 from dandelioncleat.core.message import AskStatus, Chunk, Dispatch
 from dandelioncleat.core.shard import ledger_stream, shard_of
-from dandelioncleat.daemons.process import new_incarnation
+from dandelioncleat.daemons.incarnation import new_incarnation
 from dandelioncleat.daemons.settings import SidecarSettings
 from dandelioncleat.daemons.sidecar import SidecarDaemon, new_sidecar_daemon
 from dandelioncleat.daemons.supervision import StopSignals, supervise
--- a/tests/test_wallet.py
+++ b/tests/test_wallet.py
@@ -8,6 +8,7 @@
 from dandelioncleat.adapters.virtual_time import run
 from dandelioncleat.core.holding import CLOCK_ERROR_S, Moment
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore, StoreFaults
+from tests.builders.gateways import GatewayNetwork
 from tests.builders.wallets import end, new_hosts
 
 PAID = {'o': 100_000}
@@ -94,6 +95,48 @@
         self.assertLessEqual(spent, 100_000)
 
 
+class GatewayTest(testtools.TestCase):
+    """All hosts are cut off from the store, the gateways are not."""
+
+    def test_all_of_a_budget_can_be_used_behind_a_cut(self):
+        async def scenario():
+            store = MemoryKeyedStore()
+            gateways = GatewayNetwork(store, 2)
+            hosts, _ = await new_hosts(3, PAID, store, gateways)
+            for host in hosts:
+                host.client.is_cut = True
+            await _spend_all(hosts)
+            await end(hosts)
+            return sum(host.spent for host in hosts)
+
+        self.assertEqual(100_000, run(scenario()))
+
+    def test_most_tokens_are_left_after_a_kill_behind_a_cut(self):
+        async def scenario():
+            store = MemoryKeyedStore()
+            gateways = GatewayNetwork(store, 2)
+            hosts, _ = await new_hosts(2, PAID, store, gateways)
+            for host in hosts:
+                host.client.is_cut = True
+            for _ in range(40):
+                await hosts[0].spend('o', 1000)
+                await asyncio.sleep(0.1)
+            for host in hosts:
+                await host.kill()
+            await asyncio.sleep(1)
+            for host in hosts:
+                host.start()
+            for host in hosts:
+                await host.ready()
+            await _spend_all(hosts)
+            await end(hosts)
+            return sum(host.spent for host in hosts)
+
+        spent = run(scenario())
+        self.assertLessEqual(spent, 100_000)
+        self.assertGreater(spent, 80_000)
+
+
 class SuccessorTest(testtools.TestCase):
     """A process starts from what its predecessor may have used."""
 
@@ -187,13 +230,19 @@
             spent, paid = self._overspent(seed)
             self.assertLessEqual(spent, paid, f'seed {seed}')
 
+    def test_never_more_than_was_paid_with_gateways(self):
+        for seed in range(100, 125):
+            spent, paid = run(_play(seed, gateways=2))
+            self.assertLessEqual(spent, paid, f'seed {seed}')
+
 
-async def _play(seed):
+async def _play(seed, gateways=0):
     """Play faults and spending at random; return what was used and paid."""
     source = random.Random(seed)
     store = MemoryKeyedStore(random.Random(seed))
     paid = 60_000
-    hosts, _ = await new_hosts(3, {'o': paid}, store)
+    network = GatewayNetwork(store, gateways)
+    hosts, _ = await new_hosts(3, {'o': paid}, store, network)
     for step in range(120):
         host = source.choice(hosts)
         match source.randrange(14):
@@ -218,6 +267,9 @@
             case 4:
                 for topic in ('ceilings', 'usage'):
                     store.drop_history(topic)
+            case 6 if gateways:
+                client = source.choice(network.clients)
+                client.is_cut = not client.is_cut
             case 5 if source.random() < 0.2:
                 paid += 10_000
                 for each in hosts:
