Size usage marks by the store's round trip, and bound what an outage allows

Cause: after all hosts lost power, successors presumed used what marks allowed: a burst of 6% of what was free and 6.7 s of the recent rate.

Ruled out: our count of used tokens (its sum per budget agrees with the marks within what was presumed).

Change: a mark allows what is used in two round trips to the store, a large request where the store is slow, and 1.5 s of the recent use for an outage. Without recent use it allows 5% of what is free. A stopping router writes exact marks.

--- a/src/dandelioncleat/app/direct/run_context.py
+++ b/src/dandelioncleat/app/direct/run_context.py
@@ -36,6 +36,7 @@
         self.failed_answer: WholeAnswer | None = None
         self.outcome = 'caller left'
         self.refusal: Reason | None = None
+        self.used_tokens = 0
         self._had_run = False
 
     @property
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -31,7 +31,7 @@
 
 TOKEN_WAIT_SHARE = 0.5
 # A store that answers moves tokens in a few round trips.
-MOST_TOKEN_WAIT_S = 0.15
+MOST_TOKEN_WAIT_S = 0.3
 TOKENS_RETRY_S = 0.3
 STOPPING_RETRY_S = 0.05
 
@@ -134,7 +134,8 @@
             await self._run(context, reply)
         finally:
             if need is not None:
-                self._parts.wallet.settle(need, used_tokens(context, need))
+                context.used_tokens = used_tokens(context, need)
+                self._parts.wallet.settle(need, context.used_tokens)
 
     def _need(self, context: RunContext) -> Need | None:
         prompt = context.request.prompt
@@ -209,9 +210,13 @@
         return self._parts.placement.take_retry(service)
 
     def _note_end(self, context: RunContext, need: Need | None) -> None:
-        budget = (
-            {} if need is None else self._parts.wallet.inputs_of(need.budget)
-        )
+        budget = {}
+        if need is not None:
+            budget = {
+                'needed': need.tokens,
+                'used': context.used_tokens,
+                **self._parts.wallet.inputs_of(need.budget),
+            }
         organisation = context.admitted.organisation
         _logger.info(
             'request ended',
@@ -224,7 +229,6 @@
             sent=context.sent,
             targets=sorted(context.tried),
             passed_ms=int(1000 * context.passed_s),
-            needed=0 if need is None else need.tokens,
             **budget,
         )
         self._count(context.refusal or context.outcome)
--- a/src/dandelioncleat/app/direct/wallet.py
+++ b/src/dandelioncleat/app/direct/wallet.py
@@ -76,8 +76,7 @@
 
     def others_with(self, need: Need) -> tuple[str, ...]:
         """Return the other hosts that could cover a request, best first."""
-        silence_s = self._sync.silence_s
-        return self._holdings.richest_others(need, silence_s=silence_s)
+        return self._holdings.richest_others(need)
 
     def room_in_s(self, need: Need) -> float | None:
         """Return when a request may begin here, if time alone brings that."""
@@ -95,6 +94,11 @@
         """Keep the holdings and the store in step until cancelled."""
         await self._sync.run()
 
+    def be_exact(self) -> None:
+        """Allow no use beyond what the store has confirmed from now on."""
+        self._holdings.is_exact = True
+        self._sync.note_change(is_urgent=True)
+
     async def close(self) -> None:
         """Give back what is left; returns once the store has confirmed it."""
         self._holdings.is_closing = True
--- a/src/dandelioncleat/core/holding.py
+++ b/src/dandelioncleat/core/holding.py
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Iterable
+from math import inf
 from typing import NamedTuple
 
 from msgspec import Struct
@@ -54,6 +55,7 @@
     :param used: tokens delivered and reserved, over all processes of the host
     :param burst: tokens that may be used beyond ``used`` at once
     :param speed: further tokens a second that may be used without a new mark
+    :param span_s: time after which ``speed`` adds no more, in seconds
     :param at: when the mark was made, on the host's clocks
     :param rate: tokens a second that the host used lately
     :param wanted: tokens that waiting requests miss
@@ -69,10 +71,12 @@
     rate: float
     wanted: int
     epoch: int
+    span_s: float = inf
 
     def limit_after(self, passed_s: float) -> float:
         """Return the most that may be used some seconds after the mark."""
-        return self.used + self.burst + self.speed * passed_s
+        grown = self.speed * min(passed_s, self.span_s)
+        return self.used + self.burst + grown
 
 
 class Share(NamedTuple):
@@ -83,21 +87,12 @@
     used: int
     rate: float
     wanted: int
-    burst: int = 0
-    speed: float = 0
 
     @property
     def free(self) -> int:
         """Return the tokens that the host may still use."""
         return max(0, self.ceiling - self.used)
 
-    def room_after(self, silence_s: float) -> float:
-        """Return the tokens that the host may use without the store.
-
-        :param silence_s: time since the store took its last mark
-        """
-        return min(self.free, self.burst + self.speed * silence_s)
-
 
 class HoldingBook:
     """Keeps the newest ceilings and usage marks of all hosts."""
@@ -190,6 +185,4 @@
         mark.used,
         mark.rate,
         mark.wanted,
-        mark.burst,
-        mark.speed,
     )
--- a/src/dandelioncleat/core/holding_policy.py
+++ b/src/dandelioncleat/core/holding_policy.py
@@ -24,13 +24,39 @@
 # Part of a budget that no host holds where very many hosts share it.
 POOLED_SHARE = 0.5
 FEW_HOSTS = 4
-# Bounds of use without a new mark: at once and for each second, as parts of
-# what is free, or as a multiple of the host's recent rate.
-BURST_SHARE = 0.06
-# A large request may take one of so many parts of what is free.
-LARGE_PARTS = 6
-SPEED_SHARE = 0.03
-SPEED_FACTOR = 0.7
+# A mark leaves room for what is used until the next one can stand: this
+# many round trips to the store.
+ROUND_TRIPS = 2.0
+# A store that takes longer can't confirm a mark for each request in time.
+SLOW_STORE_S = 0.05
+# What may be used while the store answers nobody, in seconds of the recent
+# use. A host that is killed loses as much.
+OUTAGE_S = 1.5
+OUTAGE_SPEED_FACTOR = 1.0
+# Of a budget that was not used lately, so much may be used in an outage.
+IDLE_SHARE = 0.05
+
+
+class Demand(NamedTuple):
+    """How a host uses a budget, and how soon the store confirms a mark.
+
+    :param free: tokens that the host may still use
+    :param rate: tokens a second that it used lately
+    :param large_need: size of a large request of the budget, in tokens
+    :param round_trip_s: time that the store took for recent marks
+    """
+
+    free: int
+    rate: float
+    large_need: int
+    round_trip_s: float
+
+
+class Allowance(NamedTuple):
+    """What may be used without a new mark: at once, and for each second."""
+
+    burst: int
+    speed: float
 
 
 class Position(NamedTuple):
@@ -86,21 +112,22 @@
     return int(left * (1 - _pooled_share(position)) * _weight(position))
 
 
-def burst_of(free: int, large_need: int) -> int:
-    """Return the tokens that may be used at once without a new mark.
+def allowance(demand: Demand) -> Allowance:
+    """Return what may be used beyond what a new mark says is used.
 
-    :param large_need: size of a large request of the budget, in tokens
+    A store that answers confirms a mark before each request; then nothing
+    more is allowed but what an outage would need. All of it is presumed
+    used if the process dies.
     """
-    return min(
-        free, max(int(free * BURST_SHARE), min(large_need, free // LARGE_PARTS))
-    )
-
-
-def speed_of(free: int, rate: float) -> float:
-    """Return the tokens a second that may be used without a new mark."""
-    if free <= 0:
-        return float(0)
-    return max(free * SPEED_SHARE, rate * SPEED_FACTOR)
+    if demand.free <= 0:
+        return Allowance(0, float(0))
+    if demand.rate < IDLE_RATE:
+        return Allowance(int(demand.free * IDLE_SHARE), float(0))
+    burst = demand.rate * ROUND_TRIPS * demand.round_trip_s
+    if demand.round_trip_s > SLOW_STORE_S:
+        burst = max(burst, demand.large_need)
+    speed = round(demand.rate * OUTAGE_SPEED_FACTOR, 1)
+    return Allowance(min(demand.free, int(burst)), speed)
 
 
 def _claim_for_waiting(position: Position) -> int:
--- a/src/dandelioncleat/core/host_holdings.py
+++ b/src/dandelioncleat/core/host_holdings.py
@@ -12,10 +12,12 @@
     inherited_use,
 )
 from dandelioncleat.core.holding_policy import (
+    OUTAGE_S,
+    Allowance,
+    Demand,
     Position,
-    burst_of,
+    allowance,
     next_ceiling,
-    speed_of,
 )
 from dandelioncleat.core.wallet_account import WalletAccount
 
@@ -50,6 +52,8 @@
         self.paid_by_budget: Mapping[str, int] = {}
         self.accounts_by_budget: dict[str, WalletAccount] = {}
         self.is_closing = False
+        self.is_exact = False
+        self.round_trip_s = float(0)
 
     def open_accounts(self, now: Moment) -> list[OpenedAccount]:
         """Open the accounts of budgets that have none."""
@@ -78,22 +82,15 @@
         paid = self.paid_by_budget.get(need.budget, 0)
         return paid - others - own < need.tokens
 
-    def richest_others(
-        self, need: Need, *, silence_s: float
-    ) -> tuple[str, ...]:
-        """Return the other hosts that could cover a request, best first.
-
-        :param silence_s: time since the store was heard, in seconds
-        """
-        room_by_host = {
-            share.host: share.room_after(silence_s)
-            for share in self._others(need.budget)
-        }
+    def richest_others(self, need: Need) -> tuple[str, ...]:
+        """Return the other hosts that hold enough for a request, best first."""
         able = [
-            host for host, room in room_by_host.items() if room >= need.tokens
+            share
+            for share in self._others(need.budget)
+            if share.free >= need.tokens
         ]
-        able.sort(key=room_by_host.__getitem__, reverse=True)
-        return tuple(able)
+        able.sort(key=lambda share: share.free, reverse=True)
+        return tuple(share.host for share in able)
 
     def room_in_s(self, need: Need, now: float) -> float | None:
         """Return when the marks will let a request begin, in seconds.
@@ -117,7 +114,7 @@
         for budget, account in self.accounts_by_budget.items():
             account.meter.update(account.total, now.monotonic)
             mark = self._mark(budget, account, now=now, epoch=epoch)
-            if _is_due(account.confirmed, mark):
+            if _is_due(account, mark):
                 due.append(mark)
         return due
 
@@ -141,7 +138,7 @@
         return all(
             account.free == 0
             and account.confirmed is not None
-            and account.confirmed.speed == 0
+            and _beyond(account.confirmed) == 0
             for account in self.accounts_by_budget.values()
         )
 
@@ -179,20 +176,31 @@
         epoch: int,
     ) -> UsageMark:
         free = 0 if self.is_closing else account.free
+        allowed = self._allowance(account, free)
         waiting = max(account.waiting_by_request.values(), default=0)
         return UsageMark(
             budget=budget,
             host=self.host,
             used=account.total,
-            burst=max(
-                burst_of(free, account.large_need),
-                min(waiting, free),
-            ),
-            speed=speed_of(free, account.meter.rate),
+            burst=max(allowed.burst, min(waiting, free)),
+            speed=allowed.speed,
             at=now,
             rate=round(account.meter.rate, 1),
             wanted=account.missing,
             epoch=epoch,
+            span_s=OUTAGE_S,
+        )
+
+    def _allowance(self, account: WalletAccount, free: int) -> Allowance:
+        if self.is_exact:
+            return Allowance(0, float(0))
+        return allowance(
+            Demand(
+                free,
+                account.meter.rate,
+                account.large_need,
+                self.round_trip_s,
+            )
         )
 
     def _next_ceiling(
@@ -223,11 +231,18 @@
         return tuple(share for share in shares if share.host != self.host)
 
 
-def _is_due(confirmed: UsageMark | None, mark: UsageMark) -> bool:
+def _is_due(account: WalletAccount, mark: UsageMark) -> bool:
+    confirmed = account.confirmed
     if confirmed is None:
         return True
-    said = (mark.used, mark.burst, mark.wanted)
-    if said != (confirmed.used, confirmed.burst, confirmed.wanted):
+    if (mark.used, mark.wanted) != (confirmed.used, confirmed.wanted):
+        return True
+    if account.is_held_up(mark.at.monotonic):
         return True
     is_old = mark.at.monotonic - confirmed.at.monotonic > REFRESH_S
-    return is_old and (mark.speed > 0 or confirmed.speed > 0)
+    return is_old and (_beyond(mark) > 0 or _beyond(confirmed) > 0)
+
+
+def _beyond(mark: UsageMark) -> float:
+    """Return what a mark allows beyond what is used."""
+    return mark.burst + mark.speed
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -199,6 +199,7 @@
         now = asyncio.get_running_loop().time()
         end_at = now + limit_s - SETTLE_S
         self._serving.begin_stop(StopTimes(now + accept_s, end_at))
+        self._wallet.be_exact()
         lost = [await self._finish_requests(end_at), await self._give_back()]
         return ', '.join(text for text in lost if text)
 
