Charge nothing to a caller that left before its model run began

A run begins with its first token, and leaving cancels the request.

Ruled out: the count of delivered requests.

Requests whose answer was lost are still accounted in full.

--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -89,6 +89,7 @@
     state.note_answer(answer.occupancy, now)
     if not answer.is_stream:
         body = await _whole_body(answer)
+        context.has_begun = True
         await reply.whole(WholeAnswer(answer.head, body))
         return AttemptEnd.DELIVERED
     timer.reschedule(context.deadline)
--- a/src/dandelioncleat/app/direct/ending.py
+++ b/src/dandelioncleat/app/direct/ending.py
@@ -1,7 +1,7 @@
 """Ends a request: its refusal, its cut, its account of tokens."""
 
 from dandelioncleat.app.direct.attempt import AttemptEnd
-from dandelioncleat.app.direct.run_context import RunContext
+from dandelioncleat.app.direct.run_context import CALLER_LEFT, RunContext
 from dandelioncleat.core.direct_request import Reason, Refusal
 from dandelioncleat.core.host_holdings import Need
 from dandelioncleat.ports.direct_caller import Reply
@@ -40,6 +40,8 @@
     prompt = context.request.prompt
     if prompt is None or not context.may_have_run:
         return 0
+    if _left_before_the_run(context):
+        return 0
     engine = context.admitted.service.engine
     per_event = prompt.output_tokens
     if engine is not None:
@@ -52,6 +54,16 @@
     return min(need.tokens, used)
 
 
+def _left_before_the_run(context: RunContext) -> bool:
+    """Return whether a caller left while its prompt was still read.
+
+    A model's run begins with its first token; leaving cancelled it.
+    """
+    if context.outcome != CALLER_LEFT or context.has_begun:
+        return False
+    return not context.had_run
+
+
 def _refusal_after(context: RunContext, end: AttemptEnd | None) -> Refusal:
     if end is None:
         return Refusal(Reason.NOT_IN_TIME, has_run=True)
--- a/src/dandelioncleat/app/direct/run_context.py
+++ b/src/dandelioncleat/app/direct/run_context.py
@@ -11,13 +11,16 @@
 from dandelioncleat.core.event_stream import EventStream
 
 DEFAULT_WAIT_S = 30.0
+# A request that is ended by cancelling its task.
+CALLER_LEFT = 'caller left'
 
 
 class RunContext:
     """Keeps the deadline, the targets that were tried and the delivered.
 
     ``answer_by`` is when the answer must have begun, ``deadline`` when the
-    caller leaves; both are times of the event loop in seconds.
+    caller leaves; both are times of the event loop in seconds. ``had_run``
+    says that an attempt before the last may have run.
     """
 
     def __init__(self, request: DirectRequest, admitted: Admitted) -> None:
@@ -34,10 +37,10 @@
         self.sent = 0
         self.may_have_run = False
         self.failed_answer: WholeAnswer | None = None
-        self.outcome = 'caller left'
+        self.outcome = CALLER_LEFT
         self.refusal: Reason | None = None
         self.used_tokens = 0
-        self._had_run = False
+        self.had_run = False
 
     @property
     def left_s(self) -> float:
@@ -60,12 +63,12 @@
     def begin_attempt(self) -> None:
         """Note that the request is about to be sent to a target."""
         self.sent += 1
-        self._had_run = self.may_have_run
+        self.had_run = self.may_have_run
         self.may_have_run = True
 
     def note_not_run(self) -> None:
         """Note that the last attempt is known not to run."""
-        self.may_have_run = self._had_run
+        self.may_have_run = self.had_run
 
     @property
     def has_runs_left(self) -> bool:
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -30,8 +30,8 @@
 from dandelioncleat.ports.telemetry import Telemetry
 
 TOKEN_WAIT_SHARE = 0.5
-# A store that answers moves tokens in a few round trips.
-MOST_TOKEN_WAIT_S = 0.3
+# A slow store confirms a mark within two round trips.
+MOST_TOKEN_WAIT_S = 0.5
 TOKENS_RETRY_S = 0.3
 STOPPING_RETRY_S = 0.05
 
--- a/src/dandelioncleat/app/direct/wallet.py
+++ b/src/dandelioncleat/app/direct/wallet.py
@@ -94,9 +94,9 @@
         """Keep the holdings and the store in step until cancelled."""
         await self._sync.run()
 
-    def be_exact(self) -> None:
-        """Allow no use beyond what the store has confirmed from now on."""
-        self._holdings.is_exact = True
+    def prepare_close(self) -> None:
+        """Allow nothing for an outage from now on, as the process ends."""
+        self._holdings.is_ending = True
         self._sync.note_change(is_urgent=True)
 
     async def close(self) -> None:
--- a/src/dandelioncleat/core/host_holdings.py
+++ b/src/dandelioncleat/core/host_holdings.py
@@ -52,7 +52,7 @@
         self.paid_by_budget: Mapping[str, int] = {}
         self.accounts_by_budget: dict[str, WalletAccount] = {}
         self.is_closing = False
-        self.is_exact = False
+        self.is_ending = False
         self.round_trip_s = float(0)
 
     def open_accounts(self, now: Moment) -> list[OpenedAccount]:
@@ -192,16 +192,11 @@
         )
 
     def _allowance(self, account: WalletAccount, free: int) -> Allowance:
-        if self.is_exact:
-            return Allowance(0, float(0))
-        return allowance(
-            Demand(
-                free,
-                account.meter.rate,
-                account.large_need,
-                self.round_trip_s,
-            )
+        demand = Demand(
+            free, account.meter.rate, account.large_need, self.round_trip_s
         )
+        allowed = allowance(demand)
+        return allowed._replace(speed=float(0)) if self.is_ending else allowed
 
     def _next_ceiling(
         self, budget: str, account: WalletAccount, *, may_rebalance: bool
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -199,8 +199,12 @@
         now = asyncio.get_running_loop().time()
         end_at = now + limit_s - SETTLE_S
         self._serving.begin_stop(StopTimes(now + accept_s, end_at))
-        self._wallet.be_exact()
-        lost = [await self._finish_requests(end_at), await self._give_back()]
+        self._wallet.prepare_close()
+        leaving = asyncio.create_task(self._announcement.leave())
+        lost = [
+            await self._finish_requests(end_at),
+            await self._give_back(leaving),
+        ]
         return ', '.join(text for text in lost if text)
 
     def losses(self) -> str:
@@ -234,10 +238,10 @@
         _logger.info('requests finished', lost=lost)
         return lost
 
-    async def _give_back(self) -> str:
+    async def _give_back(self, leaving: asyncio.Task[None]) -> str:
         try:
             async with asyncio.timeout(GIVE_BACK_S):
-                await self._announcement.leave()
+                await leaving
                 await self._wallet.close()
         except TimeoutError:
             return 'tokens that were not given back'
--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -262,6 +262,12 @@
 
     async def call(self, path, *, method='POST', body=b'{}', **headers):
         """Send a request; return its status, headers and body."""
+        response = await self.begin(path, method=method, body=body, **headers)
+        async with response:
+            return response.status, response.headers, await response.read()
+
+    async def begin(self, path, *, method='POST', body=b'{}', **headers):
+        """Send a request; return its response once it has begun."""
         sent = {
             'Host': HOST,
             'Request-Id': 'r-1',
@@ -270,10 +276,9 @@
             **headers,
         }
         sent = {name: text for name, text in sent.items() if text is not None}
-        async with self.session.request(
+        return await self.session.request(
             method, self._url + path, data=body, headers=sent
-        ) as response:
-            return response.status, response.headers, await response.read()
+        )
 
     async def raw(self, data):
         """Send bytes over a connection of its own; return the answer."""
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -281,6 +281,33 @@
 
         self.assertTrue(play(scenario))
 
+    def _status_after_leaving(self, answer, has_begun):
+        """Leave a request of 150 tokens; then ask for the whole budget."""
+
+        async def scenario(fleet):
+            fleet.llm.answers = [answer, events(0, 1)]
+            leaving = asyncio.ensure_future(
+                fleet.begin('/stream/a', **MODEL_HEADERS)
+            )
+            await fleet.wait_until(lambda: fleet.llm.requests)
+            if has_begun:
+                (await leaving).close()
+            else:
+                leaving.cancel()
+            async with asyncio.timeout(5):
+                await fleet.llm.left.wait()
+            headers = {**MODEL_HEADERS, 'Token-Count': '950,50'}
+            return (await fleet.call('/stream/a', **headers))[0]
+
+        return play(scenario, document=configuration(prepaid=1000))
+
+    def test_a_prompt_that_was_not_read_costs_nothing(self):
+        self.assertEqual(200, self._status_after_leaving(silent(), False))
+
+    def test_a_stream_that_has_begun_costs_its_prompt(self):
+        answer = events(0, 1, until=asyncio.Event())
+        self.assertEqual(402, self._status_after_leaving(answer, True))
+
 
 class PlannedStopTest(testtools.TestCase):
     """A planned stop cuts no answer and gives the tokens back."""
--- a/tests/test_wallet.py
+++ b/tests/test_wallet.py
@@ -193,7 +193,7 @@
             hosts, _ = await new_hosts(2, PAID)
             for _ in range(20):
                 await hosts[0].spend('o', 1_000)
-            hosts[0].wallet.be_exact()
+            hosts[0].wallet.prepare_close()
             await asyncio.sleep(0.1)
             await hosts[0].kill()
             hosts[0].clock.monotonic_offset = 999.0
