--- a/src/dandelioncleat/core/holding_policy.py
+++ b/src/dandelioncleat/core/holding_policy.py
@@ -24,11 +24,10 @@
 # Part of a budget that no host holds where very many hosts share it.
 POOLED_SHARE = 0.5
 FEW_HOSTS = 4
-# A mark leaves room for what is used until the next one can stand: this
-# many round trips to the store.
-ROUND_TRIPS = 2.0
 # A store that takes longer can't confirm a mark for each request in time.
 SLOW_STORE_S = 0.05
+# Round trips to such a store until the next mark stands.
+ROUND_TRIPS = 2.0
 # What may be used while the store answers nobody, in seconds of the recent
 # use. A host that is killed loses as much.
 OUTAGE_S = 1.5
@@ -123,9 +122,10 @@
         return Allowance(0, float(0))
     if demand.rate < IDLE_RATE:
         return Allowance(int(demand.free * IDLE_SHARE), float(0))
-    burst = demand.rate * ROUND_TRIPS * demand.round_trip_s
+    burst = float(0)
     if demand.round_trip_s > SLOW_STORE_S:
-        burst = max(burst, demand.large_need)
+        until_next = demand.rate * ROUND_TRIPS * demand.round_trip_s
+        burst = max(until_next, demand.large_need)
     speed = round(demand.rate * OUTAGE_SPEED_FACTOR, 1)
     return Allowance(min(demand.free, int(burst)), speed)
 
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -17,7 +17,13 @@
 from dandelioncleat.core.event_stream import EventStream
 from dandelioncleat.core.held_parts import HeldParts
 from dandelioncleat.core.holding import HoldingBook, Moment, Share, UsageMark
-from dandelioncleat.core.holding_policy import Position, next_ceiling
+from dandelioncleat.core.holding_policy import (
+    Allowance,
+    Demand,
+    Position,
+    allowance,
+    next_ceiling,
+)
 from dandelioncleat.core.retry_window import RetryTerms, RetryWindow
 from dandelioncleat.core.target_choice import (
     TargetView,
@@ -360,3 +366,36 @@
                 UsageMark(budget, host, 0, 0, 0.0, Moment(0, 0), 0.0, 0, 1)
             )
         self.assertEqual(2, book.hosts)
+
+
+class AllowanceTest(testtools.TestCase):
+    """What may be used without a new mark."""
+
+    def _allowance(self, **changes):
+        fields = {
+            'free': 90_000,
+            'rate': 1000.0,
+            'large_need': 40_000,
+            'round_trip_s': 0.004,
+        }
+        return allowance(Demand(**{**fields, **changes}))
+
+    def test_a_store_that_answers_confirms_each_request(self):
+        self.assertEqual(Allowance(0, 1000), self._allowance())
+
+    def test_a_slow_store_is_not_waited_for(self):
+        self.assertEqual(40_000, self._allowance(round_trip_s=0.24).burst)
+
+    def test_a_slow_store_and_much_use(self):
+        allowed = self._allowance(round_trip_s=0.24, rate=100_000.0)
+        self.assertEqual(48_000, allowed.burst)
+
+    def test_never_more_than_is_free(self):
+        allowed = self._allowance(round_trip_s=0.24, free=500)
+        self.assertEqual(500, allowed.burst)
+
+    def test_a_budget_without_use_may_begin_in_an_outage(self):
+        self.assertEqual(Allowance(4_500, 0), self._allowance(rate=0.0))
+
+    def test_nothing_is_left(self):
+        self.assertEqual(Allowance(0, 0), self._allowance(free=0))
