--- a/src/dandelioncleat/app/direct/holdings_sync.py
+++ b/src/dandelioncleat/app/direct/holdings_sync.py
@@ -29,8 +29,6 @@
 # Use since the last mark is what a successor can't know.
 MARK_INTERVAL_S = 0.2
 RETRY_PAUSE_S = 0.1
-# Weight of the newest round trip in their mean.
-ROUND_TRIP_WEIGHT = 0.3
 # Tokens that nobody waits for move no more often than this.
 REBALANCE_INTERVAL_S = 0.5
 # The store is away if a call takes longer, or none ended for so long; a
@@ -172,18 +170,14 @@
             accounts_by_budget[mark.budget].sent = mark
         self._sent_at = now.monotonic
         await self._mark_writer.write(marks)
-        self._note_round_trip(self._clock.monotonic() - self._sent_at)
+        passed_s = self._clock.monotonic() - self._sent_at
+        self._holdings.round_trip.note(passed_s)
         self._sent_at = None
         for mark in marks:
             accounts_by_budget[mark.budget].confirm_mark(mark)
             self._holdings.book.set_mark(mark)
         self._on_news()
 
-    def _note_round_trip(self, passed_s: float) -> None:
-        mean_s = self._holdings.round_trip_s
-        change_s = ROUND_TRIP_WEIGHT * (passed_s - mean_s)
-        self._holdings.round_trip_s = mean_s + change_s
-
     async def _keep_ceilings(self) -> None:
         rebalance_at = float('-inf')
         while True:
--- a/src/dandelioncleat/app/direct/store_path.py
+++ b/src/dandelioncleat/app/direct/store_path.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from dandelioncleat.app.signal import Signal
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.ports.store import (
     ConflictError,
@@ -60,7 +61,7 @@
             PathName.DIRECT: direct,
             PathName.GATEWAY: gateway,
         }
-        self._changed = asyncio.Event()
+        self._changed = Signal()
         self._probe_at = float('-inf')
 
     async def newest(self, topic: str) -> KeyedPage:
@@ -150,9 +151,7 @@
             return
         self.preferred = path
         self._probe_at = _now() + PROBE_INTERVAL_S
-        changed = self._changed
-        self._changed = asyncio.Event()
-        changed.set()
+        self._changed.notify()
         _logger.info('path to the store changed', path=path)
 
     def _is_probe_due(self) -> bool:
--- a/src/dandelioncleat/app/direct/topic_follower.py
+++ b/src/dandelioncleat/app/direct/topic_follower.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from dandelioncleat.app.signal import Signal
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.keyed_record import KeyedRecord
 from dandelioncleat.ports.store import (
@@ -48,7 +49,7 @@
         """
         self.topic = topic
         self.position = 0
-        self.moved = asyncio.Event()
+        self.moved = Signal()
         self.heard_at = float('-inf')
         self._store = store
         self._on_change = on_change
@@ -106,9 +107,7 @@
         if is_whole or records:
             self._on_change(TopicChange(is_whole, records))
         self.position = max(self.position, page.end)
-        moved = self.moved
-        self.moved = asyncio.Event()
-        moved.set()
+        self.moved.notify()
 
     def _note_loss(self, error: FailureError) -> None:
         if not self._is_lost:
--- a/src/dandelioncleat/app/direct/wallet.py
+++ b/src/dandelioncleat/app/direct/wallet.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 from dandelioncleat.app.direct.holdings_sync import HoldingsSync
+from dandelioncleat.app.signal import Signal
 from dandelioncleat.core.host_holdings import HostHoldings, Need
 from dandelioncleat.ports.clock import Clock
 from dandelioncleat.ports.store import KeyedStore
@@ -25,10 +26,10 @@
     def __init__(self, store: KeyedStore, *, host: str, clock: Clock) -> None:
         """Take the store and the host, whose earlier processes are dead."""
         self._clock = clock
-        self._news = asyncio.Event()
+        self._news = Signal()
         self._holdings = HostHoldings(host)
         self._sync = HoldingsSync(
-            store, self._holdings, clock=clock, on_news=self._announce
+            store, self._holdings, clock=clock, on_news=self._news.notify
         )
 
     @property
@@ -72,7 +73,7 @@
         account = self._holdings.accounts_by_budget[need.budget]
         account.settle(need.tokens, used)
         self._sync.note_change(is_urgent=False)
-        self._announce()
+        self._news.notify()
 
     def others_with(self, need: Need) -> tuple[str, ...]:
         """Return the other hosts that could cover a request, best first."""
@@ -122,8 +123,3 @@
             verdict = self._reserve_now(need)
             if verdict is not None:
                 return verdict
-
-    def _announce(self) -> None:
-        news = self._news
-        self._news = asyncio.Event()
-        news.set()
--- a/src/dandelioncleat/app/log_relay.py
+++ b/src/dandelioncleat/app/log_relay.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable
 
+from dandelioncleat.app.signal import Signal
 from dandelioncleat.core.failure import Code, FailureError
 from dandelioncleat.core.identity import Incarnation
 from dandelioncleat.core.message import (
@@ -207,7 +208,7 @@
         self.told = asyncio.Event()
         self.told_by = ''
         self.told_again_at: float = 0
-        self._changed = asyncio.Event()
+        self._changed = Signal()
 
     def note(self, start: int, entries: tuple[Entry, ...]) -> None:
         self.tail.note(start, (StreamEntry(*entry) for entry in entries))
@@ -219,15 +220,10 @@
         self.notify()
 
     def notify(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._changed.notify()
 
     async def wait(self, timeout_s: float) -> None:
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._changed.wait()
-        except TimeoutError:
-            return
+        await self._changed.wait(timeout_s)
 
 
 def _no_routers() -> tuple[RouterPlace, ...]:
--- a/src/dandelioncleat/standin/_signal.py
+++ b/src/dandelioncleat/app/signal.py
@@ -7,6 +7,7 @@
     """Lets tasks wait for the next call of ``notify``."""
 
     def __init__(self) -> None:
+        """Start with nobody waiting."""
         self._event = asyncio.Event()
 
     def notify(self) -> None:
@@ -15,7 +16,10 @@
         self._event = asyncio.Event()
 
     async def wait(self, timeout_s: float | None = None) -> None:
-        """Wait for the next change, or for as long as the timeout."""
+        """Wait for the next change, or for as long as the timeout.
+
+        :param timeout_s: most time to wait in seconds, unbounded by default
+        """
         try:
             async with asyncio.timeout(timeout_s):
                 await self._event.wait()
--- a/src/dandelioncleat/core/host_holdings.py
+++ b/src/dandelioncleat/core/host_holdings.py
@@ -13,12 +13,12 @@
 )
 from dandelioncleat.core.holding_policy import (
     OUTAGE_S,
-    Allowance,
     Demand,
     Position,
     allowance,
     next_ceiling,
 )
+from dandelioncleat.core.round_trip import RoundTripMean
 from dandelioncleat.core.wallet_account import WalletAccount
 
 REFRESH_S = 1.0
@@ -53,7 +53,7 @@
         self.accounts_by_budget: dict[str, WalletAccount] = {}
         self.is_closing = False
         self.is_ending = False
-        self.round_trip_s = float(0)
+        self.round_trip = RoundTripMean()
 
     def open_accounts(self, now: Moment) -> list[OpenedAccount]:
         """Open the accounts of budgets that have none."""
@@ -176,7 +176,9 @@
         epoch: int,
     ) -> UsageMark:
         free = 0 if self.is_closing else account.free
-        allowed = self._allowance(account, free)
+        allowed = allowance(_demand(account, free, self.round_trip.mean_s))
+        if self.is_ending:
+            allowed = allowed._replace(speed=float(0))
         waiting = max(account.waiting_by_request.values(), default=0)
         return UsageMark(
             budget=budget,
@@ -191,13 +193,6 @@
             span_s=OUTAGE_S,
         )
 
-    def _allowance(self, account: WalletAccount, free: int) -> Allowance:
-        demand = Demand(
-            free, account.meter.rate, account.large_need, self.round_trip_s
-        )
-        allowed = allowance(demand)
-        return allowed._replace(speed=float(0)) if self.is_ending else allowed
-
     def _next_ceiling(
         self, budget: str, account: WalletAccount, *, may_rebalance: bool
     ) -> int:
@@ -226,18 +221,29 @@
         return tuple(share for share in shares if share.host != self.host)
 
 
+def _demand(account: WalletAccount, free: int, round_trip_s: float) -> Demand:
+    return Demand(free, account.meter.rate, account.large_need, round_trip_s)
+
+
 def _is_due(account: WalletAccount, mark: UsageMark) -> bool:
     confirmed = account.confirmed
     if confirmed is None:
         return True
     if (mark.used, mark.wanted) != (confirmed.used, confirmed.wanted):
         return True
-    if account.is_held_up(mark.at.monotonic):
+    if _holds_up(account, mark.at.monotonic):
         return True
     is_old = mark.at.monotonic - confirmed.at.monotonic > REFRESH_S
     return is_old and (_beyond(mark) > 0 or _beyond(confirmed) > 0)
 
 
+def _holds_up(account: WalletAccount, now: float) -> bool:
+    """Return whether a new mark would let a waiting request begin."""
+    room = account.marked_room(now)
+    waiting = account.waiting_by_request.values()
+    return any(room < tokens <= account.free for tokens in waiting)
+
+
 def _beyond(mark: UsageMark) -> float:
     """Return what a mark allows beyond what is used."""
     return mark.burst + mark.speed
--- a/src/dandelioncleat/core/wallet_account.py
+++ b/src/dandelioncleat/core/wallet_account.py
@@ -83,12 +83,6 @@
         ]
         return min(limits) - self.total if limits else float(0)
 
-    def is_held_up(self, now: float) -> bool:
-        """Return whether a new mark would let a waiting request begin."""
-        room = self.marked_room(now)
-        waiting = self.waiting_by_request.values()
-        return any(room < tokens <= self.free for tokens in waiting)
-
     def may_reserve(self, tokens: int, now: float) -> bool:
         """Return whether a request of this size may begin now."""
         return tokens <= self.free and tokens <= self.marked_room(now)
--- a/src/dandelioncleat/standin/engine.py
+++ b/src/dandelioncleat/standin/engine.py
@@ -12,11 +12,11 @@
 from contextlib import ExitStack
 from typing import NamedTuple
 
+from dandelioncleat.app.signal import Signal
 from dandelioncleat.core.identity import RunId
 from dandelioncleat.ports.target import TargetLoad
 from dandelioncleat.standin._fence import Fence
 from dandelioncleat.standin._lag import LaggingState
-from dandelioncleat.standin._signal import Signal
 from dandelioncleat.standin.batch import Batch
 from dandelioncleat.standin.engine_run import (
     EngineRun,
--- a/src/dandelioncleat/standin/engine_run.py
+++ b/src/dandelioncleat/standin/engine_run.py
@@ -3,8 +3,8 @@
 from collections.abc import AsyncIterator
 from typing import NamedTuple
 
+from dandelioncleat.app.signal import Signal
 from dandelioncleat.core.identity import RunId
-from dandelioncleat.standin._signal import Signal
 from dandelioncleat.standin.prompt import Prompt
 
 
--- a/src/dandelioncleat/standin/log.py
+++ b/src/dandelioncleat/standin/log.py
@@ -7,9 +7,9 @@
 from itertools import islice
 from typing import NamedTuple
 
+from dandelioncleat.app.signal import Signal
 from dandelioncleat.core.failure import Code, FailureError, failure_error
 from dandelioncleat.ports.log import Entry, Page
-from dandelioncleat.standin._signal import Signal
 
 PEER = 'log'
 
--- a/src/dandelioncleat/standin/server.py
+++ b/src/dandelioncleat/standin/server.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from dandelioncleat.standin._signal import Signal
+from dandelioncleat.app.signal import Signal
 
 SHUTDOWN_S = 0.1
 LOOPBACK = '127.0.0.1'
--- a/src/dandelioncleat/standin/service.py
+++ b/src/dandelioncleat/standin/service.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
+from dandelioncleat.app.signal import Signal
 from dandelioncleat.core.identity import RequestKey, RunId, request_key_of
 from dandelioncleat.ports.target import TargetLoad
 from dandelioncleat.standin._fence import Fence
 from dandelioncleat.standin._lag import LaggingState
-from dandelioncleat.standin._signal import Signal
 from dandelioncleat.standin.prompt import is_poison
 from dandelioncleat.standin.refusal import CrashedError, DownError
 
