--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -18,7 +18,7 @@
 )
 
 ERROR_STATUS = 500
-# A model engine takes 0 to 9; the ranks of routes are spread over it.
+# A model engine takes 0 to 9; the ranks of requests are spread over it.
 URGENCY_STEP = 2
 LAST_URGENCY = 9
 
@@ -155,7 +155,7 @@
     organisation = admitted.organisation
     urgency = None
     if context.request.prompt is not None:
-        rank = URGENCY_STEP * (admitted.route.priority + 1)
+        rank = URGENCY_STEP * (admitted.priority + 1)
         urgency = min(LAST_URGENCY, rank)
     return TargetOrder(
         request=context.request,
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -76,6 +76,22 @@
         for name in ('Hold', 'Kv-From', 'Request-Priority'):
             self.assertNotIn(name, headers)
 
+    def _urgency(self, priority):
+        document = configuration()
+        document['tenants'][0]['priority'] = priority
+
+        async def scenario(fleet):
+            fleet.llm.answers = [events(0, 1)]
+            await fleet.call('/stream/a', **MODEL_HEADERS)
+            return int(fleet.llm.requests[0].headers['Request-Priority'])
+
+        return play(scenario, document=document)
+
+    def test_the_rank_of_an_organisation_goes_before_that_of_a_route(self):
+        by_route = self._urgency(None)
+        self.assertLess(by_route, self._urgency(2))
+        self.assertEqual(by_route, self._urgency(0))
+
     def test_a_stream_is_passed_on_whole(self):
         async def scenario(fleet):
             fleet.llm.answers = [events(0, 3)]
