Bound the time of a request's head, and test entries that lapse with the store

headerMs of the limits was read and not enforced: the library bounds the time between requests only. The test of a head that does not come to its end waits for ever without the change.

--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -32,13 +32,14 @@
 from dandelioncleat.app.direct.topic_follower import TopicFollower
 from dandelioncleat.app.direct.wallet import Wallet
 from dandelioncleat.app.router_life import RouterLife
-from dandelioncleat.core.deployment import CallerLimits, Deployment
+from dandelioncleat.core.deployment import Deployment
 from dandelioncleat.core.gateway_choice import GatewayChoice
 from dandelioncleat.core.retry_window import RetryTerms
 from dandelioncleat.daemons.direct_peers import new_peers
 from dandelioncleat.daemons.direct_settings import DirectSettings
 from dandelioncleat.platform import names
 from dandelioncleat.platform.cache_events import HttpCacheEvents
+from dandelioncleat.platform.caller_server import new_caller_server
 from dandelioncleat.platform.callers import DEFAULT_LIMITS, CallerHandler
 from dandelioncleat.platform.documents import decode_deployment, decode_target
 from dandelioncleat.platform.sockets import watch_peer
@@ -157,7 +158,7 @@
             limits=lambda: self._limits,
             is_stopping=lambda: self._life.state == 'stopping',
         )
-        self._server = _new_server(self._handler, DEFAULT_LIMITS)
+        self._server = new_caller_server(self._handler, DEFAULT_LIMITS)
         self._servers: list[web.Server] = [self._server]
 
     @property
@@ -275,7 +276,7 @@
         )
         if deployment.limits != self._limits:
             self._limits = deployment.limits
-            self._server = _new_server(self._handler, deployment.limits)
+            self._server = new_caller_server(self._handler, deployment.limits)
             self._servers.append(self._server)
 
 
@@ -289,14 +290,3 @@
 def _retry_terms(settings: DirectSettings) -> RetryTerms:
     retries = settings.retries
     return RetryTerms(retries.ratio, retries.slack, retries.window_s)
-
-
-def _new_server(handler: CallerHandler, limits: CallerLimits) -> web.Server:
-    return web.Server(
-        handler.handle,
-        keepalive_timeout=limits.idle_s,
-        max_line_size=limits.header_bytes,
-        max_field_size=limits.header_bytes,
-        handler_cancellation=True,
-        access_log=None,
-    )
--- /dev/null
+++ b/src/dandelioncleat/platform/caller_server.py
@@ -0,0 +1,78 @@
+"""Accepts callers' connections within the limits in force."""
+
+import asyncio
+from typing import Any
+
+import structlog
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+
+from dandelioncleat.core.deployment import CallerLimits
+from dandelioncleat.platform.callers import CallerHandler
+
+_logger = structlog.get_logger(__name__)
+
+
+class _CallerConnection(RequestHandler):
+    """Closes a connection whose request takes too long to begin.
+
+    The library bounds the time between two requests, not that of a head.
+    """
+
+    def __init__(
+        self, server: web.Server, *, header_s: float, **options: Any
+    ) -> None:
+        """Take the time that a request's head may take, in seconds."""
+        super().__init__(server, **options)
+        self._header_s = header_s
+        self._timer: asyncio.TimerHandle | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes; the first of a head start its time."""
+        super().data_received(data)
+        if self._messages or self._current_request is not None:
+            self._stop_timer()
+        elif self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(self._header_s, self._close_late)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop the time of a connection that is gone."""
+        self._stop_timer()
+        super().connection_lost(exc)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _close_late(self) -> None:
+        self._timer = None
+        _logger.info('head of a request late', limit_s=self._header_s)
+        self.force_close()
+
+
+class _CallerServer(web.Server):
+    """Makes connections that also bound the time of a head."""
+
+    def __init__(self, handler: CallerHandler, limits: CallerLimits) -> None:
+        super().__init__(handler.handle, handler_cancellation=True)
+        self._options: dict[str, Any] = {
+            'header_s': limits.header_s,
+            'keepalive_timeout': limits.idle_s,
+            'max_line_size': limits.header_bytes,
+            'max_field_size': limits.header_bytes,
+            'access_log': None,
+        }
+
+    def __call__(self) -> RequestHandler:
+        """Return the protocol of a new connection."""
+        loop = asyncio.get_running_loop()
+        return _CallerConnection(self, loop=loop, **self._options)
+
+
+def new_caller_server(
+    handler: CallerHandler, limits: CallerLimits
+) -> web.Server:
+    """Return a server for callers; needs a running event loop."""
+    return _CallerServer(handler, limits)
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -185,6 +185,26 @@
         self.assertEqual(b'400', answer.split()[1])
         self.assertEqual(0, requests)
 
+    def test_a_head_that_does_not_come_to_its_end(self):
+        async def scenario(fleet):
+            answer = await fleet.raw(b'POST /safe/a HTTP/1.1\r\nHost: api')
+            return answer, (await fleet.call('/safe/a'))[0]
+
+        document = configuration(headerMs=50)
+        self.assertEqual((b'', 200), play(scenario, document=document))
+
+    def test_a_body_may_take_longer_than_a_head(self):
+        async def scenario(fleet):
+            async def slow_body():
+                yield b'{'
+                await asyncio.sleep(0.2)
+                yield b'}'
+
+            return (await fleet.call('/safe/a', body=slow_body()))[0]
+
+        document = configuration(headerMs=50)
+        self.assertEqual(200, play(scenario, document=document))
+
     def test_no_configuration_yet(self):
         async def scenario(fleet):
             return await fleet.call('/safe/a')
--- /dev/null
+++ b/tests/test_target_directory.py
@@ -0,0 +1,58 @@
+"""Tests of the list of targets while the store is away."""
+
+import asyncio
+
+import testtools
+
+from dandelioncleat.adapters.virtual_time import run
+from dandelioncleat.app.direct.target_directory import (
+    RETURN_S,
+    TargetDirectory,
+)
+from dandelioncleat.app.direct.topic_follower import TopicChange
+from dandelioncleat.core.deployment import TargetEntry
+from dandelioncleat.core.keyed_record import KeyedRecord
+
+
+def decode(key, value):
+    """Return the entry of a target of one service."""
+    born = int(value)
+    return TargetEntry(key, 's', '10.0.0.1:80', 'z', 8, False, born)
+
+
+class LapsedEntryTest(testtools.TestCase):
+    """Entries that lapsed while the store was away may come back."""
+
+    def _targets_after(self, wait_s, *, returns=False, silence_s=9.0):
+        """Return the targets after an entry lapsed in a silence."""
+
+        async def scenario():
+            silence = [0.0]
+            directory = TargetDirectory(decode, silence_s=lambda: silence[0])
+            directory.take(_listed(b'1'))
+            silence[0] = silence_s
+            directory.take(_listed(b''))
+            silence[0] = 0.0
+            if returns:
+                directory.take(_listed(b'1'))
+            await asyncio.sleep(wait_s)
+            return len(directory.available('s'))
+
+        return run(scenario())
+
+    def test_one_that_lapsed_is_kept_for_a_moment(self):
+        self.assertEqual(1, self._targets_after(RETURN_S / 2))
+
+    def test_one_that_is_still_missing_is_gone(self):
+        self.assertEqual(0, self._targets_after(RETURN_S * 1.1))
+
+    def test_one_that_came_back_stays(self):
+        left = self._targets_after(RETURN_S * 1.1, returns=True)
+        self.assertEqual(1, left)
+
+    def test_one_that_leaves_while_the_store_answers_is_gone_at_once(self):
+        self.assertEqual(0, self._targets_after(0, silence_s=0.1))
+
+
+def _listed(value):
+    return TopicChange(False, (KeyedRecord('i', value, 0),))
