--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -89,7 +89,7 @@
     state.note_answer(answer.occupancy, now)
     if not answer.is_stream:
         body = await _whole_body(answer)
-        context.has_begun = True
+        context.has_output = True
         await reply.whole(WholeAnswer(answer.head, body))
         return AttemptEnd.DELIVERED
     timer.reschedule(context.deadline)
@@ -124,10 +124,12 @@
     async for data in answer.chunks():
         whole = events.take(data)
         if whole:
+            context.has_output = True
             state.note_first_token(context.request.id)
             await reply.write(whole)
     rest = events.finish()
     if rest:
+        context.has_output = True
         await reply.write(rest)
     await reply.finish()
 
--- a/src/dandelioncleat/app/direct/ending.py
+++ b/src/dandelioncleat/app/direct/ending.py
@@ -59,7 +59,7 @@
 
     A model's run begins with its first token; leaving cancelled it.
     """
-    if context.outcome != CALLER_LEFT or context.has_begun:
+    if context.outcome != CALLER_LEFT or context.has_output:
         return False
     return not context.had_run
 
--- a/src/dandelioncleat/app/direct/run_context.py
+++ b/src/dandelioncleat/app/direct/run_context.py
@@ -20,7 +20,8 @@
 
     ``answer_by`` is when the answer must have begun, ``deadline`` when the
     caller leaves; both are times of the event loop in seconds. ``had_run``
-    says that an attempt before the last may have run.
+    says that an attempt before the last may have run. ``has_begun`` says
+    that the head of an answer was passed on, ``has_output`` that more was.
     """
 
     def __init__(self, request: DirectRequest, admitted: Admitted) -> None:
@@ -33,6 +34,7 @@
         self.answer_by = self.started + min(wait_s, admitted.route.timeout_s)
         self.events = EventStream()
         self.has_begun = False
+        self.has_output = False
         self.tried: set[str] = set()
         self.sent = 0
         self.may_have_run = False
--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -184,6 +184,19 @@
     return answer
 
 
+def head_only():
+    """Return the head of a stream whose first event never comes."""
+
+    async def answer(request):
+        response = web.StreamResponse(
+            headers=_headers(request, {'Content-Type': 'text/event-stream'})
+        )
+        await response.prepare(request)
+        await asyncio.Event().wait()
+
+    return answer
+
+
 def cut_then_resumed(cut_after, last):
     """Return a stream that breaks off, and goes on where it is resumed."""
 
