Let few of many hosts give tokens, and change ceilings less often there

Every host with spare tokens answered each waiting request by a record, every record is read by all 25 hosts, and each record has to build on the one before.

Change: the four richest hosts give; rebalancing waits 40 ms a host, reads of ceilings pause 3 ms a host.

--- a/src/dandelioncleat/app/direct/holdings_sync.py
+++ b/src/dandelioncleat/app/direct/holdings_sync.py
@@ -29,8 +29,12 @@
 # Use since the last mark is what a successor can't know.
 MARK_INTERVAL_S = 0.2
 RETRY_PAUSE_S = 0.1
-# Tokens that nobody waits for move no more often than this.
+# Tokens that nobody waits for move no more often than this, and less often
+# where many hosts write.
 REBALANCE_INTERVAL_S = 0.5
+REBALANCE_BY_HOST_S = 0.04
+# Every change of a ceiling is read by every host.
+CEILING_PAUSE_BY_HOST_S = 0.003
 # The store is away if a call takes longer, or none ended for so long; a
 # read that waits ends within two seconds.
 UNANSWERED_S = 0.4
@@ -150,6 +154,9 @@
             LONGEST_READ_PAUSE_S,
             READ_PAUSE_BY_HOST_S * self._holdings.book.hosts,
         )
+        self._ceilings.pause_s = (
+            CEILING_PAUSE_BY_HOST_S * self._holdings.book.hosts
+        )
         self.note_change(is_urgent=False)
         self._on_news()
 
@@ -185,7 +192,8 @@
             now = self._clock.monotonic()
             may_rebalance = now >= rebalance_at
             if may_rebalance:
-                rebalance_at = now + REBALANCE_INTERVAL_S
+                by_host_s = REBALANCE_BY_HOST_S * self._holdings.book.hosts
+                rebalance_at = now + max(REBALANCE_INTERVAL_S, by_host_s)
             ceilings = self._holdings.due_ceilings(may_rebalance=may_rebalance)
             if ceilings:
                 await self._ceiling_writer.write(ceilings)
--- a/src/dandelioncleat/core/holding_policy.py
+++ b/src/dandelioncleat/core/holding_policy.py
@@ -17,6 +17,8 @@
 DEFICIT_FACTOR = 0.8
 # Givers can't see each other, so together they offer more than is wanted.
 GIVE_FACTOR = 1.25
+# Each giver writes a record on which all others then have to build.
+MOST_GIVERS = 4
 # Moves of less than this part of a budget aren't worth a record.
 LEAST_MOVE_SHARE = 0.002
 # Tokens a second below which the recent use says nothing.
@@ -142,13 +144,23 @@
     short = int(wanted * GIVE_FACTOR) - position.pool
     if short <= 0 or position.spare <= 0:
         return 0
-    givers = position.spare + sum(
-        share.free for share in position.others if share.wanted == 0
-    )
-    part = -(-short * position.spare // givers)
+    givers = _free_by_giver(position)
+    if position.own.host not in givers:
+        return 0
+    part = -(-short * position.spare // sum(givers.values()))
     return min(position.spare, part)
 
 
+def _free_by_giver(position: Position) -> dict[str, int]:
+    """Return the free tokens of the hosts that should give: the richest."""
+    free_by_host = {
+        share.host: share.free for share in position.others if share.wanted == 0
+    }
+    free_by_host[position.own.host] = position.spare
+    ranked = sorted(free_by_host, key=lambda host: (-free_by_host[host], host))
+    return {host: free_by_host[host] for host in ranked[:MOST_GIVERS]}
+
+
 def _rebalanced(position: Position) -> int:
     if not position.may_rebalance or position.waiting:
         return 0
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -349,6 +349,20 @@
         )
         self.assertLess(ceiling, 30)
 
+    def test_few_of_many_hosts_give_to_one_that_waits(self):
+        shares = [Share(f'h{n}', 100 + n % 3, 0, 1.0, 0) for n in range(24)]
+        waiting = Share('w', 0, 0, 1.0, 80)
+        given = []
+        for own in shares:
+            others = (*(each for each in shares if each != own), waiting)
+            paid = sum(share.ceiling for share in shares)
+            ceiling = next_ceiling(
+                position(own=own, others=others, paid=paid, claimed=paid)
+            )
+            given.append(own.ceiling - ceiling)
+        self.assertEqual(4, sum(tokens > 0 for tokens in given))
+        self.assertGreaterEqual(sum(given), 80)
+
     def test_a_few_hosts_hold_everything(self):
         own = Share('a', 0, 0, 1.0, 0)
         others = (Share('b', 500, 0, 1.0, 0),)
