Change the path to the store only on news of the preferred one

Calls that had followed a change ran on both paths, and whichever answered first changed the path again, which made all others run on both.

Change: only a call whose preferred path failed or was late, or a probe, changes the path. The test fails without it.

--- a/src/dandelioncleat/app/direct/store_path.py
+++ b/src/dandelioncleat/app/direct/store_path.py
@@ -100,26 +100,36 @@
         first = self.preferred
         if call.is_probe:
             first = PathName.DIRECT
-        second = _other(first)
         runs = {first: self._start(first, call)}
         try:
-            if not call.is_probe:
-                await self._wait_for_first(runs[first], call.patience_s)
+            is_overdue = not call.is_probe and await self._is_overdue(
+                runs[first], call.patience_s
+            )
             if not _has_answered(runs[first]):
+                second = _other(first)
                 runs[second] = self._start(second, call)
-            return await self._first_answer(runs, first)
+            path = await self._first_to_answer(runs)
         finally:
             for run in runs.values():
                 run.cancel()
+        # A call that only followed a change says nothing of the paths.
+        is_news = is_overdue and first is self.preferred
+        if path is not None and (call.is_probe or is_news):
+            self._prefer(path)
+        return runs[path or first].result()
 
     def _start(
         self, path: PathName, call: _Call[ResultT]
     ) -> asyncio.Future[ResultT]:
         return asyncio.ensure_future(call.make(self._stores_by_path[path]))
 
-    async def _wait_for_first(
+    async def _is_overdue(
         self, run: asyncio.Future[Any], patience_s: float
-    ) -> None:
+    ) -> bool:
+        """Return whether a run failed, or did not answer in time.
+
+        It is not waited for if the path changes meanwhile.
+        """
         changed = asyncio.ensure_future(self._changed.wait())
         try:
             await asyncio.wait(
@@ -127,14 +137,14 @@
                 timeout=patience_s,
                 return_when=asyncio.FIRST_COMPLETED,
             )
+            return not _has_answered(run) and not changed.done()
         finally:
             changed.cancel()
 
-    async def _first_answer(
-        self,
-        runs: dict[PathName, asyncio.Future[ResultT]],
-        first: PathName,
-    ) -> ResultT:
+    async def _first_to_answer(
+        self, runs: dict[PathName, asyncio.Future[ResultT]]
+    ) -> PathName | None:
+        """Return the path that answered first, ``None`` if both failed."""
         waiting = set(runs.values())
         while waiting:
             _, waiting = await asyncio.wait(
@@ -142,9 +152,8 @@
             )
             for path, run in runs.items():
                 if _has_answered(run):
-                    self._prefer(path)
-                    return run.result()
-        return runs[first].result()
+                    return path
+        return None
 
     def _prefer(self, path: PathName) -> None:
         if path is self.preferred:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,7 +6,11 @@
 
 from dandelioncleat.adapters.virtual_time import run
 from dandelioncleat.app.direct.store_path import PathName
-from dandelioncleat.core.failure import FailureError
+from dandelioncleat.core.failure import (
+    Code,
+    FailureError,
+    failure_error,
+)
 from dandelioncleat.core.gateway_choice import (
     AVOID_S,
     GatewayChoice,
@@ -172,6 +176,22 @@
 
         self.assertEqual(b'1', self._play(scenario))
 
+    def test_a_read_on_both_paths_changes_none(self):
+        async def scenario(path, direct, store):
+            reading = asyncio.ensure_future(
+                path.read('t', start=0, wait_s=30.0)
+            )
+            await asyncio.sleep(0.1)
+            direct.append = _fail
+            await path.append('other', RECORDS)
+            # Both reads wait now, and the direct one hears first.
+            await asyncio.sleep(0.1)
+            await store.append('t', RECORDS)
+            await reading
+            return path.preferred
+
+        self.assertEqual(PathName.GATEWAY, self._play(scenario))
+
     def test_the_direct_path_is_taken_again_once_it_answers(self):
         async def scenario(path, direct, store):
             direct.is_cut = True
@@ -202,5 +222,9 @@
         self.assertRaises(FailureError, self._play, scenario)
 
 
+async def _fail(*arguments, **options):
+    raise failure_error(Code.LOG, step='append', peer='store', text='busy')
+
+
 async def _hang(*arguments, **options):
     await asyncio.Event().wait()
