--- a/src/dandelioncleat/core/host_holdings.py
+++ b/src/dandelioncleat/core/host_holdings.py
@@ -43,7 +43,12 @@
 
 
 class HostHoldings:
-    """Keeps the accounts of a host and decides on their next records."""
+    """Keeps the accounts of a host and decides on their next records.
+
+    ``is_ending`` allows nothing for an outage, since the process stops soon;
+    ``is_closing`` also gives back all that is left, once nothing runs.
+    ``round_trip`` is that of marks to the store.
+    """
 
     def __init__(self, host: str) -> None:
         """Start with no budget."""
