Obey what targets' answers ask for, and refuse requests that crash targets

A target that said in an answer that it leaves, or asked for a pause by a 503 with Retry-After, got the next request all the same, unless its entry in the store said so too; a request that crashes the targets that run it was sent to the next one for ever.

Change: notices are decoded from the headers of every answer and poll and kept for a target's start, over lapsed entries as well. A service whose targets all want a pause refuses at once with the earliest time. A lost answer makes the router probe the target; if it refuses connections, the request's digest is recorded in the store, and three different starts quarantine it fleet-wide until ten minutes have passed or an equal request succeeds. Deciding whether to go on with attempts is one loop now.

Ruled out: counting all lost answers (resets and cuts look the same); telling only the peers (later starts would not know).

--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -76,14 +76,9 @@
     timer: asyncio.Timeout,
 ) -> AttemptOutcome:
     now = asyncio.get_running_loop().time()
+    state.wishes.apply(answer.notice, now)
     if not answer.has_run:
-        if answer.is_misdirected:
-            # Another target listens at the address now.
-            state.note_failure(now)
-        state.note_refusal(answer.occupancy, now)
-        context.note_not_run()
-        _log_attempt(context, state, AttemptOutcome.NOT_RUN, answer.head.status)
-        return AttemptOutcome.NOT_RUN
+        return _note_not_run(context, state, answer)
     context.tried_targets.add(state.entry.id)
     if answer.head.status >= ERROR_STATUS:
         return await _keep_error(context, state, answer)
@@ -98,6 +93,19 @@
     return AttemptOutcome.DELIVERED
 
 
+def _note_not_run(
+    context: RunContext, state: TargetState, answer: TargetAnswer
+) -> AttemptOutcome:
+    now = asyncio.get_running_loop().time()
+    if answer.is_misdirected:
+        # Another target listens at the address now.
+        state.note_failure(now)
+    state.note_refusal(answer.occupancy, now)
+    context.note_not_run()
+    _log_attempt(context, state, AttemptOutcome.NOT_RUN, answer.head.status)
+    return AttemptOutcome.NOT_RUN
+
+
 async def _keep_error(
     context: RunContext, state: TargetState, answer: TargetAnswer
 ) -> AttemptOutcome:
--- a/src/dandelioncleat/app/direct/cache_watch.py
+++ b/src/dandelioncleat/app/direct/cache_watch.py
@@ -62,22 +62,35 @@
 
     async def _poll(self, state: TargetState) -> None:
         while True:
+            await asyncio.sleep(state.wishes.pause_s(_now()))
             try:
-                await self._poll_once(state)
+                is_answered = await self._poll_once(state)
             except FailureError as error:
                 _logger.debug(
                     'cache events missed',
                     target=state.entry.id,
                     reason=str(error),
                 )
-                pause_s = REFUSED_PAUSE_S * (0.5 + self._source.random())
-                await asyncio.sleep(pause_s)
-            else:
-                await asyncio.sleep(BATCH_PAUSE_S)
+                is_answered = False
+            await asyncio.sleep(self._pause_s(is_answered=is_answered))
 
-    async def _poll_once(self, state: TargetState) -> None:
+    async def _poll_once(self, state: TargetState) -> bool:
+        """Read the changes; return whether the target answered the poll."""
         cache = state.cache
-        changes = await self._events.cache_update(
+        poll = await self._events.cache_update(
             state.entry, start=cache.position, wait_s=POLL_WAIT_S
         )
-        cache.take(changes)
+        state.wishes.apply(poll.notice, _now())
+        if poll.update is None:
+            return False
+        cache.take(poll.update)
+        return True
+
+    def _pause_s(self, *, is_answered: bool) -> float:
+        if is_answered:
+            return BATCH_PAUSE_S
+        return REFUSED_PAUSE_S * (0.5 + self._source.random())
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/dandelioncleat/app/direct/placement.py
+++ b/src/dandelioncleat/app/direct/placement.py
@@ -68,6 +68,16 @@
         """Return whether there is an untried target."""
         return bool(self._candidates(context, _now()))
 
+    def requested_pause_s(self, service: str) -> float | None:
+        """Return when the first target of a service wants requests again.
+
+        ``None`` if one wants them now, or if none is listed.
+        """
+        now = _now()
+        states = self._directory.available(service)
+        pauses_s = [state.wishes.pause_s(now) for state in states]
+        return min(pauses_s, default=0) or None
+
     def choose(self, context: RunContext) -> ChosenTarget | None:
         """Return the best untried target, if there is one."""
         now = _now()
@@ -112,6 +122,7 @@
             state
             for state in self._directory.available(service)
             if state.entry.id not in context.tried_targets
+            and not state.wishes.pause_s(now)
         ]
         healthy = [state for state in untried if not state.is_paused(now)]
         return healthy or untried
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -9,6 +9,7 @@
 
 from dandelioncleat.app.direct.admission import admit
 from dandelioncleat.app.direct.attempt import AttemptOutcome, run_attempt
+from dandelioncleat.app.direct.crash_quarantine import CrashQuarantine
 from dandelioncleat.app.direct.deployment_watch import DeploymentWatch
 from dandelioncleat.app.direct.ending import (
     give_up,
@@ -16,6 +17,7 @@
     used_tokens,
 )
 from dandelioncleat.app.direct.forwarding import Forwarding
+from dandelioncleat.app.direct.hopeless import hopeless_refusal
 from dandelioncleat.app.direct.placement import Placement
 from dandelioncleat.app.direct.run_context import RunContext
 from dandelioncleat.app.direct.wallet import ReservationOutcome, Wallet
@@ -46,6 +48,7 @@
     placement: Placement
     targets: DirectTargets
     forwarding: Forwarding
+    quarantine: CrashQuarantine
     telemetry: Telemetry
 
 
@@ -128,6 +131,14 @@
             )
             await refuse(context, refusal, reply)
             return
+        hopeless = hopeless_refusal(
+            context,
+            quarantine=self._parts.quarantine,
+            placement=self._parts.placement,
+        )
+        if hopeless is not None:
+            await refuse(context, hopeless, reply)
+            return
         if need is not None:
             reservation = await self._reserve(context, need)
             if reservation is not ReservationOutcome.RESERVED:
@@ -186,17 +197,18 @@
     async def _run_attempts(self, context: RunContext, reply: Reply) -> None:
         service = context.admitted.service.name
         self._parts.placement.note_request(service)
+        outcome: AttemptOutcome | None = None
         try:
             outcome = await self._send_attempt(context, reply)
-            while outcome is not AttemptOutcome.DELIVERED:
-                if not self._should_retry(context, outcome):
-                    await give_up(context, outcome, reply)
-                    return
+            while self._should_retry(context, outcome):
                 outcome = await self._send_attempt(context, reply)
         except TimeoutError:
-            await give_up(context, None, reply)
-        else:
+            outcome = None
+        if outcome is AttemptOutcome.DELIVERED:
             context.outcome = 'delivered'
+            return
+        pause_s = self._parts.placement.requested_pause_s(service)
+        await give_up(context, outcome, reply, pause_s=pause_s)
 
     async def _send_attempt(
         self, context: RunContext, reply: Reply
@@ -209,13 +221,21 @@
         with self._parts.telemetry.span(
             'direct.attempt', target=state.entry.id
         ):
-            return await run_attempt(
+            outcome = await run_attempt(
                 context, state, targets=self._parts.targets, reply=reply
             )
+        match outcome:
+            case AttemptOutcome.LOST:
+                self._parts.quarantine.note_lost(context.request, state.entry)
+            case AttemptOutcome.DELIVERED:
+                self._parts.quarantine.note_delivered(context.request)
+        return outcome
 
     def _should_retry(
         self, context: RunContext, outcome: AttemptOutcome
     ) -> bool:
+        if outcome is AttemptOutcome.DELIVERED:
+            return False
         if not context.may_send_again or not context.has_runs_left:
             return False
         if not self._parts.placement.has_candidate(context):
--- a/src/dandelioncleat/app/direct/target_directory.py
+++ b/src/dandelioncleat/app/direct/target_directory.py
@@ -1,6 +1,7 @@
 """Follows the platform's list of targets."""
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Callable, Mapping
 
 import structlog
@@ -13,6 +14,8 @@
 # Targets whose entries expired in a store outage are listed again within this
 # time after it.
 RELIST_GRACE_S = 2.0
+# What removed targets asked for still holds if they are listed again.
+MAX_REMOVED = 1000
 
 _logger = structlog.get_logger(__name__)
 
@@ -35,6 +38,7 @@
         self._decode = decode
         self._silence_s = silence_s
         self._states_by_id: dict[str, TargetState] = {}
+        self._removed_by_id: OrderedDict[str, TargetState] = OrderedDict()
         self._services_by_name: Mapping[str, Service] = {}
         self._grace_until = float('-inf')
 
@@ -49,15 +53,15 @@
         return [
             state
             for state in self._states_by_id.values()
-            if state.entry.service == service and not state.entry.is_draining
+            if state.entry.service == service and state.accepts_new
         ]
 
     def engines(self) -> dict[str, TargetState]:
-        """Return the targets that run a model, by id."""
+        """Return the targets that run a model and accept requests, by id."""
         return {
             target: state
             for target, state in self._states_by_id.items()
-            if state.kv_tokens > 0
+            if state.kv_tokens > 0 and state.accepts_new
         }
 
     def apply(self, change: TopicChange) -> None:
@@ -84,17 +88,29 @@
         self._set(entry)
 
     def _set(self, entry: TargetEntry) -> None:
-        known = self._states_by_id.get(entry.id)
-        if known is not None and known.entry.started_at == entry.started_at:
+        known = self._known_start(entry)
+        if known is not None:
+            # A target never takes back that it drains.
+            is_draining = entry.is_draining or known.entry.is_draining
+            entry = entry._replace(is_draining=is_draining)
             if known.entry != entry:
                 self._log_entry(entry)
             known.entry = entry
+            self._states_by_id[entry.id] = known
             return
         self._log_entry(entry)
         self._states_by_id[entry.id] = TargetState(
             entry, kv_tokens=self._kv_tokens(entry.service)
         )
 
+    def _known_start(self, entry: TargetEntry) -> TargetState | None:
+        """Return the state of the start that an entry is about."""
+        removed = self._removed_by_id.pop(entry.id, None)
+        known = self._states_by_id.get(entry.id, removed)
+        if known is None or known.entry.started_at != entry.started_at:
+            return None
+        return known
+
     def _log_entry(self, entry: TargetEntry) -> None:
         _logger.info(
             'target listed',
@@ -122,8 +138,13 @@
             self._remove(target)
 
     def _remove(self, target: str) -> None:
-        if self._states_by_id.pop(target, None) is not None:
-            _logger.info('target gone', target=target)
+        state = self._states_by_id.pop(target, None)
+        if state is None:
+            return
+        _logger.info('target gone', target=target)
+        self._removed_by_id[target] = state
+        if len(self._removed_by_id) > MAX_REMOVED:
+            self._removed_by_id.popitem(last=False)
 
     def _kv_tokens(self, service: str) -> int:
         known = self._services_by_name.get(service)
--- a/src/dandelioncleat/app/direct/target_state.py
+++ b/src/dandelioncleat/app/direct/target_state.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 
+from dandelioncleat.app.direct.target_wishes import TargetWishes
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import DirectRequest
 from dandelioncleat.core.held_parts import HeldParts
@@ -36,6 +37,12 @@
         self._failures = 0
         self._errors_at: deque[float] = deque(maxlen=MAX_ERRORS)
         self._paused_until = float('-inf')
+        self.wishes = TargetWishes(entry.id)
+
+    @property
+    def accepts_new(self) -> bool:
+        """Return whether the target neither drains nor leaves."""
+        return not (self.entry.is_draining or self.wishes.is_leaving)
 
     @property
     def running(self) -> int:
--- a/src/dandelioncleat/app/direct/topic_follower.py
+++ b/src/dandelioncleat/app/direct/topic_follower.py
@@ -44,12 +44,14 @@
         *,
         on_change: Callable[[TopicChange], None],
         pause_s: float = 0,
+        read_wait_s: float = READ_WAIT_S,
     ) -> None:
         """Initialise with the store and the topic.
 
         :param on_change: called with each change
         :param pause_s: time between two reads, in seconds, which batches
             the records of a busy topic
+        :param read_wait_s: time that a read waits for records, in seconds
         """
         self.topic = topic
         self.position = 0
@@ -58,6 +60,7 @@
         self._store = store
         self._on_change = on_change
         self.pause_s = pause_s
+        self._read_wait_s = read_wait_s
         self._has_snapshot = False
         self._is_store_lost = False
 
@@ -99,7 +102,7 @@
             return
         start = self.position
         page = await self._store.read(
-            self.topic, start=start, wait_s=READ_WAIT_S
+            self.topic, start=start, wait_s=self._read_wait_s
         )
         self._apply_page(page, is_snapshot=False)
 
--- a/src/dandelioncleat/core/direct_request.py
+++ b/src/dandelioncleat/core/direct_request.py
@@ -72,6 +72,8 @@
     NO_TOKENS_HERE = 'no_tokens_here'
     NO_TARGET = 'no_target'
     NO_ROOM = 'no_room'
+    TARGETS_PAUSED = 'targets_paused'
+    CRASHES_TARGETS = 'crashes_targets'
     NOT_IN_TIME = 'not_in_time'
     ANSWER_LOST = 'answer_lost'
     STOPPING = 'stopping'
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -11,6 +11,7 @@
 
 from dandelioncleat.adapters.system_clock import SystemClock
 from dandelioncleat.app.direct.cache_watch import CacheWatch
+from dandelioncleat.app.direct.crash_quarantine import CrashQuarantine
 from dandelioncleat.app.direct.deployment_watch import DeploymentWatch
 from dandelioncleat.app.direct.failover_store import FailoverStore
 from dandelioncleat.app.direct.forwarding import Forwarding
@@ -141,6 +142,9 @@
             terms=_retry_limits(settings),
             router_count=lambda: self._processes.router_count,
         )
+        self._quarantine = CrashQuarantine(
+            store, self._targets, host=settings.host, clock=SystemClock()
+        )
         self._serving = Serving(
             ServingParts(
                 self._deployment,
@@ -150,6 +154,7 @@
                 Forwarding(
                     self._processes, wallet=self._wallet, targets=self._targets
                 ),
+                self._quarantine,
                 telemetry,
             )
         )
@@ -179,16 +184,19 @@
     async def run(self) -> None:
         """Listen and run every task until cancelled."""
         await self._listen()
+        tasks = (
+            self._operator_topic.run(),
+            self._targets_topic.run(),
+            self._processes.run(),
+            self._announcement.join(),
+            self._cache_watch.run(),
+            self._quarantine.run(),
+            _run_after(self._deployment.loaded, self._wallet.run),
+            self._become_ready(),
+        )
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._operator_topic.run())
-            group.create_task(self._targets_topic.run())
-            group.create_task(self._processes.run())
-            group.create_task(self._announcement.join())
-            group.create_task(self._cache_watch.run())
-            group.create_task(
-                _run_after(self._deployment.loaded, self._wallet.run)
-            )
-            group.create_task(self._become_ready())
+            for task in tasks:
+                group.create_task(task)
 
     async def stop(
         self, *, limit_s: float, accept_s: float = ACCEPT_DURATION_S
--- a/src/dandelioncleat/platform/cache_events.py
+++ b/src/dandelioncleat/platform/cache_events.py
@@ -8,6 +8,8 @@
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.failure import Code
 from dandelioncleat.platform.names import CACHE_EVENTS_PATH, LONG_POLL_MS
+from dandelioncleat.platform.notices import target_notice
+from dandelioncleat.ports.cache_events import CachePoll
 
 SLACK_S = 1.0
 OK = 200
@@ -38,7 +40,7 @@
 
     async def cache_update(
         self, target: TargetEntry, *, start: int, wait_s: float
-    ) -> CacheUpdate:
+    ) -> CachePoll:
         """Return the changes from a position on."""
         origin = FailureContext(Code.TARGET, CACHE_EVENTS_PATH, target.id)
         reply = await call(
@@ -50,18 +52,23 @@
             params={'since': str(start)},
             headers={LONG_POLL_MS: str(int(wait_s * _MS_PER_S))},
         )
+        notice = target_notice(reply.status, reply.headers)
         if reply.status != OK:
-            raise origin.failure(ValueError(f'HTTP status {reply.status}'))
+            return CachePoll(None, notice)
         try:
             decoded = _DECODER.decode(reply.body)
         except msgspec.DecodeError as error:
             raise origin.failure(error) from error
-        return CacheUpdate(
-            epoch=str(decoded.epoch),
-            position=decoded.next,
-            is_gap=decoded.lost,
-            changes=tuple(_change(event) for event in decoded.events),
-        )
+        return CachePoll(_update(decoded), notice)
+
+
+def _update(decoded: _Events) -> CacheUpdate:
+    return CacheUpdate(
+        epoch=str(decoded.epoch),
+        position=decoded.next,
+        is_gap=decoded.lost,
+        changes=tuple(_change(event) for event in decoded.events),
+    )
 
 
 def _change(event: _Event) -> HeldPart:
--- a/src/dandelioncleat/platform/caller_reply.py
+++ b/src/dandelioncleat/platform/caller_reply.py
@@ -25,6 +25,8 @@
     RefusalReason.NO_TOKENS_HERE: UNAVAILABLE,
     RefusalReason.NO_TARGET: UNAVAILABLE,
     RefusalReason.NO_ROOM: UNAVAILABLE,
+    RefusalReason.TARGETS_PAUSED: UNAVAILABLE,
+    RefusalReason.CRASHES_TARGETS: UNAVAILABLE,
     RefusalReason.NOT_IN_TIME: GATEWAY_TIMEOUT,
     RefusalReason.ANSWER_LOST: BAD_GATEWAY,
     RefusalReason.STOPPING: UNAVAILABLE,
@@ -63,7 +65,7 @@
         response = web.Response(status=status, text=refusal.reason.value)
         response.headers[names.REFUSAL] = refusal.reason.value
         if refusal.retry_after_s is not None:
-            response.headers['Retry-After'] = f'{refusal.retry_after_s:.2f}'
+            response.headers[names.RETRY_AFTER] = f'{refusal.retry_after_s:.2f}'
         await self._send(response)
 
     async def begin(self, head: ResponseHead) -> None:
--- a/src/dandelioncleat/platform/names.py
+++ b/src/dandelioncleat/platform/names.py
@@ -17,6 +17,8 @@
 URGENCY: Final = 'Request-Priority'
 OCCUPANCY: Final = 'Server-Load'
 NOT_RUN: Final = 'Not-Run'
+LEAVING: Final = 'Server-Leaving'
+RETRY_AFTER: Final = 'Retry-After'
 
 # Between routers: marks a forwarded request, and gives a refusal's reason.
 FORWARDED: Final = 'Dandelioncleat-Forwarded'
--- a/src/dandelioncleat/platform/targets.py
+++ b/src/dandelioncleat/platform/targets.py
@@ -10,6 +10,7 @@
 from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
+from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import (
     DirectRefusal,
     DirectRequest,
@@ -19,6 +20,7 @@
 )
 from dandelioncleat.core.failure import Code, FailureError, failure_error
 from dandelioncleat.platform import names
+from dandelioncleat.platform.notices import target_notice
 from dandelioncleat.platform.sockets import new_keepalive_socket
 from dandelioncleat.ports.direct_target import (
     CONNECT_STEP,
@@ -78,6 +80,7 @@
         self.has_run = names.NOT_RUN not in headers and not self.is_misdirected
         self.is_stream = response.content_type == 'text/event-stream'
         self.occupancy = _occupancy(headers.get(names.OCCUPANCY))
+        self.notice = target_notice(response.status, headers)
         self.refusal = _refusal(response)
         self._response = response
         self._peer = peer
@@ -124,6 +127,20 @@
         async with _open(call) as answer:
             yield answer
 
+    async def refuses_connections(self, target: TargetEntry) -> bool:
+        """Return whether nothing listens at a target's address."""
+        host, _, port = target.address.rpartition(':')
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            # A time-out, too: a host that is cut off says nothing.
+            return False
+        writer.close()
+        return False
+
     async def close(self) -> None:
         """Close every connection."""
         await self._pooled.close()
--- a/src/dandelioncleat/ports/cache_events.py
+++ b/src/dandelioncleat/ports/cache_events.py
@@ -1,9 +1,17 @@
 """Reads which prompt parts model engines have in their caches."""
 
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from dandelioncleat.core.cache_update import CacheUpdate
 from dandelioncleat.core.deployment import TargetEntry
+from dandelioncleat.core.target_notice import TargetNotice
+
+
+class CachePoll(NamedTuple):
+    """A target's answer to a poll; ``update`` is ``None`` if it refused."""
+
+    update: CacheUpdate | None
+    notice: TargetNotice
 
 
 class CacheEventSource(Protocol):
@@ -11,5 +19,5 @@
 
     async def cache_update(
         self, target: TargetEntry, *, start: int, wait_s: float
-    ) -> CacheUpdate:
+    ) -> CachePoll:
         """Return the changes from a position on; wait if there are none."""
--- a/src/dandelioncleat/ports/direct_target.py
+++ b/src/dandelioncleat/ports/direct_target.py
@@ -10,6 +10,7 @@
     DirectRequest,
     ResponseHead,
 )
+from dandelioncleat.core.target_notice import TargetNotice
 
 CONNECT_STEP = 'connect'
 
@@ -45,6 +46,7 @@
 
     ``has_run`` is false if the target states that it did not run the request,
     ``is_misdirected`` is true if the reason is that it is another target.
+    ``notice`` is what the target says about further requests to it.
     ``refusal`` is that of a router to which the request was forwarded.
     """
 
@@ -53,6 +55,7 @@
     is_misdirected: bool
     is_stream: bool
     occupancy: TargetOccupancy | None
+    notice: TargetNotice
     refusal: DirectRefusal | None
 
     def chunks(self) -> AsyncIterator[bytes]:
@@ -71,6 +74,9 @@
     ) -> AbstractAsyncContextManager[TargetAnswer]:
         """Send a request; leaving the block early stops the run."""
 
+    async def refuses_connections(self, target: TargetEntry) -> bool:
+        """Return whether nothing listens at a target's address."""
+
     def forward(
         self, request: DirectRequest, address: str, *, remaining_s: float
     ) -> AbstractAsyncContextManager[TargetAnswer]:
--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -87,6 +87,9 @@
         self.requests = []
         self.bodies = []
         self.cancelled = asyncio.Event()
+        self.polls = 0
+        self.poll_status = 404
+        self.poll_headers = {}
         self._server = None
         self.address = ''
 
@@ -118,7 +121,10 @@
     async def _handle(self, request):
         if request.path == CACHE_EVENTS_PATH:
             # The router polls on its own schedule, beside the requests.
-            return web.Response(status=404)
+            self.polls += 1
+            return web.Response(
+                status=self.poll_status, headers=self.poll_headers
+            )
         body = await request.read()
         self.requests.append(request)
         self.bodies.append(body)
@@ -156,6 +162,17 @@
     return answer
 
 
+def crashed(target):
+    """Return an answer that breaks off as its target stops listening."""
+
+    async def answer(request):
+        target.close()
+        request.transport.abort()
+        return web.Response()
+
+    return answer
+
+
 def never_answered():
     """Return an answer that never comes."""
 
--- /dev/null
+++ b/tests/test_crash_quarantine.py
@@ -0,0 +1,233 @@
+"""Tests of requests that crash the targets that run them."""
+
+import asyncio
+
+import testtools
+
+from dandelioncleat.adapters.virtual_time import run
+from dandelioncleat.app.direct.crash_quarantine import (
+    CRASHES_TOPIC,
+    CrashQuarantine,
+)
+from dandelioncleat.core.crash_records import (
+    QUARANTINE_CRASHES,
+    QUARANTINE_S,
+    CrashRecords,
+)
+from dandelioncleat.core.deployment import TargetEntry
+from dandelioncleat.core.direct_request import DirectRequest
+from dandelioncleat.standin.keyed_store import MemoryKeyedStore, StoreFaults
+from tests.builders.direct import crashed, text_answer
+from tests.builders.wallets import HostClock
+from tests.test_direct_router import run_with_fleet
+
+
+def request(number, path='/safe/a', body=b'{}'):
+    """Return a caller's attempt; repeats differ in their id only."""
+    return DirectRequest(
+        f'r-{number}', 'POST', 'api.example', path, (), body, key='k'
+    )
+
+
+def target(started_at):
+    """Return the entry of one start of a target."""
+    return TargetEntry('i', 's', '10.0.0.1:80', 'z', 8, False, started_at)
+
+
+class FakeTargets:
+    """Targets of which all refuse connections, or none does."""
+
+    def __init__(self, *, have_crashed=True):
+        """Set whether the targets have crashed."""
+        self.have_crashed = have_crashed
+        self.probes = 0
+
+    async def refuses_connections(self, entry):
+        """Return whether the targets have crashed."""
+        self.probes += 1
+        return self.have_crashed
+
+
+class QuarantineFleet:
+    """The quarantines of some routers that share a store."""
+
+    def __init__(self, count, targets):
+        """Start the routers."""
+        self.store = MemoryKeyedStore()
+        self.routers = [
+            CrashQuarantine(
+                self.store.client(), targets, host=f'h{n}', clock=HostClock()
+            )
+            for n in range(count)
+        ]
+        self._tasks = [
+            asyncio.ensure_future(router.run()) for router in self.routers
+        ]
+
+    async def crash(self, times, body=b'{}'):
+        """Let a request crash targets, each time at another router."""
+        for number in range(times):
+            router = self.routers[number % len(self.routers)]
+            router.note_lost(request(number, body=body), target(number))
+            await asyncio.sleep(1)
+
+    def refusing(self, body=b'{}'):
+        """Return how many routers refuse the request."""
+        again = request(99, body=body)
+        return sum(each.find(again) is not None for each in self.routers)
+
+    async def end(self):
+        """Stop the routers."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+def run_with_quarantines(scenario, *, have_crashed=True, count=3):
+    """Run a scenario with some routers and return its result."""
+
+    async def play():
+        fleet = QuarantineFleet(count, FakeTargets(have_crashed=have_crashed))
+        await asyncio.sleep(1)
+        try:
+            return await scenario(fleet)
+        finally:
+            await fleet.end()
+
+    return run(play())
+
+
+class SharedQuarantineTest(testtools.TestCase):
+    """A request that crashed targets at several routers is refused by all."""
+
+    def _refusing_after(self, crashes, **options):
+        async def scenario(fleet):
+            await fleet.crash(crashes)
+            return fleet.refusing(), fleet.refusing(b'another')
+
+        return run_with_quarantines(scenario, **options)
+
+    def test_all_routers_refuse_it_after_three_crashes(self):
+        self.assertEqual((3, 0), self._refusing_after(QUARANTINE_CRASHES))
+
+    def test_two_crashes_are_not_enough(self):
+        crashes = QUARANTINE_CRASHES - 1
+        self.assertEqual((0, 0), self._refusing_after(crashes))
+
+    def test_reset_connections_are_no_crash(self):
+        self.assertEqual((0, 0), self._refusing_after(9, have_crashed=False))
+
+    def test_losses_at_one_start_count_once_and_are_probed_once(self):
+        async def scenario(fleet):
+            for number in range(9):
+                fleet.routers[0].note_lost(request(number), target(1))
+            await asyncio.sleep(1)
+            return fleet.refusing()
+
+        self.assertEqual(0, run_with_quarantines(scenario))
+
+    def test_a_router_that_starts_later_refuses_it(self):
+        async def scenario(fleet):
+            await fleet.crash(QUARANTINE_CRASHES)
+            late = CrashQuarantine(
+                fleet.store.client(),
+                FakeTargets(),
+                host='late',
+                clock=HostClock(),
+            )
+            task = asyncio.ensure_future(late.run())
+            await asyncio.sleep(1)
+            task.cancel()
+            return late.find(request(9)) is not None
+
+        self.assertTrue(run_with_quarantines(scenario))
+
+    def test_crashes_in_an_outage_are_shared_after_it(self):
+        async def scenario(fleet):
+            fleet.store.faults = StoreFaults(outage=True)
+            await fleet.crash(QUARANTINE_CRASHES)
+            during = fleet.refusing()
+            fleet.store.faults = StoreFaults()
+            await asyncio.sleep(1)
+            return during, fleet.refusing()
+
+        self.assertEqual((0, 3), run_with_quarantines(scenario))
+
+    def test_a_success_withdraws_the_records_everywhere(self):
+        async def scenario(fleet):
+            await fleet.crash(QUARANTINE_CRASHES - 1)
+            fleet.routers[2].note_delivered(request(5))
+            await asyncio.sleep(1)
+            left = (await fleet.store.newest(CRASHES_TOPIC)).records
+            await fleet.crash(QUARANTINE_CRASHES - 1)
+            return len(left), fleet.refusing()
+
+        self.assertEqual((0, 0), run_with_quarantines(scenario))
+
+    def test_records_expire(self):
+        async def scenario(fleet):
+            await fleet.crash(QUARANTINE_CRASHES)
+            await asyncio.sleep(QUARANTINE_S + 60)
+            left = (await fleet.store.newest(CRASHES_TOPIC)).records
+            return fleet.refusing(), len(left)
+
+        self.assertEqual((0, 0), run_with_quarantines(scenario))
+
+
+class CrashRecordsTest(testtools.TestCase):
+    """The records of all hosts count together."""
+
+    def test_equal_starts_count_once(self):
+        records = CrashRecords('a')
+        others = CrashRecords('b')
+        for start in ('i/1', 'i/2'):
+            records.add_crash('d', start, 10)
+            records.put(others.add_crash('d', start, 10))
+        self.assertIsNone(records.quarantine('d', 10))
+        records.put(others.add_crash('d', 'i/3', 10))
+        found = records.quarantine('d', 11)
+        self.assertEqual((3, QUARANTINE_S - 1), found)
+
+
+class RouterTest(testtools.TestCase):
+    """The router recognises crashes, and refuses what causes them."""
+
+    def test_a_crash_is_recorded_and_the_third_quarantines(self):
+        async def scenario(fleet):
+            for number in range(QUARANTINE_CRASHES):
+                await _list_start(fleet, number)
+                fleet.app.answers = [crashed(fleet.app)]
+                await fleet.call('/once/a')
+                await _wait_for_crashes(fleet, number + 1)
+                await fleet.app.start()
+            await _list_start(fleet, QUARANTINE_CRASHES)
+            fleet.app.answers = [text_answer('ok')] * 2
+            other = await fleet.call('/once/b')
+            again = await fleet.call('/once/a')
+            return other[0], again, len(fleet.app.requests)
+
+        other, again, sent = run_with_fleet(scenario)
+        self.assertEqual((200, 503, 4), (other, again[0], sent))
+        self.assertEqual(b'crashes_targets', again[2])
+
+
+async def _list_start(fleet, started_at):
+    """List one start of the target in place of the one before."""
+    await fleet.put('servers', 'i-app', None)
+    await fleet.wait_until(lambda: not fleet.router.target_count('app'))
+    entry = {**fleet.app.entry(), 'born': started_at}
+    await fleet.put('servers', 'i-app', entry)
+    await fleet.wait_until(lambda: fleet.router.target_count('app'))
+
+
+async def _wait_for_crashes(fleet, count):
+    """Wait until the store has recorded a number of crashes."""
+    async with asyncio.timeout(20):
+        while True:
+            page = await fleet.store.newest(CRASHES_TOPIC)
+            if any(
+                record.value.count(b'i-app/') == count
+                for record in page.records
+            ):
+                return
+            await asyncio.sleep(0.01)
