--- a/src/dandelioncleat/adapters/frames/frames.capnp
+++ b/src/dandelioncleat/adapters/frames/frames.capnp
@@ -285,6 +285,7 @@
 struct TopicRecords {
   end @0 :Int64;
   records @1 :List(KeyedRecord);
+  era @2 :Int64;
 }
 
 struct TopicRejected {
--- a/src/dandelioncleat/app/direct/ceiling_writer.py
+++ b/src/dandelioncleat/app/direct/ceiling_writer.py
@@ -1,4 +1,4 @@
-"""Writes a host's ceilings if no other record was appended meanwhile."""
+"""Writes ceilings if no other record was appended meanwhile."""
 
 import asyncio
 from typing import NamedTuple
@@ -8,9 +8,9 @@
 
 from dandelioncleat.app.direct.topic_follower import TopicFollower
 from dandelioncleat.core.failure import FailureError
-from dandelioncleat.core.holding import BudgetRecords, Ceiling
-from dandelioncleat.core.host_account import HostAccount
-from dandelioncleat.ports.store import ConflictError, KeyedStore
+from dandelioncleat.core.holding import Ceiling
+from dandelioncleat.core.host_holdings import HostHoldings
+from dandelioncleat.ports.store import Appended, ConflictError, KeyedStore
 
 RETRY_PAUSE_S = 0.1
 
@@ -20,6 +20,7 @@
 class _ProposedWrite(NamedTuple):
     """Ceilings, and the end of the topic that the append requires."""
 
+    era: int | None
     expected_end: int
     ceilings: tuple[Ceiling, ...]
 
@@ -29,6 +30,8 @@
 
     An append without an answer is retried at the same offset. Only the first
     append there succeeds; all others fail, also if the store runs them late.
+    A restored store gives out its offsets again: the outcome then stays
+    unknown, and the lower ceilings count.
     """
 
     def __init__(
@@ -36,35 +39,34 @@
         store: KeyedStore,
         follower: TopicFollower,
         *,
-        book: BudgetRecords,
-        accounts_by_budget: dict[str, HostAccount],
+        holdings: HostHoldings,
     ) -> None:
         """Initialise with the ceilings topic and the state built from it."""
         self._store = store
         self._follower = follower
-        self._book = book
-        self._accounts_by_budget = accounts_by_budget
+        self._holdings = holdings
 
     async def write(self, ceilings: tuple[Ceiling, ...]) -> bool:
         """Append ceilings; return ``False`` if another append came first."""
-        proposed = _ProposedWrite(self._follower.position, ceilings)
-        for ceiling in ceilings:
-            account = self._accounts_by_budget[ceiling.budget]
-            account.propose_ceiling(ceiling.tokens)
-        while True:
+        proposed = _ProposedWrite(
+            self._follower.era, self._follower.position, ceilings
+        )
+        for ceiling in self._own(ceilings):
+            account = self._holdings.accounts_by_budget[ceiling.budget]
+            account.limit.propose(ceiling.tokens)
+        while self._follower.era == proposed.era:
             try:
-                end = await self._append(proposed)
+                appended = await self._append(proposed)
             except ConflictError:
-                await self._resolve_conflict(proposed)
-                return False
+                return await self._resolve_conflict(proposed)
             except FailureError as error:
                 _logger.debug('ceilings append failed', reason=str(error))
                 await asyncio.sleep(RETRY_PAUSE_S)
             else:
-                self._apply_written(proposed, end)
-                return True
+                return self._apply_written(proposed, appended)
+        return self._give_up(proposed)
 
-    async def _append(self, proposed: _ProposedWrite) -> int:
+    async def _append(self, proposed: _ProposedWrite) -> Appended:
         records = tuple(
             (f'{each.budget}/{each.host}', msgspec.msgpack.encode(each))
             for each in proposed.ceilings
@@ -73,17 +75,55 @@
             self._follower.topic, records, at=proposed.expected_end
         )
 
-    async def _resolve_conflict(self, proposed: _ProposedWrite) -> None:
+    async def _resolve_conflict(self, proposed: _ProposedWrite) -> bool:
         while self._follower.position <= proposed.expected_end:
+            if self._follower.era != proposed.era:
+                break
             await self._follower.advanced.wait()
+        if self._follower.era != proposed.era:
+            return self._give_up(proposed)
+        for ceiling in self._own(proposed.ceilings):
+            account = self._holdings.accounts_by_budget[ceiling.budget]
+            stored = self._holdings.book.ceiling_record(
+                ceiling.budget, ceiling.host
+            )
+            if stored == ceiling:
+                account.limit.confirm(ceiling.tokens)
+            else:
+                account.limit.reject()
+        return False
+
+    def _apply_written(
+        self, proposed: _ProposedWrite, appended: Appended
+    ) -> bool:
+        if appended.era != proposed.era:
+            return self._give_up(proposed)
         for ceiling in proposed.ceilings:
-            stored = self._book.ceiling(ceiling.budget, ceiling.host)
-            account = self._accounts_by_budget[ceiling.budget]
-            account.confirm_ceiling(stored)
-
-    def _apply_written(self, proposed: _ProposedWrite, end: int) -> None:
-        for ceiling in proposed.ceilings:
-            self._book.set_ceiling(ceiling)
-            account = self._accounts_by_budget[ceiling.budget]
-            account.confirm_ceiling(ceiling.tokens)
-        self._follower.advance_to(end)
+            self._holdings.book.set_ceiling(ceiling)
+        for own in self._own(proposed.ceilings):
+            account = self._holdings.accounts_by_budget[own.budget]
+            account.limit.confirm(own.tokens)
+        self._follower.advance_to(appended.end, appended.era)
+        return True
+
+    def _give_up(self, proposed: _ProposedWrite) -> bool:
+        """Keep the lower ceilings, as the store was restored meanwhile."""
+        _logger.warning(
+            'outcome of ceilings unknown',
+            era=proposed.era,
+            expected_end=proposed.expected_end,
+            ceilings=len(proposed.ceilings),
+        )
+        for ceiling in self._own(proposed.ceilings):
+            account = self._holdings.accounts_by_budget[ceiling.budget]
+            account.limit.keep_lower()
+        return False
+
+    def _own(self, ceilings: tuple[Ceiling, ...]) -> list[Ceiling]:
+        """Return the ceilings of the host's open accounts."""
+        return [
+            each
+            for each in ceilings
+            if each.host == self._holdings.host
+            and each.budget in self._holdings.accounts_by_budget
+        ]
--- a/src/dandelioncleat/app/direct/crash_quarantine.py
+++ b/src/dandelioncleat/app/direct/crash_quarantine.py
@@ -130,7 +130,15 @@
         )
 
     def _apply(self, change: TopicChange) -> None:
-        if change.is_snapshot:
+        if change.is_restored:
+            # The store may have lost what this router wrote.
+            self._write(
+                {
+                    each.key: msgspec.msgpack.encode(each)
+                    for each in self._records.own()
+                }
+            )
+        elif change.is_snapshot:
             self._records.clear()
         for stored in change.records:
             if not stored.value:
--- a/src/dandelioncleat/app/direct/failover_store.py
+++ b/src/dandelioncleat/app/direct/failover_store.py
@@ -10,12 +10,14 @@
 from dandelioncleat.app.signal import Signal
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.ports.store import (
+    Appended,
     ConflictError,
     FencedError,
     KeyedPage,
     KeyedStore,
     OutdatedReadError,
     Producer,
+    SequenceError,
 )
 
 # A reachable store mostly answers within a few ms. Appends may be sent on both
@@ -24,6 +26,8 @@
 # Interval between probes of the direct path while the gateways are used.
 PROBE_INTERVAL_S = 1.0
 
+_REJECTIONS = (OutdatedReadError, ConflictError, FencedError, SequenceError)
+
 ResultT = TypeVar('ResultT')
 
 _logger = structlog.get_logger(__name__)
@@ -87,7 +91,7 @@
         *,
         at: int | None = None,
         producer: Producer | None = None,
-    ) -> int:
+    ) -> Appended:
         """Append records and return the new end of the topic."""
         return await self._call_with_hedge(
             _Call(
@@ -186,7 +190,7 @@
     error = run.exception()
     if isinstance(error, FailureError):
         return False
-    if isinstance(error, OutdatedReadError | ConflictError | FencedError):
+    if isinstance(error, _REJECTIONS):
         return True
     if error is not None:
         raise error
--- a/src/dandelioncleat/app/direct/gateway_handler.py
+++ b/src/dandelioncleat/app/direct/gateway_handler.py
@@ -14,16 +14,26 @@
 )
 from dandelioncleat.ports.peer import CallContext
 from dandelioncleat.ports.store import (
+    Appended,
     ConflictError,
     FencedError,
     KeyedStore,
     OutdatedReadError,
     Producer,
+    SequenceError,
 )
 from dandelioncleat.ports.telemetry import Telemetry
 
 _MS_PER_S = 1000
 
+_REJECTIONS_BY_ERROR: dict[type[Exception], TopicRejection] = {
+    OutdatedReadError: TopicRejection.OUTDATED,
+    ConflictError: TopicRejection.CONFLICT,
+    FencedError: TopicRejection.FENCED,
+    SequenceError: TopicRejection.SEQUENCE,
+}
+_REJECTIONS = tuple(_REJECTIONS_BY_ERROR)
+
 
 class GatewayHandler:
     """Implements the ``PeerHandler`` port; it is stateless."""
@@ -47,27 +57,24 @@
         self._telemetry.count('gateway.calls', call=call)
         try:
             yield await self._call_store(message)
-        except OutdatedReadError:
-            yield TopicRejected(TopicRejection.OUTDATED)
-        except ConflictError:
-            yield TopicRejected(TopicRejection.CONFLICT)
-        except FencedError:
-            yield TopicRejected(TopicRejection.FENCED)
+        except _REJECTIONS as error:
+            yield TopicRejected(_REJECTIONS_BY_ERROR[type(error)])
 
     async def _call_store(self, message: Message) -> TopicRecords:
         match message:
             case ListTopic():
                 page = await self._store.newest(message.topic)
-                return TopicRecords(page.end, page.records)
+                return TopicRecords(page.end, page.records, page.era)
             case ReadTopic():
                 page = await self._store.read(
                     message.topic,
                     start=message.start,
                     wait_s=message.wait_ms / _MS_PER_S,
                 )
-                return TopicRecords(page.end, page.records)
+                return TopicRecords(page.end, page.records, page.era)
             case AppendTopic():
-                return TopicRecords(await self._append(message), ())
+                appended = await self._append(message)
+                return TopicRecords(appended.end, (), appended.era)
             case _:
                 raise failure_error(
                     Code.INVALID,
@@ -76,7 +83,7 @@
                     text=f'unsupported message type {type(message).__name__}',
                 )
 
-    async def _append(self, message: AppendTopic) -> int:
+    async def _append(self, message: AppendTopic) -> Appended:
         producer = None
         if message.producer:
             producer = Producer(
--- a/src/dandelioncleat/app/direct/gateway_store.py
+++ b/src/dandelioncleat/app/direct/gateway_store.py
@@ -24,11 +24,13 @@
 )
 from dandelioncleat.ports.peer import Peers
 from dandelioncleat.ports.store import (
+    Appended,
     ConflictError,
     FencedError,
     KeyedPage,
     OutdatedReadError,
     Producer,
+    SequenceError,
 )
 
 # The store answers a gateway within a few ms; a longer wait means that the
@@ -43,6 +45,7 @@
     TopicRejection.OUTDATED: OutdatedReadError,
     TopicRejection.CONFLICT: ConflictError,
     TopicRejection.FENCED: FencedError,
+    TopicRejection.SEQUENCE: SequenceError,
 }
 
 _logger = structlog.get_logger(__name__)
@@ -82,7 +85,7 @@
         *,
         at: int | None = None,
         producer: Producer | None = None,
-    ) -> int:
+    ) -> Appended:
         """Append records and return the new end of the topic."""
         sender = producer or Producer('', 0, 0)
         message = AppendTopic(
@@ -93,7 +96,8 @@
             epoch=sender.epoch,
             sequence=sender.sequence,
         )
-        return (await self._call(message)).end
+        reply = await self._call(message)
+        return Appended(reply.end, reply.era)
 
     async def _call(
         self, message: Message, *, wait_s: float = 0
@@ -150,7 +154,7 @@
 
 
 def _page(reply: TopicRecords) -> KeyedPage:
-    return KeyedPage(reply.end, reply.records)
+    return KeyedPage(reply.end, reply.records, reply.era)
 
 
 def _unreachable(failure: Failure) -> FailureError:
--- a/src/dandelioncleat/app/direct/holdings_sync.py
+++ b/src/dandelioncleat/app/direct/holdings_sync.py
@@ -14,7 +14,7 @@
     TopicFollower,
 )
 from dandelioncleat.app.event_wait import wait_at_most
-from dandelioncleat.core.failure import FailureError
+from dandelioncleat.core.failure import Code, FailureError, failure_error
 from dandelioncleat.core.holding import Ceiling, Moment, UsageMark
 from dandelioncleat.core.host_holdings import HostHoldings
 from dandelioncleat.core.keyed_record import KeyedRecord
@@ -55,15 +55,19 @@
         holdings: HostHoldings,
         *,
         clock: Clock,
+        copy_age_s: float,
         on_change: Callable[[], None],
     ) -> None:
         """Initialise; no earlier process of the host may still run.
 
+        :param copy_age_s: maximum age of a copy from which the store may be
+            restored, in seconds
         :param on_change: called after any change of the holdings
         """
         self.opened = asyncio.Event()
         self._holdings = holdings
         self._clock = clock
+        self._copy_age_s = copy_age_s
         self._on_change = on_change
         self._ceilings_due = asyncio.Event()
         self._marks_due = asyncio.Event()
@@ -76,10 +80,7 @@
             store, MARKS_TOPIC, on_change=self._apply_marks
         )
         self._ceiling_writer = CeilingWriter(
-            store,
-            self._ceilings,
-            book=holdings.book,
-            accounts_by_budget=holdings.accounts_by_budget,
+            store, self._ceilings, holdings=holdings
         )
 
     @property
@@ -107,7 +108,7 @@
 
     def open_accounts(self) -> None:
         """Open and log the accounts of new budgets."""
-        for account in self._holdings.open_accounts(self._now()):
+        for account in self._holdings.open_accounts(_moment(self._clock)):
             _logger.info('budget opened', **account._asdict())
 
     async def run(self) -> None:
@@ -119,9 +120,6 @@
             group.create_task(self._write_marks())
             group.create_task(self._write_ceilings())
 
-    def _now(self) -> Moment:
-        return Moment(self._clock.monotonic(), self._clock.wall())
-
     async def _open_until_answered(self) -> None:
         while not self.opened.is_set():
             try:
@@ -137,19 +135,43 @@
         # Read again: the earlier process may have written until it was fenced.
         await self._marks.read_snapshot()
         await self._ceilings.read_snapshot()
+        if self._marks.era != self._ceilings.era:
+            raise failure_error(
+                Code.LOG,
+                step='open budgets',
+                peer='store',
+                text='restored between two reads',
+            )
+        standing = self._holdings.standing
+        standing.open(self._clock.monotonic(), copy_age_s=self._copy_age_s)
         self.open_accounts()
         self.opened.set()
-        _logger.info('budgets opened', epoch=self._mark_writer.epoch)
+        _logger.info(
+            'budgets opened',
+            epoch=self._mark_writer.epoch,
+            era=self._holdings.book.era,
+            are_records_lost=standing.is_successor_of_lost,
+        )
 
     def _apply_ceilings(self, change: TopicChange) -> None:
+        book = self._holdings.book
+        book.begin_era(change.era)
         for record in change.records:
             ceiling = _decode(record, Ceiling)
-            if ceiling is not None:
-                self._holdings.book.set_ceiling(ceiling)
+            if ceiling is None or book.set_ceiling(ceiling):
+                continue
+            if ceiling.host == self._holdings.host and not change.is_snapshot:
+                _logger.warning(
+                    'late ceiling', **msgspec.structs.asdict(ceiling)
+                )
+                self._holdings.standing.is_hidden = True
+        if self._holdings.accept_presumption():
+            _logger.warning('ceilings presumed used', era=book.era)
         self.note_change(is_urgent=True)
         self._on_change()
 
     def _apply_marks(self, change: TopicChange) -> None:
+        self._holdings.book.begin_era(change.era)
         for record in change.records:
             mark = _decode(record, UsageMark)
             if mark is not None:
@@ -171,7 +193,7 @@
             await wait_at_most(self._marks_due, MARK_INTERVAL_S)
 
     async def _write_due_marks(self) -> None:
-        now = self._now()
+        now = _moment(self._clock)
         epoch = self._mark_writer.epoch
         marks = self._holdings.due_marks(now, epoch=epoch)
         if not marks:
@@ -180,11 +202,15 @@
         for mark in marks:
             accounts_by_budget[mark.budget].sent = mark
         self._unanswered_since = now.monotonic
-        await self._mark_writer.write(marks)
+        appended = await self._mark_writer.write(marks)
         passed_s = self._clock.monotonic() - self._unanswered_since
         self._holdings.round_trip.note(passed_s)
         self._unanswered_since = None
+        self._holdings.book.begin_era(appended.era)
         for mark in marks:
+            if appended.era != mark.era:
+                # The store was restored: the next marks are of its new era.
+                continue
             accounts_by_budget[mark.budget].confirm_mark(mark)
             self._holdings.book.set_mark(mark)
         self._on_change()
@@ -193,12 +219,16 @@
         rebalance_at = float('-inf')
         while True:
             self._ceilings_due.clear()
+            if await self._write_confirmations():
+                continue
             now = self._clock.monotonic()
             may_rebalance = now >= rebalance_at
             if may_rebalance:
                 per_host_s = REBALANCE_PER_HOST_S * self._holdings.book.hosts
                 rebalance_at = now + max(REBALANCE_INTERVAL_S, per_host_s)
-            ceilings = self._holdings.due_ceilings(may_rebalance=may_rebalance)
+            ceilings = self._holdings.due_ceilings(
+                now, may_rebalance=may_rebalance
+            )
             if ceilings:
                 await self._ceiling_writer.write(ceilings)
                 self._marks_due.set()
@@ -206,6 +236,32 @@
             else:
                 await wait_at_most(self._ceilings_due, REBALANCE_INTERVAL_S)
 
+    async def _write_confirmations(self) -> bool:
+        """Write what a new era needs; return whether there was anything."""
+        book = self._holdings.book
+        if self._ceilings.era != book.era:
+            return False
+        records = self._holdings.due_confirmations(self._clock.monotonic())
+        if not records:
+            return False
+        is_written = await self._ceiling_writer.write(records)
+        if is_written:
+            self._holdings.standing.is_hidden = False
+            self._holdings.accept_presumption()
+        _logger.info(
+            'ceilings confirmed',
+            era=book.era,
+            records=len(records),
+            is_written=is_written,
+        )
+        self._marks_due.set()
+        self._on_change()
+        return True
+
+
+def _moment(clock: Clock) -> Moment:
+    return Moment(clock.monotonic(), clock.wall())
+
 
 def _decode(record: KeyedRecord, kind: type[RecordT]) -> RecordT | None:
     if not record.value:
--- a/src/dandelioncleat/app/direct/mark_writer.py
+++ b/src/dandelioncleat/app/direct/mark_writer.py
@@ -8,7 +8,13 @@
 
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.holding import UsageMark
-from dandelioncleat.ports.store import FencedError, KeyedStore, Producer
+from dandelioncleat.ports.store import (
+    Appended,
+    FencedError,
+    KeyedStore,
+    Producer,
+    SequenceError,
+)
 
 RETRY_PAUSE_S = 0.1
 MAX_EPOCH_TRIES = 100
@@ -46,8 +52,12 @@
                 return
         raise FencedError
 
-    async def write(self, marks: Sequence[UsageMark]) -> None:
-        """Append marks; return once the store has confirmed them."""
+    async def write(self, marks: Sequence[UsageMark]) -> Appended:
+        """Append marks; return once the store has confirmed them.
+
+        A restored store may have forgotten the last appends, and with them
+        the number that it expects; a new epoch starts at any number.
+        """
         self._sequence += 1
         records = tuple(
             (f'{mark.budget}/{mark.host}', msgspec.msgpack.encode(mark))
@@ -55,13 +65,24 @@
         )
         while True:
             try:
-                await self._append(records)
+                return await self._append(records)
+            except SequenceError:
+                _logger.warning('store forgot marks', epoch=self.epoch)
+                await self._fence_again()
             except FailureError as error:
                 _logger.debug('marks append failed', reason=str(error))
                 await asyncio.sleep(RETRY_PAUSE_S)
-            else:
-                return
 
-    async def _append(self, records: tuple[tuple[str, bytes], ...]) -> None:
+    async def _fence_again(self) -> None:
+        try:
+            await self.fence(self.epoch)
+        except FailureError as error:
+            _logger.debug('epoch not begun', reason=str(error))
+            await asyncio.sleep(RETRY_PAUSE_S)
+        else:
+            # The number of the empty append would make the next a repeat.
+            self._sequence += 1
+
+    async def _append(self, records: tuple[tuple[str, bytes], ...]) -> Appended:
         producer = Producer(self._host, self.epoch, self._sequence)
-        await self._store.append(self._topic, records, producer=producer)
+        return await self._store.append(self._topic, records, producer=producer)
--- a/src/dandelioncleat/app/direct/process_directory.py
+++ b/src/dandelioncleat/app/direct/process_directory.py
@@ -1,7 +1,7 @@
 """Service discovery: processes of a fleet find each other in the store."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from enum import StrEnum
 
 import msgspec
@@ -44,24 +44,42 @@
 
 
 class ProcessAnnouncement:
-    """Registers a process in the store and removes it."""
+    """Registers a process in the store and removes it.
+
+    It is registered again if the store was restored from a copy.
+    """
 
     def __init__(self, store: KeyedStore, entry: ProcessEntry) -> None:
         """Initialise with the store and the process's entry."""
         self.entry = entry
         self._store = store
+        self._is_due = asyncio.Event()
+        self._is_due.set()
+        self._is_leaving = False
+
+    async def run(self) -> None:
+        """Register the process whenever it is due, until it leaves."""
+        while not self._is_leaving:
+            await self._is_due.wait()
+            self._is_due.clear()
+            await self.join()
 
     async def join(self) -> None:
         """Register the process; return once the store has confirmed it."""
         await self._write(msgspec.msgpack.encode(self.entry))
 
+    def renew(self) -> None:
+        """Register the process again, as the store may have lost its entry."""
+        self._is_due.set()
+
     async def leave(self) -> None:
         """Remove the process; return once the store has confirmed it."""
+        self._is_leaving = True
         await self._write(b'')
 
     async def _write(self, value: bytes) -> None:
         records = ((self.entry.key, value),)
-        while True:
+        while not (value and self._is_leaving):
             try:
                 await self._store.append(PROCESSES_TOPIC, records)
             except FailureError as error:
@@ -84,13 +102,16 @@
         own: ProcessEntry,
         *,
         configured_gateways: Iterable[str],
+        on_restored: Callable[[], None] | None = None,
     ) -> None:
         """Initialise with the store and the process's own entry.
 
         :param configured_gateways: addresses of gateways that are known
             before the store was read
+        :param on_restored: called after the store was restored from a copy
         """
         self._own = own
+        self._on_restored = on_restored
         self._configured_gateways = tuple(configured_gateways)
         self._entries_by_key: dict[str, ProcessEntry] = {}
         self._follower = TopicFollower(
@@ -131,6 +152,8 @@
     def _apply(self, change: TopicChange) -> None:
         if change.is_snapshot:
             self._entries_by_key.clear()
+        if change.is_restored and self._on_restored is not None:
+            self._on_restored()
         for record in change.records:
             if record.key == self._own.key:
                 continue
--- a/src/dandelioncleat/app/direct/target_directory.py
+++ b/src/dandelioncleat/app/direct/target_directory.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from dandelioncleat.app.direct.held_entries import HeldEntries
 from dandelioncleat.app.direct.target_state import TargetState
 from dandelioncleat.app.direct.topic_follower import TopicChange
 from dandelioncleat.core.deployment import Service, TargetEntry
@@ -39,6 +40,7 @@
         self._silence_s = silence_s
         self._states_by_id: dict[str, TargetState] = {}
         self._removed_by_id: OrderedDict[str, TargetState] = OrderedDict()
+        self._held = HeldEntries(on_release=self._apply_record)
         self._services_by_name: Mapping[str, Service] = {}
         self._grace_until = float('-inf')
 
@@ -67,8 +69,10 @@
     def apply(self, change: TopicChange) -> None:
         """Apply changed entries."""
         was_silent = self._silence_s() > RELIST_GRACE_S
-        if was_silent:
+        if was_silent or change.is_restored:
             self._grace_until = _now() + RELIST_GRACE_S
+        if change.is_restored:
+            change = self._held.without_removed(change, self._removed_by_id)
         if change.is_snapshot:
             listed = {record.key for record in change.records if record.value}
             for target in self._states_by_id.keys() - listed:
@@ -77,6 +81,7 @@
             self._apply_record(record)
 
     def _apply_record(self, record: KeyedRecord) -> None:
+        self._held.discard(record.key)
         if not record.value:
             self._delist(record.key)
             return
--- a/src/dandelioncleat/app/direct/topic_follower.py
+++ b/src/dandelioncleat/app/direct/topic_follower.py
@@ -24,17 +24,21 @@
 class TopicChange(NamedTuple):
     """Records of a topic in order.
 
-    ``is_snapshot`` says that they replace all records read before.
+    ``is_snapshot`` says that they replace all records read before,
+    ``is_restored`` that the store has lost some of these.
     """
 
     is_snapshot: bool
     records: tuple[KeyedRecord, ...]
+    era: int = 0
+    is_restored: bool = False
 
 
 class TopicFollower:
     """Reads a topic continuously and reports each change.
 
-    ``position`` is the offset up to which all records were reported.
+    ``position`` is the offset up to which all records of ``era`` were
+    reported.
     """
 
     def __init__(
@@ -55,6 +59,7 @@
         """
         self.topic = topic
         self.position = 0
+        self.era: int | None = None
         self.advanced = Signal()
         self.last_answer_at = float('-inf')
         self._store = store
@@ -75,8 +80,13 @@
         :raises FailureError: if the store does not answer
         """
         page = await self._store.newest(self.topic)
+        if self._is_late(page):
+            return
         self._has_snapshot = True
-        self._apply_page(page, is_snapshot=True)
+        is_restored = self.era is not None and page.era > self.era
+        self.era = page.era
+        self.position = page.end
+        self._apply(TopicChange(True, page.records, page.era, is_restored))
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
@@ -84,7 +94,9 @@
             try:
                 await self._read_once()
             except OutdatedReadError:
-                _logger.warning('records were dropped', topic=self.topic)
+                _logger.warning(
+                    'records were dropped', topic=self.topic, era=self.era
+                )
                 self._has_snapshot = False
             except FailureError as error:
                 self._note_loss(error)
@@ -92,9 +104,10 @@
             else:
                 await asyncio.sleep(self.pause_s)
 
-    def advance_to(self, position: int) -> None:
+    def advance_to(self, position: int, era: int) -> None:
         """Skip the records before an offset, which are already known."""
-        self.position = max(self.position, position)
+        if era == self.era:
+            self.position = max(self.position, position)
 
     async def _read_once(self) -> None:
         if not self._has_snapshot:
@@ -104,19 +117,33 @@
         page = await self._store.read(
             self.topic, start=start, wait_s=self._read_wait_s
         )
-        self._apply_page(page, is_snapshot=False)
+        if self._is_late(page):
+            return
+        if page.era != self.era:
+            _logger.warning(
+                'store was restored',
+                topic=self.topic,
+                era=page.era,
+                earlier_era=self.era,
+                position=start,
+            )
+            self._has_snapshot = False
+            return
+        records = tuple(
+            record for record in page.records if record.offset >= self.position
+        )
+        self.position = max(self.position, page.end)
+        self._apply(TopicChange(False, records, page.era))
+
+    def _is_late(self, page: KeyedPage) -> bool:
+        """Return whether a page was read before the store was restored."""
+        return self.era is not None and page.era < self.era
 
-    def _apply_page(self, page: KeyedPage, *, is_snapshot: bool) -> None:
+    def _apply(self, change: TopicChange) -> None:
         self.last_answer_at = asyncio.get_running_loop().time()
         self._note_return()
-        records = page.records
-        if not is_snapshot:
-            records = tuple(
-                record for record in records if record.offset >= self.position
-            )
-        if is_snapshot or records:
-            self._on_change(TopicChange(is_snapshot, records))
-        self.position = max(self.position, page.end)
+        if change.is_snapshot or change.records:
+            self._on_change(change)
         self.advanced.notify()
 
     def _note_loss(self, error: FailureError) -> None:
--- a/src/dandelioncleat/app/direct/wallet.py
+++ b/src/dandelioncleat/app/direct/wallet.py
@@ -6,7 +6,11 @@
 
 from dandelioncleat.app.direct.holdings_sync import HoldingsSync
 from dandelioncleat.app.signal import Signal
-from dandelioncleat.core.host_holdings import HostHoldings, TokenNeed
+from dandelioncleat.core.host_holdings import (
+    HostHoldings,
+    TokenNeed,
+    budget_inputs,
+)
 from dandelioncleat.ports.clock import Clock
 from dandelioncleat.ports.store import KeyedStore
 
@@ -23,13 +27,28 @@
 class Wallet:
     """Manages the prepaid tokens that one host may use."""
 
-    def __init__(self, store: KeyedStore, *, host: str, clock: Clock) -> None:
-        """Initialise; no earlier process of the host may still run."""
+    def __init__(
+        self,
+        store: KeyedStore,
+        *,
+        host: str,
+        clock: Clock,
+        copy_age_s: float,
+    ) -> None:
+        """Initialise; no earlier process of the host may still run.
+
+        :param copy_age_s: maximum age of a copy from which the store may be
+            restored, in seconds
+        """
         self._clock = clock
         self._changed = Signal()
         self._holdings = HostHoldings(host)
         self._sync = HoldingsSync(
-            store, self._holdings, clock=clock, on_change=self._changed.notify
+            store,
+            self._holdings,
+            clock=clock,
+            copy_age_s=copy_age_s,
+            on_change=self._changed.notify,
         )
 
     @property
@@ -83,13 +102,16 @@
 
     def room_in_s(self, need: TokenNeed) -> float | None:
         """Return the seconds until a request fits; ``None`` if it may never."""
-        return self._holdings.room_in_s(need, self._clock.monotonic())
+        account = self._holdings.accounts_by_budget.get(need.budget)
+        if account is None:
+            return None
+        return account.room_in_s(need.tokens, self._clock.monotonic())
 
     def inputs_of(self, budget: str) -> dict[str, float]:
         """Return the inputs of decisions on a budget, for a log line."""
         now = self._clock.monotonic()
         return {
-            **self._holdings.inputs_of(budget, now),
+            **budget_inputs(self._holdings, budget, now),
             'store_silence_s': round(self._sync.silence_s, 2),
         }
 
--- /dev/null
+++ b/src/dandelioncleat/core/budget_records.py
@@ -0,0 +1,87 @@
+"""The newest ceilings and usage marks of all hosts."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from dandelioncleat.core.ceiling_records import LOST_HOST, CeilingRecords
+from dandelioncleat.core.holding import Ceiling, UsageMark
+
+
+class Share(NamedTuple):
+    """A host's known part of a budget."""
+
+    host: str
+    ceiling: int
+    used: int
+    rate: float
+    wanted: int
+
+    @property
+    def free(self) -> int:
+        """Return the tokens that the host may still use."""
+        return max(0, self.ceiling - self.used)
+
+
+class BudgetRecords(CeilingRecords):
+    """Stores the newest ceilings and usage marks of all hosts."""
+
+    def __init__(self) -> None:
+        """Start with no budget."""
+        super().__init__()
+        self._marks: dict[str, dict[str, UsageMark]] = {}
+
+    def set_mark(self, mark: UsageMark) -> None:
+        """Store the newest usage mark of a host."""
+        by_host = self._marks.setdefault(mark.budget, {})
+        known = by_host.get(mark.host)
+        if known is not None and mark.era < self.era:
+            rank = (mark.era, mark.epoch, mark.used)
+            if rank <= (known.era, known.epoch, known.used):
+                return
+        by_host[mark.host] = mark
+
+    def mark(self, budget: str, host: str) -> UsageMark | None:
+        """Return a host's newest usage mark."""
+        return self._marks.get(budget, {}).get(host)
+
+    def used(self, budget: str) -> int:
+        """Return the sum of what all hosts have used and reserved."""
+        marks = self._marks.get(budget, {}).values()
+        return sum(mark.used for mark in marks)
+
+    def shares(self, budget: str) -> tuple[Share, ...]:
+        """Return the parts of all hosts that have written a record."""
+        marks = self._marks.get(budget, {})
+        ceilings = self._ceilings.get(budget, {})
+        hosts = (marks.keys() | ceilings.keys()) - {LOST_HOST}
+        return tuple(
+            _share(host, ceilings.get(host), marks.get(host))
+            for host in sorted(hosts)
+        )
+
+    @property
+    def hosts(self) -> int:
+        """Return the number of hosts that have written marks."""
+        return len({host for marks in self._marks.values() for host in marks})
+
+    def marks_of(self, host: str) -> tuple[UsageMark, ...]:
+        """Return a host's newest marks, one for each budget."""
+        found = (by_host.get(host) for by_host in self._marks.values())
+        return tuple(mark for mark in found if mark is not None)
+
+    def epoch_of(self, host: str) -> int:
+        """Return the highest epoch among a host's marks, 0 without one."""
+        return highest_epoch(self.marks_of(host))
+
+
+def highest_epoch(marks: Iterable[UsageMark]) -> int:
+    """Return the highest epoch of these marks, 0 without any."""
+    return max((mark.epoch for mark in marks), default=0)
+
+
+def _share(host: str, ceiling: Ceiling | None, mark: UsageMark | None) -> Share:
+    tokens = 0 if ceiling is None else ceiling.tokens
+    if mark is None or (ceiling is not None and ceiling.is_presumed):
+        used = 0 if ceiling is None or not ceiling.is_presumed else tokens
+        return Share(host, tokens, used, float(0), 0)
+    return Share(host, tokens, mark.used, mark.rate, mark.wanted)
--- a/src/dandelioncleat/core/crash_records.py
+++ b/src/dandelioncleat/core/crash_records.py
@@ -88,6 +88,11 @@
         if not keys:
             self._keys_by_digest.pop(record.digest)
 
+    def own(self) -> tuple[CrashRecord, ...]:
+        """Return the records of this host."""
+        records = self._records_by_key.values()
+        return tuple(each for each in records if each.host == self._host)
+
     def clear(self) -> None:
         """Drop all records."""
         self._records_by_key.clear()
--- a/src/dandelioncleat/core/holding.py
+++ b/src/dandelioncleat/core/holding.py
@@ -9,7 +9,6 @@
 bound on what its dead predecessor used.
 """
 
-from collections.abc import Iterable
 from math import inf
 from typing import NamedTuple
 
@@ -42,11 +41,18 @@
 
 
 class Ceiling(Struct, frozen=True, array_like=True):
-    """The maximum total that a host's processes may use of a budget."""
+    """The maximum total that a host's processes may use of a budget.
+
+    :param era: era of the store for which the host wrote it
+    :param is_presumed: whether another process wrote it, as the host's own
+        record was lost; all of it then counts as used
+    """
 
     budget: str
     host: str
     tokens: int
+    era: int = 0
+    is_presumed: bool = False
 
 
 class UsageMark(Struct, frozen=True, array_like=True):
@@ -60,6 +66,7 @@
     :param rate: recent use of the host, in tokens per second
     :param wanted: tokens that waiting requests lack
     :param epoch: number of the process among those of its host
+    :param era: era of the store for which the host wrote it
     """
 
     budget: str
@@ -72,6 +79,7 @@
     wanted: int
     epoch: int
     span_s: float = inf
+    era: int = 0
 
     def limit_after(self, passed_s: float) -> float:
         """Return the total that may be used by some seconds after the mark."""
@@ -79,110 +87,24 @@
         return self.used + self.burst + grown
 
 
-class Share(NamedTuple):
-    """A host's known part of a budget."""
-
-    host: str
-    ceiling: int
-    used: int
-    rate: float
-    wanted: int
-
-    @property
-    def free(self) -> int:
-        """Return the tokens that the host may still use."""
-        return max(0, self.ceiling - self.used)
-
-
-class BudgetRecords:
-    """Stores the newest ceilings and usage marks of all hosts."""
-
-    def __init__(self) -> None:
-        """Start with no budget."""
-        self._ceilings: dict[str, dict[str, int]] = {}
-        self._marks: dict[str, dict[str, UsageMark]] = {}
-
-    def set_ceiling(self, ceiling: Ceiling) -> None:
-        """Store the newest ceiling of a host."""
-        by_host = self._ceilings.setdefault(ceiling.budget, {})
-        by_host[ceiling.host] = ceiling.tokens
-
-    def set_mark(self, mark: UsageMark) -> None:
-        """Store the newest usage mark of a host."""
-        self._marks.setdefault(mark.budget, {})[mark.host] = mark
-
-    def ceiling(self, budget: str, host: str) -> int:
-        """Return a host's ceiling."""
-        return self._ceilings.get(budget, {}).get(host, 0)
-
-    def mark(self, budget: str, host: str) -> UsageMark | None:
-        """Return a host's newest usage mark."""
-        return self._marks.get(budget, {}).get(host)
-
-    def claimed(self, budget: str) -> int:
-        """Return the sum of the ceilings of all hosts."""
-        return sum(self._ceilings.get(budget, {}).values())
-
-    def used(self, budget: str) -> int:
-        """Return the sum of what all hosts have used and reserved."""
-        marks = self._marks.get(budget, {}).values()
-        return sum(mark.used for mark in marks)
-
-    def shares(self, budget: str) -> tuple[Share, ...]:
-        """Return the parts of all hosts that have written a record."""
-        marks = self._marks.get(budget, {})
-        ceilings = self._ceilings.get(budget, {})
-        return tuple(
-            _share(host, ceilings.get(host, 0), marks.get(host))
-            for host in sorted(marks.keys() | ceilings.keys())
-        )
-
-    @property
-    def hosts(self) -> int:
-        """Return the number of hosts that have written marks."""
-        return len({host for marks in self._marks.values() for host in marks})
-
-    def marks_of(self, host: str) -> tuple[UsageMark, ...]:
-        """Return a host's newest marks, one for each budget."""
-        found = (by_host.get(host) for by_host in self._marks.values())
-        return tuple(mark for mark in found if mark is not None)
-
-    def epoch_of(self, host: str) -> int:
-        """Return the highest epoch among a host's marks, 0 without one."""
-        return highest_epoch(self.marks_of(host))
-
-
-def highest_epoch(marks: Iterable[UsageMark]) -> int:
-    """Return the highest epoch of these marks, 0 without any."""
-    return max((mark.epoch for mark in marks), default=0)
-
-
 def presumed_use(
     mark: UsageMark | None,
     *,
     ceiling: int,
     now: Moment,
+    is_newest: bool = True,
 ) -> int:
     """Return an upper bound of what a host's earlier processes used.
 
     :param mark: the newest usage mark of the host
     :param ceiling: the newest ceiling of the host
     :param now: time on the host after the earlier process is known dead
+    :param is_newest: whether the store can't have lost a newer record
     """
+    if not is_newest:
+        return ceiling
     if mark is None:
         # Nothing may be used before a mark is stored.
         return 0
     passed_s = now.max_elapsed_s(mark.at)
     return int(min(ceiling, max(mark.used, mark.limit_after(passed_s))))
-
-
-def _share(host: str, ceiling: int, mark: UsageMark | None) -> Share:
-    if mark is None:
-        return Share(host, ceiling, 0, float(0), 0)
-    return Share(
-        host,
-        ceiling,
-        mark.used,
-        mark.rate,
-        mark.wanted,
-    )
--- a/src/dandelioncleat/core/holding_policy.py
+++ b/src/dandelioncleat/core/holding_policy.py
@@ -8,7 +8,7 @@
 
 from typing import NamedTuple
 
-from dandelioncleat.core.holding import Share
+from dandelioncleat.core.budget_records import Share
 
 # Share of a budget that is divided evenly; the rest follows recent use.
 FLOOR_SHARE = 0.5
--- a/src/dandelioncleat/core/host_account.py
+++ b/src/dandelioncleat/core/host_account.py
@@ -1,6 +1,7 @@
 """A host's account of one budget: what it may use at a moment."""
 
 from dandelioncleat.core.holding import UsageMark
+from dandelioncleat.core.own_ceiling import OwnCeiling
 
 RATE_WINDOW_S = 5.0
 
@@ -46,15 +47,12 @@
         self.waiting_by_request: dict[str, int] = {}
         self.confirmed: UsageMark | None = None
         self.sent: UsageMark | None = None
-        self._ceiling = ceiling
-        self._pending_ceiling: int | None = None
+        self.limit = OwnCeiling(ceiling)
 
     @property
     def ceiling(self) -> int:
-        """Return the lower of the confirmed and the proposed ceiling."""
-        if self._pending_ceiling is None:
-            return self._ceiling
-        return min(self._ceiling, self._pending_ceiling)
+        """Return the most that the host may ever use."""
+        return self.limit.tokens
 
     @property
     def total(self) -> int:
@@ -89,6 +87,19 @@
         """Return whether a request of this size may start now."""
         return tokens <= self.free and tokens <= self.headroom(now)
 
+    def room_in_s(self, tokens: int, now: float) -> float | None:
+        """Return the seconds until the marks permit a request.
+
+        ``None`` if they never will without more tokens.
+
+        :param now: monotonic time of the host, in seconds
+        """
+        mark = self.confirmed
+        if tokens > self.free or mark is None or mark.allowed_rate <= 0:
+            return None
+        deficit = tokens - self.headroom(now)
+        return max(0, deficit / mark.allowed_rate)
+
     def note_need(self, tokens: int) -> None:
         """Record the largest request of the budget."""
         self.large_need = max(self.large_need, tokens)
@@ -107,11 +118,7 @@
         self.reserved -= reserved
         self.used += used
 
-    def propose_ceiling(self, tokens: int) -> None:
-        """Store a ceiling whose record is not yet confirmed."""
-        self._pending_ceiling = tokens
-
-    def confirm_ceiling(self, tokens: int) -> None:
-        """Store the ceiling that the store has confirmed."""
-        self._ceiling = tokens
-        self._pending_ceiling = None
+    def presume_used(self, ceiling: int) -> None:
+        """Store a ceiling of which all counts as used."""
+        self.limit.confirm(ceiling)
+        self.used = max(self.used, ceiling)
--- a/src/dandelioncleat/core/host_holdings.py
+++ b/src/dandelioncleat/core/host_holdings.py
@@ -3,11 +3,10 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from dandelioncleat.core.budget_records import BudgetRecords, Share
 from dandelioncleat.core.holding import (
-    BudgetRecords,
     Ceiling,
     Moment,
-    Share,
     UsageMark,
     presumed_use,
 )
@@ -19,6 +18,7 @@
     next_ceiling,
 )
 from dandelioncleat.core.host_account import HostAccount
+from dandelioncleat.core.host_standing import HostStanding
 from dandelioncleat.core.round_trip import RoundTripMean
 
 MARK_REFRESH_S = 1.0
@@ -54,6 +54,7 @@
         """Start with no budget."""
         self.host = host
         self.book = BudgetRecords()
+        self.standing = HostStanding(host, self.book)
         self.paid_by_budget: Mapping[str, int] = {}
         self.accounts_by_budget: dict[str, HostAccount] = {}
         self.is_closing = False
@@ -97,22 +98,6 @@
         able.sort(key=lambda share: share.free, reverse=True)
         return tuple(share.host for share in able)
 
-    def room_in_s(self, need: TokenNeed, now: float) -> float | None:
-        """Return the seconds until the marks permit a request.
-
-        ``None`` if they never will without more tokens.
-
-        :param now: monotonic time of the host, in seconds
-        """
-        account = self.accounts_by_budget.get(need.budget)
-        if account is None or need.tokens > account.free:
-            return None
-        mark = account.confirmed
-        if mark is None or mark.allowed_rate <= 0:
-            return None
-        lacking = need.tokens - account.headroom(now)
-        return max(0, lacking / mark.allowed_rate)
-
     def due_marks(self, now: Moment, *, epoch: int) -> list[UsageMark]:
         """Return the usage marks that should be written now."""
         due = []
@@ -123,18 +108,46 @@
                 due.append(mark)
         return due
 
-    def due_ceilings(self, *, may_rebalance: bool) -> tuple[Ceiling, ...]:
+    def due_confirmations(self, now: float) -> tuple[Ceiling, ...]:
+        """Return the records that a new era of the store needs.
+
+        :param now: monotonic time of the host, in seconds
+        """
+        tokens_by_budget = {
+            budget: account.ceiling
+            for budget, account in self.accounts_by_budget.items()
+        }
+        return tuple(
+            self.standing.assertion(tokens_by_budget)
+            or self.standing.presumption(self.paid_by_budget, now)
+            or self.standing.released()
+        )
+
+    def accept_presumption(self) -> bool:
+        """Take over the ceilings that were presumed for the host, if any."""
+        if not self.standing.accept_presumption():
+            return False
+        for budget, account in self.accounts_by_budget.items():
+            account.presume_used(self.book.ceiling(budget, self.host))
+        return True
+
+    def due_ceilings(
+        self, now: float, *, may_rebalance: bool
+    ) -> tuple[Ceiling, ...]:
         """Return the ceilings that should be written now.
 
+        :param now: monotonic time of the host, in seconds
         :param may_rebalance: whether tokens may move although no request waits
         """
+        if not (self.is_closing or self.standing.may_raise(now)):
+            return ()
         due = []
         for budget, account in self.accounts_by_budget.items():
             tokens = self._next_ceiling(
                 budget, account, may_rebalance=may_rebalance
             )
             if tokens != account.ceiling:
-                due.append(Ceiling(budget, self.host, tokens))
+                due.append(Ceiling(budget, self.host, tokens, self.book.era))
         return tuple(due)
 
     @property
@@ -147,23 +160,15 @@
             for account in self.accounts_by_budget.values()
         )
 
-    def inputs_of(self, budget: str, now: float) -> dict[str, int]:
-        """Return the inputs of decisions on a budget, as log fields."""
-        account = self.accounts_by_budget.get(budget)
-        if account is None:
-            return {}
-        return {
-            'paid': self.paid_by_budget.get(budget, 0),
-            'used_by_all': self.book.used(budget),
-            'ceiling': account.ceiling,
-            'free': account.free,
-            'marked': int(account.headroom(now)),
-        }
-
     def _open_account(self, budget: str, now: Moment) -> OpenedAccount:
         ceiling = self.book.ceiling(budget, self.host)
         mark = self.book.mark(budget, self.host)
-        used = presumed_use(mark, ceiling=ceiling, now=now)
+        used = presumed_use(
+            mark,
+            ceiling=ceiling,
+            now=now,
+            is_newest=_is_newest(self, budget, mark),
+        )
         self.accounts_by_budget[budget] = HostAccount(
             ceiling=ceiling, used=used
         )
@@ -198,6 +203,7 @@
             wanted=account.missing,
             epoch=epoch,
             span_s=OUTAGE_S,
+            era=self.book.era,
         )
 
     def _next_ceiling(
@@ -228,6 +234,41 @@
         return tuple(share for share in shares if share.host != self.host)
 
 
+def budget_inputs(
+    holdings: HostHoldings, budget: str, now: float
+) -> dict[str, int]:
+    """Return the inputs of decisions on a budget, as log fields.
+
+    :param now: monotonic time of the host, in seconds
+    """
+    account = holdings.accounts_by_budget.get(budget)
+    if account is None:
+        return {}
+    return {
+        'paid': holdings.paid_by_budget.get(budget, 0),
+        'used_by_all': holdings.book.used(budget),
+        'ceiling': account.ceiling,
+        'free': account.free,
+        'marked': int(account.headroom(now)),
+        'era': holdings.book.era,
+    }
+
+
+def _is_newest(
+    holdings: HostHoldings, budget: str, mark: UsageMark | None
+) -> bool:
+    """Return whether the store can't have lost newer records of the host."""
+    if holdings.standing.is_successor_of_lost:
+        return False
+    book = holdings.book
+    record = book.ceiling_record(budget, holdings.host)
+    if record is None or record.tokens == 0:
+        return True
+    if record.is_presumed or record.era < book.era:
+        return False
+    return mark is None or mark.era == book.era
+
+
 def _allowance_inputs(
     account: HostAccount, free: int, round_trip_s: float
 ) -> AllowanceInputs:
@@ -238,7 +279,7 @@
 
 def _is_due(account: HostAccount, mark: UsageMark) -> bool:
     confirmed = account.confirmed
-    if confirmed is None:
+    if confirmed is None or confirmed.era != mark.era:
         return True
     if (mark.used, mark.wanted) != (confirmed.used, confirmed.wanted):
         return True
--- a/src/dandelioncleat/core/topic_message.py
+++ b/src/dandelioncleat/core/topic_message.py
@@ -15,6 +15,8 @@
     """The topic does not end at the offset that the writer expects."""
     FENCED = 'fenced'
     """A producer with a higher epoch has written."""
+    SEQUENCE = 'sequence'
+    """The producer's number does not follow the last one of its epoch."""
 
 
 class TopicMessage(Message, frozen=True):
@@ -54,10 +56,14 @@
 
 
 class TopicRecords(TopicMessage, frozen=True):
-    """Carries records in order; ``end`` is the offset to read on from."""
+    """Carries records in order; ``end`` is the offset to read on from.
+
+    ``era`` is that of the store.
+    """
 
     end: int
     records: tuple[KeyedRecord, ...]
+    era: int
 
 
 class TopicRejected(TopicMessage, frozen=True):
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import socket
-from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 import structlog
@@ -106,7 +105,12 @@
             ),
         )
         self._targets = HttpTargets()
-        self._wallet = Wallet(store, host=settings.host, clock=SystemClock())
+        self._wallet = Wallet(
+            store,
+            host=settings.host,
+            clock=SystemClock(),
+            copy_age_s=settings.store_copy_age_s,
+        )
         entry = ProcessEntry(
             ProcessRole.ROUTER,
             settings.host,
@@ -115,7 +119,10 @@
         )
         self._announcement = ProcessAnnouncement(store, entry)
         self._processes = ProcessDirectory(
-            store, entry, configured_gateways=settings.gateways
+            store,
+            entry,
+            configured_gateways=settings.gateways,
+            on_restored=self._announcement.renew,
         )
         self._deployment = DeploymentWatch(
             decode_deployment,
@@ -188,10 +195,10 @@
             self._operator_topic.run(),
             self._targets_topic.run(),
             self._processes.run(),
-            self._announcement.join(),
+            self._announcement.run(),
             self._cache_watch.run(),
             self._quarantine.run(),
-            _run_after(self._deployment.loaded, self._wallet.run),
+            self._wallet.run(),
             self._become_ready(),
         )
         async with asyncio.TaskGroup() as group:
@@ -290,13 +297,6 @@
             self._servers.append(self._server)
 
 
-async def _run_after(
-    event: asyncio.Event, work: Callable[[], Awaitable[None]]
-) -> None:
-    await event.wait()
-    await work()
-
-
 def _retry_limits(settings: DirectSettings) -> RetryLimits:
     retries = settings.retries
     return RetryLimits(retries.ratio, retries.slack, retries.window_s)
--- a/src/dandelioncleat/daemons/direct_settings.py
+++ b/src/dandelioncleat/daemons/direct_settings.py
@@ -38,7 +38,8 @@
 
     ``store`` is the address of the platform's store, ``gateways`` are the
     addresses of some gateways to it, as ``ip:port``; the store lists the
-    others.
+    others. ``store_copy_age_s`` is the maximum age of a copy from which the
+    store may be restored, in seconds.
     """
 
     host: str
@@ -49,6 +50,7 @@
     stop: DirectStop
     gateways: tuple[str, ...] = ()
     fleet_secret: str = ''
+    store_copy_age_s: float = 8.0
 
     @property
     def stop_limit_s(self) -> float:
@@ -140,6 +142,8 @@
         }
     )
     defects.extend(_stop_defects(settings.stop))
+    if settings.store_copy_age_s < 0:
+        defects.append('store_copy_age_s: must not be negative')
     if settings.retries.window_s <= 0:
         defects.append('retries.window_s: must be a positive number of seconds')
     if min(settings.retries.ratio, settings.retries.slack) < 0:
--- a/src/dandelioncleat/daemons/store_gateway.py
+++ b/src/dandelioncleat/daemons/store_gateway.py
@@ -10,10 +10,15 @@
 from dandelioncleat.adapters.peer_server import PeerServer, add_peer_routes
 from dandelioncleat.app.direct.gateway_handler import GatewayHandler
 from dandelioncleat.app.direct.process_directory import (
+    PROCESSES_TOPIC,
     ProcessAnnouncement,
     ProcessEntry,
     ProcessRole,
 )
+from dandelioncleat.app.direct.topic_follower import (
+    TopicChange,
+    TopicFollower,
+)
 from dandelioncleat.daemons.direct_settings import GatewaySettings
 from dandelioncleat.platform.sockets import enable_keepalive
 from dandelioncleat.platform.status_page import StatusPage
@@ -22,6 +27,8 @@
 
 STORE_CONNECT_TIMEOUT_S = 1.0
 SHUTDOWN_TIMEOUT_S = 0.1
+# A gateway reads the processes only to learn that the store was restored.
+READ_WAIT_S = 10.0
 
 _logger = structlog.get_logger(__name__)
 
@@ -60,6 +67,12 @@
                 settings.listen.routers,
             ),
         )
+        self._processes = TopicFollower(
+            store,
+            PROCESSES_TOPIC,
+            on_change=self._renew_if_restored,
+            read_wait_s=READ_WAIT_S,
+        )
         self._peers = PeerServer(
             GatewayHandler(store, host=settings.host, telemetry=telemetry),
             fleet_secret=settings.fleet_secret,
@@ -69,22 +82,12 @@
         self._runner: web.AppRunner | None = None
 
     async def run(self) -> None:
-        """Listen until cancelled."""
-        for sock in self._sockets:
-            enable_keepalive(sock)
-        application = web.Application()
-        add_peer_routes(application, self._peers)
-        self._runner = web.AppRunner(
-            application, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
-        )
-        await self._runner.setup()
-        await web.SockSite(self._runner, self._sockets.routers).start()
-        await self._status_page.start(
-            (self._sockets.metrics,), is_ready=lambda: True
-        )
-        await self._announcement.join()
+        """Listen and stay registered until cancelled."""
+        await self._listen()
         _logger.info('ready')
-        await asyncio.Event().wait()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._announcement.run())
+            group.create_task(self._processes.run())
 
     async def stop(self, *, limit_s: float) -> str:
         """Announce that the gateway leaves; routers then use another."""
@@ -106,6 +109,24 @@
         await self._status_page.stop()
         await self._session.close()
 
+    async def _listen(self) -> None:
+        for sock in self._sockets:
+            enable_keepalive(sock)
+        application = web.Application()
+        add_peer_routes(application, self._peers)
+        self._runner = web.AppRunner(
+            application, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+        )
+        await self._runner.setup()
+        await web.SockSite(self._runner, self._sockets.routers).start()
+        await self._status_page.start(
+            (self._sockets.metrics,), is_ready=lambda: True
+        )
+
+    def _renew_if_restored(self, change: TopicChange) -> None:
+        if change.is_restored:
+            self._announcement.renew()
+
     def reload(self, settings: GatewaySettings) -> None:
         """Change nothing: addresses change at the next start only."""
         _logger.info('new settings take effect at the next start')
--- a/src/dandelioncleat/platform/names.py
+++ b/src/dandelioncleat/platform/names.py
@@ -59,6 +59,8 @@
     )
 )
 
+ERA: Final = 'Store-Era'
+
 CACHE_EVENTS_PATH: Final = '/dandelioncleat/kv-events'
 LONG_POLL_MS: Final = 'Wait-Ms'
 READY_PATH: Final = '/dandelioncleat/readiness'
--- a/src/dandelioncleat/platform/store.py
+++ b/src/dandelioncleat/platform/store.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from dandelioncleat.adapters._http_call import FailureContext, Reply, call
-from dandelioncleat.core.failure import Code, failure_error
+from dandelioncleat.core.failure import Code, FailureError, failure_error
 from dandelioncleat.core.keyed_record import KeyedRecord
 from dandelioncleat.platform.framing import (
     PAGE_HEAD,
@@ -17,17 +17,20 @@
 )
 from dandelioncleat.platform.names import (
     APPEND_PATH,
+    ERA,
     KEYED_PREFIX,
     NEWEST_PATH,
     READ_PATH,
 )
 from dandelioncleat.platform.sockets import new_keepalive_socket
 from dandelioncleat.ports.store import (
+    Appended,
     ConflictError,
     FencedError,
     KeyedPage,
     OutdatedReadError,
     Producer,
+    SequenceError,
 )
 
 CALL_TIMEOUT_S = 1.0
@@ -60,7 +63,10 @@
 
 
 class _Rejected(msgspec.Struct):
-    """``reason`` is ``fenced`` if a higher epoch has written."""
+    """``reason`` is ``fenced`` if a higher epoch has written.
+
+    It is ``seq`` if the sequence number does not follow the last one.
+    """
 
     reason: str = ''
 
@@ -83,13 +89,15 @@
 
     async def newest(self, topic: str) -> KeyedPage:
         """Return the newest record of each key."""
-        page = await self._newest_page(topic, None)
+        page, era = await self._newest_page(topic, None)
         records = [_record_of(item) for item in page.items]
         end = page.end
         while page.has_more:
-            page = await self._newest_page(topic, records[-1].key)
+            page, page_era = await self._newest_page(topic, records[-1].key)
+            if page_era != era:
+                raise self._failure(NEWEST_PATH, 'restored between pages')
             records.extend(_record_of(item) for item in page.items)
-        return KeyedPage(end, tuple(records))
+        return KeyedPage(end, tuple(records), era)
 
     async def read(self, topic: str, *, start: int, wait_s: float) -> KeyedPage:
         """Return the records from offset ``start`` on."""
@@ -104,7 +112,7 @@
             raise OutdatedReadError
         self._check(reply, READ_PATH)
         records = tuple(_records_in(reply.body, start))
-        return KeyedPage(start + len(records), records)
+        return KeyedPage(start + len(records), records, _era(reply))
 
     async def append(
         self,
@@ -113,7 +121,7 @@
         *,
         at: int | None = None,
         producer: Producer | None = None,
-    ) -> int:
+    ) -> Appended:
         """Append records and return the new end of the topic."""
         query: dict[str, str] = {}
         if at is not None:
@@ -131,13 +139,16 @@
         if reply.status == CONFLICT:
             _raise_rejection(reply)
         self._check(reply, APPEND_PATH)
-        return _APPENDED_DECODER.decode(reply.body).end
+        end = _APPENDED_DECODER.decode(reply.body).end
+        return Appended(end, _era(reply))
 
-    async def _newest_page(self, topic: str, after: str | None) -> _Newest:
+    async def _newest_page(
+        self, topic: str, after: str | None
+    ) -> tuple[_Newest, int]:
         query = {} if after is None else {'after': after}
         reply = await self._call('GET', NEWEST_PATH, topic, query=query)
         self._check(reply, NEWEST_PATH)
-        return _NEWEST_DECODER.decode(reply.body)
+        return _NEWEST_DECODER.decode(reply.body), _era(reply)
 
     async def _call(
         self,
@@ -166,12 +177,10 @@
 
     def _check(self, reply: Reply, path: str) -> None:
         if reply.status != OK:
-            raise failure_error(
-                Code.LOG,
-                step=path,
-                peer=self._address,
-                text=f'HTTP status {reply.status}',
-            )
+            raise self._failure(path, f'HTTP status {reply.status}')
+
+    def _failure(self, path: str, text: str) -> FailureError:
+        return failure_error(Code.LOG, step=path, peer=self._address, text=text)
 
     def _origin(self, path: str) -> FailureContext:
         return FailureContext(Code.LOG, path, self._address)
@@ -194,11 +203,19 @@
     rejected = _REJECTED_DECODER.decode(reply.body)
     if rejected.reason == 'fenced':
         raise FencedError
+    if rejected.reason == 'seq':
+        raise SequenceError
     raise failure_error(
         Code.LOG, step=APPEND_PATH, peer='store', text=rejected.reason
     )
 
 
+def _era(reply: Reply) -> int:
+    """Return the store's era; a store that is never restored has none."""
+    text = reply.headers.get(ERA, '')
+    return int(text) if text.isdecimal() else 0
+
+
 def _records_in(body: bytes, start: int) -> Iterator[KeyedRecord]:
     framed = split_records(body[PAGE_HEAD.size :])
     for offset, (key, value) in enumerate(framed, start):
--- a/src/dandelioncleat/platform/store_standin.py
+++ b/src/dandelioncleat/platform/store_standin.py
@@ -13,6 +13,7 @@
 )
 from dandelioncleat.platform.names import (
     APPEND_PATH,
+    ERA,
     KEYED_PREFIX,
     NEWEST_PATH,
     READ_PATH,
@@ -22,6 +23,7 @@
     FencedError,
     OutdatedReadError,
     Producer,
+    SequenceError,
 )
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore
 
@@ -31,6 +33,10 @@
 GONE = 410
 PRECONDITION_FAILED = 412
 _MS_PER_S = 1000
+_REASONS_BY_ERROR: dict[type[Exception], str] = {
+    FencedError: 'fenced',
+    SequenceError: 'seq',
+}
 
 STORE = web.AppKey('store', MemoryKeyedStore)
 
@@ -49,19 +55,21 @@
     query = request.query
     records = tuple(split_records(await request.read()))
     try:
-        end = await request.app[STORE].append(
+        appended = await request.app[STORE].append(
             _topic(request),
             records,
             at=int(query['at']) if 'at' in query else None,
             producer=_producer(request),
         )
     except ConflictError:
-        return _answer({}, PRECONDITION_FAILED)
-    except FencedError:
-        return _answer({'reason': 'fenced'}, CONFLICT)
+        return _answer(request, {}, PRECONDITION_FAILED)
+    except (FencedError, SequenceError) as error:
+        reason = _REASONS_BY_ERROR[type(error)]
+        return _answer(request, {'reason': reason}, CONFLICT)
     except FailureError:
-        return _answer({}, UNAVAILABLE)
-    return _answer({'offset': end - len(records), 'end': end})
+        return _answer(request, {}, UNAVAILABLE)
+    end = appended.end
+    return _answer(request, {'offset': end - len(records), 'end': end})
 
 
 async def _read(request: web.Request) -> web.Response:
@@ -73,20 +81,23 @@
             wait_s=int(query.get('waitMs', 0)) / _MS_PER_S,
         )
     except OutdatedReadError:
-        return _answer({}, GONE)
+        return _answer(request, {}, GONE)
     except FailureError:
-        return _answer({}, UNAVAILABLE)
+        return _answer(request, {}, UNAVAILABLE)
     framed = frame_records(
         (record.key, record.value) for record in page.records
     )
-    return web.Response(body=PAGE_HEAD.pack(page.end, 0) + framed)
+    return web.Response(
+        body=PAGE_HEAD.pack(page.end, 0) + framed,
+        headers={ERA: str(page.era)},
+    )
 
 
 async def _newest(request: web.Request) -> web.Response:
     try:
         page = await request.app[STORE].newest(_topic(request))
     except FailureError:
-        return _answer({}, UNAVAILABLE)
+        return _answer(request, {}, UNAVAILABLE)
     after = request.query.get('after', '')
     rest = sorted(
         (record for record in page.records if record.key > after),
@@ -101,7 +112,9 @@
         for record in rest[:PAGE_ITEMS]
     ]
     has_more = len(rest) > PAGE_ITEMS
-    return _answer({'items': items, 'hasMore': has_more, 'end': page.end})
+    return _answer(
+        request, {'items': items, 'hasMore': has_more, 'end': page.end}
+    )
 
 
 def _topic(request: web.Request) -> str:
@@ -117,8 +130,11 @@
     )
 
 
-def _answer(document: dict[str, object], status: int = 200) -> web.Response:
+def _answer(
+    request: web.Request, document: dict[str, object], status: int = 200
+) -> web.Response:
     return web.Response(
+        headers={ERA: str(request.app[STORE].era)},
         body=msgspec.json.encode(document),
         status=status,
         content_type='application/json',
--- a/src/dandelioncleat/ports/store.py
+++ b/src/dandelioncleat/ports/store.py
@@ -1,4 +1,8 @@
-"""The platform's store: topics that keep the newest record of each key."""
+"""The platform's store: topics that keep the newest record of each key.
+
+The store may be restored from a copy that is some seconds old. Its era, which
+all its answers carry, then rises by one: offsets count within an era only.
+"""
 
 from typing import NamedTuple, Protocol
 
@@ -10,6 +14,14 @@
 
     end: int
     records: tuple[KeyedRecord, ...]
+    era: int = 0
+
+
+class Appended(NamedTuple):
+    """The end of a topic after an append, and the era of the append."""
+
+    end: int
+    era: int = 0
 
 
 class Producer(NamedTuple):
@@ -32,6 +44,10 @@
     """A producer with a higher epoch has written."""
 
 
+class SequenceError(Exception):
+    """The producer's number does not follow the last one of its epoch."""
+
+
 class KeyedStore(Protocol):
     """Reads and writes keyed topics.
 
@@ -61,7 +77,7 @@
         *,
         at: int | None = None,
         producer: Producer | None = None,
-    ) -> int:
+    ) -> Appended:
         """Append records, all or none, and return the topic's new end.
 
         :param at: offset at which the topic must end
--- a/src/dandelioncleat/standin/keyed_store.py
+++ b/src/dandelioncleat/standin/keyed_store.py
@@ -1,4 +1,8 @@
-"""An in-memory store of keyed topics, with simulated faults."""
+"""An in-memory store of keyed topics, with simulated faults.
+
+It can be restored from a copy of an earlier moment, as the platform's store
+may be: what was appended since is gone, and its offsets are given out again.
+"""
 
 import asyncio
 import random
@@ -8,11 +12,13 @@
 from dandelioncleat.core.failure import Code, FailureError, failure_error
 from dandelioncleat.core.keyed_record import KeyedRecord
 from dandelioncleat.ports.store import (
+    Appended,
     ConflictError,
     FencedError,
     KeyedPage,
     OutdatedReadError,
     Producer,
+    SequenceError,
 )
 
 PEER = 'store'
@@ -39,6 +45,14 @@
     late_s: float = 3
 
 
+class _Change(NamedTuple):
+    """An append, or the dropping of all history if ``records`` is ``None``."""
+
+    at: float
+    records: Records | None
+    producer: Producer | None = None
+
+
 class _ProducerState(NamedTuple):
     epoch: int
     sequence: int | None
@@ -54,21 +68,42 @@
         self.newest_by_key: dict[str, KeyedRecord] = {}
         self.producers_by_name: dict[str, _ProducerState] = {}
         self.appended = asyncio.Event()
+        self.changes: list[_Change] = []
 
     @property
     def end(self) -> int:
         return self.first_offset + len(self.records)
 
-    def add(self, records: Records) -> None:
+    def apply(self, change: _Change) -> None:
+        self.changes.append(change)
+        if change.records is None:
+            self.first_offset = self.end
+            self.records = []
+            return
+        self._add(change.records)
+        if change.producer is not None:
+            _remember_append(self, change.producer)
+
+    def copy_of(self, moment: float) -> '_Topic':
+        copy = _Topic()
+        for change in self.changes:
+            if change.at <= moment:
+                copy.apply(change)
+        return copy
+
+    def wake_readers(self) -> None:
+        appended = self.appended
+        self.appended = asyncio.Event()
+        appended.set()
+
+    def _add(self, records: Records) -> None:
         for key, value in records:
             record = KeyedRecord(key, value, self.end)
             self.records.append(record)
             self.newest_by_key[key] = record
             if not value:
                 self.newest_by_key.pop(key)
-        appended = self.appended
-        self.appended = asyncio.Event()
-        appended.set()
+        self.wake_readers()
 
 
 class MemoryKeyedStore:
@@ -80,6 +115,7 @@
     def __init__(self, generator: random.Random | None = None) -> None:
         """Start empty; the generator determines which appends fail."""
         self.faults = StoreFaults()
+        self.era = 0
         self._generator = generator or random.Random(0)
         self._topics_by_name: dict[str, _Topic] = {}
         self._late_appends: set[asyncio.Task[None]] = set()
@@ -90,29 +126,32 @@
 
     def drop_history(self, topic: str) -> None:
         """Drop all records of a topic but the newest of each key."""
-        state = self._topic(topic)
-        state.first_offset = state.end
-        state.records = []
+        self._topic(topic).apply(_Change(_now(), None))
+
+    def restore(self, age_s: float) -> None:
+        """Go back to a copy of some seconds ago, and begin a new era."""
+        self.era += 1
+        for name, topic in self._topics_by_name.items():
+            self._topics_by_name[name] = topic.copy_of(_now() - age_s)
+            topic.wake_readers()
 
     async def newest(self, topic: str) -> KeyedPage:
         """Return the newest record of each key."""
         await self._simulate_call('newest')
         state = self._topic(topic)
-        return KeyedPage(state.end, tuple(state.newest_by_key.values()))
+        records = tuple(state.newest_by_key.values())
+        return KeyedPage(state.end, records, self.era)
 
     async def read(self, topic: str, *, start: int, wait_s: float) -> KeyedPage:
         """Return the records from ``start`` on."""
         await self._simulate_call('read')
-        state = self._topic(topic)
-        if start < state.first_offset:
-            raise OutdatedReadError
+        state = self._readable_topic(topic, start)
         if start >= state.end:
             await wait_at_most(state.appended, wait_s)
             await self._simulate_call('read')
-        if start < state.first_offset:
-            raise OutdatedReadError
+            state = self._readable_topic(topic, start)
         records = tuple(state.records[start - state.first_offset :])
-        return KeyedPage(start + len(records), records)
+        return KeyedPage(start + len(records), records, self.era)
 
     async def append(
         self,
@@ -121,7 +160,7 @@
         *,
         at: int | None = None,
         producer: Producer | None = None,
-    ) -> int:
+    ) -> Appended:
         """Append records and return the new end of the topic."""
         await self._simulate_call('append')
         sample = self._generator.random()
@@ -131,7 +170,7 @@
         end = self._append(topic, records, at=at, producer=producer)
         if sample < self.faults.late_share + self.faults.lost_share:
             raise _no_answer_error('append')
-        return end
+        return Appended(end, self.era)
 
     def _append(
         self,
@@ -148,11 +187,15 @@
             known = _check_producer(state, producer)
             if known is not None:
                 return known
-        state.add(records)
-        if producer is not None:
-            _remember_append(state, producer)
+        state.apply(_Change(_now(), records, producer))
         return state.end
 
+    def _readable_topic(self, name: str, start: int) -> _Topic:
+        state = self._topic(name)
+        if not state.first_offset <= start <= state.end:
+            raise OutdatedReadError
+        return state
+
     def _schedule_append(
         self,
         topic: str,
@@ -178,7 +221,7 @@
         await asyncio.sleep(self.faults.late_s)
         try:
             self._append(topic, records, at=at, producer=producer)
-        except (ConflictError, FencedError, FailureError):
+        except (ConflictError, FencedError, SequenceError):
             # The caller already got the error of a missing answer.
             return
 
@@ -220,7 +263,7 @@
         *,
         at: int | None = None,
         producer: Producer | None = None,
-    ) -> int:
+    ) -> Appended:
         """Append records and return the new end of the topic."""
         await self._check_connection('append')
         end = await self._store.append(topic, records, at=at, producer=producer)
@@ -244,12 +287,7 @@
         if sequence == producer.sequence:
             return end
     if known.sequence is not None and producer.sequence != known.sequence + 1:
-        raise failure_error(
-            Code.LOG,
-            step='append',
-            peer=PEER,
-            text='unexpected sequence number',
-        )
+        raise SequenceError
     return None
 
 
@@ -266,5 +304,9 @@
     )
 
 
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def _no_answer_error(step: str) -> FailureError:
     return failure_error(Code.LOG, step=step, peer=PEER, text='no answer')
--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -386,6 +386,7 @@
                 retries=DirectRetries(ratio=0.2, slack=50, window_s=10),
                 stop=DirectStop(limit_s=5),
                 gateways=self._gateways,
+                store_copy_age_s=0,
             ),
             sockets=sockets,
             telemetry=NullTelemetry(),
--- a/tests/builders/wallets.py
+++ b/tests/builders/wallets.py
@@ -7,6 +7,7 @@
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore
 
 WALL_START = 1_800_000_000.0
+COPY_AGE_S = 6.5
 
 
 class HostClock:
@@ -47,7 +48,9 @@
         store = self.client
         if self._gateways is not None:
             store = self._gateways.path(self.name, self.client)
-        self.wallet = Wallet(store, host=self.name, clock=self.clock)
+        self.wallet = Wallet(
+            store, host=self.name, clock=self.clock, copy_age_s=COPY_AGE_S
+        )
         self.wallet.set_paid(self._paid)
         self._task = asyncio.ensure_future(self.wallet.run())
 
@@ -84,7 +87,7 @@
         host.start()
     for host in hosts:
         await host.ready()
-    await asyncio.sleep(2)
+    await asyncio.sleep(COPY_AGE_S + 2)
     return hosts, store
 
 
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -6,6 +6,7 @@
 import testtools
 
 from dandelioncleat.adapters.log_writer import MAX_QUEUED_LINES, LogWriter
+from dandelioncleat.core.budget_records import BudgetRecords, Share
 from dandelioncleat.core.cache_update import CacheUpdate, HeldPart
 from dandelioncleat.core.deployment import (
     CallKind,
@@ -16,12 +17,7 @@
 from dandelioncleat.core.direct_request import ModelPrompt, PromptPart
 from dandelioncleat.core.event_stream import EventStreamParser
 from dandelioncleat.core.held_parts import HeldParts
-from dandelioncleat.core.holding import (
-    BudgetRecords,
-    Moment,
-    Share,
-    UsageMark,
-)
+from dandelioncleat.core.holding import Moment, UsageMark
 from dandelioncleat.core.holding_policy import (
     Allowance,
     AllowanceInputs,
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -446,7 +446,9 @@
             return await fleet.store.newest('ceilings')
 
         records = run_with_fleet(scenario).records
-        self.assertEqual(['o/h1'], [record.key for record in records])
+        self.assertEqual(
+            ['/h1', 'o/h1'], sorted(record.key for record in records)
+        )
 
 
 class ConfigurationTest(testtools.TestCase):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -17,6 +17,7 @@
     GatewayEndpoint,
 )
 from dandelioncleat.ports.store import (
+    Appended,
     ConflictError,
     FencedError,
     OutdatedReadError,
@@ -83,7 +84,7 @@
             page = await store.read('t', start=0, wait_s=0)
             return end, page == await backend.read('t', start=0, wait_s=0)
 
-        self.assertEqual((2, True), self._run_scenario(scenario))
+        self.assertEqual((Appended(2, 0), True), self._run_scenario(scenario))
 
     def test_newest_records_pass_unchanged(self):
         async def scenario(store, backend, network):
@@ -120,7 +121,7 @@
             network.partitioned.add('g1')
             return await store.append('t', RECORDS)
 
-        self.assertEqual(1, self._run_scenario(scenario, count=3))
+        self.assertEqual(Appended(1, 0), self._run_scenario(scenario, count=3))
 
     def test_call_without_any_gateway_fails(self):
         async def scenario(store, backend, network):
@@ -150,7 +151,11 @@
             return ends, path.preferred
 
         self.assertEqual(
-            ([1, 2, 3], PathName.GATEWAY), self._run_scenario(scenario)
+            (
+                [Appended(number, 0) for number in (1, 2, 3)],
+                PathName.GATEWAY,
+            ),
+            self._run_scenario(scenario),
         )
 
     def test_direct_path_without_an_answer_is_waited_for_only_once(self):
@@ -214,7 +219,7 @@
             store.faults = StoreFaults()
             return end, (await store.newest('t')).end
 
-        self.assertEqual((1, 1), self._run_scenario(scenario))
+        self.assertEqual((Appended(1, 0), 1), self._run_scenario(scenario))
 
     def test_call_to_a_store_that_is_down_on_both_paths_fails(self):
         async def scenario(path, direct, store):
--- /dev/null
+++ b/tests/test_restored_store.py
@@ -0,0 +1,371 @@
+"""Tests of a store that comes back from a copy some seconds old."""
+
+import asyncio
+import random
+
+import testtools
+
+from dandelioncleat.adapters.virtual_time import run
+from dandelioncleat.app.direct.crash_quarantine import CrashQuarantine
+from dandelioncleat.app.direct.deployment_watch import DeploymentWatch
+from dandelioncleat.app.direct.held_entries import RESTORED_HOLD_S
+from dandelioncleat.app.direct.process_directory import (
+    PROCESSES_TOPIC,
+    ProcessAnnouncement,
+    ProcessDirectory,
+    ProcessEntry,
+    ProcessRole,
+)
+from dandelioncleat.app.direct.target_directory import TargetDirectory
+from dandelioncleat.app.direct.topic_follower import TopicFollower
+from dandelioncleat.core.host_standing import PRESUME_AFTER_S
+from dandelioncleat.platform.documents import decode_deployment
+from dandelioncleat.standin.keyed_store import MemoryKeyedStore, StoreFaults
+from tests.builders.direct import configuration
+from tests.builders.gateways import GatewayNetwork
+from tests.builders.wallets import COPY_AGE_S, HostClock, end, new_hosts
+from tests.test_crash_quarantine import FakeTargets, request, target
+from tests.test_target_notices import decode
+
+PAID = {'o': 100_000}
+
+
+class FollowerTest(testtools.TestCase):
+    """A follower sees every record of the restored topic."""
+
+    def _read_after_restore(self, change):
+        """Follow 100 records, restore, and return what the topic holds."""
+
+        async def scenario():
+            store = MemoryKeyedStore()
+            values_by_key = {}
+            reads = []
+
+            def apply(topic_change):
+                reads.append(topic_change)
+                if topic_change.is_snapshot:
+                    values_by_key.clear()
+                for record in topic_change.records:
+                    values_by_key[record.key] = record.value
+
+            follower = TopicFollower(store, 't', on_change=apply)
+            task = asyncio.ensure_future(follower.run())
+            for number in range(100):
+                await store.append('t', ((f'k{number}', b'1'),))
+                await asyncio.sleep(0.1)
+            await change(store)
+            before = len(reads)
+            await asyncio.sleep(1)
+            task.cancel()
+            newest = (await store.newest('t')).records
+            expected = {record.key: record.value for record in newest}
+            return values_by_key == expected, len(reads) - before
+
+        return run(scenario())
+
+    def test_a_shorter_topic_is_read_once(self):
+        async def change(store):
+            store.restore(4)
+
+        is_equal, reads = self._read_after_restore(change)
+        self.assertTrue(is_equal)
+        self.assertLessEqual(reads, 1)
+
+    def test_a_topic_that_has_grown_again_is_read_whole(self):
+        async def change(store):
+            store.faults = StoreFaults(outage=True)
+            await asyncio.sleep(1)
+            store.restore(5)
+            store.faults = StoreFaults()
+            records = tuple((f'n{number}', b'2') for number in range(80))
+            await store.append('t', records)
+
+        is_equal, _ = self._read_after_restore(change)
+        self.assertTrue(is_equal)
+
+
+class ConfigurationTest(testtools.TestCase):
+    """A version that was in force stays so."""
+
+    def test_a_restored_older_version_is_ignored(self):
+        async def scenario():
+            store = MemoryKeyedStore()
+            watch = DeploymentWatch(
+                decode_deployment, key='config', on_change=lambda each: None
+            )
+            follower = TopicFollower(store, 'op', on_change=watch.apply)
+            task = asyncio.ensure_future(follower.run())
+            versions = []
+            for version in (1, 2):
+                await _put_configuration(store, version)
+                await asyncio.sleep(3)
+            store.restore(4)
+            await asyncio.sleep(1)
+            versions.append(watch.current.version)
+            await _put_configuration(store, 3)
+            await asyncio.sleep(1)
+            versions.append(watch.current.version)
+            task.cancel()
+            return versions
+
+        self.assertEqual([2, 3], run(scenario()))
+
+
+class TargetsTest(testtools.TestCase):
+    """Targets that had left stay gone, and lapsed ones stay listed."""
+
+    def _listed(self, *changes, wait_s, after=()):
+        """Return the target count some time after a restore.
+
+        :param changes: values of the entry, one second apart
+        :param after: values that are written after the restore
+        """
+
+        async def scenario():
+            store = MemoryKeyedStore()
+            directory = TargetDirectory(
+                decode, silence_s=lambda: follower.silence_s
+            )
+            follower = TopicFollower(store, 's', on_change=directory.apply)
+            task = asyncio.ensure_future(follower.run())
+            for value in changes:
+                await store.append('s', (('i', value),))
+                await asyncio.sleep(1)
+            store.restore(1.5)
+            await asyncio.sleep(0.2)
+            for value in after:
+                await store.append('s', (('i', value),))
+            await asyncio.sleep(wait_s)
+            task.cancel()
+            return len(directory.available('s'))
+
+        return run(scenario())
+
+    def test_a_target_that_had_left_is_not_used(self):
+        self.assertEqual(0, self._listed(b'1r', b'', wait_s=1))
+
+    def test_a_target_that_writes_again_is_used_at_once(self):
+        count = self._listed(b'1r', b'', wait_s=0.5, after=(b'1r',))
+        self.assertEqual(1, count)
+
+    def test_a_target_that_stays_listed_is_used(self):
+        count = self._listed(b'1r', b'', wait_s=RESTORED_HOLD_S + 1)
+        self.assertEqual(1, count)
+
+    def test_a_target_that_is_removed_again_stays_gone(self):
+        count = self._listed(
+            b'1r', b'', wait_s=RESTORED_HOLD_S + 1, after=(b'',)
+        )
+        self.assertEqual(0, count)
+
+    def test_a_target_that_drained_still_drains(self):
+        self.assertEqual(0, self._listed(b'1r', b'1d', wait_s=9))
+
+    def test_a_target_whose_entry_was_lost_is_kept_for_a_moment(self):
+        self.assertEqual(1, self._listed(b'1r', wait_s=0.5))
+        self.assertEqual(0, self._listed(b'1r', wait_s=5))
+
+
+class OwnRecordsTest(testtools.TestCase):
+    """A process writes again what it alone knows."""
+
+    def test_a_process_is_registered_again(self):
+        async def scenario():
+            store = MemoryKeyedStore()
+            entry = ProcessEntry(ProcessRole.ROUTER, 'h', 'z', '10.0.0.1:80')
+            announcement = ProcessAnnouncement(store, entry)
+            directory = ProcessDirectory(
+                store,
+                entry,
+                configured_gateways=(),
+                on_restored=announcement.renew,
+            )
+            await asyncio.sleep(5)
+            tasks = [
+                asyncio.ensure_future(announcement.run()),
+                asyncio.ensure_future(directory.run()),
+            ]
+            await asyncio.sleep(1)
+            store.restore(3)
+            await asyncio.sleep(1)
+            listed = (await store.newest(PROCESSES_TOPIC)).records
+            await announcement.leave()
+            left = (await store.newest(PROCESSES_TOPIC)).records
+            for task in tasks:
+                task.cancel()
+            return len(listed), len(left)
+
+        self.assertEqual((1, 0), run(scenario()))
+
+    def test_crash_records_are_written_again(self):
+        async def scenario():
+            store = MemoryKeyedStore()
+            routers = [
+                CrashQuarantine(
+                    store, FakeTargets(), host=f'h{n}', clock=HostClock()
+                )
+                for n in range(2)
+            ]
+            tasks = [asyncio.ensure_future(each.run()) for each in routers]
+            await asyncio.sleep(5)
+            for number in range(3):
+                routers[0].note_lost(request(number), target(number))
+            await asyncio.sleep(1)
+            store.restore(3)
+            await asyncio.sleep(6)
+            for task in tasks:
+                task.cancel()
+            return [each.find(request(9)) is not None for each in routers]
+
+        self.assertEqual([True, True], run(scenario()))
+
+
+class BudgetTest(testtools.TestCase):
+    """No budget is passed, and what survivors hold can be used."""
+
+    def _spent(self, scenario, *, count=3):
+        async def play():
+            hosts, store = await new_hosts(count, PAID)
+            await scenario(hosts, store)
+            await _spend_all(hosts)
+            await end(hosts)
+            return sum(host.spent for host in hosts)
+
+        return run(play())
+
+    def test_survivors_use_all_that_was_paid(self):
+        async def scenario(hosts, store):
+            await hosts[0].spend('o', 30_000, limit_s=1)
+            await asyncio.sleep(1)
+            await hosts[1].spend('o', 40_000, limit_s=1)
+            store.restore(1.5)
+            await asyncio.sleep(5)
+
+        self.assertEqual(100_000, self._spent(scenario))
+
+    def test_a_moved_part_does_not_count_twice(self):
+        async def scenario(hosts, store):
+            before = hosts[0].spent
+            # The others lower their ceilings for this request.
+            await hosts[0].spend('o', 80_000, limit_s=1)
+            self.assertEqual(before + 80_000, hosts[0].spent)
+            store.restore(1)
+            await hosts[0].kill()
+            await asyncio.sleep(1)
+            hosts[0].start()
+            await hosts[0].ready()
+            await asyncio.sleep(PRESUME_AFTER_S * 2)
+
+        spent = self._spent(scenario)
+        self.assertLessEqual(spent, 100_000)
+
+    def test_a_dead_host_strands_its_part_alone(self):
+        async def scenario(hosts, store):
+            await asyncio.sleep(3)
+            store.restore(1)
+            await hosts[0].kill()
+            await asyncio.sleep(PRESUME_AFTER_S * 3)
+            del hosts[0]
+
+        # Three hosts hold a third each.
+        self.assertGreater(self._spent(scenario), 60_000)
+
+    def test_a_new_host_waits_until_each_copy_has_its_registration(self):
+        async def scenario():
+            store = MemoryKeyedStore()
+            hosts, _ = await new_hosts(1, PAID, store)
+            late, _ = await new_hosts(0, PAID, store)
+            del late
+            added = type(hosts[0])(store, 'new', PAID)
+            added.start()
+            await added.ready()
+            early = await added.spend('o', 1000, limit_s=1)
+            await asyncio.sleep(COPY_AGE_S + 2)
+            later = await added.spend('o', 1000, limit_s=1)
+            await end([*hosts, added])
+            return early, later
+
+        self.assertEqual(('elsewhere', 'reserved'), run(scenario()))
+
+
+class RandomRestoresTest(testtools.TestCase):
+    """Random orders of faults and restores never pass the budget."""
+
+    def _check(self, seeds, gateways):
+        for seed in seeds:
+            spent, paid = run(_run_random_restores(seed, gateways))
+            self.assertLessEqual(spent, paid, f'seed {seed}')
+
+    def test_never_more_than_was_paid(self):
+        self._check(range(45), gateways=0)
+
+    def test_never_more_than_was_paid_with_gateways(self):
+        self._check(range(100, 145), gateways=2)
+
+
+async def _spend_all(hosts, size=1000, pause_s=0.02, tries=4000):
+    """Spend in turn until no host gets tokens any more."""
+    refusals = 0
+    for number in range(tries):
+        host = hosts[number % len(hosts)]
+        outcome = await host.spend('o', size)
+        refusals = 0 if outcome == 'reserved' else refusals + 1
+        if refusals > 3 * len(hosts):
+            return
+        await asyncio.sleep(pause_s)
+
+
+async def _put_configuration(store, version):
+    """Write a version as the operator does."""
+    import msgspec
+
+    value = msgspec.json.encode(configuration(version))
+    await store.append('op', (('config', value),))
+
+
+async def _run_random_restores(seed, gateways, steps=120):
+    """Inject faults and restores at random; return the tokens used and paid."""
+    source = random.Random(seed)
+    store = MemoryKeyedStore(random.Random(seed))
+    paid = 60_000
+    network = GatewayNetwork(store, gateways) if gateways else None
+    hosts, _ = await new_hosts(3, {'o': paid}, store, network)
+    for step in range(steps):
+        host = source.choice(hosts)
+        match source.randrange(16):
+            case 0:
+                host.client.is_cut_off = not host.client.is_cut_off
+            case 1 | 2:
+                await host.kill()
+                await asyncio.sleep(source.random())
+                if source.random() < 0.3:
+                    host.clock.monotonic_offset = source.uniform(0, 2000)
+                host.start()
+            case 3:
+                store.faults = StoreFaults(
+                    lost_share=source.random() / 2,
+                    late_share=source.random() / 2,
+                    late_s=source.uniform(0.1, 4),
+                )
+            case 4:
+                store.faults = StoreFaults(outage=source.random() < 0.5)
+            case 5 | 6:
+                store.restore(source.uniform(0, COPY_AGE_S - 0.5))
+            case 7 if source.random() < 0.2:
+                paid += 10_000
+                for each in hosts:
+                    each.pay({'o': paid})
+            case 8:
+                await asyncio.sleep(source.uniform(0, 2 * PRESUME_AFTER_S))
+            case _:
+                for each in hosts:
+                    size = source.randrange(200, 3000)
+                    await each.spend('o', size, request=f'{step}', limit_s=0.05)
+        await asyncio.sleep(source.random() / 4)
+    store.faults = StoreFaults()
+    for host in hosts:
+        host.client.is_cut_off = False
+    await asyncio.sleep(3 * PRESUME_AFTER_S)
+    await _spend_all(hosts, tries=300)
+    await end(hosts)
+    return sum(host.spent for host in hosts), paid
