Forward at once a request whose tokens would have to be moved, and poll refusing targets rarely

Change: unclaimed tokens are claimed as before, in a round trip; where they don't suffice and another host has enough, the request is forwarded at once. Refused polls of cache events double their pause up to a minute.

--- a/src/dandelioncleat/app/direct/cache_watch.py
+++ b/src/dandelioncleat/app/direct/cache_watch.py
@@ -15,8 +15,10 @@
 POLL_WAIT_S = 0.9
 # Events that arrive during this pause are read in one call.
 BATCH_PAUSE_S = 0.15
-# A target serves few such calls at once, so refused polls are less frequent.
+# A target serves few such calls at once. The more routers there are, the more
+# polls it refuses, so each refusal doubles the pause.
 REFUSED_PAUSE_S = 3.0
+MAX_REFUSED_PAUSE_S = 60.0
 
 _logger = structlog.get_logger(__name__)
 
@@ -61,6 +63,7 @@
                 )
 
     async def _poll(self, state: TargetState) -> None:
+        refusals = 0
         while True:
             await asyncio.sleep(state.wishes.pause_s(_now()))
             try:
@@ -72,7 +75,8 @@
                     reason=str(error),
                 )
                 is_answered = False
-            await asyncio.sleep(self._pause_s(is_answered=is_answered))
+            refusals = 0 if is_answered else refusals + 1
+            await asyncio.sleep(self._pause_s(refusals))
 
     async def _poll_once(self, state: TargetState) -> bool:
         """Read the changes; return whether the target answered the poll."""
@@ -86,10 +90,13 @@
         cache.take(poll.update)
         return True
 
-    def _pause_s(self, *, is_answered: bool) -> float:
-        if is_answered:
+    def _pause_s(self, refusals: int) -> float:
+        """Return the pause after some refusals in a row, in seconds."""
+        if not refusals:
             return BATCH_PAUSE_S
-        return REFUSED_PAUSE_S * (0.5 + self._source.random())
+        pause_s = REFUSED_PAUSE_S * 2 ** (refusals - 1)
+        spread = 0.5 + self._source.random()
+        return min(MAX_REFUSED_PAUSE_S, pause_s) * spread
 
 
 def _now() -> float:
--- a/src/dandelioncleat/app/direct/wallet.py
+++ b/src/dandelioncleat/app/direct/wallet.py
@@ -72,6 +72,10 @@
     ) -> ReservationOutcome:
         """Reserve a request's tokens; wait for tokens if too few are here.
 
+        One round trip to the store claims tokens that no host holds. To move
+        tokens from another host takes several, so a request for which that
+        host has enough is forwarded at once.
+
         :param limit_s: maximum time to wait, in seconds
         """
         outcome = self._reserve_now(need)
@@ -80,6 +84,8 @@
         account = self._holdings.accounts_by_budget.get(need.budget)
         if account is None or self._sync.is_store_unreachable:
             return ReservationOutcome.ELSEWHERE
+        if self._holdings.is_better_forwarded(need):
+            return ReservationOutcome.ELSEWHERE
         account.waiting_by_request[need.request] = need.tokens
         try:
             async with asyncio.timeout(limit_s):
--- a/src/dandelioncleat/core/host_holdings.py
+++ b/src/dandelioncleat/core/host_holdings.py
@@ -88,6 +88,19 @@
         paid = self.paid_by_budget.get(need.budget, 0)
         return paid - others - own < need.tokens
 
+    def is_better_forwarded(self, need: TokenNeed) -> bool:
+        """Return whether a request's tokens would have to be moved here.
+
+        That is so if neither the host nor the unclaimed tokens cover it, but
+        another host does.
+        """
+        account = self.accounts_by_budget[need.budget]
+        unclaimed = self.paid_by_budget.get(need.budget, 0)
+        unclaimed -= self.book.claimed(need.budget)
+        if need.tokens <= account.free + max(0, unclaimed):
+            return False
+        return bool(self.others_with_free_tokens(need))
+
     def others_with_free_tokens(self, need: TokenNeed) -> tuple[str, ...]:
         """Return the other hosts that can cover a request, best first."""
         able = [
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import msgspec
 import testtools
 
 from dandelioncleat.adapters.virtual_time import run
@@ -274,8 +275,6 @@
         async def scenario():
             store = MemoryKeyedStore()
             hosts, _ = await new_hosts(1, PAID, store)
-            late, _ = await new_hosts(0, PAID, store)
-            del late
             added = type(hosts[0])(store, 'new', PAID)
             added.start()
             await added.ready()
@@ -317,8 +316,6 @@
 
 async def _put_configuration(store, version):
     """Write a version as the operator does."""
-    import msgspec
-
     value = msgspec.json.encode(configuration(version))
     await store.append('op', (('config', value),))
 
--- /dev/null
+++ b/tests/test_token_waits.py
@@ -0,0 +1,85 @@
+"""Replays loads in which requests find too few tokens at their host."""
+
+import asyncio
+import random
+
+import testtools
+
+from dandelioncleat.adapters.virtual_time import run
+from dandelioncleat.app.direct.cache_watch import CacheWatch
+from dandelioncleat.app.direct.target_state import TargetState
+from dandelioncleat.core.deployment import TargetEntry
+from dandelioncleat.core.target_notice import NO_NOTICE
+from dandelioncleat.ports.cache_events import CachePoll
+from tests.builders.wallets import end, new_hosts
+
+# Requests of a large fleet: a long prompt is a large part of what a host has.
+HOSTS = 24
+PAID = {'o': 1_000_000}
+SIZES = (1_500, 9_000, 17_000, 30_000)
+
+
+class ForwardedLoadTest(testtools.TestCase):
+    """A large request at one of many hosts is forwarded, not kept waiting."""
+
+    def _play(self):
+        """Return the wait in seconds and the outcome of each request."""
+
+        async def scenario():
+            source = random.Random(3)
+            hosts, _ = await new_hosts(HOSTS, PAID)
+            loop = asyncio.get_running_loop()
+            ends = []
+            for number in range(60):
+                host = source.choice(hosts)
+                size = source.choice(SIZES)
+                started_at = loop.time()
+                outcome = await host.spend(
+                    'o', size, request=f'r{number}', limit_s=0.3
+                )
+                ends.append((loop.time() - started_at, outcome))
+                await asyncio.sleep(0.05)
+            await end(hosts)
+            return ends
+
+        return run(scenario())
+
+    def test_no_request_waits_for_tokens_that_another_host_has(self):
+        ends = self._play()
+        # A few round trips of 4 ms: a claim, after conflicts, and a mark.
+        self.assertLess(max(wait_s for wait_s, _ in ends), 0.1)
+
+    def test_unclaimed_tokens_are_claimed_rather_than_forwarded_to(self):
+        outcomes = [outcome for _, outcome in self._play()]
+        self.assertGreater(outcomes.count('reserved'), 50)
+
+
+class CachePollLoadTest(testtools.TestCase):
+    """Many routers poll targets that serve few polls at once."""
+
+    def test_refused_polls_become_rare(self):
+        polls = run(_count_polls(duration_s=120))
+        # Every three seconds would make 40.
+        self.assertLess(polls, 10)
+
+
+async def _count_polls(duration_s):
+    """Return how often a target that refuses all polls is polled."""
+    polls = []
+
+    class RefusedPolls:
+        async def cache_update(self, target, *, start, wait_s):
+            polls.append(target.id)
+            return CachePoll(None, NO_NOTICE)
+
+    class OneTarget:
+        def engines(self):
+            return {'i': state}
+
+    entry = TargetEntry('i', 's', '10.0.0.1:80', 'z', 8, False, 1)
+    state = TargetState(entry, kv_tokens=1000)
+    watch = CacheWatch(OneTarget(), RefusedPolls(), source=random.Random(1))
+    task = asyncio.ensure_future(watch.run())
+    await asyncio.sleep(duration_s)
+    task.cancel()
+    return len(polls)
