--- a/src/dandelioncleat/app/direct/cache_watch.py
+++ b/src/dandelioncleat/app/direct/cache_watch.py
@@ -94,9 +94,10 @@
         """Return the pause after some refusals in a row, in seconds."""
         if not refusals:
             return BATCH_PAUSE_S
-        pause_s = REFUSED_PAUSE_S * 2 ** (refusals - 1)
-        spread = 0.5 + self._source.random()
-        return min(MAX_REFUSED_PAUSE_S, pause_s) * spread
+        pause_s = REFUSED_PAUSE_S
+        for _ in range(refusals - 1):
+            pause_s = min(2 * pause_s, MAX_REFUSED_PAUSE_S)
+        return pause_s * (0.5 + self._source.random())
 
 
 def _now() -> float:
--- a/src/dandelioncleat/app/direct/ceiling_writer.py
+++ b/src/dandelioncleat/app/direct/ceiling_writer.py
@@ -79,6 +79,7 @@
         while self._follower.position <= proposed.expected_end:
             if self._follower.era != proposed.era:
                 break
+            self._follower.read_soon()
             await self._follower.advanced.wait()
         if self._follower.era != proposed.era:
             return self._give_up(proposed)
--- a/src/dandelioncleat/app/direct/forwarding.py
+++ b/src/dandelioncleat/app/direct/forwarding.py
@@ -8,7 +8,10 @@
 
 import structlog
 
-from dandelioncleat.app.direct.process_directory import ProcessDirectory
+from dandelioncleat.app.direct.process_directory import (
+    ProcessDirectory,
+    ProcessEntry,
+)
 from dandelioncleat.app.direct.run_context import RunContext
 from dandelioncleat.app.direct.wallet import Wallet
 from dandelioncleat.core.direct_request import (
@@ -27,6 +30,8 @@
 
 # Each router that is tried costs the caller a round trip.
 MAX_FORWARDS = 2
+# A router that could not be reached is tried last for this time.
+AVOID_S = 2.0
 
 _logger = structlog.get_logger(__name__)
 
@@ -45,6 +50,7 @@
         self._processes = processes
         self._wallet = wallet
         self._targets = targets
+        self._avoid_until_by_host: dict[str, float] = {}
 
     async def forward(
         self, context: RunContext, need: TokenNeed, reply: Reply
@@ -58,11 +64,8 @@
         )
         if context.request.is_forwarded:
             return refusal
-        hosts = self._wallet.hosts_with_tokens(need)
-        entries = self._processes.other_routers_by_host
-        known = [entries[host] for host in hosts if host in entries]
-        for entry in known[:MAX_FORWARDS]:
-            refusal = await self._forward_to(context, entry.address, reply)
+        for entry in self._routers_with_tokens(need)[:MAX_FORWARDS]:
+            refusal = await self._forward_to(context, entry, reply)
             _logger.info(
                 'request forwarded',
                 request=context.request.id,
@@ -74,11 +77,25 @@
                 return refusal
         return refusal
 
+    def _routers_with_tokens(self, need: TokenNeed) -> list[ProcessEntry]:
+        """Return the routers that can cover a request, in order of trial."""
+        now = asyncio.get_running_loop().time()
+        entries = self._processes.other_routers_by_host
+        known = [
+            entries[host]
+            for host in self._wallet.hosts_with_tokens(need)
+            if host in entries
+        ]
+        known.sort(
+            key=lambda each: self._avoid_until_by_host.get(each.host, 0) > now
+        )
+        return known
+
     async def _forward_to(
-        self, context: RunContext, address: str, reply: Reply
+        self, context: RunContext, entry: ProcessEntry, reply: Reply
     ) -> DirectRefusal | None:
         forwarded = self._targets.forward(
-            context.request, address, remaining_s=context.remaining_s
+            context.request, entry.address, remaining_s=context.remaining_s
         )
         try:
             async with asyncio.timeout_at(context.answer_by) as timer:
@@ -88,6 +105,8 @@
             return await _end_broken(context, reply, RefusalReason.NOT_IN_TIME)
         except FailureError as error:
             if error.failure.step == CONNECT_STEP:
+                now = asyncio.get_running_loop().time()
+                self._avoid_until_by_host[entry.host] = now + AVOID_S
                 return DirectRefusal(RefusalReason.NO_TOKENS_HERE)
             return await _end_broken(context, reply, RefusalReason.ANSWER_LOST)
 
--- a/src/dandelioncleat/app/direct/holdings_sync.py
+++ b/src/dandelioncleat/app/direct/holdings_sync.py
@@ -27,8 +27,11 @@
 # number of hosts grows.
 READ_PAUSE_PER_HOST_S = 0.0125
 MAX_READ_PAUSE_S = 0.3
-# A successor can't know what was used after the last mark.
+# A successor can't know what was used after the last mark. The topic takes one
+# append at a time, so many hosts write less often; a request that waits for a
+# mark has it written at once.
 MARK_INTERVAL_S = 0.2
+MARK_INTERVAL_PER_HOST_S = 0.01
 RETRY_PAUSE_S = 0.1
 # Interval between moves of tokens that no request waits for; it grows with
 # the number of hosts that write.
@@ -190,7 +193,11 @@
         while True:
             self._marks_due.clear()
             await self._write_due_marks()
-            await wait_at_most(self._marks_due, MARK_INTERVAL_S)
+            interval_s = max(
+                MARK_INTERVAL_S,
+                MARK_INTERVAL_PER_HOST_S * self._holdings.book.hosts,
+            )
+            await wait_at_most(self._marks_due, interval_s)
 
     async def _write_due_marks(self) -> None:
         now = _moment(self._clock)
--- a/src/dandelioncleat/app/direct/process_directory.py
+++ b/src/dandelioncleat/app/direct/process_directory.py
@@ -30,12 +30,13 @@
 
 
 class ProcessEntry(msgspec.Struct, frozen=True, array_like=True):
-    """A process and its address as ``ip:port``."""
+    """A process, its address as ``ip:port``, and its processor cores."""
 
     role: ProcessRole
     host: str
     data_centre: str
     address: str
+    cores: float = 1.0
 
     @property
     def key(self) -> str:
@@ -102,15 +103,18 @@
         own: ProcessEntry,
         *,
         configured_gateways: Iterable[str],
+        on_change: Callable[[], None] | None = None,
         on_restored: Callable[[], None] | None = None,
     ) -> None:
         """Initialise with the store and the process's own entry.
 
         :param configured_gateways: addresses of gateways that are known
             before the store was read
+        :param on_change: called after the entries have changed
         :param on_restored: called after the store was restored from a copy
         """
         self._own = own
+        self._on_change = on_change
         self._on_restored = on_restored
         self._configured_gateways = tuple(configured_gateways)
         self._entries_by_key: dict[str, ProcessEntry] = {}
@@ -124,6 +128,12 @@
         routers = self._entries(ProcessRole.ROUTER)
         return {entry.host: entry for entry in routers}
 
+    @property
+    def cores_by_router_host(self) -> dict[str, float]:
+        """Return the processor cores of all routers' hosts, and its own."""
+        entries = (*self._entries(ProcessRole.ROUTER), self._own)
+        return {entry.host: entry.cores for entry in entries}
+
     @property
     def router_count(self) -> int:
         """Return the number of routers, this one included."""
@@ -161,6 +171,8 @@
                 self._apply_entry(record.key, record.value)
             elif self._entries_by_key.pop(record.key, None) is not None:
                 _logger.info('process left', process=record.key)
+        if self._on_change is not None:
+            self._on_change()
 
     def _apply_entry(self, key: str, value: bytes) -> None:
         try:
--- a/src/dandelioncleat/app/direct/topic_follower.py
+++ b/src/dandelioncleat/app/direct/topic_follower.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from dandelioncleat.app.event_wait import wait_at_most
 from dandelioncleat.app.signal import Signal
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.keyed_record import KeyedRecord
@@ -61,6 +62,7 @@
         self.position = 0
         self.era: int | None = None
         self.advanced = Signal()
+        self._is_wanted = asyncio.Event()
         self.last_answer_at = float('-inf')
         self._store = store
         self._on_change = on_change
@@ -102,7 +104,12 @@
                 self._note_loss(error)
                 await asyncio.sleep(RETRY_PAUSE_S)
             else:
-                await asyncio.sleep(self.pause_s)
+                await wait_at_most(self._is_wanted, self.pause_s)
+                self._is_wanted.clear()
+
+    def read_soon(self) -> None:
+        """End the pause between two reads."""
+        self._is_wanted.set()
 
     def advance_to(self, position: int, era: int) -> None:
         """Skip the records before an offset, which are already known."""
--- a/src/dandelioncleat/app/direct/wallet.py
+++ b/src/dandelioncleat/app/direct/wallet.py
@@ -6,10 +6,12 @@
 
 from dandelioncleat.app.direct.holdings_sync import HoldingsSync
 from dandelioncleat.app.signal import Signal
+from dandelioncleat.core.budget_holders import BudgetHolders
 from dandelioncleat.core.host_holdings import (
     HostHoldings,
     TokenNeed,
     budget_inputs,
+    is_better_forwarded,
 )
 from dandelioncleat.ports.clock import Clock
 from dandelioncleat.ports.store import KeyedStore
@@ -34,15 +36,17 @@
         host: str,
         clock: Clock,
         copy_age_s: float,
+        holders: BudgetHolders,
     ) -> None:
         """Initialise; no earlier process of the host may still run.
 
         :param copy_age_s: maximum age of a copy from which the store may be
             restored, in seconds
+        :param holders: which hosts should hold tokens
         """
         self._clock = clock
         self._changed = Signal()
-        self._holdings = HostHoldings(host)
+        self._holdings = HostHoldings(host, holders)
         self._sync = HoldingsSync(
             store,
             self._holdings,
@@ -84,7 +88,7 @@
         account = self._holdings.accounts_by_budget.get(need.budget)
         if account is None or self._sync.is_store_unreachable:
             return ReservationOutcome.ELSEWHERE
-        if self._holdings.is_better_forwarded(need):
+        if is_better_forwarded(self._holdings, need):
             return ReservationOutcome.ELSEWHERE
         account.waiting_by_request[need.request] = need.tokens
         try:
--- a/src/dandelioncleat/core/holding_policy.py
+++ b/src/dandelioncleat/core/holding_policy.py
@@ -70,6 +70,7 @@
     :param others: the parts of the other hosts
     :param waiting: tokens that requests wait for here
     :param may_rebalance: whether tokens may move although no request waits
+    :param is_holder: whether the host should hold tokens of the budget
     """
 
     paid: int
@@ -78,6 +79,7 @@
     others: tuple[Share, ...]
     waiting: int
     may_rebalance: bool
+    is_holder: bool = True
 
     @property
     def pool(self) -> int:
@@ -98,6 +100,8 @@
 def next_ceiling(inputs: CeilingInputs) -> int:
     """Return the ceiling that the host should have now."""
     own = inputs.own
+    if not inputs.is_holder:
+        return own.ceiling - inputs.spare
     if inputs.pool < 0:
         return own.ceiling - min(own.free, _fair_return(inputs))
     if inputs.missing > 0:
--- a/src/dandelioncleat/core/host_holdings.py
+++ b/src/dandelioncleat/core/host_holdings.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from dandelioncleat.core.budget_holders import BudgetHolders
 from dandelioncleat.core.budget_records import BudgetRecords, Share
 from dandelioncleat.core.holding import (
     Ceiling,
@@ -20,8 +21,11 @@
 from dandelioncleat.core.host_account import HostAccount
 from dandelioncleat.core.host_standing import HostStanding
 from dandelioncleat.core.round_trip import RoundTripMean
+from dandelioncleat.core.stable_hash import stable_hash
 
 MARK_REFRESH_S = 1.0
+# A host with this many times a request's need likely still has it.
+AMPLE_NEEDS = 2
 
 
 class TokenNeed(NamedTuple):
@@ -50,12 +54,16 @@
     ``round_trip`` measures the store's confirmations of marks.
     """
 
-    def __init__(self, host: str) -> None:
-        """Start with no budget."""
+    def __init__(self, host: str, holders: BudgetHolders) -> None:
+        """Start with no budget.
+
+        :param holders: which hosts should hold tokens
+        """
         self.host = host
         self.book = BudgetRecords()
         self.standing = HostStanding(host, self.book)
         self.paid_by_budget: Mapping[str, int] = {}
+        self.holders = holders
         self.accounts_by_budget: dict[str, HostAccount] = {}
         self.is_closing = False
         self.is_ending = False
@@ -88,33 +96,31 @@
         paid = self.paid_by_budget.get(need.budget, 0)
         return paid - others - own < need.tokens
 
-    def is_better_forwarded(self, need: TokenNeed) -> bool:
-        """Return whether a request's tokens would have to be moved here.
+    def others_with_free_tokens(self, need: TokenNeed) -> tuple[str, ...]:
+        """Return the other hosts that can cover a request, best first.
 
-        That is so if neither the host nor the unclaimed tokens cover it, but
-        another host does.
+        Hosts with ample tokens are spread by the request, as all hosts see
+        the same numbers; they are some moments old.
         """
-        account = self.accounts_by_budget[need.budget]
-        unclaimed = self.paid_by_budget.get(need.budget, 0)
-        unclaimed -= self.book.claimed(need.budget)
-        if need.tokens <= account.free + max(0, unclaimed):
-            return False
-        return bool(self.others_with_free_tokens(need))
-
-    def others_with_free_tokens(self, need: TokenNeed) -> tuple[str, ...]:
-        """Return the other hosts that can cover a request, best first."""
         able = [
             share
             for share in self._others(need.budget)
             if share.free >= need.tokens
         ]
-        able.sort(key=lambda share: share.free, reverse=True)
+        able.sort(
+            key=lambda share: (
+                share.free < AMPLE_NEEDS * need.tokens,
+                stable_hash(need.request + share.host),
+            )
+        )
         return tuple(share.host for share in able)
 
     def due_marks(self, now: Moment, *, epoch: int) -> list[UsageMark]:
         """Return the usage marks that should be written now."""
         due = []
         for budget, account in self.accounts_by_budget.items():
+            if _is_unused(account):
+                continue
             account.meter.update(account.total, now.monotonic)
             mark = self._mark(budget, account, now=now, epoch=epoch)
             if _is_due(account, mark):
@@ -167,9 +173,12 @@
     def is_released(self) -> bool:
         """Return whether all unused tokens are released to other hosts."""
         return all(
-            account.free == 0
-            and account.confirmed is not None
-            and _extra_allowance(account.confirmed) == 0
+            _is_unused(account)
+            or (
+                account.free == 0
+                and account.confirmed is not None
+                and _extra_allowance(account.confirmed) == 0
+            )
             for account in self.accounts_by_budget.values()
         )
 
@@ -231,14 +240,20 @@
             account.meter.rate,
             account.missing,
         )
+        others = tuple(
+            share
+            for share in self._others(budget)
+            if share.free or self.holders.includes(budget, share.host)
+        )
         return next_ceiling(
             CeilingInputs(
                 paid=self.paid_by_budget.get(budget, 0),
                 claimed=self.book.claimed(budget),
                 own=own,
-                others=self._others(budget),
+                others=others,
                 waiting=account.waiting,
                 may_rebalance=may_rebalance,
+                is_holder=self.holders.includes(budget, self.host),
             )
         )
 
@@ -247,6 +262,23 @@
         return tuple(share for share in shares if share.host != self.host)
 
 
+def is_better_forwarded(holdings: HostHoldings, need: TokenNeed) -> bool:
+    """Return whether a request's tokens would have to be moved here.
+
+    That is so at a host that should hold none, and if neither the host nor
+    the unclaimed tokens cover the request, but another host does.
+    """
+    budget = need.budget
+    if not holdings.holders.includes(budget, holdings.host):
+        return True
+    unclaimed = holdings.paid_by_budget.get(budget, 0)
+    unclaimed -= holdings.book.claimed(budget)
+    free = holdings.accounts_by_budget[budget].free
+    if need.tokens <= free + max(0, unclaimed):
+        return False
+    return bool(holdings.others_with_free_tokens(need))
+
+
 def budget_inputs(
     holdings: HostHoldings, budget: str, now: float
 ) -> dict[str, int]:
@@ -298,12 +330,26 @@
         return True
     if _unblocks_request(account, mark.at.monotonic):
         return True
+    if _releases_allowance(mark, confirmed):
+        return True
     is_old = mark.at.monotonic - confirmed.at.monotonic > MARK_REFRESH_S
     return is_old and (
         _extra_allowance(mark) > 0 or _extra_allowance(confirmed) > 0
     )
 
 
+def _releases_allowance(mark: UsageMark, confirmed: UsageMark) -> bool:
+    """Return whether a mark ends an allowance; a stop waits for that."""
+    return _extra_allowance(mark) == 0 and _extra_allowance(confirmed) > 0
+
+
+def _is_unused(account: HostAccount) -> bool:
+    """Return whether nothing was ever held, used or wanted here."""
+    if account.confirmed is not None or account.sent is not None:
+        return False
+    return not (account.ceiling or account.total or account.waiting)
+
+
 def _unblocks_request(account: HostAccount, now: float) -> bool:
     """Return whether a new mark would permit a waiting request."""
     room = account.headroom(now)
--- a/src/dandelioncleat/daemons/commands.py
+++ b/src/dandelioncleat/daemons/commands.py
@@ -1,4 +1,7 @@
-"""The commands ``router`` and ``sidecar``, which each run a daemon.
+"""The commands that each run a daemon.
+
+``router`` and ``sidecar`` form a fleet without a store; ``direct-router`` and
+``gateway`` run on a platform with one.
 
 Exit codes: 0 after a planned stop, 1 if something was lost or the settings
 have errors.
@@ -7,7 +10,7 @@
 import argparse
 import asyncio
 import sys
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -15,6 +18,8 @@
 
 from dandelioncleat.adapters.defect_table import print_defects
 from dandelioncleat.core.fleet import ROUTER, SIDECAR
+from dandelioncleat.daemons import direct, gateway
+from dandelioncleat.daemons.direct_process import run_program
 from dandelioncleat.daemons.process import run_process
 from dandelioncleat.daemons.router import new_router_daemon
 from dandelioncleat.daemons.settings import (
@@ -29,11 +34,41 @@
 
 
 def add_parsers(subparsers: Any) -> None:
-    """Add the commands ``router`` and ``sidecar`` to a command line."""
+    """Add the commands of all daemons to a command line."""
     for role in (ROUTER, SIDECAR):
-        parser = subparsers.add_parser(role, help=f'run a {role}')
+        parser = subparsers.add_parser(
+            role, help=f'run a {role} of a fleet with sidecars'
+        )
         parser.add_argument('--settings', type=Path, required=True)
         parser.set_defaults(run=_run, role=role)
+    _add_platform_parser(
+        subparsers, direct.ROLE, _run_direct, help_text='run a router'
+    )
+    _add_platform_parser(
+        subparsers, gateway.ROLE, _run_gateway, help_text='run a gateway'
+    )
+
+
+def _add_platform_parser(
+    subparsers: Any,
+    role: str,
+    run: Callable[[argparse.Namespace], int],
+    *,
+    help_text: str,
+) -> None:
+    parser = subparsers.add_parser(
+        role, help=f'{help_text} on a platform with a store'
+    )
+    parser.add_argument('--settings', type=Path, required=True)
+    parser.set_defaults(run=run)
+
+
+def _run_direct(arguments: argparse.Namespace) -> int:
+    return run_program(direct.new_program(), arguments.settings)
+
+
+def _run_gateway(arguments: argparse.Namespace) -> int:
+    return run_program(gateway.new_program(), arguments.settings)
 
 
 def _run(arguments: argparse.Namespace) -> int:
--- a/src/dandelioncleat/daemons/direct.py
+++ b/src/dandelioncleat/daemons/direct.py
@@ -10,7 +10,7 @@
 from dandelioncleat.daemons.direct_process import (
     Program,
     new_listener,
-    run_program,
+    run_from_command_line,
 )
 from dandelioncleat.daemons.direct_router import DirectRouter, Sockets
 from dandelioncleat.daemons.direct_settings import (
@@ -22,9 +22,14 @@
 ROLE = 'direct-router'
 
 
+def new_program() -> Program[DirectSettings]:
+    """Return the program of a direct router."""
+    return Program(ROLE, load_direct_settings, _new_router)
+
+
 def main() -> int:
     """Run a direct router; return the exit code."""
-    return run_program(Program(ROLE, load_direct_settings, _new_router))
+    return run_from_command_line(new_program())
 
 
 def _new_router(
--- a/src/dandelioncleat/daemons/direct_process.py
+++ b/src/dandelioncleat/daemons/direct_process.py
@@ -67,9 +67,13 @@
     ]
 
 
-def run_program(program: Program[SettingsT]) -> int:
-    """Run a program from the command line; return the exit code."""
-    path = _settings_path(program.role)
+def run_from_command_line(program: Program[SettingsT]) -> int:
+    """Run a program with the settings that its arguments name."""
+    return run_program(program, _settings_path(program.role))
+
+
+def run_program(program: Program[SettingsT], path: Path) -> int:
+    """Run a program with a settings file; return the exit code."""
     loaded = program.load(path)
     if not is_successful(loaded):
         sys.stderr.write(f'{path}: {loaded.failure()}\n')
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -32,6 +32,7 @@
 from dandelioncleat.app.direct.topic_follower import TopicFollower
 from dandelioncleat.app.direct.wallet import Wallet
 from dandelioncleat.app.router_life import RouterLife
+from dandelioncleat.core.budget_holders import BudgetHolders
 from dandelioncleat.core.deployment import Deployment
 from dandelioncleat.core.gateway_choice import GatewayChoice
 from dandelioncleat.core.retry_window import RetryLimits
@@ -105,23 +106,29 @@
             ),
         )
         self._targets = HttpTargets()
+        self._holders = BudgetHolders()
         self._wallet = Wallet(
             store,
             host=settings.host,
             clock=SystemClock(),
             copy_age_s=settings.store_copy_age_s,
+            holders=self._holders,
         )
         entry = ProcessEntry(
             ProcessRole.ROUTER,
             settings.host,
             settings.data_centre,
             settings.listen.callers,
+            settings.cores,
         )
         self._announcement = ProcessAnnouncement(store, entry)
         self._processes = ProcessDirectory(
             store,
             entry,
             configured_gateways=settings.gateways,
+            on_change=lambda: self._holders.set_hosts(
+                self._processes.cores_by_router_host
+            ),
             on_restored=self._announcement.renew,
         )
         self._deployment = DeploymentWatch(
--- a/src/dandelioncleat/daemons/direct_settings.py
+++ b/src/dandelioncleat/daemons/direct_settings.py
@@ -39,7 +39,8 @@
     ``store`` is the address of the platform's store, ``gateways`` are the
     addresses of some gateways to it, as ``ip:port``; the store lists the
     others. ``store_copy_age_s`` is the maximum age of a copy from which the
-    store may be restored, in seconds.
+    store may be restored, in seconds. ``cores`` is the processor time that the
+    process may use, in cores.
     """
 
     host: str
@@ -51,6 +52,7 @@
     gateways: tuple[str, ...] = ()
     fleet_secret: str = ''
     store_copy_age_s: float = 8.0
+    cores: float = 1.0
 
     @property
     def stop_limit_s(self) -> float:
@@ -142,6 +144,8 @@
         }
     )
     defects.extend(_stop_defects(settings.stop))
+    if settings.cores <= 0:
+        defects.append('cores: must be a positive number')
     if settings.store_copy_age_s < 0:
         defects.append('store_copy_age_s: must not be negative')
     if settings.retries.window_s <= 0:
--- a/src/dandelioncleat/daemons/gateway.py
+++ b/src/dandelioncleat/daemons/gateway.py
@@ -11,7 +11,7 @@
 from dandelioncleat.daemons.direct_process import (
     Program,
     new_listener,
-    run_program,
+    run_from_command_line,
 )
 from dandelioncleat.daemons.direct_settings import (
     GatewaySettings,
@@ -23,9 +23,14 @@
 ROLE = 'gateway'
 
 
+def new_program() -> Program[GatewaySettings]:
+    """Return the program of a gateway."""
+    return Program(ROLE, load_gateway_settings, _new_gateway)
+
+
 def main() -> int:
     """Run a gateway; return the exit code."""
-    return run_program(Program(ROLE, load_gateway_settings, _new_gateway))
+    return run_from_command_line(new_program())
 
 
 def _new_gateway(
--- a/tests/builders/wallets.py
+++ b/tests/builders/wallets.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from dandelioncleat.app.direct.wallet import Wallet
+from dandelioncleat.core.budget_holders import BudgetHolders
 from dandelioncleat.core.host_holdings import TokenNeed
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore
 
@@ -35,6 +36,7 @@
         self.name = name
         self.clock = HostClock()
         self.spent = 0
+        self.holders = BudgetHolders()
         self._store = store
         self._gateways = gateways
         self._paid = dict(paid)
@@ -49,7 +51,11 @@
         if self._gateways is not None:
             store = self._gateways.path(self.name, self.client)
         self.wallet = Wallet(
-            store, host=self.name, clock=self.clock, copy_age_s=COPY_AGE_S
+            store,
+            host=self.name,
+            clock=self.clock,
+            copy_age_s=COPY_AGE_S,
+            holders=self.holders,
         )
         self.wallet.set_paid(self._paid)
         self._task = asyncio.ensure_future(self.wallet.run())
@@ -78,6 +84,11 @@
             self.wallet.settle(need, tokens)
         return verdict
 
+    def hosts_with_tokens(self, budget, tokens, request):
+        """Return the other hosts that have enough tokens, best first."""
+        need = TokenNeed(request, budget, tokens)
+        return self.wallet.hosts_with_tokens(need)
+
 
 async def new_hosts(count, paid, store=None, gateways=None):
     """Return started hosts that share a store, and the store."""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -18,6 +18,23 @@
 SECRET = 's' * 32
 
 
+DIRECT_SETTINGS = """
+host = "h"
+data_centre = "z"
+store = "10.0.0.1:80"
+[listen]
+callers = "10.0.0.2:80"
+ready = "10.0.0.2:81"
+metrics = "10.0.0.2:82"
+[retries]
+ratio = 0.2
+slack = 52
+window_s = 10
+[stop]
+limit_s = 8
+"""
+
+
 class SettingsTest(TestCase):
     """Every error of a file is reported at once."""
 
@@ -110,6 +127,25 @@
         with contextlib.redirect_stdout(output):
             self.assertEqual(0, main(['settings', 'check', str(path)]))
 
+    def test_settings_for_a_platform_are_checked_by_role(self):
+        path = self._write(DIRECT_SETTINGS)
+        arguments = ['settings', 'check', str(path), '--role']
+        output, errors = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(output):
+            self.assertEqual(0, main([*arguments, 'direct-router']))
+        with contextlib.redirect_stderr(errors):
+            self.assertEqual(1, main([*arguments, 'gateway']))
+        self.assertIn('valid', output.getvalue())
+        self.assertIn('callers', errors.getvalue())
+
+    def test_a_platform_daemon_reports_its_settings_errors(self):
+        path = self._write('host = 1')
+        for role in ('direct-router', 'gateway'):
+            errors = io.StringIO()
+            with contextlib.redirect_stderr(errors):
+                self.assertEqual(1, main([role, '--settings', str(path)]))
+            self.assertIn('host', errors.getvalue())
+
     @settings(derandomize=True, deadline=None, max_examples=200)
     @given(st.binary() | st.text().map(str.encode))
     def test_any_bytes_are_refused(self, text):
--- a/tests/test_token_waits.py
+++ b/tests/test_token_waits.py
@@ -9,8 +9,10 @@
 from dandelioncleat.app.direct.cache_watch import CacheWatch
 from dandelioncleat.app.direct.target_state import TargetState
 from dandelioncleat.core.deployment import TargetEntry
+from dandelioncleat.core.host_holdings import TokenNeed
 from dandelioncleat.core.target_notice import NO_NOTICE
 from dandelioncleat.ports.cache_events import CachePoll
+from dandelioncleat.standin.keyed_store import MemoryKeyedStore
 from tests.builders.wallets import end, new_hosts
 
 # Requests of a large fleet: a long prompt is a large part of what a host has.
@@ -83,3 +85,44 @@
     await asyncio.sleep(duration_s)
     task.cancel()
     return len(polls)
+
+
+class MarkLoadTest(testtools.TestCase):
+    """Many hosts share a topic that takes one append at a time."""
+
+    def _appends_per_s(self, count):
+        """Return the appends of marks by hosts that all serve requests."""
+
+        async def scenario():
+            store = MemoryKeyedStore()
+            hosts, _ = await new_hosts(count, {'o': 9_000_000}, store)
+            before = (await store.newest('usage')).end
+            tasks = [
+                asyncio.ensure_future(_settle_often(host, duration_s=10))
+                for host in hosts
+            ]
+            await asyncio.gather(*tasks)
+            after = (await store.newest('usage')).end
+            await end(hosts)
+            return (after - before) / 10
+
+        return run(scenario())
+
+    def test_marks_of_settled_requests_stay_few(self):
+        # Each append takes 2 ms, so 500 a second fill the topic.
+        self.assertLess(self._appends_per_s(60), 150)
+
+    def test_a_few_hosts_write_often(self):
+        self.assertGreater(self._appends_per_s(4), 15)
+
+
+async def _settle_often(host, *, duration_s):
+    """Use a little of what a long request has reserved, again and again."""
+    need = TokenNeed('long', 'o', 20_000)
+    await host.wallet.reserve(need, limit_s=1)
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + duration_s
+    account = host.wallet._holdings.accounts_by_budget['o']
+    while loop.time() < ends_at:
+        account.settle(100, 50)
+        await asyncio.sleep(0.05)
