Let six routers of a large fleet poll the cache events of each target

Change: the choice that names the holders of a budget names the pollers of a target as well; it is HostChoice now. Others know what they sent themselves. Test: test_a_router_that_is_not_chosen_polls_nothing (fails without the parameter).

--- a/src/dandelioncleat/app/direct/cache_watch.py
+++ b/src/dandelioncleat/app/direct/cache_watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import structlog
 
@@ -32,14 +33,18 @@
         events: CacheEventSource,
         *,
         source: random.Random,
+        is_poller: Callable[[str], bool],
     ) -> None:
         """Initialise with the targets and the client of their cache events.
 
+        :param is_poller: returns whether this router polls a target; all
+            routers of a large fleet would be more than targets answer
         :param source: spreads the pauses after refused polls
         """
         self._directory = directory
         self._events = events
         self._source = source
+        self._is_poller = is_poller
         self._tasks_by_target: dict[str, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
@@ -53,7 +58,11 @@
                 task.cancel()
 
     def _update(self) -> None:
-        states_by_id = self._directory.engines()
+        states_by_id = {
+            target: state
+            for target, state in self._directory.engines().items()
+            if self._is_poller(target)
+        }
         for removed in self._tasks_by_target.keys() - states_by_id.keys():
             self._tasks_by_target.pop(removed).cancel()
         for target, state in states_by_id.items():
--- a/src/dandelioncleat/app/direct/wallet.py
+++ b/src/dandelioncleat/app/direct/wallet.py
@@ -6,7 +6,7 @@
 
 from dandelioncleat.app.direct.holdings_sync import HoldingsSync
 from dandelioncleat.app.signal import Signal
-from dandelioncleat.core.budget_holders import BudgetHolders
+from dandelioncleat.core.host_choice import HostChoice
 from dandelioncleat.core.host_holdings import (
     HostHoldings,
     TokenNeed,
@@ -36,7 +36,7 @@
         host: str,
         clock: Clock,
         copy_age_s: float,
-        holders: BudgetHolders,
+        holders: HostChoice,
     ) -> None:
         """Initialise; no earlier process of the host may still run.
 
--- /dev/null
+++ b/src/dandelioncleat/core/host_choice.py
@@ -0,0 +1,72 @@
+"""Chooses a few hosts of a large fleet for something that all would share.
+
+If each of many hosts held a part of a budget, no part would cover one large
+request, and all hosts would contend for each change. If each of them polled
+every target, the targets would refuse most polls. So a few hosts hold each
+budget, and a few poll each target.
+"""
+
+from collections.abc import Mapping
+from math import inf, log
+
+from dandelioncleat.core.stable_hash import stable_hash
+
+# Each chosen host that fails takes its part with it until it is back.
+CHOSEN_HOSTS = 6
+# In a fleet of up to this size every host is chosen.
+SMALL_FLEET = 8
+
+_HASH_RANGE = 2.0**64
+
+
+class HostChoice:
+    """Chooses hosts for each key, such as a budget or a target."""
+
+    def __init__(self) -> None:
+        """Start with an unknown fleet, of which every host is chosen."""
+        self._cores_by_host: Mapping[str, float] = {}
+        self._chosen_by_key: dict[str, frozenset[str]] = {}
+
+    def set_hosts(self, cores_by_host: Mapping[str, float]) -> None:
+        """Set the fleet.
+
+        :param cores_by_host: processor cores of each host
+        """
+        self._cores_by_host = cores_by_host
+        self._chosen_by_key.clear()
+
+    def includes(self, key: str, host: str) -> bool:
+        """Return whether a host is chosen for a key."""
+        if len(self._cores_by_host) <= SMALL_FLEET:
+            return True
+        chosen = self._chosen_by_key.get(key)
+        if chosen is None:
+            chosen = chosen_hosts(key, self._cores_by_host)
+            self._chosen_by_key[key] = chosen
+        return host in chosen
+
+
+def chosen_hosts(
+    key: str, cores_by_host: Mapping[str, float]
+) -> frozenset[str]:
+    """Return the hosts that are chosen for a key in a large fleet.
+
+    Weighted rendezvous hashing: all hosts choose the same ones without
+    communication, strong hosts are chosen more often, and a host that joins
+    or leaves changes few choices.
+
+    :param cores_by_host: processor cores of each host
+    """
+    ranked = sorted(
+        cores_by_host,
+        key=lambda host: _rank(key + host, cores_by_host[host]),
+    )
+    return frozenset(ranked[:CHOSEN_HOSTS])
+
+
+def _rank(text: str, weight: float) -> float:
+    """Return the rank of a weighted choice; the lowest are chosen."""
+    if weight <= 0:
+        return inf
+    uniform = (stable_hash(text) + 0.5) / _HASH_RANGE
+    return -log(uniform) / weight
--- a/src/dandelioncleat/core/host_holdings.py
+++ b/src/dandelioncleat/core/host_holdings.py
@@ -3,7 +3,6 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from dandelioncleat.core.budget_holders import BudgetHolders
 from dandelioncleat.core.budget_records import BudgetRecords, Share
 from dandelioncleat.core.holding import (
     Ceiling,
@@ -19,6 +18,7 @@
     next_ceiling,
 )
 from dandelioncleat.core.host_account import HostAccount
+from dandelioncleat.core.host_choice import HostChoice
 from dandelioncleat.core.host_standing import HostStanding
 from dandelioncleat.core.round_trip import RoundTripMean
 from dandelioncleat.core.stable_hash import stable_hash
@@ -54,7 +54,7 @@
     ``round_trip`` measures the store's confirmations of marks.
     """
 
-    def __init__(self, host: str, holders: BudgetHolders) -> None:
+    def __init__(self, host: str, holders: HostChoice) -> None:
         """Start with no budget.
 
         :param holders: which hosts should hold tokens
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -32,9 +32,9 @@
 from dandelioncleat.app.direct.topic_follower import TopicFollower
 from dandelioncleat.app.direct.wallet import Wallet
 from dandelioncleat.app.router_life import RouterLife
-from dandelioncleat.core.budget_holders import BudgetHolders
 from dandelioncleat.core.deployment import Deployment
 from dandelioncleat.core.gateway_choice import GatewayChoice
+from dandelioncleat.core.host_choice import HostChoice
 from dandelioncleat.core.retry_window import RetryLimits
 from dandelioncleat.daemons.direct_peers import new_peers
 from dandelioncleat.daemons.direct_settings import DirectSettings
@@ -106,13 +106,13 @@
             ),
         )
         self._targets = HttpTargets()
-        self._holders = BudgetHolders()
+        self._host_choice = HostChoice()
         self._wallet = Wallet(
             store,
             host=settings.host,
             clock=SystemClock(),
             copy_age_s=settings.store_copy_age_s,
-            holders=self._holders,
+            holders=self._host_choice,
         )
         entry = ProcessEntry(
             ProcessRole.ROUTER,
@@ -126,7 +126,7 @@
             store,
             entry,
             configured_gateways=settings.gateways,
-            on_change=lambda: self._holders.set_hosts(
+            on_change=lambda: self._host_choice.set_hosts(
                 self._processes.cores_by_router_host
             ),
             on_restored=self._announcement.renew,
@@ -149,6 +149,9 @@
             self._directory,
             HttpCacheEvents(self._session),
             source=random.Random(settings.host),
+            is_poller=lambda target: self._host_choice.includes(
+                target, settings.host
+            ),
         )
         self._placement = Placement(
             self._directory,
--- a/tests/builders/wallets.py
+++ b/tests/builders/wallets.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from dandelioncleat.app.direct.wallet import Wallet
-from dandelioncleat.core.budget_holders import BudgetHolders
+from dandelioncleat.core.host_choice import HostChoice
 from dandelioncleat.core.host_holdings import TokenNeed
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore
 
@@ -36,7 +36,7 @@
         self.name = name
         self.clock = HostClock()
         self.spent = 0
-        self.holders = BudgetHolders()
+        self.holders = HostChoice()
         self._store = store
         self._gateways = gateways
         self._paid = dict(paid)
--- a/tests/test_budget_holders.py
+++ b/tests/test_host_choice.py
@@ -1,4 +1,4 @@
-"""Tests of the few hosts that hold a budget's tokens in a large fleet."""
+"""Tests of the few hosts of a large fleet that hold a budget or poll."""
 
 import asyncio
 import random
@@ -6,11 +6,11 @@
 import testtools
 
 from dandelioncleat.adapters.virtual_time import run
-from dandelioncleat.core.budget_holders import (
-    HOLDERS,
+from dandelioncleat.core.host_choice import (
+    CHOSEN_HOSTS,
     SMALL_FLEET,
-    BudgetHolders,
-    holders_of,
+    HostChoice,
+    chosen_hosts,
 )
 from tests.builders.wallets import end, new_hosts
 
@@ -19,33 +19,35 @@
 BUDGETS = tuple(f'o{n}' for n in range(8))
 
 
-class HolderChoiceTest(testtools.TestCase):
+class HostChoiceTest(testtools.TestCase):
     """All hosts choose the same few holders."""
 
     def test_every_host_of_a_small_fleet_is_a_holder(self):
-        holders = BudgetHolders()
+        holders = HostChoice()
         holders.set_hosts({f'h{n}': 1.0 for n in range(SMALL_FLEET)})
         self.assertTrue(holders.includes('o', 'h0'))
         self.assertTrue(holders.includes('o', 'not listed yet'))
 
     def test_a_large_fleet_has_few(self):
-        holders = BudgetHolders()
+        holders = HostChoice()
         holders.set_hosts(FLEET)
         chosen = [host for host in FLEET if holders.includes('o', host)]
-        self.assertEqual(HOLDERS, len(chosen))
+        self.assertEqual(CHOSEN_HOSTS, len(chosen))
 
     def test_a_host_that_leaves_changes_one_holder(self):
-        before = holders_of('o', FLEET)
+        before = chosen_hosts('o', FLEET)
         gone = min(before)
         rest = {host: FLEET[host] for host in FLEET if host != gone}
-        self.assertEqual(HOLDERS - 1, len(before & holders_of('o', rest)))
+        self.assertEqual(
+            CHOSEN_HOSTS - 1, len(before & chosen_hosts('o', rest))
+        )
 
     def test_strong_hosts_hold_more_budgets(self):
         cores_by_host = {**FLEET, **{f's{n}': 6.0 for n in range(10)}}
         chosen = [
             host
             for number in range(200)
-            for host in holders_of(f'o{number}', cores_by_host)
+            for host in chosen_hosts(f'o{number}', cores_by_host)
         ]
         strong = sum(host.startswith('s') for host in chosen)
         # 60 of 100 cores, drawn without replacement.
@@ -99,7 +101,7 @@
 
     def test_few_hosts_hold_parts_that_cover_large_requests(self):
         shares = self._ceilings()
-        self.assertEqual(HOLDERS, len(shares))
+        self.assertEqual(CHOSEN_HOSTS, len(shares))
         self.assertGreater(min(share.free for share in shares), 40_000)
 
 
--- a/tests/test_token_waits.py
+++ b/tests/test_token_waits.py
@@ -60,12 +60,16 @@
     """Many routers poll targets that serve few polls at once."""
 
     def test_refused_polls_become_rare(self):
-        polls = run(_count_polls(duration_s=120))
+        polls = run(_count_polls(duration_s=120, is_poller=True))
         # Every three seconds would make 40.
         self.assertLess(polls, 10)
 
+    def test_a_router_that_is_not_chosen_polls_nothing(self):
+        polls = run(_count_polls(duration_s=20, is_poller=False))
+        self.assertEqual(0, polls)
 
-async def _count_polls(duration_s):
+
+async def _count_polls(*, duration_s, is_poller):
     """Return how often a target that refuses all polls is polled."""
     polls = []
 
@@ -80,7 +84,12 @@
 
     entry = TargetEntry('i', 's', '10.0.0.1:80', 'z', 8, False, 1)
     state = TargetState(entry, kv_tokens=1000)
-    watch = CacheWatch(OneTarget(), RefusedPolls(), source=random.Random(1))
+    watch = CacheWatch(
+        OneTarget(),
+        RefusedPolls(),
+        source=random.Random(1),
+        is_poller=lambda target: is_poller,
+    )
     task = asyncio.ensure_future(watch.run())
     await asyncio.sleep(duration_s)
     task.cancel()
