Move tokens rather than requests in a small fleet

Tokens no longer moved to the host whose requests lacked them, so its next ones lacked them, too.

Change: only a large fleet forwards at once and spreads its forwards; a small one moves tokens and asks the richest host first, as before.

--- a/src/dandelioncleat/app/direct/wallet.py
+++ b/src/dandelioncleat/app/direct/wallet.py
@@ -77,8 +77,8 @@
         """Reserve a request's tokens; wait for tokens if too few are here.
 
         One round trip to the store claims tokens that no host holds. To move
-        tokens from another host takes several, so a request for which that
-        host has enough is forwarded at once.
+        tokens from another host takes several, so a large fleet forwards a
+        request at once to a host that has enough.
 
         :param limit_s: maximum time to wait, in seconds
         """
--- a/src/dandelioncleat/core/host_choice.py
+++ b/src/dandelioncleat/core/host_choice.py
@@ -27,6 +27,11 @@
         self._cores_by_host: Mapping[str, float] = {}
         self._chosen_by_key: dict[str, frozenset[str]] = {}
 
+    @property
+    def is_selective(self) -> bool:
+        """Return whether some hosts of the fleet are not chosen."""
+        return len(self._cores_by_host) > SMALL_FLEET
+
     def set_hosts(self, cores_by_host: Mapping[str, float]) -> None:
         """Set the fleet.
 
@@ -37,7 +42,7 @@
 
     def includes(self, key: str, host: str) -> bool:
         """Return whether a host is chosen for a key."""
-        if len(self._cores_by_host) <= SMALL_FLEET:
+        if not self.is_selective:
             return True
         chosen = self._chosen_by_key.get(key)
         if chosen is None:
--- a/src/dandelioncleat/core/host_holdings.py
+++ b/src/dandelioncleat/core/host_holdings.py
@@ -99,20 +99,23 @@
     def others_with_free_tokens(self, need: TokenNeed) -> tuple[str, ...]:
         """Return the other hosts that can cover a request, best first.
 
-        Hosts with ample tokens are spread by the request, as all hosts see
-        the same numbers; they are some moments old.
+        In a large fleet hosts with ample tokens are spread by the request, as
+        many hosts see the same numbers, which are some moments old.
         """
         able = [
             share
             for share in self._others(need.budget)
             if share.free >= need.tokens
         ]
-        able.sort(
-            key=lambda share: (
-                share.free < AMPLE_NEEDS * need.tokens,
-                stable_hash(need.request + share.host),
+        if self.holders.is_selective:
+            able.sort(
+                key=lambda share: (
+                    share.free < AMPLE_NEEDS * need.tokens,
+                    stable_hash(need.request + share.host),
+                )
             )
-        )
+        else:
+            able.sort(key=lambda share: share.free, reverse=True)
         return tuple(share.host for share in able)
 
     def due_marks(self, now: Moment, *, epoch: int) -> list[UsageMark]:
@@ -266,8 +269,11 @@
     """Return whether a request's tokens would have to be moved here.
 
     That is so at a host that should hold none, and if neither the host nor
-    the unclaimed tokens cover the request, but another host does.
+    the unclaimed tokens cover the request, but another host does. A small
+    fleet moves the tokens: each of its hosts needs a part for what follows.
     """
+    if not holdings.holders.is_selective:
+        return False
     budget = need.budget
     if not holdings.holders.includes(budget, holdings.host):
         return True
--- a/tests/builders/wallets.py
+++ b/tests/builders/wallets.py
@@ -102,6 +102,13 @@
     return hosts, store
 
 
+def set_fleet(hosts):
+    """Tell all hosts which hosts there are, each with one core."""
+    cores_by_host = {host.name: 1.0 for host in hosts}
+    for host in hosts:
+        host.holders.set_hosts(cores_by_host)
+
+
 async def end(hosts):
     """End all hosts."""
     for host in hosts:
--- a/tests/test_host_choice.py
+++ b/tests/test_host_choice.py
@@ -12,7 +12,7 @@
     HostChoice,
     chosen_hosts,
 )
-from tests.builders.wallets import end, new_hosts
+from tests.builders.wallets import end, new_hosts, set_fleet
 
 FLEET = {f'h{n}': 1.0 for n in range(40)}
 HOSTS = 24
@@ -64,9 +64,7 @@
             source = random.Random(5)
             paid = dict.fromkeys(BUDGETS, 400_000)
             hosts, _ = await new_hosts(HOSTS, paid)
-            cores_by_host = {host.name: 1.0 for host in hosts}
-            for host in hosts:
-                host.holders.set_hosts(cores_by_host)
+            set_fleet(hosts)
             await asyncio.sleep(10)
             by_name = {host.name: host for host in hosts}
             outcomes = []
@@ -89,9 +87,7 @@
     def _ceilings(self):
         async def scenario():
             hosts, store = await new_hosts(HOSTS, {'o': 400_000})
-            cores_by_host = {host.name: 1.0 for host in hosts}
-            for host in hosts:
-                host.holders.set_hosts(cores_by_host)
+            set_fleet(hosts)
             await asyncio.sleep(10)
             shares = hosts[0].wallet._holdings.book.shares('o')
             await end(hosts)
