--- a/src/dandelioncleat/core/ceiling_records.py
+++ b/src/dandelioncleat/core/ceiling_records.py
@@ -21,10 +21,18 @@
         """Start with no budget."""
         self.era = 0
         self._ceilings: dict[str, dict[str, Ceiling]] = {}
+        self._outdated_keys: set[tuple[str, str]] = set()
 
     def begin_era(self, era: int) -> None:
         """Treat all records as not confirmed in a new era."""
-        self.era = max(self.era, era)
+        if era <= self.era:
+            return
+        self.era = era
+        self._outdated_keys = {
+            (budget, host)
+            for budget, by_host in self._ceilings.items()
+            for host in by_host
+        }
 
     def set_ceiling(self, ceiling: Ceiling) -> bool:
         """Store a ceiling; return ``False`` if a newer one is known."""
@@ -33,6 +41,11 @@
         if known is not None and self._is_outdated(ceiling, known):
             return False
         by_host[ceiling.host] = ceiling
+        key = (ceiling.budget, ceiling.host)
+        if ceiling.era < self.era:
+            self._outdated_keys.add(key)
+        else:
+            self._outdated_keys.discard(key)
         return True
 
     def ceiling(self, budget: str, host: str) -> int:
@@ -59,12 +72,7 @@
 
     def unconfirmed_hosts(self) -> tuple[str, ...]:
         """Return the hosts that have not written in the store's era."""
-        outdated = {
-            each.host
-            for by_host in self._ceilings.values()
-            for each in by_host.values()
-            if each.era < self.era
-        }
+        outdated = {host for _, host in self._outdated_keys}
         return tuple(sorted(outdated - {LOST_HOST}))
 
     def has_presumed_hosts(self) -> bool:
