Answer what was read before the last connections are closed

Change: before it closes, the router stops listening and reading, and gives 0.05 s to the requests that were read; they are refused. Test: test_a_request_after_the_last_read_is_not_taken; it fails if reading goes on.

--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -40,7 +40,10 @@
 from dandelioncleat.daemons.direct_settings import DirectSettings
 from dandelioncleat.platform import names
 from dandelioncleat.platform.cache_events import HttpCacheEvents
-from dandelioncleat.platform.caller_server import new_caller_server
+from dandelioncleat.platform.caller_server import (
+    new_caller_server,
+    stop_reading,
+)
 from dandelioncleat.platform.callers import DEFAULT_LIMITS, CallerHandler
 from dandelioncleat.platform.documents import decode_deployment, decode_target
 from dandelioncleat.platform.sockets import enable_keepalive
@@ -58,6 +61,8 @@
 TOKEN_RETURN_TIMEOUT_S = 0.5
 # aiohttp treats 0 as no limit.
 SHUTDOWN_TIMEOUT_S = 0.05
+# Requests that were just read are refused within this time.
+LAST_ANSWERS_S = 0.05
 
 _logger = structlog.get_logger(__name__)
 
@@ -182,6 +187,7 @@
         )
         self._server = new_caller_server(self._handler, DEFAULT_LIMITS)
         self._servers: list[web.Server] = [self._server]
+        self._listener: asyncio.Server | None = None
 
     @property
     def is_ready(self) -> bool:
@@ -241,7 +247,12 @@
         return f'open requests: {open_ids}' if open_ids else ''
 
     async def close(self) -> None:
-        """Close every connection."""
+        """Answer the requests that were read, and close every connection."""
+        if self._listener is not None:
+            self._listener.close()
+        for reading in self._servers:
+            stop_reading(reading)
+        await asyncio.sleep(LAST_ANSWERS_S)
         for server in self._servers:
             await server.shutdown(SHUTDOWN_TIMEOUT_S)
         await self._status_page.stop()
@@ -278,7 +289,7 @@
     async def _listen(self) -> None:
         for sock in self._sockets:
             enable_keepalive(sock)
-        await asyncio.get_running_loop().create_server(
+        self._listener = await asyncio.get_running_loop().create_server(
             lambda: self._server(), sock=self._sockets.callers, backlog=BACKLOG
         )
         await self._status_page.start(
--- a/src/dandelioncleat/platform/caller_server.py
+++ b/src/dandelioncleat/platform/caller_server.py
@@ -79,3 +79,15 @@
 ) -> web.Server:
     """Return a server for callers; requires a running event loop."""
     return _CallerServer(handler, limits)
+
+
+def stop_reading(server: web.Server) -> None:
+    """Leave what callers send from now on unread.
+
+    A process that is about to exit would close the connection of a request
+    that it has read without an answer; one that was not read may be sent
+    elsewhere.
+    """
+    for connection in server.connections:
+        if connection.transport is not None:
+            connection.transport.pause_reading()
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -1,9 +1,16 @@
 """Tests of the direct router with its store and targets on loopback."""
 
 import asyncio
+from types import SimpleNamespace
 
 import testtools
+from aiohttp import web
 
+from dandelioncleat.platform.caller_server import (
+    new_caller_server,
+    stop_reading,
+)
+from dandelioncleat.platform.callers import DEFAULT_LIMITS
 from dandelioncleat.platform.names import CACHE_EVENTS_PATH
 from tests.builders.direct import (
     Fleet,
@@ -415,6 +422,36 @@
 
         self.assertEqual((503, 0), run_with_fleet(scenario))
 
+    def test_a_request_after_the_last_read_is_not_taken(self):
+        async def scenario():
+            taken = []
+
+            async def handle(request):
+                taken.append(request.path)
+                return web.Response(text='ok')
+
+            handler = SimpleNamespace(handle=handle)
+            server = new_caller_server(handler, DEFAULT_LIMITS)
+            listener = await asyncio.get_running_loop().create_server(
+                server, '127.0.0.1', 0
+            )
+            address = listener.sockets[0].getsockname()
+            old = await asyncio.open_connection(*address)
+            await _ask(old, '/before')
+            stop_reading(server)
+            old[1].write(b'GET /late HTTP/1.1\r\nHost: h\r\n\r\n')
+            await old[1].drain()
+            # The answer on a newer connection proves that the loop has run.
+            new = await asyncio.open_connection(*address)
+            await _ask(new, '/newer')
+            listener.close()
+            await server.shutdown(0.05)
+            for _, writer in (old, new):
+                writer.close()
+            return taken
+
+        self.assertEqual(['/before', '/newer'], asyncio.run(scenario()))
+
     def test_idle_connection_does_not_delay_the_stop(self):
         async def scenario(fleet):
             await fleet.call('/safe/a')
@@ -451,6 +488,14 @@
         )
 
 
+async def _ask(connection, path):
+    """Send a request and read its short answer."""
+    reader, writer = connection
+    writer.write(f'GET {path} HTTP/1.1\r\nHost: h\r\n\r\n'.encode())
+    async with asyncio.timeout(10):
+        await reader.readuntil(b'ok')
+
+
 class ConfigurationTest(testtools.TestCase):
     """New requests use the newest configuration; older ones are ignored."""
 
