--- a/src/dandelioncleat/app/direct/ceiling_writer.py
+++ b/src/dandelioncleat/app/direct/ceiling_writer.py
@@ -85,7 +85,7 @@
             return self._give_up(proposed)
         for ceiling in self._own(proposed.ceilings):
             account = self._holdings.accounts_by_budget[ceiling.budget]
-            stored = self._holdings.book.ceiling_record(
+            stored = self._holdings.records.ceiling_record(
                 ceiling.budget, ceiling.host
             )
             if stored == ceiling:
@@ -100,7 +100,7 @@
         if appended.era != proposed.era:
             return self._give_up(proposed)
         for ceiling in proposed.ceilings:
-            self._holdings.book.set_ceiling(ceiling)
+            self._holdings.records.set_ceiling(ceiling)
         for own in self._own(proposed.ceilings):
             account = self._holdings.accounts_by_budget[own.budget]
             account.limit.confirm(own.tokens)
--- a/src/dandelioncleat/app/direct/holdings_sync.py
+++ b/src/dandelioncleat/app/direct/holdings_sync.py
@@ -134,7 +134,7 @@
     async def _open(self) -> None:
         await self._marks.read_snapshot()
         host = self._holdings.host
-        await self._mark_writer.fence(self._holdings.book.epoch_of(host))
+        await self._mark_writer.fence(self._holdings.records.epoch_of(host))
         # Read again: the earlier process may have written until it was fenced.
         await self._marks.read_snapshot()
         await self._ceilings.read_snapshot()
@@ -152,16 +152,16 @@
         _logger.info(
             'budgets opened',
             epoch=self._mark_writer.epoch,
-            era=self._holdings.book.era,
+            era=self._holdings.records.era,
             are_records_lost=standing.is_successor_of_lost,
         )
 
     def _apply_ceilings(self, change: TopicChange) -> None:
-        book = self._holdings.book
-        book.begin_era(change.era)
+        records = self._holdings.records
+        records.begin_era(change.era)
         for record in change.records:
             ceiling = _decode(record, Ceiling)
-            if ceiling is None or book.set_ceiling(ceiling):
+            if ceiling is None or records.set_ceiling(ceiling):
                 continue
             if ceiling.host == self._holdings.host and not change.is_snapshot:
                 _logger.warning(
@@ -169,22 +169,22 @@
                 )
                 self._holdings.standing.is_hidden = True
         if self._holdings.accept_presumption():
-            _logger.warning('ceilings presumed used', era=book.era)
+            _logger.warning('ceilings presumed used', era=records.era)
         self.note_change(is_urgent=True)
         self._on_change()
 
     def _apply_marks(self, change: TopicChange) -> None:
-        self._holdings.book.begin_era(change.era)
+        self._holdings.records.begin_era(change.era)
         for record in change.records:
             mark = _decode(record, UsageMark)
             if mark is not None:
-                self._holdings.book.set_mark(mark)
+                self._holdings.records.set_mark(mark)
         self._marks.pause_s = min(
             MAX_READ_PAUSE_S,
-            READ_PAUSE_PER_HOST_S * self._holdings.book.hosts,
+            READ_PAUSE_PER_HOST_S * self._holdings.records.hosts,
         )
         self._ceilings.pause_s = (
-            CEILING_PAUSE_PER_HOST_S * self._holdings.book.hosts
+            CEILING_PAUSE_PER_HOST_S * self._holdings.records.hosts
         )
         self.note_change(is_urgent=False)
         self._on_change()
@@ -195,7 +195,7 @@
             await self._write_due_marks()
             interval_s = max(
                 MARK_INTERVAL_S,
-                MARK_INTERVAL_PER_HOST_S * self._holdings.book.hosts,
+                MARK_INTERVAL_PER_HOST_S * self._holdings.records.hosts,
             )
             await wait_at_most(self._marks_due, interval_s)
 
@@ -213,13 +213,13 @@
         passed_s = self._clock.monotonic() - self._unanswered_since
         self._holdings.round_trip.note(passed_s)
         self._unanswered_since = None
-        self._holdings.book.begin_era(appended.era)
+        self._holdings.records.begin_era(appended.era)
         for mark in marks:
             if appended.era != mark.era:
                 # The store was restored: the next marks are of its new era.
                 continue
             accounts_by_budget[mark.budget].confirm_mark(mark)
-            self._holdings.book.set_mark(mark)
+            self._holdings.records.set_mark(mark)
         self._on_change()
 
     async def _write_ceilings(self) -> None:
@@ -231,7 +231,7 @@
             now = self._clock.monotonic()
             may_rebalance = now >= rebalance_at
             if may_rebalance:
-                per_host_s = REBALANCE_PER_HOST_S * self._holdings.book.hosts
+                per_host_s = REBALANCE_PER_HOST_S * self._holdings.records.hosts
                 rebalance_at = now + max(REBALANCE_INTERVAL_S, per_host_s)
             ceilings = self._holdings.due_ceilings(
                 now, may_rebalance=may_rebalance
@@ -245,20 +245,20 @@
 
     async def _write_confirmations(self) -> bool:
         """Write what a new era needs; return whether there was anything."""
-        book = self._holdings.book
-        if self._ceilings.era != book.era:
+        records = self._holdings.records
+        if self._ceilings.era != records.era:
             return False
-        records = self._holdings.due_confirmations(self._clock.monotonic())
-        if not records:
+        ceilings = self._holdings.due_confirmations(self._clock.monotonic())
+        if not ceilings:
             return False
-        is_written = await self._ceiling_writer.write(records)
+        is_written = await self._ceiling_writer.write(ceilings)
         if is_written:
             self._holdings.standing.is_hidden = False
             self._holdings.accept_presumption()
         _logger.info(
             'ceilings confirmed',
-            era=book.era,
-            records=len(records),
+            era=records.era,
+            records=len(ceilings),
             is_written=is_written,
         )
         self._marks_due.set()
--- a/src/dandelioncleat/core/host_holdings.py
+++ b/src/dandelioncleat/core/host_holdings.py
@@ -60,8 +60,8 @@
         :param holders: which hosts should hold tokens
         """
         self.host = host
-        self.book = BudgetRecords()
-        self.standing = HostStanding(host, self.book)
+        self.records = BudgetRecords()
+        self.standing = HostStanding(host, self.records)
         self.paid_by_budget: Mapping[str, int] = {}
         self.holders = holders
         self.accounts_by_budget: dict[str, HostAccount] = {}
@@ -150,7 +150,7 @@
         if not self.standing.accept_presumption():
             return False
         for budget, account in self.accounts_by_budget.items():
-            account.presume_used(self.book.ceiling(budget, self.host))
+            account.presume_used(self.records.ceiling(budget, self.host))
         return True
 
     def due_ceilings(
@@ -169,7 +169,7 @@
                 budget, account, may_rebalance=may_rebalance
             )
             if tokens != account.ceiling:
-                due.append(Ceiling(budget, self.host, tokens, self.book.era))
+                due.append(Ceiling(budget, self.host, tokens, self.records.era))
         return tuple(due)
 
     @property
@@ -186,8 +186,8 @@
         )
 
     def _open_account(self, budget: str, now: Moment) -> OpenedAccount:
-        ceiling = self.book.ceiling(budget, self.host)
-        mark = self.book.mark(budget, self.host)
+        ceiling = self.records.ceiling(budget, self.host)
+        mark = self.records.mark(budget, self.host)
         used = presumed_use(
             mark,
             ceiling=ceiling,
@@ -228,7 +228,7 @@
             wanted=account.missing,
             epoch=epoch,
             span_s=OUTAGE_S,
-            era=self.book.era,
+            era=self.records.era,
         )
 
     def _next_ceiling(
@@ -251,7 +251,7 @@
         return next_ceiling(
             CeilingInputs(
                 paid=self.paid_by_budget.get(budget, 0),
-                claimed=self.book.claimed(budget),
+                claimed=self.records.claimed(budget),
                 own=own,
                 others=others,
                 waiting=account.waiting,
@@ -261,7 +261,7 @@
         )
 
     def _others(self, budget: str) -> tuple[Share, ...]:
-        shares = self.book.shares(budget)
+        shares = self.records.shares(budget)
         return tuple(share for share in shares if share.host != self.host)
 
 
@@ -278,7 +278,7 @@
     if not holdings.holders.includes(budget, holdings.host):
         return True
     unclaimed = holdings.paid_by_budget.get(budget, 0)
-    unclaimed -= holdings.book.claimed(budget)
+    unclaimed -= holdings.records.claimed(budget)
     free = holdings.accounts_by_budget[budget].free
     if need.tokens <= free + max(0, unclaimed):
         return False
@@ -297,11 +297,11 @@
         return {}
     return {
         'paid': holdings.paid_by_budget.get(budget, 0),
-        'used_by_all': holdings.book.used(budget),
+        'used_by_all': holdings.records.used(budget),
         'ceiling': account.ceiling,
         'free': account.free,
         'marked': int(account.headroom(now)),
-        'era': holdings.book.era,
+        'era': holdings.records.era,
     }
 
 
@@ -311,13 +311,13 @@
     """Return whether the store can't have lost newer records of the host."""
     if holdings.standing.is_successor_of_lost:
         return False
-    book = holdings.book
-    record = book.ceiling_record(budget, holdings.host)
+    records = holdings.records
+    record = records.ceiling_record(budget, holdings.host)
     if record is None or record.tokens == 0:
         return True
-    if record.is_presumed or record.era < book.era:
+    if record.is_presumed or record.era < records.era:
         return False
-    return mark is None or mark.era == book.era
+    return mark is None or mark.era == records.era
 
 
 def _allowance_inputs(
--- a/src/dandelioncleat/core/host_standing.py
+++ b/src/dandelioncleat/core/host_standing.py
@@ -29,12 +29,12 @@
     says that a late append now stands over a newer record of the host.
     """
 
-    def __init__(self, host: str, book: CeilingRecords) -> None:
+    def __init__(self, host: str, records: CeilingRecords) -> None:
         """Initialise with the ceilings of all hosts."""
         self.is_successor_of_lost = False
         self.is_hidden = False
         self._host = host
-        self._book = book
+        self._records = records
         self._is_presumed = False
         self._raises_from = float('-inf')
         self._unsettled_since: float | None = None
@@ -48,11 +48,13 @@
         :param now: monotonic time in seconds
         :param copy_age_s: maximum age of such a copy, in seconds
         """
-        registration = self._book.registration(self._host)
+        registration = self._records.registration(self._host)
         is_known = registration is not None or bool(
-            self._book.ceilings_of(self._host)
+            self._records.ceilings_of(self._host)
+        )
+        self.is_successor_of_lost = (
+            self._host in self._records.unconfirmed_hosts()
         )
-        self.is_successor_of_lost = self._host in self._book.unconfirmed_hosts()
         if registration is not None:
             self._is_presumed = registration.is_presumed
         if not is_known:
@@ -61,14 +63,14 @@
     @property
     def is_confirmed(self) -> bool:
         """Return whether all of the host's records are of the store's era."""
-        registration = self._book.registration(self._host)
+        registration = self._records.registration(self._host)
         if self.is_hidden or registration is None:
             return False
-        if registration.era < self._book.era:
+        if registration.era < self._records.era:
             return False
         return all(
-            each.era == self._book.era and not each.is_presumed
-            for each in self._book.ceilings_of(self._host)
+            each.era == self._records.era and not each.is_presumed
+            for each in self._records.ceilings_of(self._host)
         )
 
     def may_raise(self, now: float) -> bool:
@@ -77,7 +79,7 @@
             return False
         if not self.is_confirmed:
             return False
-        return not self._book.unconfirmed_hosts()
+        return not self._records.unconfirmed_hosts()
 
     def assertion(self, ceilings_by_budget: Mapping[str, int]) -> list[Ceiling]:
         """Return the records that confirm the host's ceilings in this era.
@@ -88,21 +90,21 @@
         """
         if self.is_successor_of_lost or self.is_confirmed:
             return []
-        era = self._book.era
+        era = self._records.era
         known = {
             each.budget: each.tokens
-            for each in self._book.ceilings_of(self._host)
+            for each in self._records.ceilings_of(self._host)
         }
         tokens_by_budget = {**known, **ceilings_by_budget}
-        records = [
+        ceilings = [
             Ceiling(budget, self._host, tokens, era)
             for budget, tokens in tokens_by_budget.items()
         ]
-        records.extend(self._set_aside(tokens_by_budget))
-        records.append(
+        ceilings.extend(self._set_aside(tokens_by_budget))
+        ceilings.append(
             Ceiling(REGISTRATION, self._host, 0, era, self._is_presumed)
         )
-        return records
+        return ceilings
 
     def presumption(
         self, paid_by_budget: Mapping[str, int], now: float
@@ -113,7 +115,7 @@
 
         :param now: monotonic time in seconds
         """
-        silent = self._book.unconfirmed_hosts()
+        silent = self._records.unconfirmed_hosts()
         if not silent or not (self.is_confirmed or self.is_successor_of_lost):
             self._unsettled_since = None
             return []
@@ -121,25 +123,25 @@
             self._unsettled_since = now
         if now - self._unsettled_since < PRESUME_AFTER_S:
             return []
-        era = self._book.era
-        records = [
+        era = self._records.era
+        ceilings = [
             Ceiling(budget, LOST_HOST, self._unclaimed(budget, paid), era)
             for budget, paid in paid_by_budget.items()
         ]
         for host in silent:
-            records.extend(
+            ceilings.extend(
                 replace(each, era=era, is_presumed=True)
-                for each in self._book.ceilings_of(host)
+                for each in self._records.ceilings_of(host)
             )
-            records.append(Ceiling(REGISTRATION, host, 0, era, True))
-        return records
+            ceilings.append(Ceiling(REGISTRATION, host, 0, era, True))
+        return ceilings
 
     def accept_presumption(self) -> bool:
         """Return whether the host's own ceilings have now been presumed."""
-        registration = self._book.registration(self._host)
+        registration = self._records.registration(self._host)
         if not self.is_successor_of_lost or registration is None:
             return False
-        if registration.era < self._book.era:
+        if registration.era < self._records.era:
             return False
         self.is_successor_of_lost = False
         self._is_presumed = True
@@ -150,35 +152,35 @@
 
         That is so once every host has confirmed its ceilings by itself.
         """
-        book = self._book
-        if not self.is_confirmed or book.unconfirmed_hosts():
+        records = self._records
+        if not self.is_confirmed or records.unconfirmed_hosts():
             return []
-        if book.has_presumed_hosts():
+        if records.has_presumed_hosts():
             return []
         return [
-            Ceiling(each.budget, LOST_HOST, 0, book.era)
-            for each in book.ceilings_of(LOST_HOST)
+            Ceiling(each.budget, LOST_HOST, 0, records.era)
+            for each in records.ceilings_of(LOST_HOST)
             if each.tokens > 0
         ]
 
     def _unclaimed(self, budget: str, paid: int) -> int:
         """Return the tokens to set aside: all that no ceiling covers."""
-        own = self._book.ceiling(budget, LOST_HOST)
-        return max(own, own + paid - self._book.claimed(budget))
+        own = self._records.ceiling(budget, LOST_HOST)
+        return max(own, own + paid - self._records.claimed(budget))
 
     def _set_aside(self, tokens_by_budget: Mapping[str, int]) -> list[Ceiling]:
         """Return what stays set aside if the host was presumed wrongly.
 
         Other hosts that were presumed with it may hold what it does not.
         """
-        era = self._book.era
-        records = []
-        for each in self._book.ceilings_of(LOST_HOST):
+        era = self._records.era
+        ceilings = []
+        for each in self._records.ceilings_of(LOST_HOST):
             tokens = each.tokens
-            own = self._book.ceiling_record(each.budget, self._host)
+            own = self._records.ceiling_record(each.budget, self._host)
             if own is not None and own.is_presumed:
                 freed = own.tokens - tokens_by_budget[each.budget]
                 tokens += max(0, freed)
             if tokens != each.tokens or each.era < era:
-                records.append(Ceiling(each.budget, LOST_HOST, tokens, era))
-        return records
+                ceilings.append(Ceiling(each.budget, LOST_HOST, tokens, era))
+        return ceilings
--- a/tests/test_host_choice.py
+++ b/tests/test_host_choice.py
@@ -89,7 +89,7 @@
             hosts, store = await new_hosts(HOSTS, {'o': 400_000})
             set_fleet(hosts)
             await asyncio.sleep(10)
-            shares = hosts[0].wallet._holdings.book.shares('o')
+            shares = hosts[0].wallet._holdings.records.shares('o')
             await end(hosts)
             return [share for share in shares if share.ceiling]
 
