Move the fleet of tests to the builders, with answers that end with their connection

New builders: answers without length or chunks, closed or reset, a stream that is framed as whole whatever it holds, and the answer of a caller as it is on the wire. No test changes.

--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import socket
+import struct
+from typing import NamedTuple
 
 import aiohttp
 import msgspec
@@ -25,6 +27,11 @@
 
 KEY = 'k-1'
 HOST = 'api.example'
+MODEL_HEADERS = {
+    'Model': 'm',
+    'Token-Count': '100,50',
+    'Prompt-Prefix': 'aa:60,bb:40',
+}
 
 
 def route(prefix, kind, service, **changes):
@@ -195,7 +202,7 @@
         )
         await response.prepare(request)
         for number in range(first, last + 1):
-            await response.write(f'id: {number}\ndata: x\n\n'.encode())
+            await response.write(event_bytes(number, number))
         if until is not None:
             await until.wait()
         if cut:
@@ -206,6 +213,47 @@
     return answer
 
 
+def close_delimited(body, content_type='text/event-stream', *, reset=False):
+    """Return an answer without length or chunks that ends by its connection.
+
+    :param reset: whether the connection is reset rather than closed
+    """
+
+    async def answer(request):
+        headers = _headers(request, {'Content-Type': content_type})
+        lines = [f'{name}: {text}' for name, text in headers.items()]
+        head = '\r\n'.join(('HTTP/1.1 200 OK', *lines, '', ''))
+        request.transport.write(head.encode() + body)
+        if reset:
+            request.transport.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+        request.transport.close()
+        return web.Response()
+
+    return answer
+
+
+def whole_frame(body):
+    """Return a stream in chunks, with the last chunk, that has any body."""
+
+    async def answer(request):
+        response = web.StreamResponse(
+            headers=_headers(request, {'Content-Type': 'text/event-stream'})
+        )
+        await response.prepare(request)
+        await response.write(body)
+        return response
+
+    return answer
+
+
+def event_bytes(first, last):
+    """Return numbered events as they are sent."""
+    numbers = range(first, last + 1)
+    return b''.join(b'id: %d\ndata: x\n\n' % number for number in numbers)
+
+
 def head_only():
     """Return the head of a stream whose first event never comes."""
 
@@ -325,6 +373,26 @@
         writer.close()
         return answer
 
+    async def raw_answer(self, path, **headers):
+        """Send a request; return its answer as it is on the wire."""
+        ip, port = self._url.removeprefix('http://').split(':')
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        sent = {
+            'Host': HOST,
+            'Request-Id': 'r-1',
+            'Deadline-Ms': '4000',
+            'Authorization': f'Bearer {KEY}',
+            'Content-Length': '2',
+            'Connection': 'close',
+            **headers,
+        }
+        lines = [f'{name}: {text}' for name, text in sent.items()]
+        head = '\r\n'.join((f'POST {path} HTTP/1.1', *lines, '', ''))
+        writer.write(head.encode() + b'{}')
+        answer = await _read_to_end(reader)
+        writer.close()
+        return answer
+
     async def stop(self):
         """Stop the router as planned, then everything else."""
         self.stopped = await self.router.stop(limit_s=5)
@@ -395,6 +463,59 @@
         self._task = asyncio.ensure_future(self.router.run())
 
 
+def run_with_fleet(scenario, **options):
+    """Run a scenario with a fleet and return its result."""
+
+    async def run():
+        fleet = Fleet()
+        options.setdefault('document', configuration())
+        await fleet.start(**options)
+        try:
+            if options['document'] is not None:
+                await fleet.ready()
+            return await scenario(fleet)
+        finally:
+            await fleet.close()
+
+    return asyncio.run(run())
+
+
+class RawAnswer(NamedTuple):
+    """The bytes of an answer, and how its connection ended."""
+
+    head: bytes
+    body: bytes
+    was_reset: bool
+
+    @property
+    def looks_complete(self):
+        """Return whether a caller takes the stream for complete."""
+        if self.was_reset:
+            return False
+        if b'chunked' in self.head.lower():
+            return self.body.endswith(b'0\r\n\r\n')
+        return self.body.endswith(b'\n\n')
+
+    @property
+    def claims_an_end(self):
+        """Return whether the head says where the body ends."""
+        head = self.head.lower()
+        return b'chunked' in head or b'content-length' in head
+
+
+async def _read_to_end(reader):
+    data = b''
+    was_reset = False
+    try:
+        async with asyncio.timeout(10):
+            while part := await reader.read(4096):
+                data += part
+    except ConnectionResetError:
+        was_reset = True
+    head, _, body = data.partition(b'\r\n\r\n')
+    return RawAnswer(head, body, was_reset)
+
+
 def _listener():
     return socket.create_server(('127.0.0.1', 0))
 
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -17,9 +17,8 @@
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import DirectRequest
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore, StoreFaults
-from tests.builders.direct import crashed, text_answer
+from tests.builders.direct import crashed, run_with_fleet, text_answer
 from tests.builders.wallets import HostClock
-from tests.test_direct_router import run_with_fleet
 
 
 def request(number, path='/safe/a', body=b'{}'):
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -13,7 +13,7 @@
 from dandelioncleat.platform.callers import DEFAULT_LIMITS
 from dandelioncleat.platform.names import CACHE_EVENTS_PATH
 from tests.builders.direct import (
-    Fleet,
+    MODEL_HEADERS,
     aborted,
     configuration,
     cut_then_resumed,
@@ -22,32 +22,10 @@
     never_answered,
     not_run,
     route,
+    run_with_fleet,
     text_answer,
 )
 
-MODEL_HEADERS = {
-    'Model': 'm',
-    'Token-Count': '100,50',
-    'Prompt-Prefix': 'aa:60,bb:40',
-}
-
-
-def run_with_fleet(scenario, **options):
-    """Run a scenario with a fleet and return its result."""
-
-    async def run():
-        fleet = Fleet()
-        options.setdefault('document', configuration())
-        await fleet.start(**options)
-        try:
-            if options['document'] is not None:
-                await fleet.ready()
-            return await scenario(fleet)
-        finally:
-            await fleet.close()
-
-    return asyncio.run(run())
-
 
 class ServingTest(testtools.TestCase):
     """Requests reach targets, and their answers reach callers."""
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -11,8 +11,12 @@
 from dandelioncleat.core.keyed_record import KeyedRecord
 from dandelioncleat.core.target_notice import TargetNotice
 from dandelioncleat.platform.notices import target_notice
-from tests.builders.direct import events, text_answer
-from tests.test_direct_router import MODEL_HEADERS, run_with_fleet
+from tests.builders.direct import (
+    MODEL_HEADERS,
+    events,
+    run_with_fleet,
+    text_answer,
+)
 
 LEAVING = {'Server-Leaving': '1'}
 PAUSE = {'Not-Run': '1', 'Retry-After': '2.5'}
