Log how an answer was framed and whether its stream ended inside an event

The routers' lines could not tell an answer without length or chunks, closed inside an event, from one whose length or chunks were cut short. The lines of attempts and requests now carry close_delimited and unfinished_bytes. No decision changes.

--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -76,6 +76,7 @@
     timer: asyncio.Timeout,
 ) -> AttemptOutcome:
     now = asyncio.get_running_loop().time()
+    context.is_close_delimited = answer.head.is_close_delimited
     state.wishes.apply(answer.notice, now)
     if not answer.has_run:
         return _note_not_run(context, state, answer)
@@ -191,6 +192,8 @@
         target=state.entry.id,
         outcome=outcome.value,
         detail=detail,
+        close_delimited=context.is_close_delimited,
+        unfinished_bytes=context.stream.unfinished_bytes,
         own_running=state.running,
         passed_ms=int(1000 * context.elapsed_s),
     )
--- a/src/dandelioncleat/app/direct/forwarding.py
+++ b/src/dandelioncleat/app/direct/forwarding.py
@@ -119,6 +119,7 @@
 ) -> DirectRefusal | None:
     if answer.refusal is not None:
         return answer.refusal
+    context.is_close_delimited = answer.head.is_close_delimited
     if not answer.is_stream:
         body = b''.join([data async for data in answer.chunks()])
         await reply.send_complete(CompleteResponse(answer.head, body))
--- a/src/dandelioncleat/app/direct/run_context.py
+++ b/src/dandelioncleat/app/direct/run_context.py
@@ -23,7 +23,8 @@
     ``may_have_run`` says that any attempt may have run,
     ``earlier_may_have_run`` that one before the last may have.
     ``has_sent_head`` says that the head of an answer was sent to the caller,
-    ``has_output`` that a part of its body was.
+    ``has_output`` that a part of its body was. ``is_close_delimited`` tells
+    how the last answer was framed, ``None`` if there was none.
     """
 
     def __init__(self, request: DirectRequest, admitted: Admitted) -> None:
@@ -37,6 +38,7 @@
         self.stream = EventStreamParser()
         self.has_sent_head = False
         self.has_output = False
+        self.is_close_delimited: bool | None = None
         self.tried_targets: set[str] = set()
         self.attempts_sent = 0
         self.may_have_run = False
@@ -69,6 +71,8 @@
     def begin_attempt(self) -> None:
         """Note that the request is about to be sent to a target."""
         self.attempts_sent += 1
+        self.is_close_delimited = None
+        self.stream.unfinished_bytes = 0
         self.earlier_may_have_run = self.may_have_run
         self.may_have_run = True
 
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -264,6 +264,8 @@
             organisation=None if organisation is None else organisation.name,
             sent=context.attempts_sent,
             targets=sorted(context.tried_targets),
+            close_delimited=context.is_close_delimited,
+            unfinished_bytes=context.stream.unfinished_bytes,
             passed_ms=int(1000 * context.elapsed_s),
             **budget,
         )
--- a/src/dandelioncleat/core/direct_request.py
+++ b/src/dandelioncleat/core/direct_request.py
@@ -91,11 +91,16 @@
 
 
 class ResponseHead(NamedTuple):
-    """The status and headers of a target's response."""
+    """The status and headers of a target's response.
+
+    ``is_close_delimited`` means that the body has neither a length nor chunks
+    and ends with the connection.
+    """
 
     status: int
     reason: str
     headers: Headers
+    is_close_delimited: bool = False
 
 
 class CompleteResponse(NamedTuple):
--- a/src/dandelioncleat/core/event_stream.py
+++ b/src/dandelioncleat/core/event_stream.py
@@ -9,9 +9,14 @@
     """Splits a stream into whole events, so that it can be resumed."""
 
     def __init__(self) -> None:
-        """Start before the first event."""
+        """Start before the first event.
+
+        ``unfinished_bytes`` counts what followed the last whole event of the
+        answer that ended last.
+        """
         self.last_id: str | None = None
         self.events = 0
+        self.unfinished_bytes = 0
         self._partial = b''
 
     def take(self, data: bytes) -> bytes:
@@ -31,11 +36,12 @@
     def finish(self) -> bytes:
         """Return the bytes after the last whole event."""
         rest = self._partial
-        self._partial = b''
+        self.drop_partial()
         return rest
 
     def drop_partial(self) -> None:
         """Discard a partial event, as a resumed stream repeats it."""
+        self.unfinished_bytes = len(self._partial)
         self._partial = b''
 
     def _note(self, event: bytes) -> None:
--- a/src/dandelioncleat/platform/targets.py
+++ b/src/dandelioncleat/platform/targets.py
@@ -38,6 +38,7 @@
 GATEWAY_TIMEOUT = 504
 # Answers with an error status may lack the id of their request.
 FIRST_ERROR_STATUS = 400
+_BODILESS_STATUSES = frozenset((204, 304))
 _MS_PER_S = 1000
 _AUTOMATIC_HEADERS = (
     'Accept',
@@ -75,6 +76,7 @@
             response.status,
             response.reason or '',
             _end_to_end_headers(response.raw_headers),
+            _is_close_delimited(response),
         )
         self.is_misdirected = response.status == MISDIRECTED
         self.has_run = names.NOT_RUN not in headers and not self.is_misdirected
@@ -294,6 +296,16 @@
     )
 
 
+def _is_close_delimited(response: aiohttp.ClientResponse) -> bool:
+    """Return whether the body ends with the connection (RFC 9112, 6.3)."""
+    if response.method == 'HEAD' or response.status in _BODILESS_STATUSES:
+        return False
+    if 'Content-Length' in response.headers:
+        return False
+    coding = response.headers.get('Transfer-Encoding', '')
+    return not coding.lower().endswith('chunked')
+
+
 def _occupancy(text: str | None) -> TargetOccupancy | None:
     parts = (text or '').split(',')
     if len(parts) != len(TargetOccupancy._fields):
