--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -480,6 +480,44 @@
     return asyncio.run(run())
 
 
+class RecordedReply:
+    """A reply that keeps what was sent to the caller.
+
+    ``end`` tells how it ended: ``finished``, ``aborted`` or ``refused``.
+    """
+
+    def __init__(self):
+        """Initialise without an answer."""
+        self.head = None
+        self.body = b''
+        self.end = None
+
+    async def send_complete(self, answer):
+        """Keep a complete answer."""
+        self.head, self.body = answer
+        self.end = 'finished'
+
+    async def refuse(self, refusal):
+        """Keep that the request was refused."""
+        self.end = 'refused'
+
+    async def begin(self, head):
+        """Keep the head of a stream."""
+        self.head = head
+
+    async def write(self, data):
+        """Keep the next bytes of a stream."""
+        self.body += data
+
+    async def finish(self):
+        """Keep that the stream was finished."""
+        self.end = 'finished'
+
+    async def abort(self):
+        """Keep that the stream was broken off."""
+        self.end = 'aborted'
+
+
 class RawAnswer(NamedTuple):
     """The bytes of an answer, and how its connection ended."""
 
