Break off a stream whose target ended it inside an event

Cause: the router took the end of a target's connection for the end of the answer and passed the unfinished event on with a last chunk. Now a stream that ends inside an event counts as a lost answer, whatever its framing: it goes on at another target where the route lets it, else the caller's connection ends without a last chunk. Streams that routers forward to each other go through the same code, so that the hop is held to the same. An empty line of CR LF or CR ends an event as well; such streams had been held back to their end. A forwarded answer that breaks off has a line of its own.

--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -6,6 +6,7 @@
 import structlog
 
 from dandelioncleat.app.direct.run_context import RunContext
+from dandelioncleat.app.direct.stream_relay import relay_stream
 from dandelioncleat.app.direct.target_state import TargetState
 from dandelioncleat.core.direct_request import CompleteResponse
 from dandelioncleat.core.failure import FailureError
@@ -90,7 +91,13 @@
         await reply.send_complete(CompleteResponse(answer.head, body))
         return AttemptOutcome.DELIVERED
     timer.reschedule(context.deadline)
-    await _relay_stream(context, state, answer, reply)
+    await relay_stream(
+        context,
+        answer,
+        reply,
+        peer=state.entry.id,
+        on_output=lambda: state.note_first_token(context.request.id),
+    )
     return AttemptOutcome.DELIVERED
 
 
@@ -121,29 +128,6 @@
     return b''.join([data async for data in answer.chunks()])
 
 
-async def _relay_stream(
-    context: RunContext,
-    state: TargetState,
-    answer: TargetAnswer,
-    reply: Reply,
-) -> None:
-    if not context.has_sent_head:
-        context.has_sent_head = True
-        await reply.begin(answer.head)
-    stream = context.stream
-    async for data in answer.chunks():
-        whole_events = stream.take(data)
-        if whole_events:
-            context.has_output = True
-            state.note_first_token(context.request.id)
-            await reply.write(whole_events)
-    rest = stream.finish()
-    if rest:
-        context.has_output = True
-        await reply.write(rest)
-    await reply.finish()
-
-
 def _note_failure(
     context: RunContext,
     state: TargetState,
--- a/src/dandelioncleat/app/direct/forwarding.py
+++ b/src/dandelioncleat/app/direct/forwarding.py
@@ -13,6 +13,7 @@
     ProcessEntry,
 )
 from dandelioncleat.app.direct.run_context import RunContext
+from dandelioncleat.app.direct.stream_relay import relay_stream
 from dandelioncleat.app.direct.wallet import Wallet
 from dandelioncleat.core.direct_request import (
     CompleteResponse,
@@ -100,7 +101,9 @@
         try:
             async with asyncio.timeout_at(context.answer_by) as timer:
                 async with forwarded as answer:
-                    return await _relay_answer(context, answer, reply, timer)
+                    return await _relay_answer(
+                        context, answer, reply, timer=timer, peer=entry.host
+                    )
         except TimeoutError:
             return await _end_broken(context, reply, RefusalReason.NOT_IN_TIME)
         except FailureError as error:
@@ -108,6 +111,13 @@
                 now = asyncio.get_running_loop().time()
                 self._avoid_until_by_host[entry.host] = now + AVOID_S
                 return DirectRefusal(RefusalReason.NO_TOKENS_HERE)
+            _logger.info(
+                'forwarded answer lost',
+                request=context.request.id,
+                router=entry.host,
+                detail=error.failure.text,
+                close_delimited=context.is_close_delimited,
+            )
             return await _end_broken(context, reply, RefusalReason.ANSWER_LOST)
 
 
@@ -115,7 +125,9 @@
     context: RunContext,
     answer: TargetAnswer,
     reply: Reply,
+    *,
     timer: asyncio.Timeout,
+    peer: str,
 ) -> DirectRefusal | None:
     if answer.refusal is not None:
         return answer.refusal
@@ -125,11 +137,7 @@
         await reply.send_complete(CompleteResponse(answer.head, body))
         return None
     timer.reschedule(context.deadline)
-    context.has_sent_head = True
-    await reply.begin(answer.head)
-    async for data in answer.chunks():
-        await reply.write(data)
-    await reply.finish()
+    await relay_stream(context, answer, reply, peer=peer)
     return None
 
 
--- /dev/null
+++ b/src/dandelioncleat/app/direct/stream_relay.py
@@ -0,0 +1,46 @@
+"""Relays a stream to the caller in whole events."""
+
+from collections.abc import Callable
+
+from dandelioncleat.app.direct.run_context import RunContext
+from dandelioncleat.core.failure import Code, failure_error
+from dandelioncleat.ports.direct_caller import Reply
+from dandelioncleat.ports.direct_target import STREAM_END_STEP, TargetAnswer
+
+
+async def relay_stream(
+    context: RunContext,
+    answer: TargetAnswer,
+    reply: Reply,
+    *,
+    peer: str,
+    on_output: Callable[[], None] | None = None,
+) -> None:
+    """Relay the events of an answer, and end the caller's stream with it.
+
+    :param peer: the target or router that answers
+    :param on_output: called whenever events have arrived
+    :raises FailureError: if the answer breaks off, also inside an event
+    """
+    if not context.has_sent_head:
+        context.has_sent_head = True
+        await reply.begin(answer.head)
+    stream = context.stream
+    async for data in answer.chunks():
+        whole_events = stream.take(data)
+        if whole_events:
+            context.has_output = True
+            if on_output is not None:
+                on_output()
+            await reply.write(whole_events)
+    if stream.is_inside_event:
+        raise failure_error(
+            Code.TARGET,
+            step=STREAM_END_STEP,
+            peer=peer,
+            text='the stream ended inside an event',
+        )
+    rest = stream.finish()
+    if rest:
+        await reply.write(rest)
+    await reply.finish()
--- a/src/dandelioncleat/core/event_stream.py
+++ b/src/dandelioncleat/core/event_stream.py
@@ -1,8 +1,11 @@
 """Parses a server-sent event stream to track what was delivered."""
 
-EVENT_END = b'\n\n'
+import re
+
+# Lines may end with LF, CR LF or CR; an empty line ends an event.
+EVENT_END = re.compile(rb'\n\n|\r\n\r\n|\r\r')
+LINE_ENDS = b'\r\n'
 ID_FIELD = b'id:'
-MAX_EVENT_BYTES = 1 << 20
 
 
 class EventStreamParser:
@@ -22,19 +25,20 @@
     def take(self, data: bytes) -> bytes:
         """Add bytes and return the events that they complete."""
         text = self._partial + data
-        end = text.rfind(EVENT_END)
-        if end < 0:
-            self._partial = text
-            return b''
-        end += len(EVENT_END)
-        whole = text[:end]
-        self._partial = text[end:]
-        for event in whole.split(EVENT_END)[:-1]:
-            self._note(event)
-        return whole
+        start = 0
+        for event_end in EVENT_END.finditer(text):
+            self._note(text[start : event_end.start()])
+            start = event_end.end()
+        self._partial = text[start:]
+        return text[:start]
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether an event has begun that is not whole yet."""
+        return bool(self._partial.strip(LINE_ENDS))
 
     def finish(self) -> bytes:
-        """Return the bytes after the last whole event."""
+        """Return the line ends after the last event of a complete stream."""
         rest = self._partial
         self.drop_partial()
         return rest
@@ -46,6 +50,6 @@
 
     def _note(self, event: bytes) -> None:
         self.events += 1
-        for line in event.split(b'\n'):
+        for line in event.splitlines():
             if line.startswith(ID_FIELD):
                 self.last_id = line[len(ID_FIELD) :].strip().decode('latin-1')
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -237,6 +237,27 @@
         )
         self.assertEqual(('2', 2), (stream.last_id, stream.events))
 
+    def test_events_end_with_an_empty_line_of_any_kind(self):
+        for line_end in (b'\n', b'\r\n', b'\r'):
+            stream = EventStreamParser()
+            lines = (b'id: 1', b'data: a', b'', b'id: 2', b'data: b', b'')
+            whole = line_end.join((*lines, b''))
+            taken = [stream.take(whole[:9]), stream.take(whole[9:])]
+            self.assertEqual(whole, b''.join(taken))
+            self.assertEqual(('2', 2), (stream.last_id, stream.events))
+            self.assertFalse(stream.is_inside_event)
+
+    def test_line_ends_after_the_last_event_are_kept(self):
+        stream = EventStreamParser()
+        stream.take(b'id: 1\n\n\n')
+        self.assertFalse(stream.is_inside_event)
+        self.assertEqual(b'\n', stream.finish())
+
+    def test_a_stream_that_ends_after_a_field_is_inside_an_event(self):
+        stream = EventStreamParser()
+        stream.take(b'id: 1\n\nid: 2\n')
+        self.assertTrue(stream.is_inside_event)
+
     def test_a_partial_event_is_dropped(self):
         stream = EventStreamParser()
         stream.take(b'id: 1\n\nid: 2\n')
