Claim no end of an answer that its target did not claim

A target's answer without length or chunks may be whole or broken off between two events; nobody can say. Now it goes on to the caller, and from router to router, without either, and its connection is closed after it. If such an answer is broken off, the caller's connection is reset: a plain close would look like the end. A stream that began in chunks and was resumed by such an answer gets no last chunk; it counts as lost. The same held for callers of HTTP 1.0, whose answers have no chunks: a broken stream was closed plainly. Ruled out: to answer in chunks without the last one, which makes every whole answer of this kind look broken.

--- a/src/dandelioncleat/app/direct/run_context.py
+++ b/src/dandelioncleat/app/direct/run_context.py
@@ -7,6 +7,7 @@
     CompleteResponse,
     DirectRequest,
     RefusalReason,
+    ResponseHead,
 )
 from dandelioncleat.core.event_stream import EventStreamParser
 
@@ -22,9 +23,10 @@
     caller stops waiting; both are event loop times in seconds.
     ``may_have_run`` says that any attempt may have run,
     ``earlier_may_have_run`` that one before the last may have.
-    ``has_sent_head`` says that the head of an answer was sent to the caller,
-    ``has_output`` that a part of its body was. ``is_close_delimited`` tells
-    how the last answer was framed, ``None`` if there was none.
+    ``sent_head`` is the head of the answer that the caller was sent,
+    ``has_output`` says that a part of its body was sent, too.
+    ``is_close_delimited`` tells how the last answer was framed, ``None`` if
+    there was none.
     """
 
     def __init__(self, request: DirectRequest, admitted: Admitted) -> None:
@@ -36,7 +38,7 @@
         self.deadline = self.started_at + wait_s
         self.answer_by = self.started_at + min(wait_s, admitted.route.timeout_s)
         self.stream = EventStreamParser()
-        self.has_sent_head = False
+        self.sent_head: ResponseHead | None = None
         self.has_output = False
         self.is_close_delimited: bool | None = None
         self.tried_targets: set[str] = set()
@@ -48,6 +50,11 @@
         self.used_tokens = 0
         self.earlier_may_have_run = False
 
+    @property
+    def has_sent_head(self) -> bool:
+        """Return whether the head of an answer was sent to the caller."""
+        return self.sent_head is not None
+
     @property
     def remaining_s(self) -> float:
         """Return the time left for an answer to begin, in seconds."""
--- a/src/dandelioncleat/app/direct/stream_relay.py
+++ b/src/dandelioncleat/app/direct/stream_relay.py
@@ -22,8 +22,8 @@
     :param on_output: called whenever events have arrived
     :raises FailureError: if the answer breaks off, also inside an event
     """
-    if not context.has_sent_head:
-        context.has_sent_head = True
+    if context.sent_head is None:
+        context.sent_head = answer.head
         await reply.begin(answer.head)
     stream = context.stream
     async for data in answer.chunks():
@@ -33,14 +33,25 @@
             if on_output is not None:
                 on_output()
             await reply.write(whole_events)
-    if stream.is_inside_event:
+    problem = _end_problem(context, answer)
+    if problem is not None:
         raise failure_error(
-            Code.TARGET,
-            step=STREAM_END_STEP,
-            peer=peer,
-            text='the stream ended inside an event',
+            Code.TARGET, step=STREAM_END_STEP, peer=peer, text=problem
         )
     rest = stream.finish()
     if rest:
         await reply.write(rest)
     await reply.finish()
+
+
+def _end_problem(context: RunContext, answer: TargetAnswer) -> str | None:
+    """Return why the end of an answer can't end the caller's stream."""
+    if context.stream.is_inside_event:
+        return 'the stream ended inside an event'
+    head = context.sent_head
+    if head is None or head.is_close_delimited:
+        return None
+    if answer.head.is_close_delimited:
+        # A last chunk would tell the caller that the stream is whole.
+        return 'the resumed stream does not tell that it is whole'
+    return None
--- a/src/dandelioncleat/platform/caller_reply.py
+++ b/src/dandelioncleat/platform/caller_reply.py
@@ -1,6 +1,6 @@
 """Writes answers to callers."""
 
-from aiohttp import web
+from aiohttp import hdrs, web
 
 from dandelioncleat.core.direct_request import (
     CompleteResponse,
@@ -9,6 +9,7 @@
     ResponseHead,
 )
 from dandelioncleat.platform import names
+from dandelioncleat.platform.sockets import reset_connection
 
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
@@ -33,6 +34,13 @@
 }
 
 
+class _CloseDelimitedResponse(web.StreamResponse):
+    """A response without length or chunks; its connection is closed."""
+
+    # Lets aiohttp add no chunks.
+    _length_check = False
+
+
 class HttpReply:
     """Implements the ``Reply`` port for one HTTP request."""
 
@@ -49,6 +57,11 @@
 
     async def send_complete(self, answer: CompleteResponse) -> None:
         """Send a complete answer of a target."""
+        if answer.head.is_close_delimited:
+            await self.begin(answer.head)
+            await self.write(answer.body)
+            await self.finish()
+            return
         response = web.Response(
             status=answer.head.status,
             reason=answer.head.reason,
@@ -70,7 +83,7 @@
 
     async def begin(self, head: ResponseHead) -> None:
         """Begin a stream."""
-        response = web.StreamResponse(status=head.status, reason=head.reason)
+        response = _new_stream_response(head)
         _set_headers(response, head)
         self.response = response
         if self._is_last_answer:
@@ -88,8 +101,13 @@
     async def abort(self) -> None:
         """Close the connection before the stream's end."""
         transport = self._request.transport
-        if transport is not None:
+        if transport is None:
+            return
+        if hdrs.TRANSFER_ENCODING in self._open_stream.headers:
+            # The last chunk is missing.
             transport.close()
+        else:
+            reset_connection(transport)
 
     @property
     def _open_stream(self) -> web.StreamResponse:
@@ -105,6 +123,15 @@
         await response.write_eof()
 
 
+def _new_stream_response(head: ResponseHead) -> web.StreamResponse:
+    """Return a response that claims as much of its end as the head does."""
+    if not head.is_close_delimited:
+        return web.StreamResponse(status=head.status, reason=head.reason)
+    response = _CloseDelimitedResponse(status=head.status, reason=head.reason)
+    response.force_close()
+    return response
+
+
 def _set_headers(response: web.StreamResponse, head: ResponseHead) -> None:
     response.headers.clear()
     for name, text in head.headers:
--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -373,8 +373,11 @@
         writer.close()
         return answer
 
-    async def raw_answer(self, path, **headers):
-        """Send a request; return its answer as it is on the wire."""
+    async def raw_answer(self, path, *, version='1.1', **headers):
+        """Send a request; return its answer as it is on the wire.
+
+        :param version: version of HTTP that the caller speaks
+        """
         ip, port = self._url.removeprefix('http://').split(':')
         reader, writer = await asyncio.open_connection(ip, int(port))
         sent = {
@@ -387,7 +390,7 @@
             **headers,
         }
         lines = [f'{name}: {text}' for name, text in sent.items()]
-        head = '\r\n'.join((f'POST {path} HTTP/1.1', *lines, '', ''))
+        head = '\r\n'.join((f'POST {path} HTTP/{version}', *lines, '', ''))
         writer.write(head.encode() + b'{}')
         answer = await _read_to_end(reader)
         writer.close()
--- a/tests/test_close_delimited_answers.py
+++ b/tests/test_close_delimited_answers.py
@@ -38,10 +38,12 @@
 class BrokenStreamTest(testtools.TestCase):
     """A stream that ends inside an event has been broken off."""
 
-    def _answer(self, answer, path='/single/a'):
+    def _answer(self, answer, version='1.1'):
         async def scenario(fleet):
             fleet.llm.answers = [answer]
-            return await fleet.raw_answer(path, **MODEL_HEADERS)
+            return await fleet.raw_answer(
+                '/single/a', version=version, **MODEL_HEADERS
+            )
 
         return run_with_fleet(scenario)
 
@@ -59,6 +61,13 @@
         answer = self._answer(close_delimited(event_bytes(0, 2), reset=True))
         self.assertFalse(answer.looks_complete, answer)
 
+    def test_stream_cut_between_events_is_reset_at_a_caller_without_chunks(
+        self,
+    ):
+        answer = self._answer(events(0, 2, cut=True), version='1.0')
+        self.assertFalse(answer.claims_an_end, answer.head)
+        self.assertTrue(answer.was_reset, answer)
+
     def test_stream_closed_inside_an_event_is_resumed(self):
         async def scenario(fleet):
             await fleet.put('servers', 'i-llm2', fleet.llm2.entry())
