Let the sidecars' and the store's clients tell a reset connection from a closed one

All share one session factory now. Test: test_a_reset_answer_without_length_is_a_failure, which failed with a plain session.

--- a/src/dandelioncleat/daemons/router.py
+++ b/src/dandelioncleat/daemons/router.py
@@ -9,6 +9,7 @@
     CallerBackend,
     new_caller_application,
 )
+from dandelioncleat.adapters.client_session import new_client_session
 from dandelioncleat.adapters.operator_http import add_operator_routes
 from dandelioncleat.adapters.system_clock import SystemClock
 from dandelioncleat.adapters.telemetry import OtelTelemetry
@@ -120,7 +121,7 @@
     peers = HttpServer(settings.listen.peers)
     address = settings.listen.advertise or peers.text
     join = Join(incarnation, ROUTER, settings.data_centre, address)
-    session = ClientSession()
+    session = new_client_session()
     process = new_router_process(
         settings,
         join=join,
--- a/src/dandelioncleat/daemons/sidecar.py
+++ b/src/dandelioncleat/daemons/sidecar.py
@@ -5,6 +5,7 @@
 import structlog
 from aiohttp import ClientSession, web
 
+from dandelioncleat.adapters.client_session import new_client_session
 from dandelioncleat.adapters.http_host_list import HttpHostList
 from dandelioncleat.adapters.http_model_target import HttpModelTarget
 from dandelioncleat.adapters.http_plain_target import HttpPlainTarget
@@ -111,7 +112,7 @@
     Needs a running event loop.
     """
     peers = HttpServer(settings.listen.peers)
-    session = ClientSession()
+    session = new_client_session()
     shared = new_shared_parts(
         settings, incarnation=incarnation, session=session
     )
--- a/src/dandelioncleat/platform/store.py
+++ b/src/dandelioncleat/platform/store.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from dandelioncleat.adapters._http_call import FailureContext, Reply, call
+from dandelioncleat.adapters.client_session import new_connector
 from dandelioncleat.core.failure import Code, FailureError, failure_error
 from dandelioncleat.core.keyed_record import KeyedRecord
 from dandelioncleat.platform.framing import (
@@ -189,9 +190,7 @@
 def new_store_session(*, connect_timeout_s: float) -> aiohttp.ClientSession:
     """Return a session for store calls; requires a running event loop."""
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=0, socket_factory=new_keepalive_socket
-        ),
+        connector=new_connector(limit=0, socket_factory=new_keepalive_socket),
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=connect_timeout_s
         ),
--- a/src/dandelioncleat/platform/targets.py
+++ b/src/dandelioncleat/platform/targets.py
@@ -1,15 +1,14 @@
 """Sends requests to targets and other routers over HTTP."""
 
 import asyncio
-import functools
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
+from dandelioncleat.adapters.client_session import new_connector
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import (
     DirectRefusal,
@@ -50,22 +49,6 @@
 _ERRORS = (aiohttp.ClientError, OSError, asyncio.TimeoutError, ValueError)
 
 
-class _TargetProtocol(ResponseHandler):
-    """Fails a body that a connection reset cut off.
-
-    aiohttp may otherwise treat such a body as complete.
-    """
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail the body that is being read if the connection was reset."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(
-                aiohttp.ClientPayloadError(f'connection lost: {exc}')
-            )
-        super().connection_lost(exc)
-
-
 class HttpTargetAnswer:
     """The answer of a target; its head was read, its body was not."""
 
@@ -208,7 +191,7 @@
 
 
 def _new_session(*, is_pooled: bool) -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(
+    connector = new_connector(
         limit=0,
         use_dns_cache=False,
         socket_factory=new_keepalive_socket,
@@ -218,10 +201,6 @@
             else {'force_close': True}
         ),
     )
-    loop = asyncio.get_running_loop()
-    connector._factory = functools.partial(  # type: ignore[assignment]
-        _TargetProtocol, loop=loop
-    )
     session = aiohttp.ClientSession(
         connector=connector,
         timeout=aiohttp.ClientTimeout(
--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -280,7 +280,7 @@
 
 def _headers(request, more):
     return {
-        'Request-Id': request.headers['Request-Id'],
+        'Request-Id': request.headers.get('Request-Id', ''),
         'Server-Stamp': 's.1',
         **more,
     }
--- a/tests/test_http_adapters.py
+++ b/tests/test_http_adapters.py
@@ -3,9 +3,9 @@
 import asyncio
 from contextlib import AsyncExitStack
 
-import aiohttp
 import testtools
 
+from dandelioncleat.adapters.client_session import new_client_session
 from dandelioncleat.adapters.http_host_list import HttpHostList
 from dandelioncleat.adapters.http_log import HttpLog
 from dandelioncleat.adapters.http_model_target import HttpModelTarget
@@ -24,6 +24,7 @@
 from dandelioncleat.standin.service import PlainService, ServiceSettings
 from dandelioncleat.standin.service_http import new_service_application
 from dandelioncleat.standin.weight_store import WeightStore
+from tests.builders.direct import Target, close_delimited
 from tests.builders.standins import (
     answer_of,
     completion_body,
@@ -40,7 +41,7 @@
 
     async def with_session():
         async with AsyncExitStack() as stack:
-            session = await stack.enter_async_context(aiohttp.ClientSession())
+            session = await stack.enter_async_context(new_client_session())
             return await scenario(session, stack)
 
     return asyncio.run(with_session())
@@ -288,6 +289,17 @@
         self.assertIn('"echo":"42"', text)
         self.assertEqual(16, load.slots)
 
+    def test_a_reset_answer_without_length_is_a_failure(self):
+        async def scenario(session, stack):
+            service = Target('i', 'app')
+            await service.start()
+            stack.callback(service.close)
+            service.answers = [close_delimited(b'half', reset=True)]
+            target = HttpPlainTarget(session, f'http://{service.address}')
+            return await failure_of(answer_of(target, plain_call()))
+
+        self.assertEqual((Code.TARGET, 'read'), run(scenario)[:2])
+
     def test_an_outdated_fencing_number_and_a_crash_are_failures(self):
         async def scenario(session, stack):
             _, url = await serve_service(stack, checks_fencing=True)
