--- a/src/dandelioncleat/platform/framing.py
+++ b/src/dandelioncleat/platform/framing.py
@@ -13,14 +13,25 @@
     return b''.join(_framed(key, value) for key, value in records)
 
 
+class IncompleteBodyError(ValueError):
+    """A body ends inside a record."""
+
+
 def split_records(body: bytes) -> Iterator[tuple[str, bytes]]:
-    """Yield the keys and values of a framed body."""
+    """Yield the keys and values of a framed body.
+
+    :raises IncompleteBodyError: if the body ends inside a record
+    """
     at = 0
     while at < len(body):
-        size = _LENGTH.unpack_from(body, at)[0]
-        at += _LENGTH.size
-        yield _key_and_value(body[at : at + size])
-        at += size
+        start = at + _LENGTH.size
+        if start > len(body):
+            raise IncompleteBodyError('the body ends inside a length')
+        end = start + _LENGTH.unpack_from(body, at)[0]
+        if end > len(body):
+            raise IncompleteBodyError('the body ends inside a record')
+        yield _key_and_value(body[start:end])
+        at = end
 
 
 def _framed(key: str, value: bytes) -> bytes:
--- a/src/dandelioncleat/platform/store.py
+++ b/src/dandelioncleat/platform/store.py
@@ -2,7 +2,7 @@
 
 from base64 import b64decode
 from collections.abc import Iterator
-from typing import NoReturn
+from typing import NoReturn, TypeVar
 
 import aiohttp
 import msgspec
@@ -13,6 +13,7 @@
 from dandelioncleat.core.keyed_record import KeyedRecord
 from dandelioncleat.platform.framing import (
     PAGE_HEAD,
+    IncompleteBodyError,
     frame_records,
     split_records,
 )
@@ -72,6 +73,8 @@
     reason: str = ''
 
 
+_Body = TypeVar('_Body')
+
 _NEWEST_DECODER = msgspec.json.Decoder(_Newest)
 _APPENDED_DECODER = msgspec.json.Decoder(_Appended)
 _REJECTED_DECODER = msgspec.json.Decoder(_Rejected)
@@ -112,7 +115,10 @@
         if reply.status == GONE:
             raise OutdatedReadError
         self._check(reply, READ_PATH)
-        records = tuple(_records_in(reply.body, start))
+        try:
+            records = tuple(_records_in(reply.body, start))
+        except IncompleteBodyError as error:
+            raise self._failure(READ_PATH, str(error)) from error
         return KeyedPage(start + len(records), records, _era(reply))
 
     async def append(
@@ -140,8 +146,8 @@
         if reply.status == CONFLICT:
             _raise_rejection(reply)
         self._check(reply, APPEND_PATH)
-        end = _APPENDED_DECODER.decode(reply.body).end
-        return Appended(end, _era(reply))
+        appended = self._decode(_APPENDED_DECODER, reply, APPEND_PATH)
+        return Appended(appended.end, _era(reply))
 
     async def _newest_page(
         self, topic: str, after: str | None
@@ -149,7 +155,8 @@
         query = {} if after is None else {'after': after}
         reply = await self._call('GET', NEWEST_PATH, topic, query=query)
         self._check(reply, NEWEST_PATH)
-        return _NEWEST_DECODER.decode(reply.body), _era(reply)
+        page = self._decode(_NEWEST_DECODER, reply, NEWEST_PATH)
+        return page, _era(reply)
 
     async def _call(
         self,
@@ -176,6 +183,14 @@
             data=body,
         )
 
+    def _decode(
+        self, decoder: msgspec.json.Decoder[_Body], reply: Reply, path: str
+    ) -> _Body:
+        try:
+            return decoder.decode(reply.body)
+        except msgspec.DecodeError as error:
+            raise self._failure(path, str(error)) from error
+
     def _check(self, reply: Reply, path: str) -> None:
         if reply.status != OK:
             raise self._failure(path, f'HTTP status {reply.status}')
@@ -216,6 +231,8 @@
 
 
 def _records_in(body: bytes, start: int) -> Iterator[KeyedRecord]:
+    if len(body) < PAGE_HEAD.size:
+        raise IncompleteBodyError('the body ends inside the head of a page')
     framed = split_records(body[PAGE_HEAD.size :])
     for offset, (key, value) in enumerate(framed, start):
         yield KeyedRecord(key, value, offset)
