Log the software version of a target and the stream that an attempt resumes

The routers' lines told neither, so that streams resumed inside an answer and streams taken up by their callers looked alike. The entry's version and the header with the id of the first attempt are decoded for it; no decision uses them yet.

--- a/src/dandelioncleat/app/direct/target_directory.py
+++ b/src/dandelioncleat/app/direct/target_directory.py
@@ -123,6 +123,7 @@
             service=entry.service,
             address=entry.address,
             draining=entry.is_draining,
+            software=entry.software,
         )
 
     def _delist(self, target: str) -> None:
--- a/src/dandelioncleat/core/deployment.py
+++ b/src/dandelioncleat/core/deployment.py
@@ -146,6 +146,8 @@
     """One target in the platform's list.
 
     ``started_at`` distinguishes starts of a target under the same id.
+    ``software`` is the version of its software, ``None`` if it tells none;
+    streams of two versions don't fit together.
     """
 
     id: str
@@ -155,3 +157,4 @@
     slots: int
     is_draining: bool
     started_at: int
+    software: str | None = None
--- a/src/dandelioncleat/core/direct_request.py
+++ b/src/dandelioncleat/core/direct_request.py
@@ -38,7 +38,8 @@
     ``path`` includes the query. ``headers`` are those that are forwarded
     unchanged. ``is_forwarded`` means that another router sent the request.
     ``wait_s`` is how long the caller waits, if it states that;
-    ``resume_after`` is the last event that a resuming caller received.
+    ``resume_after`` is the last event that a resuming caller received,
+    ``resumed_request`` the id of its attempt that began the stream.
     """
 
     id: str
@@ -52,6 +53,7 @@
     prompt: ModelPrompt | None = None
     resume_after: str | None = None
     is_forwarded: bool = False
+    resumed_request: str | None = None
 
     @property
     def digest(self) -> str:
--- a/src/dandelioncleat/platform/caller_request.py
+++ b/src/dandelioncleat/platform/caller_request.py
@@ -42,6 +42,7 @@
                 wait_s=_wait_s(headers.get(names.DEADLINE_MS)),
                 prompt=_prompt(request),
                 resume_after=headers.get(names.RESUME_AFTER),
+                resumed_request=headers.get(names.RESUMED_REQUEST),
                 is_forwarded=names.FORWARDED in headers,
             )
         )
--- a/src/dandelioncleat/platform/documents.py
+++ b/src/dandelioncleat/platform/documents.py
@@ -90,7 +90,11 @@
 
 
 class _Server(msgspec.Struct, rename='camel'):
-    """``born`` is the start time, which tells restarts of a target apart."""
+    """A target's entry.
+
+    ``born`` is the start time, which tells restarts of a target apart;
+    ``version`` is the version of its software.
+    """
 
     service: str
     address: str
@@ -98,6 +102,7 @@
     state: str
     slots: int
     born: int = 0
+    version: str | None = None
 
 
 _CONFIG_DECODER = msgspec.json.Decoder(_Config)
@@ -145,6 +150,7 @@
         slots=server.slots,
         is_draining=is_draining,
         started_at=server.born,
+        software=server.version,
     )
 
 
--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -112,13 +112,13 @@
         """Stop listening."""
         self._server.close()
 
-    def entry(self, state='ready'):
+    def entry(self, state='ready', version='v1'):
         """Return the entry that the target writes to the store."""
         return {
             'service': self.service,
             'address': self.address,
             'zone': 'z1',
-            'version': 'v1',
+            'version': version,
             'slots': 8,
             'state': state,
             'coldMs': 0,
