--- a/src/dandelioncleat/standin/keyed_store.py
+++ b/src/dandelioncleat/standin/keyed_store.py
@@ -124,6 +124,10 @@
         """Return a client for one process."""
         return StoreClient(self)
 
+    def end(self, topic: str) -> int:
+        """Return the end of a topic, 0 if nothing was written to it."""
+        return self._topic(topic).end
+
     def drop_history(self, topic: str) -> None:
         """Drop all records of a topic but the newest of each key."""
         self._topic(topic).apply(_Change(_now(), None))
--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -444,13 +444,21 @@
         await asyncio.gather(self._gateway_task, return_exceptions=True)
         await self.gateway.close()
 
-    async def _start_router(self):
+    async def replace_router(self, host):
+        """Kill the router and start one on another host."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        await self.router.close()
+        await self._start_router(host)
+        await self.ready()
+
+    async def _start_router(self, host='h1'):
         sockets = Sockets(_listener(), _listener(), _listener())
         addresses = [_address(sock) for sock in sockets]
         self._url = f'http://{addresses[0]}'
         self.router = DirectRouter(
             DirectSettings(
-                host='h1',
+                host=host,
                 data_centre='z1',
                 store=self._store_address,
                 listen=DirectListen(*addresses),
