Let a stream go on only at the software version that began it

Cause: the target's version was dropped at the boundary, so neither the resumption inside an answer nor the placement of a stream that its caller takes up could respect it. The version of the target that sent the first event that was passed on is the stream's origin; later attempts go to targets of this version only, else the answer is broken off. Each router writes the origins of streams that may be resumed to the store, in batches, after the event is passed on, and reads them only when a stream is taken up that it doesn't know. Keys follow the time of day, so that a successor on the host does not overwrite what a killed router wrote, and the topic stays bounded. A stream whose origin can't be known, or whose version no longer serves, is refused as not run. Ruled out: to ask the other routers (a killed one can't answer), a record of each broken stream only (the same), to follow the topic (each append would wake every router), to place streams by a hash of the id over the listed versions (lists differ in time).

--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -6,10 +6,12 @@
 import structlog
 
 from dandelioncleat.app.direct.run_context import RunContext
+from dandelioncleat.app.direct.stream_origins import StreamOrigins
 from dandelioncleat.app.direct.stream_relay import relay_stream
 from dandelioncleat.app.direct.target_state import TargetState
 from dandelioncleat.core.direct_request import CompleteResponse
 from dandelioncleat.core.failure import FailureError
+from dandelioncleat.core.stream_origin import StreamOrigin
 from dandelioncleat.ports.direct_caller import Reply
 from dandelioncleat.ports.direct_target import (
     CONNECT_STEP,
@@ -44,10 +46,12 @@
     *,
     targets: DirectTargets,
     reply: Reply,
+    origins: StreamOrigins,
 ) -> AttemptOutcome:
     """Send a request to a target and relay its answer, if there is one.
 
     :param reply: receives the answer unless it is a server error or a refusal
+    :param origins: is told where a stream began that may be taken up
     :raises TimeoutError: if the answer does not arrive in time
     """
     target_request = _target_request(context, state)
@@ -59,7 +63,12 @@
             async with targets.send(target_request) as answer:
                 is_answered = True
                 return await _relay_answer(
-                    context, state, answer, reply=reply, timer=timer
+                    context,
+                    state,
+                    answer,
+                    reply=reply,
+                    timer=timer,
+                    origins=origins,
                 )
     except FailureError as error:
         state.note_failure(asyncio.get_running_loop().time())
@@ -75,6 +84,7 @@
     *,
     reply: Reply,
     timer: asyncio.Timeout,
+    origins: StreamOrigins,
 ) -> AttemptOutcome:
     now = asyncio.get_running_loop().time()
     context.is_close_delimited = answer.head.is_close_delimited
@@ -96,11 +106,22 @@
         answer,
         reply,
         peer=state.entry.id,
-        on_output=lambda: state.note_first_token(context.request.id),
+        on_output=lambda: _note_output(context, state, origins),
     )
     return AttemptOutcome.DELIVERED
 
 
+def _note_output(
+    context: RunContext, state: TargetState, origins: StreamOrigins
+) -> None:
+    state.note_first_token(context.request.id)
+    if context.origin is not None:
+        return
+    context.origin = StreamOrigin(state.entry.service, state.entry.software)
+    if context.admitted.route.is_resumable:
+        origins.note(context.stream_key(context.request.id), context.origin)
+
+
 def _note_not_run(
     context: RunContext, state: TargetState, answer: TargetAnswer
 ) -> AttemptOutcome:
--- a/src/dandelioncleat/app/direct/placement.py
+++ b/src/dandelioncleat/app/direct/placement.py
@@ -10,6 +10,7 @@
 from dandelioncleat.app.direct.target_directory import TargetDirectory
 from dandelioncleat.app.direct.target_state import TargetState
 from dandelioncleat.core.retry_window import RetryLimits, RetryWindow
+from dandelioncleat.core.stream_origin import StreamOrigin
 from dandelioncleat.core.target_choice import (
     TargetSnapshot,
     choose_for_prompt,
@@ -68,6 +69,20 @@
         """Return whether there is an untried target."""
         return bool(self._candidates(context, _now()))
 
+    def has_target_of_origin(self, context: RunContext) -> bool:
+        """Return whether a target may go on with the caller's stream."""
+        service = context.admitted.service.name
+        states = self._directory.available(service)
+        return any(context.fits(state.entry) for state in states)
+
+    def only_origin(self, service: str) -> StreamOrigin | None:
+        """Return the origin of all streams if one version serves alone."""
+        states = self._directory.available(service)
+        versions = {state.entry.software for state in states}
+        if len(versions) != 1:
+            return None
+        return StreamOrigin(service, versions.pop())
+
     def requested_pause_s(self, service: str) -> float | None:
         """Return when the first target of a service wants requests again.
 
@@ -125,6 +140,7 @@
             state
             for state in self._directory.available(service)
             if state.entry.id not in context.tried_targets
+            and context.fits(state.entry)
             and not state.wishes.pause_s(now)
         ]
         healthy = [state for state in untried if not state.is_paused(now)]
--- /dev/null
+++ b/src/dandelioncleat/app/direct/resumption.py
@@ -0,0 +1,43 @@
+"""Decides whether a stream that its caller takes up may go on."""
+
+from dandelioncleat.app.direct.placement import Placement
+from dandelioncleat.app.direct.run_context import RunContext
+from dandelioncleat.app.direct.stream_origins import StreamOrigins
+from dandelioncleat.core.direct_request import DirectRefusal, RefusalReason
+from dandelioncleat.core.stream_origin import StreamOrigin
+
+# Another router may know it, or the store may answer by then.
+UNKNOWN_RETRY_S = 0.3
+# A crashed target of the version may have started again by then.
+VERSION_GONE_RETRY_S = 1.0
+
+
+async def resumption_refusal(
+    context: RunContext, *, origins: StreamOrigins, placement: Placement
+) -> DirectRefusal | None:
+    """Set the origin of a stream that is taken up, or return a refusal.
+
+    Events of two software versions don't fit together, so a stream whose
+    origin is not known can't go on.
+    """
+    if context.request.resume_after is None:
+        return None
+    context.origin = await _find_origin(context, origins, placement)
+    if context.origin is None:
+        return DirectRefusal(
+            RefusalReason.STREAM_UNKNOWN, retry_after_s=UNKNOWN_RETRY_S
+        )
+    if not placement.has_target_of_origin(context):
+        return DirectRefusal(
+            RefusalReason.VERSION_GONE, retry_after_s=VERSION_GONE_RETRY_S
+        )
+    return None
+
+
+async def _find_origin(
+    context: RunContext, origins: StreamOrigins, placement: Placement
+) -> StreamOrigin | None:
+    first_request = context.request.resumed_request
+    if first_request is None:
+        return placement.only_origin(context.admitted.service.name)
+    return await origins.find(context.stream_key(first_request))
--- a/src/dandelioncleat/app/direct/run_context.py
+++ b/src/dandelioncleat/app/direct/run_context.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from dandelioncleat.app.direct.admission import Admitted
+from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import (
     CompleteResponse,
     DirectRequest,
@@ -10,6 +11,7 @@
     ResponseHead,
 )
 from dandelioncleat.core.event_stream import EventStreamParser
+from dandelioncleat.core.stream_origin import StreamOrigin, stream_key
 
 DEFAULT_WAIT_S = 30.0
 # Outcome of a request whose task was cancelled, as its caller disconnected.
@@ -26,7 +28,8 @@
     ``sent_head`` is the head of the answer that the caller was sent,
     ``has_output`` says that a part of its body was sent, too.
     ``is_close_delimited`` tells how the last answer was framed, ``None`` if
-    there was none.
+    there was none. ``origin`` is where the caller's stream began, ``None``
+    before its first event.
     """
 
     def __init__(self, request: DirectRequest, admitted: Admitted) -> None:
@@ -38,6 +41,7 @@
         self.deadline = self.started_at + wait_s
         self.answer_by = self.started_at + min(wait_s, admitted.route.timeout_s)
         self.stream = EventStreamParser()
+        self.origin: StreamOrigin | None = None
         self.sent_head: ResponseHead | None = None
         self.has_output = False
         self.is_close_delimited: bool | None = None
@@ -50,6 +54,12 @@
         self.used_tokens = 0
         self.earlier_may_have_run = False
 
+    def stream_key(self, first_request: str) -> str:
+        """Return the key of the stream that a request of the caller began."""
+        organisation = self.admitted.organisation
+        name = None if organisation is None else organisation.name
+        return stream_key(name, first_request)
+
     @property
     def has_sent_head(self) -> bool:
         """Return whether the head of an answer was sent to the caller."""
@@ -75,6 +85,10 @@
             self.attempts_sent < max(2, route.attempts) and self.remaining_s > 0
         )
 
+    def fits(self, entry: TargetEntry) -> bool:
+        """Return whether the caller's stream may go on at a target."""
+        return self.origin is None or self.origin.fits(entry)
+
     def begin_attempt(self) -> None:
         """Note that the request is about to be sent to a target."""
         self.attempts_sent += 1
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -19,7 +19,9 @@
 from dandelioncleat.app.direct.forwarding import Forwarding
 from dandelioncleat.app.direct.hopeless import hopeless_refusal
 from dandelioncleat.app.direct.placement import Placement
+from dandelioncleat.app.direct.resumption import resumption_refusal
 from dandelioncleat.app.direct.run_context import RunContext
+from dandelioncleat.app.direct.stream_origins import StreamOrigins
 from dandelioncleat.app.direct.wallet import ReservationOutcome, Wallet
 from dandelioncleat.core.direct_request import (
     DirectRefusal,
@@ -49,6 +51,7 @@
     targets: DirectTargets
     forwarding: Forwarding
     quarantine: CrashQuarantine
+    origins: StreamOrigins
     telemetry: Telemetry
 
 
@@ -125,20 +128,10 @@
     async def _serve_admitted(
         self, context: RunContext, need: TokenNeed | None, reply: Reply
     ) -> None:
-        if self._stop is not None and not self._stop.admits(context):
-            refusal = DirectRefusal(
-                RefusalReason.STOPPING, retry_after_s=STOPPING_RETRY_S
-            )
+        refusal = await _early_refusal(context, self._parts, self._stop)
+        if refusal is not None:
             await refuse(context, refusal, reply)
             return
-        hopeless = hopeless_refusal(
-            context,
-            quarantine=self._parts.quarantine,
-            placement=self._parts.placement,
-        )
-        if hopeless is not None:
-            await refuse(context, hopeless, reply)
-            return
         if need is not None:
             reservation = await self._reserve(context, need)
             if reservation is not ReservationOutcome.RESERVED:
@@ -222,7 +215,11 @@
             'direct.attempt', target=state.entry.id
         ):
             outcome = await run_attempt(
-                context, state, targets=self._parts.targets, reply=reply
+                context,
+                state,
+                targets=self._parts.targets,
+                reply=reply,
+                origins=self._parts.origins,
             )
         match outcome:
             case AttemptOutcome.LOST:
@@ -278,6 +275,24 @@
         self._parts.telemetry.count('direct.requests', outcome=str(outcome))
 
 
+async def _early_refusal(
+    context: RunContext, parts: ServingParts, stop: StopTimes | None
+) -> DirectRefusal | None:
+    """Return why a request can't be served, before it takes tokens."""
+    if stop is not None and not stop.admits(context):
+        return DirectRefusal(
+            RefusalReason.STOPPING, retry_after_s=STOPPING_RETRY_S
+        )
+    hopeless = hopeless_refusal(
+        context, quarantine=parts.quarantine, placement=parts.placement
+    )
+    if hopeless is not None:
+        return hopeless
+    return await resumption_refusal(
+        context, origins=parts.origins, placement=parts.placement
+    )
+
+
 def _log_not_admitted(
     request: DirectRequest, refusal: DirectRefusal, deployment: DeploymentWatch
 ) -> None:
--- a/src/dandelioncleat/core/direct_request.py
+++ b/src/dandelioncleat/core/direct_request.py
@@ -79,6 +79,8 @@
     NOT_IN_TIME = 'not_in_time'
     ANSWER_LOST = 'answer_lost'
     STOPPING = 'stopping'
+    STREAM_UNKNOWN = 'stream_unknown'
+    VERSION_GONE = 'version_gone'
 
 
 class DirectRefusal(NamedTuple):
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -28,6 +28,7 @@
     ServingParts,
     StopTimes,
 )
+from dandelioncleat.app.direct.stream_origins import StreamOrigins
 from dandelioncleat.app.direct.target_directory import TargetDirectory
 from dandelioncleat.app.direct.topic_follower import TopicFollower
 from dandelioncleat.app.direct.wallet import Wallet
@@ -167,6 +168,9 @@
         self._quarantine = CrashQuarantine(
             store, self._targets, host=settings.host, clock=SystemClock()
         )
+        self._origins = StreamOrigins(
+            store, host=settings.host, clock=SystemClock()
+        )
         self._serving = Serving(
             ServingParts(
                 self._deployment,
@@ -177,6 +181,7 @@
                     self._processes, wallet=self._wallet, targets=self._targets
                 ),
                 self._quarantine,
+                self._origins,
                 telemetry,
             )
         )
@@ -214,6 +219,7 @@
             self._announcement.run(),
             self._cache_watch.run(),
             self._quarantine.run(),
+            self._origins.run(),
             self._wallet.run(),
             self._become_ready(),
         )
--- a/src/dandelioncleat/platform/caller_reply.py
+++ b/src/dandelioncleat/platform/caller_reply.py
@@ -31,6 +31,8 @@
     RefusalReason.NOT_IN_TIME: GATEWAY_TIMEOUT,
     RefusalReason.ANSWER_LOST: BAD_GATEWAY,
     RefusalReason.STOPPING: UNAVAILABLE,
+    RefusalReason.STREAM_UNKNOWN: UNAVAILABLE,
+    RefusalReason.VERSION_GONE: UNAVAILABLE,
 }
 
 
