--- a/tests/test_close_delimited_answers.py
+++ b/tests/test_close_delimited_answers.py
@@ -5,7 +5,6 @@
 
 import msgspec
 import testtools
-from structlog.testing import capture_logs
 
 from dandelioncleat.app.direct.admission import admit
 from dandelioncleat.app.direct.forwarding import Forwarding
@@ -31,6 +30,7 @@
     run_with_fleet,
     whole_frame,
 )
+from tests.builders.logs import captured_lines
 
 INSIDE_EVENT = event_bytes(0, 2) + b'id: 3\nda'
 
@@ -187,7 +187,7 @@
             fleet.llm.answers = [answer]
             await fleet.raw_answer('/single/a', **MODEL_HEADERS)
 
-        with capture_logs() as lines:
+        with captured_lines() as lines:
             run_with_fleet(scenario)
         return next(line for line in lines if line['event'] == 'request ended')
 
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -3,7 +3,6 @@
 import asyncio
 
 import testtools
-from structlog.testing import capture_logs
 
 from dandelioncleat.adapters.virtual_time import run
 from dandelioncleat.app.direct.stream_origins import (
@@ -16,6 +15,7 @@
 )
 from dandelioncleat.core.stream_origin import StreamOrigin, stream_key
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore, StoreFaults
+from tests.builders.logs import captured_lines
 from tests.builders.wallets import HostClock
 
 FIRST = StreamOrigin('s', 'v1')
@@ -164,7 +164,7 @@
             origins, _ = fleet.start('h1')
             await prepare(fleet)
             began_at = asyncio.get_running_loop().time()
-            with capture_logs() as lines:
+            with captured_lines() as lines:
                 found = await origins.find('o/r-1')
             passed_s = asyncio.get_running_loop().time() - began_at
             return found, passed_s, [line['event'] for line in lines]
--- a/tests/test_target_versions.py
+++ b/tests/test_target_versions.py
@@ -3,7 +3,6 @@
 import asyncio
 
 import testtools
-from structlog.testing import capture_logs
 
 from tests.builders.direct import (
     MODEL_HEADERS,
@@ -12,6 +11,7 @@
     events,
     run_with_fleet,
 )
+from tests.builders.logs import captured_lines
 
 RESUMING = {'Request-Id': 'r-2', 'Last-Event-Id': '2', 'Resumes': 'r-1'}
 
@@ -160,7 +160,7 @@
             resuming['Last-Event-Id'] = '2'
             await fleet.call('/stream/a', **MODEL_HEADERS, **resuming)
 
-        with capture_logs() as lines:
+        with captured_lines() as lines:
             run_with_fleet(scenario)
         placed = [line for line in lines if line['event'] == 'request placed']
         self.assertEqual(['v1', 'v1'], [line['software'] for line in placed])
