Bound the body and the events of a target's answer

The router read a body without a bound, and kept an event without end in memory until the request's time had passed. Heads were bounded already.

--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from dandelioncleat.app.direct.answer_body import read_body
 from dandelioncleat.app.direct.run_context import RunContext
 from dandelioncleat.app.direct.stream_origins import StreamOrigins
 from dandelioncleat.app.direct.stream_relay import relay_stream
@@ -96,7 +97,7 @@
         return await _keep_error(context, state, answer)
     state.note_answer(answer.occupancy, now)
     if not answer.is_stream:
-        body = await _read_body(answer)
+        body = await read_body(answer, peer=state.entry.id)
         context.has_output = True
         await reply.send_complete(CompleteResponse(answer.head, body))
         return AttemptOutcome.DELIVERED
@@ -138,17 +139,13 @@
 async def _keep_error(
     context: RunContext, state: TargetState, answer: TargetAnswer
 ) -> AttemptOutcome:
-    body = await _read_body(answer)
+    body = await read_body(answer, peer=state.entry.id)
     context.failed_answer = CompleteResponse(answer.head, body)
     state.note_error(asyncio.get_running_loop().time())
     _log_attempt(context, state, AttemptOutcome.FAILED, answer.head.status)
     return AttemptOutcome.FAILED
 
 
-async def _read_body(answer: TargetAnswer) -> bytes:
-    return b''.join([data async for data in answer.chunks()])
-
-
 def _note_failure(
     context: RunContext,
     state: TargetState,
--- a/src/dandelioncleat/app/direct/forwarding.py
+++ b/src/dandelioncleat/app/direct/forwarding.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from dandelioncleat.app.direct.answer_body import read_body
 from dandelioncleat.app.direct.process_directory import (
     ProcessDirectory,
     ProcessEntry,
@@ -133,7 +134,7 @@
         return answer.refusal
     context.is_close_delimited = answer.head.is_close_delimited
     if not answer.is_stream:
-        body = b''.join([data async for data in answer.chunks()])
+        body = await read_body(answer, peer=peer)
         await reply.send_complete(CompleteResponse(answer.head, body))
         return None
     timer.reschedule(context.deadline)
--- a/src/dandelioncleat/app/direct/stream_relay.py
+++ b/src/dandelioncleat/app/direct/stream_relay.py
@@ -3,9 +3,14 @@
 from collections.abc import Callable
 
 from dandelioncleat.app.direct.run_context import RunContext
+from dandelioncleat.core.event_stream import MAX_EVENT_BYTES
 from dandelioncleat.core.failure import Code, failure_error
 from dandelioncleat.ports.direct_caller import Reply
-from dandelioncleat.ports.direct_target import STREAM_END_STEP, TargetAnswer
+from dandelioncleat.ports.direct_target import (
+    BODY_STEP,
+    STREAM_END_STEP,
+    TargetAnswer,
+)
 
 
 async def relay_stream(
@@ -20,7 +25,8 @@
 
     :param peer: the target or router that answers
     :param on_output: called whenever events have arrived
-    :raises FailureError: if the answer breaks off, also inside an event
+    :raises FailureError: if the answer breaks off, also inside an event, or if
+        an event is too large
     """
     if context.sent_head is None:
         context.sent_head = answer.head
@@ -33,6 +39,13 @@
             if on_output is not None:
                 on_output()
             await reply.write(whole_events)
+        if stream.exceeds_limit:
+            raise failure_error(
+                Code.TARGET,
+                step=BODY_STEP,
+                peer=peer,
+                text=f'an event exceeds {MAX_EVENT_BYTES} bytes',
+            )
     problem = _end_problem(context, answer)
     if problem is not None:
         raise failure_error(
--- a/src/dandelioncleat/core/event_stream.py
+++ b/src/dandelioncleat/core/event_stream.py
@@ -6,6 +6,8 @@
 EVENT_END = re.compile(rb'\n\n|\r\n\r\n|\r\r')
 LINE_ENDS = b'\r\n'
 ID_FIELD = b'id:'
+# A target in trouble may send bytes without end.
+MAX_EVENT_BYTES = 1024 * 1024
 
 
 class EventStreamParser:
@@ -37,6 +39,11 @@
         """Return whether an event has begun that is not whole yet."""
         return bool(self._partial.strip(LINE_ENDS))
 
+    @property
+    def exceeds_limit(self) -> bool:
+        """Return whether an event is longer than ``MAX_EVENT_BYTES``."""
+        return len(self._partial) > MAX_EVENT_BYTES
+
     def finish(self) -> bytes:
         """Return the line ends after the last event of a complete stream."""
         rest = self._partial
--- a/src/dandelioncleat/platform/targets.py
+++ b/src/dandelioncleat/platform/targets.py
@@ -22,6 +22,7 @@
 from dandelioncleat.platform.notices import target_notice
 from dandelioncleat.platform.sockets import new_keepalive_socket
 from dandelioncleat.ports.direct_target import (
+    BODY_STEP,
     CONNECT_STEP,
     TargetOccupancy,
     TargetRequest,
@@ -31,7 +32,6 @@
 # Targets close idle connections after a timeout of their own.
 POOL_IDLE_S = 2.0
 ANSWER_STEP = 'answer'
-BODY_STEP = 'body'
 MISDIRECTED = 421
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
--- a/src/dandelioncleat/ports/direct_target.py
+++ b/src/dandelioncleat/ports/direct_target.py
@@ -13,6 +13,7 @@
 from dandelioncleat.core.target_notice import TargetNotice
 
 CONNECT_STEP = 'connect'
+BODY_STEP = 'body'
 STREAM_END_STEP = 'stream end'
 
 
--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -248,6 +248,20 @@
     return answer
 
 
+def endless(start, part):
+    """Return an answer that repeats a part until its connection is closed."""
+
+    async def answer(request):
+        transport = request.transport
+        transport.write(start)
+        while True:
+            if transport.get_write_buffer_size() < len(part):
+                transport.write(part)
+            await asyncio.sleep(0)
+
+    return answer
+
+
 def event_bytes(first, last):
     """Return numbered events as they are sent."""
     numbers = range(first, last + 1)
