Bound the bodies that the store's and the sidecars' clients read

The same fault at the other clients: replies of the store, of cache events and of control calls were read without a bound, as were answers of plain services and single events of completions. Tests: test_an_answer_without_end_is_a_failure failed before; test_page_without_end.

--- a/src/dandelioncleat/adapters/_completion_events.py
+++ b/src/dandelioncleat/adapters/_completion_events.py
@@ -55,6 +55,11 @@
         self.output_tokens = 0
         self._incomplete = b''
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Return the length of the event that is not whole yet."""
+        return len(self._incomplete)
+
     def feed(self, data: bytes) -> Piece | None:
         """Parse bytes and return what they add to the answer.
 
--- a/src/dandelioncleat/adapters/_http_call.py
+++ b/src/dandelioncleat/adapters/_http_call.py
@@ -11,6 +11,8 @@
 CALL_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 CONNECT_STEP = 'connect'
 ERROR_STATUS = 400
+# The longest replies are pages of the store, about 1 MiB in base64.
+MAX_REPLY_BYTES = 8 * 1024 * 1024
 
 
 class FailureContext(NamedTuple):
@@ -51,6 +53,21 @@
         return self.body
 
 
+async def read_bounded(response: aiohttp.ClientResponse) -> bytes:
+    """Return the body of a short reply.
+
+    :raises aiohttp.ClientPayloadError: above ``MAX_REPLY_BYTES``
+    """
+    body = bytearray()
+    async for data in response.content.iter_any():
+        body += data
+        if len(body) > MAX_REPLY_BYTES:
+            raise aiohttp.ClientPayloadError(
+                f'the body exceeds {MAX_REPLY_BYTES} bytes'
+            )
+    return bytes(body)
+
+
 async def call(
     session: aiohttp.ClientSession,
     method: str,
@@ -68,7 +85,7 @@
         async with session.request(
             method, url, timeout=timeout, **options
         ) as response:
-            body = await response.read()
+            body = await read_bounded(response)
             return Reply(response.status, response.headers, body)
     except CALL_ERRORS as error:
         raise context.failure(error) from error
--- a/src/dandelioncleat/adapters/http_model_target.py
+++ b/src/dandelioncleat/adapters/http_model_target.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from dandelioncleat.adapters._completion_events import CompletionParser
-from dandelioncleat.adapters._http_call import CALL_ERRORS
+from dandelioncleat.adapters._http_call import CALL_ERRORS, read_bounded
 from dandelioncleat.adapters._named_json import decode_named
 from dandelioncleat.adapters._target_http import (
     READ_STEP,
@@ -20,6 +20,7 @@
     run_headers,
 )
 from dandelioncleat.adapters.run_text import run_text
+from dandelioncleat.core.event_stream import MAX_EVENT_BYTES
 from dandelioncleat.core.failure import Code, FailureError, failure_error
 from dandelioncleat.core.identity import RunId
 from dandelioncleat.ports.target import (
@@ -121,7 +122,7 @@
         response: aiohttp.ClientResponse,
     ) -> AsyncIterator[TargetEvent]:
         if not response.ok:
-            yield Piece(await response.read(), 0)
+            yield Piece(await read_bounded(response), 0)
             yield Ended(response.status, JSON_TYPE, 0, 0, 'error')
             return
         events = CompletionParser()
@@ -129,6 +130,13 @@
             piece = events.feed(data)
             if piece is not None:
                 yield piece
+            if events.incomplete_bytes > MAX_EVENT_BYTES:
+                raise failure_error(
+                    Code.TARGET,
+                    step=READ_STEP,
+                    peer=self._target.url,
+                    text=f'an event exceeds {MAX_EVENT_BYTES} bytes',
+                )
         if not events.is_done:
             raise failure_error(
                 Code.TARGET,
--- a/src/dandelioncleat/adapters/http_plain_target.py
+++ b/src/dandelioncleat/adapters/http_plain_target.py
@@ -11,6 +11,7 @@
     TargetHttp,
     run_headers,
 )
+from dandelioncleat.core.failure import Code, failure_error
 from dandelioncleat.core.identity import RunId
 from dandelioncleat.ports.target import (
     CacheEvents,
@@ -22,6 +23,8 @@
 )
 
 UNCOUNTED: int | None = None
+# A service in trouble may send bytes without end.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
 class HttpPlainTarget:
@@ -42,7 +45,10 @@
                 timeout=RUN_TIMEOUT,
             ) as response:
                 self._target.check_fence(response.status, response.headers)
+                size = 0
                 async for data in response.content.iter_any():
+                    size += len(data)
+                    self._check_size(size)
                     yield Piece(data, 0)
                 yield _end(response)
         except CALL_ERRORS as error:
@@ -50,6 +56,15 @@
                 error
             ) from error
 
+    def _check_size(self, size: int) -> None:
+        if size > MAX_ANSWER_BYTES:
+            raise failure_error(
+                Code.TARGET,
+                step=READ_STEP,
+                peer=self._target.url,
+                text=f'the answer exceeds {MAX_ANSWER_BYTES} bytes',
+            )
+
     async def cancel(self, run: RunId) -> Ended | None:
         """Return ``None``; a call that has begun runs to its end."""
 
--- a/tests/test_http_adapters.py
+++ b/tests/test_http_adapters.py
@@ -24,7 +24,7 @@
 from dandelioncleat.standin.service import PlainService, ServiceSettings
 from dandelioncleat.standin.service_http import new_service_application
 from dandelioncleat.standin.weight_store import WeightStore
-from tests.builders.direct import Target, close_delimited
+from tests.builders.direct import Target, close_delimited, endless
 from tests.builders.standins import (
     answer_of,
     completion_body,
@@ -289,6 +289,19 @@
         self.assertIn('"echo":"42"', text)
         self.assertEqual(16, load.slots)
 
+    def test_an_answer_without_end_is_a_failure(self):
+        async def scenario(session, stack):
+            service = Target('i', 'app')
+            await service.start()
+            stack.callback(service.close)
+            head = b'HTTP/1.1 200 OK\r\n\r\n'
+            service.answers = [endless(head, b'x' * 100_000)]
+            target = HttpPlainTarget(session, f'http://{service.address}')
+            async with asyncio.timeout(10):
+                return await failure_of(answer_of(target, plain_call()))
+
+        self.assertEqual((Code.TARGET, 'read'), run(scenario)[:2])
+
     def test_a_reset_answer_without_length_is_a_failure(self):
         async def scenario(session, stack):
             service = Target('i', 'app')
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -5,6 +5,7 @@
 import testtools
 from aiohttp import web
 
+from dandelioncleat.adapters._http_call import MAX_REPLY_BYTES
 from dandelioncleat.core.failure import Code, FailureError
 from dandelioncleat.platform.framing import PAGE_HEAD, frame_records
 from dandelioncleat.platform.store import PlatformStore, new_store_session
@@ -39,7 +40,8 @@
         error = self.assertRaises(
             FailureError, asyncio.run, _call_store(body, call)
         )
-        return error.failure.code
+        self.assertEqual(Code.LOG, error.failure.code)
+        return error.failure.text
 
     def test_whole_page(self):
         page = asyncio.run(_call_store(PAGE, _read))
@@ -47,11 +49,15 @@
 
     def test_page_that_ends_inside_a_record(self):
         for missing in (1, 6, 8, 9, 11, len(PAGE) - 3):
-            self.assertEqual(Code.LOG, self._failure(PAGE[:-missing], _read))
+            self.assertIn('ends inside', self._failure(PAGE[:-missing], _read))
+
+    def test_page_without_end(self):
+        body = b'x' * (MAX_REPLY_BYTES + 1)
+        self.assertIn('exceeds', self._failure(body, _read))
 
     def test_documents_that_end_early(self):
-        self.assertEqual(Code.LOG, self._failure(b'{"end": 1', _append))
-        self.assertEqual(Code.LOG, self._failure(b'{"items": [', _newest))
+        self.assertIn('truncated', self._failure(b'{"end": 1', _append))
+        self.assertIn('truncated', self._failure(b'{"items": [', _newest))
 
 
 def _read(store):
