Give answers that arrived while the event loop stood still the time to be read

The known red test of the priority test: a request was refused by no_tokens_here after the loop of its router had stood still for a second. Cause: timers that fall due during a stall fire in the turn in which the answers are read, so every open call of the store and the wait for tokens timed out though what they waited for had come.

--- a/src/dandelioncleat/adapters/_http_call.py
+++ b/src/dandelioncleat/adapters/_http_call.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from dandelioncleat.app.stall_timeout import stall_timeout
 from dandelioncleat.core.failure import Code, FailureError, failure_error
 
 CALL_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
@@ -15,6 +16,9 @@
 MAX_REPLY_BYTES = 8 * 1024 * 1024
 
 
+_NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
+
+
 class FailureContext(NamedTuple):
     """The code, step and peer for a failure of a call."""
 
@@ -78,14 +82,14 @@
     **options: Any,
 ) -> Reply:
     """Make a call and read the complete response."""
-    timeout = aiohttp.ClientTimeout(total=timeout_s)
     if session.closed:
         raise context.failure(OSError('the HTTP session is closed'))
     try:
-        async with session.request(
-            method, url, timeout=timeout, **options
-        ) as response:
-            body = await read_bounded(response)
-            return Reply(response.status, response.headers, body)
+        async with stall_timeout(timeout_s):
+            async with session.request(
+                method, url, timeout=_NO_TIMEOUT, **options
+            ) as response:
+                body = await read_bounded(response)
+                return Reply(response.status, response.headers, body)
     except CALL_ERRORS as error:
         raise context.failure(error) from error
--- a/src/dandelioncleat/app/direct/wallet.py
+++ b/src/dandelioncleat/app/direct/wallet.py
@@ -6,6 +6,7 @@
 
 from dandelioncleat.app.direct.holdings_sync import HoldingsSync
 from dandelioncleat.app.signal import Signal
+from dandelioncleat.app.stall_timeout import stall_timeout
 from dandelioncleat.core.host_choice import HostChoice
 from dandelioncleat.core.host_holdings import (
     HostHoldings,
@@ -92,7 +93,7 @@
             return ReservationOutcome.ELSEWHERE
         account.waiting_by_request[need.request] = need.tokens
         try:
-            async with asyncio.timeout(limit_s):
+            async with stall_timeout(limit_s):
                 return await self._wait_for_tokens(need)
         except TimeoutError:
             return ReservationOutcome.ELSEWHERE
