--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -13,6 +13,8 @@
 from tests.builders.logs import captured_lines
 
 HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nServer-Stamp: s.1\r\n'
+# Large parts reach the bound in few turns of the loop.
+PART = b'x' * 100_000
 STREAM = HEAD + b'Content-Type: text/event-stream\r\n'
 
 
@@ -35,11 +37,11 @@
         self.assertEqual(b'502', answer.head.split()[1], answer.head)
 
     def test_body_that_ends_with_its_connection(self):
-        self._assert_lost(HEAD + b'\r\n', b'x' * 1000)
+        self._assert_lost(HEAD + b'\r\n', PART)
 
     def test_body_in_chunks(self):
         head = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
-        self._assert_lost(head, b'3e8\r\n' + b'x' * 1000 + b'\r\n')
+        self._assert_lost(head, b'186a0\r\n' + PART + b'\r\n')
 
     def test_status_line(self):
         self._assert_lost(b'HTTP/1.1 200 ', b'O' * 1000)
@@ -57,7 +59,7 @@
         with captured_lines() as lines:
             answer = self._answer(
                 STREAM + b'\r\n' + event_bytes(0, 2),
-                b'data: ' + b'x' * 1000,
+                b'data: ' + PART,
                 '/single/a',
                 **MODEL_HEADERS,
             )
