Wait for a requested grant at a planned stop, and return it

Looking for a cause: a reservation may request another grant beforehand; a stop that came within that round trip returned what was spendable and ended, and the grant that came after it was stranded until an operator releases it. Direct routers don't use this code.

--- a/src/dandelioncleat/app/_holdings_by_budget.py
+++ b/src/dandelioncleat/app/_holdings_by_budget.py
@@ -90,14 +90,13 @@
                 )
 
     async def return_all(self) -> None:
-        """Return all spendable tokens and wait for the ledger."""
+        """Return all spendable tokens and wait for the ledger.
+
+        A grant that is being requested is waited for and returned, too.
+        """
         async with asyncio.TaskGroup() as group:
             for holdings in tuple(self.by_budget.values()):
-                group.create_task(
-                    self._grant_requester.return_tokens(
-                        holdings, holdings.wallet.spendable
-                    ),
-                )
+                group.create_task(_return(holdings, self._grant_requester))
 
     def drop_fenced(
         self, holdings: BudgetHoldings, draws: tuple[Draw, ...]
@@ -154,3 +153,9 @@
             self._scope.spawn(
                 self._grant_requester.return_tokens(holdings, spare)
             )
+
+
+async def _return(holdings: BudgetHoldings, requester: GrantRequester) -> None:
+    if holdings.grant_request is not None:
+        await asyncio.wait((holdings.grant_request,))
+    await requester.return_tokens(holdings, holdings.wallet.spendable)
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -241,6 +241,24 @@
 
         self.run_routers(scenario)
 
+    def test_planned_stop_returns_a_grant_that_is_requested_meanwhile(
+        self,
+    ) -> None:
+        async def scenario(routers: list[BudgetRouter]) -> None:
+            budgets = routers[0].budgets
+            # The second reservation requests another grant beforehand.
+            for number in range(2):
+                draws = await budgets.reserve(BUDGET, 100, timeout_s=5)
+                budgets.settle(BUDGET, draws, 100)
+                bill = bill_of(f'key-{number}', 100)
+                await budgets.bill(with_draws(bill, draws))
+            await budgets.return_all()
+            await asyncio.sleep(1)
+            state = routers[1].budgets.balances()[BUDGET]
+            self.assertThat(state.balance.outstanding, Equals(0))
+
+        self.run_routers(scenario, count=2, budget=100_000)
+
     def test_retired_router_refuses_requests(self) -> None:
         async def scenario(routers: list[BudgetRouter]) -> None:
             retired = routers[0].incarnation
