--- a/src/dandelioncleat/adapters/_http_call.py
+++ b/src/dandelioncleat/adapters/_http_call.py
@@ -14,8 +14,6 @@
 ERROR_STATUS = 400
 # The longest replies are pages of the store, about 1 MiB in base64.
 MAX_REPLY_BYTES = 8 * 1024 * 1024
-
-
 _NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
 
 
--- a/src/dandelioncleat/adapters/http_plain_target.py
+++ b/src/dandelioncleat/adapters/http_plain_target.py
@@ -23,7 +23,7 @@
 )
 
 UNCOUNTED: int | None = None
-# A service in trouble may send bytes without end.
+# A faulty service may send an endless answer.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
--- a/src/dandelioncleat/app/direct/answer_body.py
+++ b/src/dandelioncleat/app/direct/answer_body.py
@@ -3,7 +3,7 @@
 from dandelioncleat.core.failure import Code, failure_error
 from dandelioncleat.ports.direct_target import BODY_STEP, TargetAnswer
 
-# A target in trouble may send bytes without end; memory must bear several.
+# A faulty target may send an endless body; memory must hold several.
 MAX_BODY_BYTES = 4 * 1024 * 1024
 
 
--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -52,7 +52,7 @@
     """Send a request to a target and relay its answer, if there is one.
 
     :param reply: receives the answer unless it is a server error or a refusal
-    :param origins: is told where a stream began that may be taken up
+    :param origins: is told where a stream began that the caller may resume
     :raises TimeoutError: if the answer does not arrive in time
     """
     target_request = _target_request(context, state)
@@ -118,7 +118,9 @@
     state.note_first_token(context.request.id)
     if context.origin is not None:
         return
-    context.origin = StreamOrigin(state.entry.service, state.entry.software)
+    context.origin = StreamOrigin(
+        state.entry.service, state.entry.software_version
+    )
     if context.admitted.route.is_resumable:
         origins.note(context.stream_key(context.request.id), context.origin)
 
--- a/src/dandelioncleat/app/direct/placement.py
+++ b/src/dandelioncleat/app/direct/placement.py
@@ -70,7 +70,7 @@
         return bool(self._candidates(context, _now()))
 
     def has_target_of_origin(self, context: RunContext) -> bool:
-        """Return whether a target may go on with the caller's stream."""
+        """Return whether the caller's stream may be resumed anywhere."""
         service = context.admitted.service.name
         states = self._directory.available(service)
         return any(context.fits(state.entry) for state in states)
@@ -78,7 +78,7 @@
     def only_origin(self, service: str) -> StreamOrigin | None:
         """Return the origin of all streams if one version serves alone."""
         states = self._directory.available(service)
-        versions = {state.entry.software for state in states}
+        versions = {state.entry.software_version for state in states}
         if len(versions) != 1:
             return None
         return StreamOrigin(service, versions.pop())
@@ -126,7 +126,7 @@
             load_age_s=choice.state.occupancy_age_s(_now()),
             backlog_tokens=view.backlog_tokens,
             unread_tokens=unread,
-            software=choice.state.entry.software,
+            software_version=choice.state.entry.software_version,
             resume_after=context.resume_after,
             resumed_request=context.request.resumed_request,
             version=context.admitted.version,
--- a/src/dandelioncleat/app/direct/resumption.py
+++ b/src/dandelioncleat/app/direct/resumption.py
@@ -1,4 +1,4 @@
-"""Decides whether a stream that its caller takes up may go on."""
+"""Decides whether a stream may be resumed at its caller's request."""
 
 from dandelioncleat.app.direct.placement import Placement
 from dandelioncleat.app.direct.run_context import RunContext
@@ -15,10 +15,10 @@
 async def resumption_refusal(
     context: RunContext, *, origins: StreamOrigins, placement: Placement
 ) -> DirectRefusal | None:
-    """Set the origin of a stream that is taken up, or return a refusal.
+    """Set the origin of a resumed stream, or return a refusal.
 
     Events of two software versions don't fit together, so a stream whose
-    origin is not known can't go on.
+    origin is not known can't be resumed.
     """
     if context.request.resume_after is None:
         return None
--- a/src/dandelioncleat/app/direct/run_context.py
+++ b/src/dandelioncleat/app/direct/run_context.py
@@ -86,7 +86,7 @@
         )
 
     def fits(self, entry: TargetEntry) -> bool:
-        """Return whether the caller's stream may go on at a target."""
+        """Return whether the caller's stream may be resumed at a target."""
         return self.origin is None or self.origin.fits(entry)
 
     def begin_attempt(self) -> None:
--- a/src/dandelioncleat/app/direct/stream_origins.py
+++ b/src/dandelioncleat/app/direct/stream_origins.py
@@ -1,12 +1,13 @@
 """Remembers where streams began, and shares it with all routers.
 
-A caller may take a broken stream up at any router, also after the one that
+A caller may resume a broken stream at any router, also after the one that
 began it was killed. Origins are written to the store in batches, and read
-only when a stream is taken up that this router does not know.
+only when a caller resumes a stream that this router does not know.
 """
 
 import asyncio
 from collections import OrderedDict
+from typing import NamedTuple
 
 import msgspec
 import structlog
@@ -26,12 +27,12 @@
 )
 
 ORIGINS_TOPIC = 'streams'
-# Streams that began in this time before a kill can't be taken up.
+# Streams that began in this time before a kill can't be resumed.
 WRITE_INTERVAL_S = 0.2
 # Each host writes its keys in turn, so a record is kept for 25 s; callers
-# take a stream up sooner, as they wait for some seconds in all.
+# resume a stream sooner, as they wait for some seconds in all.
 KEYS_PER_HOST = 128
-# A stream may be taken up before its record is written.
+# A stream may be resumed before its record is written.
 FIND_LIMIT_S = 0.5
 # A read that finds nothing also tells whether the store was restored.
 READ_WAIT_S = 0.2
@@ -43,8 +44,15 @@
 _Origins = OrderedDict[str, StreamOrigin]
 
 
+class _Position(NamedTuple):
+    """Where to read on; offsets count within an era of the store."""
+
+    end: int
+    era: int
+
+
 class StreamOrigins:
-    """Keeps the origins of the streams that may be taken up again."""
+    """Keeps the origins of the streams that callers may resume."""
 
     def __init__(self, store: KeyedStore, *, host: str, clock: Clock) -> None:
         """Initialise without any stream."""
@@ -57,7 +65,7 @@
         self._write_due = asyncio.Event()
         self._written_era: int | None = None
         self._reading = asyncio.Lock()
-        self._read_page: KeyedPage | None = None
+        self._position: _Position | None = None
 
     def note(self, key: str, origin: StreamOrigin) -> None:
         """Note that this router has passed on the first event of a stream."""
@@ -95,22 +103,21 @@
             if key in self._known_by_key:
                 return
             page = await self._next_page()
-            self._read_page = page
+            self._position = _Position(page.end, page.era)
             for record in page.records:
                 self._learn(record)
 
     async def _next_page(self) -> KeyedPage:
-        last = self._read_page
-        if last is None:
+        position = self._position
+        if position is None:
             return await self._store.newest(ORIGINS_TOPIC)
         try:
             page = await self._store.read(
-                ORIGINS_TOPIC, start=last.end, wait_s=READ_WAIT_S
+                ORIGINS_TOPIC, start=position.end, wait_s=READ_WAIT_S
             )
         except OutdatedReadError:
             return await self._store.newest(ORIGINS_TOPIC)
-        if page.era != last.era:
-            # Positions count within an era.
+        if page.era != position.era:
             return await self._store.newest(ORIGINS_TOPIC)
         return page
 
--- a/src/dandelioncleat/app/direct/target_directory.py
+++ b/src/dandelioncleat/app/direct/target_directory.py
@@ -123,7 +123,7 @@
             service=entry.service,
             address=entry.address,
             draining=entry.is_draining,
-            software=entry.software,
+            software_version=entry.software_version,
         )
 
     def _delist(self, target: str) -> None:
--- a/src/dandelioncleat/core/deployment.py
+++ b/src/dandelioncleat/core/deployment.py
@@ -146,8 +146,8 @@
     """One target in the platform's list.
 
     ``started_at`` distinguishes starts of a target under the same id.
-    ``software`` is the version of its software, ``None`` if it tells none;
-    streams of two versions don't fit together.
+    ``software_version`` is ``None`` if the entry tells none; streams of two
+    versions don't fit together.
     """
 
     id: str
@@ -157,4 +157,4 @@
     slots: int
     is_draining: bool
     started_at: int
-    software: str | None = None
+    software_version: str | None = None
--- a/src/dandelioncleat/core/event_stream.py
+++ b/src/dandelioncleat/core/event_stream.py
@@ -6,7 +6,7 @@
 EVENT_END = re.compile(rb'\n\n|\r\n\r\n|\r\r')
 LINE_ENDS = b'\r\n'
 ID_FIELD = b'id:'
-# A target in trouble may send bytes without end.
+# A faulty target may send an endless event.
 MAX_EVENT_BYTES = 1024 * 1024
 
 
--- a/src/dandelioncleat/core/stream_origin.py
+++ b/src/dandelioncleat/core/stream_origin.py
@@ -1,4 +1,4 @@
-"""Where a stream began; it may go on only at the same software version."""
+"""Where a stream began; it is resumed only at the same software version."""
 
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -11,16 +11,18 @@
 class StreamOrigin(NamedTuple):
     """The service and the software version that sent the first event.
 
-    ``software`` is ``None`` if the target tells no version.
+    ``software_version`` is ``None`` if the target tells no version.
     """
 
     service: str
-    software: str | None
+    software_version: str | None
 
     def fits(self, entry: TargetEntry) -> bool:
-        """Return whether the stream may go on at a target."""
+        """Return whether the stream may be resumed at a target."""
         is_same_service = entry.service == self.service
-        return is_same_service and entry.software == self.software
+        return (
+            is_same_service and entry.software_version == self.software_version
+        )
 
 
 _DECODER = msgspec.msgpack.Decoder(dict[str, tuple[str, str | None]])
--- a/src/dandelioncleat/platform/documents.py
+++ b/src/dandelioncleat/platform/documents.py
@@ -150,7 +150,7 @@
         slots=server.slots,
         is_draining=is_draining,
         started_at=server.born,
-        software=server.version,
+        software_version=server.version,
     )
 
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,4 +1,4 @@
-"""Tests of targets that send bytes without end."""
+"""Tests of targets that send endless answers."""
 
 import asyncio
 
--- a/tests/test_target_versions.py
+++ b/tests/test_target_versions.py
@@ -44,7 +44,7 @@
 
 
 class ResumedInsideAnswerTest(testtools.TestCase):
-    """A stream goes on only at the version that began it."""
+    """A router resumes a stream only at the version that began it."""
 
     async def _begin(self, fleet, others):
         """Break a stream off at ``v1`` once the other targets are listed."""
@@ -69,7 +69,7 @@
         self.assertIn(b'id: 2', answer.body)
         self.assertEqual((False, 0), (answer.looks_complete, others))
 
-    def test_stream_goes_on_at_its_own_version(self):
+    def test_stream_is_resumed_at_its_own_version(self):
         async def scenario(fleet):
             third = Target('i-llm3', 'llm')
             await third.start()
@@ -85,11 +85,11 @@
         self.assertEqual((True, 0), (answer.looks_complete, others))
 
 
-class TakenUpByCallerTest(testtools.TestCase):
-    """A stream that its caller takes up goes on at its own version, too."""
+class ResumedByCallerTest(testtools.TestCase):
+    """A stream that its caller resumes stays at its version, too."""
 
     def _resume(self, *, host=None, is_first_left=True, **headers):
-        """Take a broken stream up beside a target of another version.
+        """Resume a broken stream beside a target of another version.
 
         :param host: where a router replaces the one that began the stream
         :param is_first_left: whether a target of the first version is left
@@ -163,7 +163,9 @@
         with captured_lines() as lines:
             run_with_fleet(scenario)
         placed = [line for line in lines if line['event'] == 'request placed']
-        self.assertEqual(['v1', 'v1'], [line['software'] for line in placed])
+        self.assertEqual(
+            ['v1', 'v1'], [line['software_version'] for line in placed]
+        )
         self.assertEqual(
             [(None, None), ('2', 'r-1')],
             [
