Log which lost requests a crash is held against, and probes that find none

A crash was logged with the count of the lost requests only, and a probe that found the target alive left no line. The lines now name each lost request and its digest.

--- a/src/dandelioncleat/app/direct/crash_quarantine.py
+++ b/src/dandelioncleat/app/direct/crash_quarantine.py
@@ -28,6 +28,8 @@
 RETRY_PAUSE_S = 0.2
 READ_WAIT_S = 5.0
 EXPIRY_INTERVAL_S = 30.0
+# A crash may interrupt as many requests as a target runs.
+MAX_LOGGED_REQUESTS = 64
 
 _logger = structlog.get_logger(__name__)
 
@@ -53,7 +55,7 @@
         self._clock = clock
         self._source = random.Random(host)
         self._records = CrashRecords(host)
-        self._lost_digests_by_start: dict[str, set[str]] = {}
+        self._lost_by_start: dict[str, list[DirectRequest]] = {}
         self._probes: set[asyncio.Task[None]] = set()
         self._values_by_key: dict[str, bytes] = {}
         self._write_due = asyncio.Event()
@@ -73,11 +75,11 @@
     def note_lost(self, request: DirectRequest, target: TargetEntry) -> None:
         """Find out whether the target of a lost answer has crashed."""
         start = _start_of(target)
-        digests = self._lost_digests_by_start.get(start)
-        if digests is not None:
-            digests.add(request.digest)
+        lost = self._lost_by_start.get(start)
+        if lost is not None:
+            lost.append(request)
             return
-        self._lost_digests_by_start[start] = {request.digest}
+        self._lost_by_start[start] = [request]
         probe = asyncio.get_running_loop().create_task(self._probe(target))
         self._probes.add(probe)
         probe.add_done_callback(self._probes.discard)
@@ -111,20 +113,15 @@
         await asyncio.sleep(PROBE_DELAY_S)
         has_crashed = await self._targets.refuses_connections(target)
         start = _start_of(target)
-        digests = self._lost_digests_by_start.pop(start)
+        lost = self._lost_by_start.pop(start)
+        _log_probe(target, lost, has_crashed=has_crashed)
         if not has_crashed:
             return
         now = self._clock.wall()
         records = [
             self._records.add_crash(digest, start, now)
-            for digest in sorted(digests)
+            for digest in sorted({each.digest for each in lost})
         ]
-        _logger.warning(
-            'target crashed',
-            target=target.id,
-            start=start,
-            requests=len(digests),
-        )
         self._write(
             {each.key: msgspec.msgpack.encode(each) for each in records}
         )
@@ -185,5 +182,20 @@
             self._write(dict.fromkeys(expired, b''))
 
 
+def _log_probe(
+    target: TargetEntry, lost: list[DirectRequest], *, has_crashed: bool
+) -> None:
+    log = _logger.warning if has_crashed else _logger.info
+    log(
+        'target crashed' if has_crashed else 'target did not crash',
+        target=target.id,
+        start=_start_of(target),
+        lost=len(lost),
+        digests_by_request={
+            each.id: each.digest for each in lost[:MAX_LOGGED_REQUESTS]
+        },
+    )
+
+
 def _start_of(target: TargetEntry) -> str:
     return f'{target.id}/{target.started_at}'
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -18,6 +18,7 @@
 from dandelioncleat.core.direct_request import DirectRequest
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore, StoreFaults
 from tests.builders.direct import crashed, run_with_fleet, text_answer
+from tests.builders.logs import captured_lines
 from tests.builders.wallets import HostClock
 
 
@@ -173,6 +174,31 @@
         self.assertEqual((0, 0), run_with_quarantines(scenario))
 
 
+class LogTest(testtools.TestCase):
+    """The line of a probe names the lost requests and what it found."""
+
+    def _line(self, **options):
+        async def scenario(fleet):
+            fleet.routers[0].note_lost(request(7), target(1))
+            await asyncio.sleep(1)
+
+        with captured_lines() as lines:
+            run_with_quarantines(scenario, **options)
+        line = next(each for each in lines if 'digests_by_request' in each)
+        return line['event'], line['digests_by_request']
+
+    def test_crash(self):
+        self.assertEqual(
+            ('target crashed', {'r-7': request(1).digest}), self._line()
+        )
+
+    def test_target_that_still_listens(self):
+        self.assertEqual(
+            ('target did not crash', {'r-7': request(1).digest}),
+            self._line(have_crashed=False),
+        )
+
+
 class CrashRecordsTest(testtools.TestCase):
     """The records of all hosts count together."""
 
