Show with failing tests three ways in which repeats go on crashing targets

- A target crashes between two events of an answer that has neither a length nor chunks.
The end of its connection is taken for a success, which withdraws the records of all routers; the third crash never counts.
- A router that starts again counts a crash before it has read the records, and overwrites what its host recorded before.
- A request that is quarantined while it runs is sent on to another target.

--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -159,10 +159,15 @@
     return text_answer('full', 503, **{'Not-Run': '1'})
 
 
-def aborted():
-    """Return an answer that closes the connection before its head."""
+def aborted(until=None):
+    """Return an answer that closes the connection before its head.
+
+    :param until: an event that must be set before
+    """
 
     async def answer(request):
+        if until is not None:
+            await until.wait()
         request.transport.abort()
         return web.Response()
 
@@ -171,13 +176,17 @@
 
 def crashed(target):
     """Return an answer that breaks off as its target stops listening."""
+    return crashed_after(target, aborted())
 
-    async def answer(request):
+
+def crashed_after(target, answer):
+    """Return an answer that ends as its target stops listening."""
+
+    async def ended(request):
         target.close()
-        request.transport.abort()
-        return web.Response()
+        return await answer(request)
 
-    return answer
+    return ended
 
 
 def never_answered():
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from dandelioncleat.adapters.system_clock import SystemClock
 from dandelioncleat.adapters.virtual_time import run
 from dandelioncleat.app.direct.crash_quarantine import (
     CRASHES_TOPIC,
@@ -17,7 +18,17 @@
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import DirectRequest
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore, StoreFaults
-from tests.builders.direct import crashed, run_with_fleet, text_answer
+from tests.builders.direct import (
+    KEY,
+    MODEL_HEADERS,
+    aborted,
+    close_delimited,
+    crashed,
+    crashed_after,
+    event_bytes,
+    run_with_fleet,
+    text_answer,
+)
 from tests.builders.logs import captured_lines
 from tests.builders.wallets import HostClock
 
@@ -142,6 +153,24 @@
 
         self.assertTrue(run_with_quarantines(scenario))
 
+    def test_a_router_that_starts_again_keeps_what_its_host_recorded(self):
+        async def scenario(fleet):
+            await fleet.crash(QUARANTINE_CRASHES - 1)
+            fleet.store.faults = StoreFaults(slow_s=0.3)
+            successor = CrashQuarantine(
+                fleet.store.client(),
+                FakeTargets(),
+                host='h0',
+                clock=HostClock(),
+            )
+            task = asyncio.ensure_future(successor.run())
+            successor.note_lost(request(8), target(8))
+            await asyncio.sleep(3)
+            task.cancel()
+            return successor.find(request(9)) is not None, fleet.refusing()
+
+        self.assertEqual((True, 1), run_with_quarantines(scenario, count=1))
+
     def test_crashes_in_an_outage_are_shared_after_it(self):
         async def scenario(fleet):
             fleet.store.faults = StoreFaults(outage=True)
@@ -236,23 +265,102 @@
         self.assertEqual(b'crashes_targets', again[2])
 
 
-async def _list_start(fleet, started_at):
-    """List one start of the target in place of the one before."""
-    await fleet.put('servers', 'i-app', None)
-    await fleet.wait_until(lambda: not fleet.router.target_count('app'))
-    entry = {**fleet.app.entry(), 'born': started_at}
-    await fleet.put('servers', 'i-app', entry)
-    await fleet.wait_until(lambda: fleet.router.target_count('app'))
+class EndOfConnectionTest(testtools.TestCase):
+    """A crash may close the connection of an answer without a length."""
+
+    def _crash_last(self, last_answer):
+        """Crash two targets plainly and one at the end of an answer."""
+
+        async def scenario(fleet):
+            answers = [crashed(fleet.llm)] * (QUARANTINE_CRASHES - 1)
+            for number, answer in enumerate((*answers, last_answer(fleet.llm))):
+                await _list_start(fleet, number, fleet.llm)
+                fleet.llm.answers = [answer]
+                await fleet.raw_answer('/single/a', **MODEL_HEADERS)
+                await _wait_for_crashes(fleet, number + 1)
+                await fleet.llm.start()
+            await _list_start(fleet, QUARANTINE_CRASHES, fleet.llm)
+            again = await fleet.call('/single/a', **MODEL_HEADERS)
+            return again[0], again[2]
+
+        return run_with_fleet(scenario)
+
+    def test_crash_between_two_events_counts(self):
+        answer = close_delimited(event_bytes(0, 2))
+        self.assertEqual(
+            (503, b'crashes_targets'),
+            self._crash_last(lambda target: crashed_after(target, answer)),
+        )
+
+
+class SentAgainTest(testtools.TestCase):
+    """A request that is quarantined while it runs is not sent again."""
+
+    def test_request_is_not_sent_on_once_it_is_quarantined(self):
+        async def scenario(fleet):
+            await fleet.put('servers', 'i-llm2', fleet.llm2.entry())
+            await fleet.wait_until(lambda: fleet.router.target_count('llm') > 1)
+            held = asyncio.Event()
+            engines = (fleet.llm, fleet.llm2)
+            for engine in engines:
+                engine.answers = [aborted(until=held)]
+            call = asyncio.ensure_future(
+                fleet.call('/stream/a', **MODEL_HEADERS)
+            )
+            await fleet.wait_until(
+                lambda: any(engine.requests for engine in engines)
+            )
+            await _quarantine_elsewhere(fleet, '/stream/a')
+            held.set()
+            answer = await call
+            return answer[0], sum(len(each.requests) for each in engines)
+
+        self.assertEqual((502, 1), run_with_fleet(scenario))
+
+
+async def _quarantine_elsewhere(fleet, path):
+    """Let a request crash targets at another router, and wait until known."""
+    other = CrashQuarantine(
+        fleet.store.client(), FakeTargets(), host='h2', clock=SystemClock()
+    )
+    task = asyncio.ensure_future(other.run())
+    # What is recorded with it tells when the router has read the records.
+    fleet.app.answers = [text_answer('no', 500)] * 1000
+    for number in range(QUARANTINE_CRASHES):
+        for each in (path, '/once/marker'):
+            lost = request(number, path=each)._replace(key=KEY)
+            other.note_lost(lost, target(number))
+    async with asyncio.timeout(20):
+        while (  # noqa: ASYNC110
+            await fleet.call('/once/marker')
+        )[0] != 503:
+            await asyncio.sleep(0.01)
+    task.cancel()
+
+
+async def _list_start(fleet, started_at, listed=None):
+    """List one start of the target in place of the one before.
+
+    :param listed: the target, the one of the service ``app`` by default
+    """
+    listed = listed or fleet.app
+    await fleet.put('servers', listed.name, None)
+    await fleet.wait_until(
+        lambda: not fleet.router.target_count(listed.service)
+    )
+    entry = {**listed.entry(), 'born': started_at}
+    await fleet.put('servers', listed.name, entry)
+    await fleet.wait_until(lambda: fleet.router.target_count(listed.service))
 
 
 async def _wait_for_crashes(fleet, count):
     """Wait until the store has recorded a number of crashes."""
     async with asyncio.timeout(20):
-        while True:
-            page = await fleet.store.newest(CRASHES_TOPIC)
-            if any(
-                record.value.count(b'i-app/') == count
-                for record in page.records
-            ):
-                return
+        while await _recorded_starts(fleet) < count:  # noqa: ASYNC110
             await asyncio.sleep(0.01)
+
+
+async def _recorded_starts(fleet):
+    page = await fleet.store.newest(CRASHES_TOPIC)
+    counts = [record.value.count(b'/') for record in page.records]
+    return max(counts, default=0)
