Ask the target before an answer that ended by its connection counts as a success

Callers saw targets fail one after the other under repeats of one request.

Cause: the end of a connection was taken for a success. A target that crashed between two events of an answer with neither a length nor chunks withdrew what all routers had recorded of the request, so the third crash never counted. Why it works: the target is probed as after a lost answer. If it refuses a connection, it crashed under the run; only if it listens is the run a success. Cost: one connection for each answer that ends by its connection. Ruled out: to count no such answer as a success, as then nothing withdraws the records of the neighbours at targets that always answer so.

--- a/src/dandelioncleat/app/direct/crash_quarantine.py
+++ b/src/dandelioncleat/app/direct/crash_quarantine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from typing import NamedTuple
 
 import msgspec
 import structlog
@@ -34,11 +35,22 @@
 _logger = structlog.get_logger(__name__)
 
 
+class _RunEnd(NamedTuple):
+    """The end of a run that a crash of its target may have caused.
+
+    ``looks_whole`` says that the answer may be whole.
+    """
+
+    request: DirectRequest
+    looks_whole: bool
+
+
 class CrashQuarantine:
     """Records which requests were running when their targets crashed.
 
-    A connection that breaks off may mean a crash, a reset or a cut. A target
-    that refuses a new connection right afterwards has crashed.
+    A connection that breaks off may mean a crash, a reset or a cut, and one
+    that ends an answer may mean a crash, too. A target that refuses a new
+    connection right afterwards has crashed.
     """
 
     def __init__(
@@ -55,7 +67,7 @@
         self._clock = clock
         self._source = random.Random(host)
         self._records = CrashRecords(host)
-        self._lost_by_start: dict[str, list[DirectRequest]] = {}
+        self._ends_by_start: dict[str, list[_RunEnd]] = {}
         self._probes: set[asyncio.Task[None]] = set()
         self._values_by_key: dict[str, bytes] = {}
         self._write_due = asyncio.Event()
@@ -74,15 +86,14 @@
 
     def note_lost(self, request: DirectRequest, target: TargetEntry) -> None:
         """Find out whether the target of a lost answer has crashed."""
-        start = _start_of(target)
-        lost = self._lost_by_start.get(start)
-        if lost is not None:
-            lost.append(request)
-            return
-        self._lost_by_start[start] = [request]
-        probe = asyncio.get_running_loop().create_task(self._probe(target))
-        self._probes.add(probe)
-        probe.add_done_callback(self._probes.discard)
+        self._probe_soon(_RunEnd(request, looks_whole=False), target)
+
+    def note_closed(self, request: DirectRequest, target: TargetEntry) -> None:
+        """Find out whether an answer that ended by its connection is whole.
+
+        It counts as a success only if the target has not crashed.
+        """
+        self._probe_soon(_RunEnd(request, looks_whole=True), target)
 
     def note_delivered(self, request: DirectRequest) -> None:
         """Withdraw what was recorded of a request that has succeeded."""
@@ -109,18 +120,35 @@
             for probe in self._probes:
                 probe.cancel()
 
+    def _probe_soon(self, end: _RunEnd, target: TargetEntry) -> None:
+        start = _start_of(target)
+        ends = self._ends_by_start.get(start)
+        if ends is not None:
+            ends.append(end)
+            return
+        self._ends_by_start[start] = [end]
+        probe = asyncio.get_running_loop().create_task(self._probe(target))
+        self._probes.add(probe)
+        probe.add_done_callback(self._probes.discard)
+
     async def _probe(self, target: TargetEntry) -> None:
         await asyncio.sleep(PROBE_DELAY_S)
         has_crashed = await self._targets.refuses_connections(target)
         start = _start_of(target)
-        lost = self._lost_by_start.pop(start)
-        _log_probe(target, lost, has_crashed=has_crashed)
-        if not has_crashed:
+        ends = self._ends_by_start.pop(start)
+        _log_probe(target, ends, has_crashed=has_crashed)
+        if has_crashed:
+            self._add_crash(start, {each.request.digest for each in ends})
             return
+        for end in ends:
+            if end.looks_whole:
+                self.note_delivered(end.request)
+
+    def _add_crash(self, start: str, digests: set[str]) -> None:
         now = self._clock.wall()
         records = [
             self._records.add_crash(digest, start, now)
-            for digest in sorted({each.digest for each in lost})
+            for digest in sorted(digests)
         ]
         self._write(
             {each.key: msgspec.msgpack.encode(each) for each in records}
@@ -183,16 +211,17 @@
 
 
 def _log_probe(
-    target: TargetEntry, lost: list[DirectRequest], *, has_crashed: bool
+    target: TargetEntry, ends: list[_RunEnd], *, has_crashed: bool
 ) -> None:
     log = _logger.warning if has_crashed else _logger.info
     log(
         'target crashed' if has_crashed else 'target did not crash',
         target=target.id,
         start=_start_of(target),
-        lost=len(lost),
+        runs=len(ends),
         digests_by_request={
-            each.id: each.digest for each in lost[:MAX_LOGGED_REQUESTS]
+            each.request.id: each.request.digest
+            for each in ends[:MAX_LOGGED_REQUESTS]
         },
     )
 
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -23,6 +23,7 @@
 from dandelioncleat.app.direct.run_context import RunContext
 from dandelioncleat.app.direct.stream_origins import StreamOrigins
 from dandelioncleat.app.direct.wallet import ReservationOutcome, Wallet
+from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import (
     DirectRefusal,
     DirectRequest,
@@ -221,11 +222,9 @@
                 reply=reply,
                 origins=self._parts.origins,
             )
-        match outcome:
-            case AttemptOutcome.LOST:
-                self._parts.quarantine.note_lost(context.request, state.entry)
-            case AttemptOutcome.DELIVERED:
-                self._parts.quarantine.note_delivered(context.request)
+        _report_outcome(
+            context, state.entry, outcome, quarantine=self._parts.quarantine
+        )
         return outcome
 
     def _should_retry(
@@ -293,6 +292,23 @@
     )
 
 
+def _report_outcome(
+    context: RunContext,
+    target: TargetEntry,
+    outcome: AttemptOutcome,
+    *,
+    quarantine: CrashQuarantine,
+) -> None:
+    """Tell the quarantine how an attempt ended."""
+    match outcome:
+        case AttemptOutcome.LOST:
+            quarantine.note_lost(context.request, target)
+        case AttemptOutcome.DELIVERED if context.is_close_delimited:
+            quarantine.note_closed(context.request, target)
+        case AttemptOutcome.DELIVERED:
+            quarantine.note_delivered(context.request)
+
+
 def _log_not_admitted(
     request: DirectRequest, refusal: DirectRefusal, deployment: DeploymentWatch
 ) -> None:
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -65,6 +65,7 @@
     def __init__(self, count, targets):
         """Start the routers."""
         self.store = MemoryKeyedStore()
+        self.targets = targets
         self.routers = [
             CrashQuarantine(
                 self.store.client(), targets, host=f'h{n}', clock=HostClock()
@@ -292,6 +293,17 @@
             self._crash_last(lambda target: crashed_after(target, answer)),
         )
 
+    def test_whole_answer_of_a_target_that_lives_withdraws_the_records(self):
+        async def scenario(fleet):
+            fleet.routers[0].note_lost(request(1), target(1))
+            await asyncio.sleep(1)
+            fleet.targets.have_crashed = False
+            fleet.routers[1].note_closed(request(2), target(2))
+            await asyncio.sleep(1)
+            return len((await fleet.store.newest(CRASHES_TOPIC)).records)
+
+        self.assertEqual(0, run_with_quarantines(scenario))
+
 
 class SentAgainTest(testtools.TestCase):
     """A request that is quarantined while it runs is not sent again."""
