Keep a record for each crash, so that a router that starts again loses none

Callers saw targets fail one after the other under repeats of one request.

Cause: a host's record held all starts that it had seen crash. Why it works: the key is the digest and the start, so records only add up.

Records of the earlier form are ignored with a line each; they lapse with the ten minutes of a quarantine. Ruled out: to serve nothing before the topic is read (the store may be down), to merge at writing (two processes of a host may overlap). The sharing of records has a module of its own.

--- /dev/null
+++ b/src/dandelioncleat/app/direct/shared_crash_records.py
@@ -0,0 +1,140 @@
+"""Shares the records of crashes with all routers, through the store."""
+
+import asyncio
+import random
+from collections.abc import Iterable, Mapping
+
+import msgspec
+import structlog
+
+from dandelioncleat.app.direct.topic_follower import (
+    TopicChange,
+    TopicFollower,
+)
+from dandelioncleat.core.crash_records import CrashRecord, CrashRecords
+from dandelioncleat.core.failure import FailureError
+from dandelioncleat.core.keyed_record import KeyedRecord
+from dandelioncleat.ports.clock import Clock
+from dandelioncleat.ports.store import KeyedStore
+
+CRASHES_TOPIC = 'crashes'
+RETRY_PAUSE_S = 0.2
+READ_WAIT_S = 5.0
+EXPIRY_INTERVAL_S = 30.0
+
+# ``None`` stands for a record that is withdrawn.
+_Changes = Mapping[str, CrashRecord | None]
+
+_logger = structlog.get_logger(__name__)
+
+
+class SharedCrashRecords:
+    """Keeps the records of all routers, and writes those of this one."""
+
+    def __init__(self, store: KeyedStore, *, host: str, clock: Clock) -> None:
+        """Initialise with the store.
+
+        :param host: host of this router
+        """
+        self.known = CrashRecords()
+        self._store = store
+        self._clock = clock
+        self._source = random.Random(host)
+        self._own_keys: set[str] = set()
+        self._unwritten_by_key: dict[str, CrashRecord | None] = {}
+        self._write_due = asyncio.Event()
+        self._follower = TopicFollower(
+            store,
+            CRASHES_TOPIC,
+            on_change=self._apply,
+            read_wait_s=READ_WAIT_S,
+        )
+
+    def add(self, records: Iterable[CrashRecord]) -> None:
+        """Add what this router has seen."""
+        records_by_key = {each.key: each for each in records}
+        for record in records_by_key.values():
+            self.known.put(record)
+        self._own_keys.update(records_by_key)
+        self._write(records_by_key)
+
+    def withdraw(self, keys: Iterable[str]) -> None:
+        """Withdraw records everywhere."""
+        for key in keys:
+            self.known.remove(key)
+        self._own_keys.difference_update(keys)
+        self._write(dict.fromkeys(keys))
+
+    async def run(self) -> None:
+        """Follow and write the records until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._follower.run())
+            group.create_task(self._write_records())
+            group.create_task(self._expire())
+
+    def _apply(self, change: TopicChange) -> None:
+        if change.is_restored:
+            # The store may have lost what this router wrote.
+            own = (self.known.get(key) for key in self._own_keys)
+            self._write({each.key: each for each in own if each is not None})
+        elif change.is_snapshot:
+            self.known.clear()
+        for stored in change.records:
+            self._apply_record(stored)
+        for record in self._unwritten_by_key.values():
+            if record is not None:
+                self.known.put(record)
+
+    def _apply_record(self, stored: KeyedRecord) -> None:
+        if not stored.value:
+            self.known.remove(stored.key)
+            return
+        try:
+            record = msgspec.msgpack.decode(stored.value, type=CrashRecord)
+        except msgspec.DecodeError as error:
+            _logger.warning(
+                'crash record cannot be decoded',
+                key=stored.key,
+                reason=str(error),
+            )
+        else:
+            self.known.put(record)
+
+    def _write(self, changes_by_key: _Changes) -> None:
+        self._unwritten_by_key.update(changes_by_key)
+        if self._unwritten_by_key:
+            self._write_due.set()
+
+    async def _write_records(self) -> None:
+        while True:
+            await self._write_due.wait()
+            self._write_due.clear()
+            changes_by_key = dict(self._unwritten_by_key)
+            try:
+                await self._store.append(CRASHES_TOPIC, _encode(changes_by_key))
+            except FailureError as error:
+                _logger.debug('crash records not written', reason=str(error))
+                self._write_due.set()
+                await asyncio.sleep(RETRY_PAUSE_S)
+            else:
+                self._forget_written(changes_by_key)
+
+    def _forget_written(self, changes_by_key: _Changes) -> None:
+        for key, change in changes_by_key.items():
+            # What changed meanwhile is still to be written.
+            if self._unwritten_by_key.get(key) is change:
+                self._unwritten_by_key.pop(key, None)
+
+    async def _expire(self) -> None:
+        while True:
+            # One of the routers is first, and the others see its deletions.
+            pause_s = EXPIRY_INTERVAL_S * (0.5 + self._source.random())
+            await asyncio.sleep(pause_s)
+            self.withdraw(self.known.expired_keys(self._clock.wall()))
+
+
+def _encode(changes_by_key: _Changes) -> tuple[tuple[str, bytes], ...]:
+    return tuple(
+        (key, b'' if record is None else msgspec.msgpack.encode(record))
+        for key, record in changes_by_key.items()
+    )
