Do not send a request to another target once it is quarantined

Callers saw targets fail one after the other under repeats of one request.

Cause: the quarantine was asked when a request arrives only. A request that waited at a busy target while others crashed the third one was sent on after its own target crashed. In the users' record each late request reaches two targets. Why it works: the decision to send again asks, too. The caller gets 502, as the request has run. Ruled out: to end runs that are under way, as one that succeeds withdraws a wrong quarantine.

--- a/src/dandelioncleat/app/direct/crash_quarantine.py
+++ b/src/dandelioncleat/app/direct/crash_quarantine.py
@@ -58,9 +58,17 @@
         """Return the quarantine of a request, ``None`` if it may run."""
         if not self._records.known:
             return None
-        return self._records.known.quarantine(
+        found = self._records.known.quarantine(
             request.digest, self._clock.wall()
         )
+        if found is not None:
+            _logger.warning(
+                'request is quarantined',
+                request=request.id,
+                digest=request.digest,
+                crashes=found.crashes,
+            )
+        return found
 
     def note_lost(self, request: DirectRequest, target: TargetEntry) -> None:
         """Find out whether the target of a lost answer has crashed."""
--- a/src/dandelioncleat/app/direct/hopeless.py
+++ b/src/dandelioncleat/app/direct/hopeless.py
@@ -1,28 +1,17 @@
 """Finds requests that no target would complete, before anything is sent."""
 
-import structlog
-
 from dandelioncleat.app.direct.crash_quarantine import CrashQuarantine
 from dandelioncleat.app.direct.placement import Placement
 from dandelioncleat.app.direct.run_context import RunContext
 from dandelioncleat.core.direct_request import DirectRefusal, RefusalReason
 
-_logger = structlog.get_logger(__name__)
-
 
 def hopeless_refusal(
     context: RunContext, *, quarantine: CrashQuarantine, placement: Placement
 ) -> DirectRefusal | None:
     """Return the refusal of a hopeless request, ``None`` for all others."""
-    request = context.request
-    found = quarantine.find(request)
+    found = quarantine.find(context.request)
     if found is not None:
-        _logger.warning(
-            'request is quarantined',
-            request=request.id,
-            digest=request.digest,
-            crashes=found.crashes,
-        )
         return DirectRefusal(
             RefusalReason.CRASHES_TARGETS, retry_after_s=found.left_s
         )
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -234,6 +234,8 @@
             return False
         if not context.may_send_again or not context.has_runs_left:
             return False
+        if self._parts.quarantine.find(context.request) is not None:
+            return False
         if not self._parts.placement.has_candidate(context):
             return False
         if outcome is AttemptOutcome.NOT_SENT:
