--- a/src/dandelioncleat/app/direct/crash_quarantine.py
+++ b/src/dandelioncleat/app/direct/crash_quarantine.py
@@ -17,6 +17,7 @@
 PROBE_DELAY_S = 0.05
 # A crash may interrupt as many requests as a target runs.
 MAX_LOGGED_REQUESTS = 64
+MAX_LOGGED_PARTS = 16
 
 _logger = structlog.get_logger(__name__)
 
@@ -145,8 +146,18 @@
             each.request.id: each.request.digest
             for each in ends[:MAX_LOGGED_REQUESTS]
         },
+        parts_by_request={
+            each.request.id: _part_ids(each.request)
+            for each in ends[:MAX_LOGGED_REQUESTS]
+        },
     )
 
 
+def _part_ids(request: DirectRequest) -> list[str]:
+    if request.prompt is None:
+        return []
+    return [part.id for part in request.prompt.parts[:MAX_LOGGED_PARTS]]
+
+
 def _start_of(target: TargetEntry) -> str:
     return f'{target.id}/{target.started_at}'
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -15,7 +15,11 @@
     CrashRecords,
 )
 from dandelioncleat.core.deployment import TargetEntry
-from dandelioncleat.core.direct_request import DirectRequest
+from dandelioncleat.core.direct_request import (
+    DirectRequest,
+    ModelPrompt,
+    PromptPart,
+)
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore, StoreFaults
 from tests.builders.direct import (
     KEY,
@@ -206,14 +210,17 @@
 class LogTest(testtools.TestCase):
     """The line of a probe names the lost requests and what it found."""
 
-    def _line(self, **options):
+    def _line(self, *, prompt=None, **options):
+        lost = request(7)._replace(prompt=prompt)
+
         async def scenario(fleet):
-            fleet.routers[0].note_lost(request(7), target(1))
+            fleet.routers[0].note_lost(lost, target(1))
             await asyncio.sleep(1)
 
         with captured_lines() as lines:
             run_with_quarantines(scenario, **options)
         line = next(each for each in lines if 'digests_by_request' in each)
+        self.parts_by_request = line['parts_by_request']
         return line['event'], line['digests_by_request']
 
     def test_crash(self):
@@ -221,6 +228,11 @@
             ('target crashed', {'r-7': request(1).digest}), self._line()
         )
 
+    def test_parts_of_the_lost_prompts(self):
+        parts = (PromptPart('aa', 60), PromptPart('bb', 40))
+        self._line(prompt=ModelPrompt('m', 100, 50, parts))
+        self.assertEqual({'r-7': ['aa', 'bb']}, self.parts_by_request)
+
     def test_target_that_still_listens(self):
         self.assertEqual(
             ('target did not crash', {'r-7': request(1).digest}),
