--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -33,6 +33,7 @@
     text_answer,
 )
 from tests.builders.logs import captured_lines
+from tests.builders.quarantine import list_start, wait_for_crash
 from tests.builders.wallets import HostClock
 
 
@@ -259,12 +260,12 @@
     def test_a_crash_is_recorded_and_the_third_quarantines(self):
         async def scenario(fleet):
             for number in range(QUARANTINE_CRASHES):
-                await _list_start(fleet, number)
+                await list_start(fleet, number)
                 fleet.app.answers = [crashed(fleet.app)]
                 await fleet.call('/once/a')
-                await _wait_for_crashes(fleet, number + 1)
+                await wait_for_crash(fleet, fleet.app, number)
                 await fleet.app.start()
-            await _list_start(fleet, QUARANTINE_CRASHES)
+            await list_start(fleet, QUARANTINE_CRASHES)
             fleet.app.answers = [text_answer('ok')] * 2
             other = await fleet.call('/once/b')
             again = await fleet.call('/once/a')
@@ -284,12 +285,12 @@
         async def scenario(fleet):
             answers = [crashed(fleet.llm)] * (QUARANTINE_CRASHES - 1)
             for number, answer in enumerate((*answers, last_answer(fleet.llm))):
-                await _list_start(fleet, number, fleet.llm)
+                await list_start(fleet, number, fleet.llm)
                 fleet.llm.answers = [answer]
                 await fleet.raw_answer('/single/a', **MODEL_HEADERS)
-                await _wait_for_crashes(fleet, number + 1)
+                await wait_for_crash(fleet, fleet.llm, number)
                 await fleet.llm.start()
-            await _list_start(fleet, QUARANTINE_CRASHES, fleet.llm)
+            await list_start(fleet, QUARANTINE_CRASHES, fleet.llm)
             again = await fleet.call('/single/a', **MODEL_HEADERS)
             return again[0], again[2]
 
@@ -357,30 +358,3 @@
         )[0] != 503:
             await asyncio.sleep(0.01)
     task.cancel()
-
-
-async def _list_start(fleet, started_at, listed=None):
-    """List one start of the target in place of the one before.
-
-    :param listed: the target, the one of the service ``app`` by default
-    """
-    listed = listed or fleet.app
-    await fleet.put('servers', listed.name, None)
-    await fleet.wait_until(
-        lambda: not fleet.router.target_count(listed.service)
-    )
-    entry = {**listed.entry(), 'born': started_at}
-    await fleet.put('servers', listed.name, entry)
-    await fleet.wait_until(lambda: fleet.router.target_count(listed.service))
-
-
-async def _wait_for_crashes(fleet, count):
-    """Wait until the store has recorded a number of crashes."""
-    async with asyncio.timeout(20):
-        while await _recorded_starts(fleet) < count:  # noqa: ASYNC110
-            await asyncio.sleep(0.01)
-
-
-async def _recorded_starts(fleet):
-    page = await fleet.store.newest(CRASHES_TOPIC)
-    return len(page.records)
