Refuse prompts with a part that crashes the targets that answer them

Callers saw targets of one service fail one after the other for as long as prompts with one part came.

Cause: the routers counted crashes by path, caller and body. No two of the prompts are alike, so no count reached three. The class: the state is keyed by one identity of a request, and what crashes targets has another. Why it works: requests and parts are suspects of one mechanism. A success withdraws the records of all that it holds, so only a cause keeps them. Of what is left the suspect with most crashes is the cause, and explains the crashes under its neighbours. A part is blamed only for crashes that follow each other, and only by answers that had begun.

--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -88,7 +88,7 @@
     origins: StreamOrigins,
 ) -> AttemptOutcome:
     now = asyncio.get_running_loop().time()
-    context.is_close_delimited = answer.head.is_close_delimited
+    context.answer_head = answer.head
     state.wishes.apply(answer.notice, now)
     if not answer.has_run:
         return _note_not_run(context, state, answer)
@@ -161,6 +161,7 @@
         context.note_not_run()
     else:
         context.tried_targets.add(state.entry.id)
+        context.has_lost_answer = True
         context.stream.drop_partial()
     _log_attempt(context, state, outcome, error.failure.text)
     return outcome
--- a/src/dandelioncleat/app/direct/forwarding.py
+++ b/src/dandelioncleat/app/direct/forwarding.py
@@ -132,7 +132,7 @@
 ) -> DirectRefusal | None:
     if answer.refusal is not None:
         return answer.refusal
-    context.is_close_delimited = answer.head.is_close_delimited
+    context.answer_head = answer.head
     if not answer.is_stream:
         body = await read_body(answer, peer=peer)
         await reply.send_complete(CompleteResponse(answer.head, body))
--- a/src/dandelioncleat/app/direct/run_context.py
+++ b/src/dandelioncleat/app/direct/run_context.py
@@ -27,9 +27,9 @@
     ``earlier_may_have_run`` that one before the last may have.
     ``sent_head`` is the head of the answer that the caller was sent,
     ``has_output`` says that a part of its body was sent, too.
-    ``is_close_delimited`` tells how the last answer was framed, ``None`` if
-    there was none. ``origin`` is where the caller's stream began, ``None``
-    before its first event.
+    ``answer_head`` is the head of the last answer, ``None`` if there was none;
+    ``has_lost_answer`` says that a target's answer was lost. ``origin`` is
+    where the caller's stream began, ``None`` before its first event.
     """
 
     def __init__(self, request: DirectRequest, admitted: Admitted) -> None:
@@ -44,7 +44,8 @@
         self.origin: StreamOrigin | None = None
         self.sent_head: ResponseHead | None = None
         self.has_output = False
-        self.is_close_delimited: bool | None = None
+        self.answer_head: ResponseHead | None = None
+        self.has_lost_answer = False
         self.tried_targets: set[str] = set()
         self.attempts_sent = 0
         self.may_have_run = False
@@ -65,6 +66,12 @@
         """Return whether the head of an answer was sent to the caller."""
         return self.sent_head is not None
 
+    @property
+    def is_close_delimited(self) -> bool | None:
+        """Return how the last answer was framed, ``None`` without one."""
+        head = self.answer_head
+        return None if head is None else head.is_close_delimited
+
     @property
     def remaining_s(self) -> float:
         """Return the time left for an answer to begin, in seconds."""
@@ -92,7 +99,7 @@
     def begin_attempt(self) -> None:
         """Note that the request is about to be sent to a target."""
         self.attempts_sent += 1
-        self.is_close_delimited = None
+        self.answer_head = None
         self.stream.unfinished_bytes = 0
         self.earlier_may_have_run = self.may_have_run
         self.may_have_run = True
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -9,7 +9,10 @@
 
 from dandelioncleat.app.direct.admission import admit
 from dandelioncleat.app.direct.attempt import AttemptOutcome, run_attempt
-from dandelioncleat.app.direct.crash_quarantine import CrashQuarantine
+from dandelioncleat.app.direct.crash_quarantine import (
+    CrashQuarantine,
+    WatchedRun,
+)
 from dandelioncleat.app.direct.deployment_watch import DeploymentWatch
 from dandelioncleat.app.direct.ending import (
     give_up,
@@ -212,6 +215,10 @@
             return AttemptOutcome.NOT_SENT
         self._parts.placement.log_choice(context, choice)
         state = choice.state
+        quarantine = self._parts.quarantine
+        run = quarantine.watch(
+            context.request, is_after_loss=context.has_lost_answer
+        )
         with self._parts.telemetry.span(
             'direct.attempt', target=state.entry.id
         ):
@@ -223,7 +230,7 @@
                 origins=self._parts.origins,
             )
         _report_outcome(
-            context, state.entry, outcome, quarantine=self._parts.quarantine
+            context, run, state.entry, outcome=outcome, quarantine=quarantine
         )
         return outcome
 
@@ -296,19 +303,21 @@
 
 def _report_outcome(
     context: RunContext,
+    run: WatchedRun,
     target: TargetEntry,
-    outcome: AttemptOutcome,
     *,
+    outcome: AttemptOutcome,
     quarantine: CrashQuarantine,
 ) -> None:
     """Tell the quarantine how an attempt ended."""
     match outcome:
         case AttemptOutcome.LOST:
-            quarantine.note_lost(context.request, target)
+            has_begun = context.answer_head is not None
+            quarantine.note_lost(run, target, has_begun=has_begun)
         case AttemptOutcome.DELIVERED if context.is_close_delimited:
-            quarantine.note_closed(context.request, target)
+            quarantine.note_closed(run, target)
         case AttemptOutcome.DELIVERED:
-            quarantine.note_delivered(context.request)
+            quarantine.note_delivered(run.request)
 
 
 def _log_not_admitted(
--- /dev/null
+++ b/src/dandelioncleat/core/crash_cause.py
@@ -0,0 +1,142 @@
+"""Tells what crashes targets from what merely ran beside it.
+
+Load pattern: prompts with one part that crashes each target that answers them
+come several times a second, at any router, among sound prompts that share
+their other parts. Each crash interrupts up to a target's slots of sound runs.
+
+A success withdraws the records of all that it holds, so a cause keeps its
+records and popular parts lose theirs at once. Between two successes:
+
+- Crashes that come together, as in a power loss, blame nothing: of the crashes
+  under a part some must be of runs that were sent after an earlier one.
+- A cause explains its crashes. They don't count against what ran beside it,
+  nor against a part that all prompts of a route begin with.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from dandelioncleat.core.crash_records import CrashRecord
+from dandelioncleat.core.crash_suspect import REQUEST_DEPTH
+
+# What runs beside a cause may lose two targets in a row to it.
+MIN_CRASHES = 3
+# A part belongs to many callers, so its crashes have to follow each other.
+MIN_REPEATS = 2
+# Targets that crash within this time crash together.
+TOGETHER_S = 0.1
+
+
+class CrashCause(NamedTuple):
+    """What crashes targets.
+
+    :param crashes: number of target starts that crashed under it
+    :param last_at: time of day of the last crash, in seconds
+    """
+
+    crashes: int
+    last_at: float
+
+
+class _Evidence(NamedTuple):
+    """The crashes under one suspect that nothing else explains.
+
+    ``at_by_start`` gives the time of day of each crash, in seconds.
+    """
+
+    suspect: str
+    depth: int
+    at_by_start: Mapping[str, float]
+    repeated_starts: frozenset[str]
+
+    @property
+    def starts(self) -> frozenset[str]:
+        """Return the target starts that crashed."""
+        return frozenset(self.at_by_start)
+
+    @property
+    def weight(self) -> tuple[int, int]:
+        """Return the number of crashes, and how specific the suspect is."""
+        return self._moments(self.at_by_start), self.depth
+
+    @property
+    def is_conclusive(self) -> bool:
+        """Return whether the suspect must be the cause."""
+        if self.depth == REQUEST_DEPTH:
+            return len(self.at_by_start) >= MIN_CRASHES
+        if self._moments(self.at_by_start) < MIN_CRASHES:
+            return False
+        return self._moments(self.repeated_starts) >= MIN_REPEATS
+
+    def without(self, starts: frozenset[str]) -> '_Evidence':
+        """Return what is left if something else explains some crashes."""
+        return self._replace(
+            at_by_start={
+                start: at
+                for start, at in self.at_by_start.items()
+                if start not in starts
+            },
+            repeated_starts=self.repeated_starts - starts,
+        )
+
+    def cause(self) -> CrashCause:
+        """Return the suspect as a cause."""
+        return CrashCause(len(self.at_by_start), max(self.at_by_start.values()))
+
+    def _moments(self, starts: Iterable[str]) -> int:
+        """Return how many times some starts crashed, one or more together."""
+        moments = 0
+        end = float('-inf')
+        for at in sorted(self.at_by_start[start] for start in starts):
+            if at > end:
+                moments += 1
+                end = at + TOGETHER_S
+        return moments
+
+
+def find_causes(records: Iterable[CrashRecord]) -> dict[str, CrashCause]:
+    """Return the causes of crashes by the keys of their suspects.
+
+    The suspects with most crashes are causes, of these the most specific; the
+    crashes that they explain are left out for all others.
+    """
+    causes_by_suspect: dict[str, CrashCause] = {}
+    left = _evidence(records)
+    worst = _worst(left)
+    while worst:
+        causes_by_suspect.update((each.suspect, each.cause()) for each in worst)
+        explained = frozenset[str]().union(*(each.starts for each in worst))
+        left = [each.without(explained) for each in left]
+        worst = _worst(left)
+    return causes_by_suspect
+
+
+def _worst(evidence: list[_Evidence]) -> list[_Evidence]:
+    """Return the conclusive evidence of the greatest weight."""
+    conclusive = [each for each in evidence if each.is_conclusive]
+    weight = max((each.weight for each in conclusive), default=None)
+    return [each for each in conclusive if each.weight == weight]
+
+
+def _evidence(records: Iterable[CrashRecord]) -> list[_Evidence]:
+    records_by_suspect = defaultdict(list)
+    for record in records:
+        records_by_suspect[record.suspect].append(record)
+    return [
+        _Evidence(
+            suspect,
+            max(each.depth for each in own),
+            _at_by_start(own),
+            frozenset(each.start for each in own if each.is_repeat),
+        )
+        for suspect, own in records_by_suspect.items()
+    ]
+
+
+def _at_by_start(records: list[CrashRecord]) -> dict[str, float]:
+    at_by_start: dict[str, float] = {}
+    for record in records:
+        known_at = at_by_start.get(record.start, record.at)
+        at_by_start[record.start] = min(record.at, known_at)
+    return at_by_start
--- a/src/dandelioncleat/core/crash_records.py
+++ b/src/dandelioncleat/core/crash_records.py
@@ -1,75 +1,84 @@
-"""Which requests crashed the targets that ran them.
+"""Which requests and prompt parts crashed the targets that ran them.
 
-Such a request comes again with a new id, at any router. Each router records
-the target starts that crashed while they ran a request, and reads the records
-of all others. Requests that merely ran beside a crashing one succeed at their
-next attempt, which withdraws their records.
+They come again at any router, so each router records the crashes that it sees
+and reads the records of all others. What merely ran beside the cause of a crash
+succeeds soon after at another target, which withdraws its records.
 """
 
-from typing import NamedTuple
+from collections.abc import Iterable
 
 from msgspec import Struct
 from xxhash import xxh64_hexdigest
 
-# Requests beside a crashing one may lose two targets in a row to it.
-QUARANTINE_CRASHES = 3
-QUARANTINE_S = 600.0
+from dandelioncleat.core.crash_suspect import CrashSuspect
+
+# After this time a crash tells nothing about the software that runs now.
+RECORD_AGE_S = 600.0
 
 
 class CrashRecord(Struct, frozen=True, array_like=True):
-    """A target crashed while it ran a request.
+    """A target crashed while it ran something.
 
     Routers that saw the same crash write equal keys, so no record replaces
     another.
 
-    :param digest: digest of the request, equal for its repeats
+    :param suspect: key of the request or part that ran
     :param start: the target start that crashed
     :param at: time of day of the crash, in seconds
+    :param depth: how specific the suspect is
+    :param is_repeat: whether the run was sent after another target had crashed
+        under the suspect
     """
 
-    digest: str
+    suspect: str
     start: str
     at: float
+    depth: int
+    is_repeat: bool
 
     @property
     def key(self) -> str:
         """Return the key of the record in the store."""
-        return f'{self.digest}/{xxh64_hexdigest(self.start.encode())}'
-
-
-class Quarantine(NamedTuple):
-    """A refusal of a request that crashes targets."""
-
-    crashes: int
-    left_s: float
+        start = xxh64_hexdigest(self.start.encode())
+        return f'{self.suspect}/{start}/{int(self.is_repeat)}'
 
 
 class CrashRecords:
-    """Combines the records of all hosts."""
+    """Combines the records of all routers."""
 
     def __init__(self) -> None:
-        """Start without a record."""
+        """Start without a record.
+
+        ``changes`` counts the changes, so that others notice them.
+        """
+        self.changes = 0
         self._records_by_key: dict[str, CrashRecord] = {}
-        self._keys_by_digest: dict[str, set[str]] = {}
+        self._keys_by_suspect: dict[str, set[str]] = {}
 
     def __len__(self) -> int:
         """Return the number of records."""
         return len(self._records_by_key)
 
+    def all(self) -> tuple[CrashRecord, ...]:
+        """Return all records."""
+        return tuple(self._records_by_key.values())
+
     def put(self, record: CrashRecord) -> None:
         """Store a record."""
+        self.changes += 1
         self._records_by_key[record.key] = record
-        self._keys_by_digest.setdefault(record.digest, set()).add(record.key)
+        self._keys_by_suspect.setdefault(record.suspect, set()).add(record.key)
 
     def remove(self, key: str) -> None:
         """Drop a record that was withdrawn."""
         record = self._records_by_key.pop(key, None)
         if record is None:
             return
-        keys = self._keys_by_digest[record.digest]
+        self.changes += 1
+        keys = self._keys_by_suspect[record.suspect]
         keys.discard(key)
         if not keys:
-            self._keys_by_digest.pop(record.digest)
+            self._keys_by_suspect.pop(record.suspect)
 
     def get(self, key: str) -> CrashRecord | None:
         """Return a record, ``None`` if there is none."""
@@ -77,27 +86,29 @@
 
     def clear(self) -> None:
         """Drop all records."""
+        self.changes += 1
         self._records_by_key.clear()
-        self._keys_by_digest.clear()
+        self._keys_by_suspect.clear()
 
-    def keys_of(self, digest: str) -> tuple[str, ...]:
-        """Return the keys of a request's records."""
-        return tuple(sorted(self._keys_by_digest.get(digest, ())))
+    def has(self, suspect: CrashSuspect) -> bool:
+        """Return whether a target has crashed under a suspect."""
+        return suspect.key in self._keys_by_suspect
+
+    def keys_of(self, suspects: Iterable[CrashSuspect]) -> tuple[str, ...]:
+        """Return the keys of the records of some suspects."""
+        return tuple(
+            key
+            for suspect in suspects
+            for key in sorted(self._keys_by_suspect.get(suspect.key, ()))
+        )
 
     def expired_keys(self, now: float) -> tuple[str, ...]:
-        """Return the keys of the records whose quarantine has passed."""
+        """Return the keys of the records that are too old.
+
+        :param now: time of day in seconds
+        """
         return tuple(
             key
             for key, record in self._records_by_key.items()
-            if now - record.at > QUARANTINE_S
+            if now - record.at > RECORD_AGE_S
         )
-
-    def quarantine(self, digest: str, now: float) -> Quarantine | None:
-        """Return the quarantine of a request, ``None`` if it may run."""
-        keys = self._keys_by_digest.get(digest, ())
-        records = [self._records_by_key[key] for key in keys]
-        crashes = len({each.start for each in records})
-        if crashes < QUARANTINE_CRASHES:
-            return None
-        left_s = max(each.at for each in records) + QUARANTINE_S - now
-        return Quarantine(crashes, left_s) if left_s > 0 else None
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -5,22 +5,19 @@
 import testtools
 
 from dandelioncleat.adapters.system_clock import SystemClock
-from dandelioncleat.adapters.virtual_time import run
-from dandelioncleat.app.direct.crash_quarantine import CrashQuarantine
-from dandelioncleat.app.direct.shared_crash_records import CRASHES_TOPIC
-from dandelioncleat.core.crash_records import (
-    QUARANTINE_CRASHES,
-    QUARANTINE_S,
-    CrashRecord,
-    CrashRecords,
+from dandelioncleat.app.direct.crash_quarantine import (
+    CrashQuarantine,
+    WatchedRun,
 )
-from dandelioncleat.core.deployment import TargetEntry
+from dandelioncleat.app.direct.shared_crash_records import CRASHES_TOPIC
+from dandelioncleat.core.crash_cause import MIN_CRASHES, find_causes
+from dandelioncleat.core.crash_records import RECORD_AGE_S, CrashRecord
+from dandelioncleat.core.crash_suspect import REQUEST_DEPTH
 from dandelioncleat.core.direct_request import (
-    DirectRequest,
     ModelPrompt,
     PromptPart,
 )
-from dandelioncleat.standin.keyed_store import MemoryKeyedStore, StoreFaults
+from dandelioncleat.standin.keyed_store import StoreFaults
 from tests.builders.direct import (
     KEY,
     MODEL_HEADERS,
@@ -33,84 +30,21 @@
     text_answer,
 )
 from tests.builders.logs import captured_lines
-from tests.builders.quarantine import list_start, wait_for_crash
+from tests.builders.quarantine import (
+    FakeTargets,
+    list_start,
+    request,
+    run_of,
+    run_with_quarantines,
+    target,
+    wait_for_crash,
+)
 from tests.builders.wallets import HostClock
 
 
-def request(number, path='/safe/a', body=b'{}'):
-    """Return a caller's attempt; repeats differ in their id only."""
-    return DirectRequest(
-        f'r-{number}', 'POST', 'api.example', path, (), body, key='k'
-    )
-
-
-def target(started_at):
-    """Return the entry of one start of a target."""
-    return TargetEntry('i', 's', '10.0.0.1:80', 'z', 8, False, started_at)
-
-
-class FakeTargets:
-    """Targets of which all refuse connections, or none does."""
-
-    def __init__(self, *, have_crashed=True):
-        """Set whether the targets have crashed."""
-        self.have_crashed = have_crashed
-        self.probes = 0
-
-    async def refuses_connections(self, entry):
-        """Return whether the targets have crashed."""
-        self.probes += 1
-        return self.have_crashed
-
-
-class QuarantineFleet:
-    """The quarantines of some routers that share a store."""
-
-    def __init__(self, count, targets):
-        """Start the routers."""
-        self.store = MemoryKeyedStore()
-        self.targets = targets
-        self.routers = [
-            CrashQuarantine(
-                self.store.client(), targets, host=f'h{n}', clock=HostClock()
-            )
-            for n in range(count)
-        ]
-        self._tasks = [
-            asyncio.ensure_future(router.run()) for router in self.routers
-        ]
-
-    async def crash(self, times, body=b'{}'):
-        """Let a request crash targets, each time at another router."""
-        for number in range(times):
-            router = self.routers[number % len(self.routers)]
-            router.note_lost(request(number, body=body), target(number))
-            await asyncio.sleep(1)
-
-    def refusing(self, body=b'{}'):
-        """Return how many routers refuse the request."""
-        again = request(99, body=body)
-        return sum(each.find(again) is not None for each in self.routers)
-
-    async def end(self):
-        """Stop the routers."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-
-def run_with_quarantines(scenario, *, have_crashed=True, count=3):
-    """Run a scenario with some routers and return its result."""
-
-    async def play():
-        fleet = QuarantineFleet(count, FakeTargets(have_crashed=have_crashed))
-        await asyncio.sleep(1)
-        try:
-            return await scenario(fleet)
-        finally:
-            await fleet.end()
-
-    return run(play())
+def record(start):
+    """Return the record of a crash under one request."""
+    return CrashRecord('d', start, 10, REQUEST_DEPTH, False)
 
 
 class SharedQuarantineTest(testtools.TestCase):
@@ -124,10 +58,10 @@
         return run_with_quarantines(scenario, **options)
 
     def test_all_routers_refuse_it_after_three_crashes(self):
-        self.assertEqual((3, 0), self._refusing_after(QUARANTINE_CRASHES))
+        self.assertEqual((3, 0), self._refusing_after(MIN_CRASHES))
 
     def test_two_crashes_are_not_enough(self):
-        crashes = QUARANTINE_CRASHES - 1
+        crashes = MIN_CRASHES - 1
         self.assertEqual((0, 0), self._refusing_after(crashes))
 
     def test_reset_connections_are_no_crash(self):
@@ -136,7 +70,7 @@
     def test_losses_at_one_start_count_once_and_are_probed_once(self):
         async def scenario(fleet):
             for number in range(9):
-                fleet.routers[0].note_lost(request(number), target(1))
+                fleet.routers[0].note_lost(run_of(number), target(1))
             await asyncio.sleep(1)
             return fleet.refusing()
 
@@ -144,7 +78,7 @@
 
     def test_a_router_that_starts_later_refuses_it(self):
         async def scenario(fleet):
-            await fleet.crash(QUARANTINE_CRASHES)
+            await fleet.crash(MIN_CRASHES)
             late = CrashQuarantine(
                 fleet.store.client(),
                 FakeTargets(),
@@ -160,7 +94,7 @@
 
     def test_a_router_that_starts_again_keeps_what_its_host_recorded(self):
         async def scenario(fleet):
-            await fleet.crash(QUARANTINE_CRASHES - 1)
+            await fleet.crash(MIN_CRASHES - 1)
             fleet.store.faults = StoreFaults(slow_s=0.3)
             successor = CrashQuarantine(
                 fleet.store.client(),
@@ -169,7 +103,7 @@
                 clock=HostClock(),
             )
             task = asyncio.ensure_future(successor.run())
-            successor.note_lost(request(8), target(8))
+            successor.note_lost(run_of(8), target(8))
             await asyncio.sleep(3)
             task.cancel()
             return successor.find(request(9)) is not None, fleet.refusing()
@@ -179,7 +113,7 @@
     def test_crashes_in_an_outage_are_shared_after_it(self):
         async def scenario(fleet):
             fleet.store.faults = StoreFaults(outage=True)
-            await fleet.crash(QUARANTINE_CRASHES)
+            await fleet.crash(MIN_CRASHES)
             during = fleet.refusing()
             fleet.store.faults = StoreFaults()
             await asyncio.sleep(1)
@@ -189,19 +123,19 @@
 
     def test_a_success_withdraws_the_records_everywhere(self):
         async def scenario(fleet):
-            await fleet.crash(QUARANTINE_CRASHES - 1)
+            await fleet.crash(MIN_CRASHES - 1)
             fleet.routers[2].note_delivered(request(5))
             await asyncio.sleep(1)
             left = (await fleet.store.newest(CRASHES_TOPIC)).records
-            await fleet.crash(QUARANTINE_CRASHES - 1)
+            await fleet.crash(MIN_CRASHES - 1)
             return len(left), fleet.refusing()
 
         self.assertEqual((0, 0), run_with_quarantines(scenario))
 
     def test_records_expire(self):
         async def scenario(fleet):
-            await fleet.crash(QUARANTINE_CRASHES)
-            await asyncio.sleep(QUARANTINE_S + 60)
+            await fleet.crash(MIN_CRASHES)
+            await asyncio.sleep(RECORD_AGE_S + 60)
             left = (await fleet.store.newest(CRASHES_TOPIC)).records
             return fleet.refusing(), len(left)
 
@@ -215,7 +149,7 @@
         lost = request(7)._replace(prompt=prompt)
 
         async def scenario(fleet):
-            fleet.routers[0].note_lost(lost, target(1))
+            fleet.routers[0].note_lost(WatchedRun(lost), target(1))
             await asyncio.sleep(1)
 
         with captured_lines() as lines:
@@ -241,17 +175,14 @@
         )
 
 
-class CrashRecordsTest(testtools.TestCase):
+class CrashCauseTest(testtools.TestCase):
     """The records of all hosts count together."""
 
     def test_equal_starts_count_once(self):
-        records = CrashRecords()
-        for start in ('i/1', 'i/2', 'i/1', 'i/2'):
-            records.put(CrashRecord('d', start, 10))
-        self.assertIsNone(records.quarantine('d', 10))
-        records.put(CrashRecord('d', 'i/3', 10))
-        found = records.quarantine('d', 11)
-        self.assertEqual((3, QUARANTINE_S - 1), found)
+        records = [record('i/1'), record('i/2'), record('i/1'), record('i/2')]
+        self.assertEqual({}, find_causes(records))
+        causes = find_causes([*records, record('i/3')])
+        self.assertEqual({'d': (3, 10)}, causes)
 
 
 class RouterTest(testtools.TestCase):
@@ -259,13 +190,13 @@
 
     def test_a_crash_is_recorded_and_the_third_quarantines(self):
         async def scenario(fleet):
-            for number in range(QUARANTINE_CRASHES):
+            for number in range(MIN_CRASHES):
                 await list_start(fleet, number)
                 fleet.app.answers = [crashed(fleet.app)]
                 await fleet.call('/once/a')
                 await wait_for_crash(fleet, fleet.app, number)
                 await fleet.app.start()
-            await list_start(fleet, QUARANTINE_CRASHES)
+            await list_start(fleet, MIN_CRASHES)
             fleet.app.answers = [text_answer('ok')] * 2
             other = await fleet.call('/once/b')
             again = await fleet.call('/once/a')
@@ -283,14 +214,14 @@
         """Crash two targets plainly and one at the end of an answer."""
 
         async def scenario(fleet):
-            answers = [crashed(fleet.llm)] * (QUARANTINE_CRASHES - 1)
+            answers = [crashed(fleet.llm)] * (MIN_CRASHES - 1)
             for number, answer in enumerate((*answers, last_answer(fleet.llm))):
                 await list_start(fleet, number, fleet.llm)
                 fleet.llm.answers = [answer]
                 await fleet.raw_answer('/single/a', **MODEL_HEADERS)
                 await wait_for_crash(fleet, fleet.llm, number)
                 await fleet.llm.start()
-            await list_start(fleet, QUARANTINE_CRASHES, fleet.llm)
+            await list_start(fleet, MIN_CRASHES, fleet.llm)
             again = await fleet.call('/single/a', **MODEL_HEADERS)
             return again[0], again[2]
 
@@ -305,10 +236,10 @@
 
     def test_whole_answer_of_a_target_that_lives_withdraws_the_records(self):
         async def scenario(fleet):
-            fleet.routers[0].note_lost(request(1), target(1))
+            fleet.routers[0].note_lost(run_of(1), target(1))
             await asyncio.sleep(1)
             fleet.targets.have_crashed = False
-            fleet.routers[1].note_closed(request(2), target(2))
+            fleet.routers[1].note_closed(run_of(2), target(2))
             await asyncio.sleep(1)
             return len((await fleet.store.newest(CRASHES_TOPIC)).records)
 
@@ -348,10 +279,10 @@
     task = asyncio.ensure_future(other.run())
     # What is recorded with it tells when the router has read the records.
     fleet.app.answers = [text_answer('no', 500)] * 1000
-    for number in range(QUARANTINE_CRASHES):
+    for number in range(MIN_CRASHES):
         for each in (path, '/once/marker'):
             lost = request(number, path=each)._replace(key=KEY)
-            other.note_lost(lost, target(number))
+            other.note_lost(WatchedRun(lost), target(number))
     async with asyncio.timeout(20):
         while (  # noqa: ASYNC110
             await fleet.call('/once/marker')
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -1,17 +1,38 @@
 """Tests of prompt parts that crash each target that answers them."""
 
-import testtools
+import asyncio
 
+import testtools
+from testtools.matchers import LessThan
+
+from dandelioncleat.app.direct.crash_quarantine import WatchedRun
+from dandelioncleat.app.direct.shared_crash_records import CRASHES_TOPIC
+from dandelioncleat.core.crash_cause import find_causes
+from dandelioncleat.core.crash_records import CrashRecord
+from dandelioncleat.core.crash_suspect import (
+    MAX_PARTS,
+    REQUEST_DEPTH,
+    suspects_of,
+)
+from dandelioncleat.core.direct_request import ModelPrompt, PromptPart
+from tests.builders.crash_storm import play_storm
 from tests.builders.direct import (
     MODEL_HEADERS,
     crashed_after,
     events,
     run_with_fleet,
 )
-from tests.builders.quarantine import list_start, wait_for_crash
+from tests.builders.quarantine import (
+    list_start,
+    request,
+    run_with_quarantines,
+    target,
+    wait_for_crash,
+)
 
-# The users bound what is sent once a part has crashed this many targets.
+# The users allow so many sends later than 3 s after so many crashes.
 ALLOWED_CRASHES = 5
+ALLOWED_LATE = 3
 
 
 class RouterTest(testtools.TestCase):
@@ -67,3 +88,114 @@
     headers = {**MODEL_HEADERS, 'Prompt-Prefix': parts}
     answer = await fleet.raw_answer(f'/stream/{number}', **headers)
     return answer.head.split()[1]
+
+
+class StormTest(testtools.TestCase):
+    """Prompts with a bad part come at all routers among sound ones."""
+
+    def _check(self, **shape):
+        for seed in range(6):
+            report = play_storm(seed, **shape)
+            self.assertThat(report.late, LessThan(ALLOWED_LATE + 1))
+            self.assertThat(2 * report.refused, LessThan(report.sound))
+
+    def test_bad_part_behind_one_that_sound_prompts_share(self):
+        self._check()
+
+    def test_bad_part_behind_the_first_part_of_all_prompts(self):
+        self._check(first_parts=1, documents=2)
+
+    def test_bad_first_part(self):
+        self._check(is_first_bad=True)
+
+    def test_prompts_that_wait_for_targets(self):
+        self._check(longest_wait_s=2.5)
+
+    def test_few_sound_prompts(self):
+        self._check(sound_rate=3)
+
+    def test_rare_bad_prompts(self):
+        self._check(bad_rate=0.5, duration_s=40)
+
+    def test_many_targets(self):
+        self._check(targets=24, sound_rate=80, bad_rate=8, routers=8)
+
+    def test_crashes_of_another_cause_beside_it(self):
+        self._check(crash_at=(0.5, 4, 8, 12), crash_share=0.3)
+
+
+class CauseTest(testtools.TestCase):
+    """Crashes blame their cause and nothing that ran beside it."""
+
+    def _causes(self, *crashes):
+        """Return the causes of crashes, given as (suspects, is_repeat)."""
+        records = [
+            CrashRecord(suspect, f'i/{at}', at, depth, is_repeat)
+            for at, (suspects, is_repeat) in enumerate(crashes)
+            for depth, suspect in enumerate(suspects)
+        ]
+        return set(find_causes(records))
+
+    def test_more_specific_part_of_two_with_equal_crashes(self):
+        crash = ('first', 'bad')
+        self.assertEqual(
+            {'bad'}, self._causes((crash, False), *[(crash, True)] * 2)
+        )
+
+    def test_part_that_more_crashes_have_in_common(self):
+        documents = ('a', 'b', 'c', 'a', 'a', 'b')
+        crashes = [(('bad', each), True) for each in documents]
+        self.assertEqual({'bad'}, self._causes(*crashes))
+
+    def test_two_causes(self):
+        crashes = [(('a', 'bad'), True), (('b', 'worse'), True)] * 3
+        self.assertEqual({'bad', 'worse'}, self._causes(*crashes))
+
+    def test_crashes_that_no_run_followed_blame_no_part(self):
+        crash = (('first', 'bad'), False)
+        self.assertEqual(set(), self._causes(*[crash] * 9))
+
+    def test_targets_that_crash_together_blame_no_part(self):
+        records = [
+            CrashRecord('p', f'i/{number}', 10.0, 0, is_repeat=True)
+            for number in range(9)
+        ]
+        self.assertEqual({}, find_causes(records))
+
+
+class SuspectTest(testtools.TestCase):
+    """A request and the parts that others may share are suspects."""
+
+    def _depths(self, *parts):
+        prompt = ModelPrompt('m', 1, 1, tuple(PromptPart(p, 1) for p in parts))
+        suspects = suspects_of(request(1)._replace(prompt=prompt))
+        return [each.depth for each in suspects]
+
+    def test_last_part_is_none(self):
+        self.assertEqual([REQUEST_DEPTH, 0, 1], self._depths('a', 'b', 'c'))
+
+    def test_number_of_parts_is_bounded(self):
+        parts = [str(number) for number in range(1000)]
+        self.assertEqual(MAX_PARTS + 1, len(self._depths(*parts)))
+
+
+class RunTest(testtools.TestCase):
+    """Only an answer that had begun blames the parts of its prompt."""
+
+    def _records(self, **options):
+        parts = (PromptPart('aa', 60), PromptPart('bb', 40))
+        prompt = ModelPrompt('m', 100, 50, parts)
+        lost = request(1)._replace(prompt=prompt)
+
+        async def scenario(fleet):
+            fleet.routers[0].note_lost(WatchedRun(lost), target(1), **options)
+            await asyncio.sleep(1)
+            return len((await fleet.store.newest(CRASHES_TOPIC)).records)
+
+        return run_with_quarantines(scenario)
+
+    def test_answer_that_had_begun(self):
+        self.assertEqual(2, self._records(has_begun=True))
+
+    def test_answer_that_had_not_begun(self):
+        self.assertEqual(1, self._records(has_begun=False))
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -24,8 +24,8 @@
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore, StoreFaults
 from tests.builders.direct import configuration
 from tests.builders.gateways import GatewayNetwork
+from tests.builders.quarantine import FakeTargets, request, run_of, target
 from tests.builders.wallets import COPY_AGE_S, HostClock, end, new_hosts
-from tests.test_crash_quarantine import FakeTargets, request, target
 from tests.test_target_notices import decode
 
 PAID = {'o': 100_000}
@@ -210,7 +210,7 @@
             tasks = [asyncio.ensure_future(each.run()) for each in routers]
             await asyncio.sleep(5)
             for number in range(3):
-                routers[0].note_lost(request(number), target(number))
+                routers[0].note_lost(run_of(number), target(number))
             await asyncio.sleep(1)
             store.restore(3)
             await asyncio.sleep(6)
