Let one router try a quarantined request at times, so that a wrong quarantine ends

Callers of a route would be refused for ten minutes.

Cause: what is refused can't succeed, and only a success withdraws records. Four crashes of all targets within 14 s by another cause blame the first part of all prompts, and nothing runs that could clear it. Why it works: one router, the same for all, lets a request run after 4, 20 and 84 s if the suspect has succeeded before, after 30 and 150 s if not. A bad part costs one target for each; storms of 90 s stay within the users' bound. Ruled out: a trial at each router, a shorter quarantine (the same, uncounted).

--- a/src/dandelioncleat/app/direct/crash_quarantine.py
+++ b/src/dandelioncleat/app/direct/crash_quarantine.py
@@ -1,6 +1,7 @@
 """Finds the requests and prompt parts that crash targets, and refuses them."""
 
 import asyncio
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 import structlog
@@ -16,6 +17,7 @@
 )
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import DirectRequest
+from dandelioncleat.core.quarantine_trial import QuarantineTrials
 from dandelioncleat.core.recent_success import RecentSuccesses
 from dandelioncleat.ports.clock import Clock
 from dandelioncleat.ports.direct_target import DirectTargets
@@ -85,8 +87,15 @@
         *,
         host: str,
         clock: Clock,
+        cores_by_host: Callable[[], Mapping[str, float]],
     ) -> None:
-        """Initialise with the store and the client of targets."""
+        """Initialise with the store and the client of targets.
+
+        :param host: host of this router
+        :param cores_by_host: returns the hosts of all routers
+        """
+        self._cores_by_host = cores_by_host
+        self._trials = QuarantineTrials(host)
         self._targets = targets
         self._clock = clock
         self._records = SharedCrashRecords(store, host=host, clock=clock)
@@ -103,7 +112,7 @@
             return None
         for suspect in suspects_of(request):
             cause = causes_by_suspect.get(suspect.key)
-            if cause is not None:
+            if cause is not None and not self._may_try(request, suspect):
                 _log_quarantined(request, suspect, cause)
                 left_s = cause.last_at + RECORD_AGE_S - self._clock.wall()
                 return Quarantine(cause.crashes, max(float(0), left_s))
@@ -168,10 +177,38 @@
         if known.changes != self._changes_seen:
             self._changes_seen = known.changes
             causes_by_suspect = find_causes(known.all())
-            _log_causes(self._causes_by_suspect, causes_by_suspect)
+            self._note_causes(causes_by_suspect)
             self._causes_by_suspect = causes_by_suspect
         return self._causes_by_suspect
 
+    def _note_causes(self, causes_by_suspect: dict[str, CrashCause]) -> None:
+        for begun in causes_by_suspect.keys() - self._causes_by_suspect.keys():
+            is_known = self._successes.knows(begun)
+            self._trials.begin(begun, _now(), is_known=is_known)
+            _logger.warning(
+                'quarantine begins',
+                suspect=begun,
+                crashes=causes_by_suspect[begun].crashes,
+                has_succeeded=is_known,
+            )
+        for ended in self._causes_by_suspect.keys() - causes_by_suspect.keys():
+            self._trials.end(ended)
+            _logger.info('quarantine ends', suspect=ended)
+
+    def _may_try(self, request: DirectRequest, suspect: CrashSuspect) -> bool:
+        """Return whether a quarantined request may run, as a trial."""
+        cores_by_host = self._cores_by_host()
+        if not self._trials.take(
+            suspect.key, _now(), cores_by_host=cores_by_host
+        ):
+            return False
+        _logger.info(
+            'quarantined request is tried',
+            request=request.id,
+            suspect=suspect.key,
+        )
+        return True
+
     def _probe_soon(self, end: _RunEnd, target: TargetEntry) -> None:
         start = _start_of(target)
         ends = self._ends_by_start.get(start)
@@ -228,19 +265,6 @@
     )
 
 
-def _log_causes(
-    before: dict[str, CrashCause], after: dict[str, CrashCause]
-) -> None:
-    for suspect in after.keys() - before.keys():
-        _logger.warning(
-            'quarantine begins',
-            suspect=suspect,
-            crashes=after[suspect].crashes,
-        )
-    for suspect in before.keys() - after.keys():
-        _logger.info('quarantine ends', suspect=suspect)
-
-
 def _log_probe(
     target: TargetEntry, ends: list[_RunEnd], *, has_crashed: bool
 ) -> None:
--- a/src/dandelioncleat/core/host_choice.py
+++ b/src/dandelioncleat/core/host_choice.py
@@ -62,11 +62,24 @@
 
     :param cores_by_host: processor cores of each host
     """
-    ranked = sorted(
+    ranked = _ranked(key, cores_by_host)
+    return frozenset(ranked[:CHOSEN_HOSTS])
+
+
+def first_host(key: str, cores_by_host: Mapping[str, float]) -> str | None:
+    """Return the one host that is chosen for a key, ``None`` without hosts.
+
+    :param cores_by_host: processor cores of each host
+    """
+    return next(iter(_ranked(key, cores_by_host)), None)
+
+
+def _ranked(key: str, cores_by_host: Mapping[str, float]) -> list[str]:
+    """Return the hosts in the order in which they are chosen for a key."""
+    return sorted(
         cores_by_host,
         key=lambda host: _rank(key + host, cores_by_host[host]),
     )
-    return frozenset(ranked[:CHOSEN_HOSTS])
 
 
 def _rank(text: str, weight: float) -> float:
--- a/src/dandelioncleat/core/recent_success.py
+++ b/src/dandelioncleat/core/recent_success.py
@@ -1,4 +1,4 @@
-"""Remembers which suspects of crashes have succeeded a moment ago."""
+"""Remembers when suspects of crashes have succeeded."""
 
 from collections import OrderedDict
 from collections.abc import Iterable
@@ -33,3 +33,7 @@
         """Return whether a suspect has just succeeded."""
         at = self._at_by_key.get(suspect.key)
         return at is not None and now - at < SOUND_S
+
+    def knows(self, suspect: str) -> bool:
+        """Return whether the suspect of a key has succeeded before."""
+        return suspect in self._at_by_key
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -166,7 +166,11 @@
             router_count=lambda: self._processes.router_count,
         )
         self._quarantine = CrashQuarantine(
-            store, self._targets, host=settings.host, clock=SystemClock()
+            store,
+            self._targets,
+            host=settings.host,
+            clock=SystemClock(),
+            cores_by_host=lambda: self._processes.cores_by_router_host,
         )
         self._origins = StreamOrigins(
             store, host=settings.host, clock=SystemClock()
--- a/tests/builders/crash_storm.py
+++ b/tests/builders/crash_storm.py
@@ -5,7 +5,6 @@
 from typing import NamedTuple
 
 from dandelioncleat.adapters.virtual_time import run
-from dandelioncleat.app.direct.crash_quarantine import CrashQuarantine
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import (
     DirectRequest,
@@ -13,7 +12,7 @@
     PromptPart,
 )
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore
-from tests.builders.wallets import HostClock
+from tests.builders.quarantine import new_quarantine
 
 # A target that has crashed starts again after this time.
 RESTART_S = 3.0
@@ -79,9 +78,7 @@
         self._sound = 0
         store = MemoryKeyedStore()
         self._routers = [
-            CrashQuarantine(
-                store.client(), self, host=f'h{n}', clock=HostClock()
-            )
+            new_quarantine(store, self, host=f'h{n}', count=shape.routers)
             for n in range(shape.routers)
         ]
 
--- a/tests/builders/quarantine.py
+++ b/tests/builders/quarantine.py
@@ -45,6 +45,20 @@
         return self.have_crashed
 
 
+def new_quarantine(store, targets, *, host, clock=None, count=1):
+    """Return the quarantine of a router.
+
+    :param count: number of routers, of the hosts ``h0``, ``h1`` and so on
+    """
+    return CrashQuarantine(
+        store.client(),
+        targets,
+        host=host,
+        clock=clock or HostClock(),
+        cores_by_host=lambda: {f'h{n}': 1.0 for n in range(count)},
+    )
+
+
 class QuarantineFleet:
     """The quarantines of some routers that share a store."""
 
@@ -53,9 +67,7 @@
         self.store = MemoryKeyedStore()
         self.targets = targets
         self.routers = [
-            CrashQuarantine(
-                self.store.client(), targets, host=f'h{n}', clock=HostClock()
-            )
+            new_quarantine(self.store, targets, host=f'h{n}', count=count)
             for n in range(count)
         ]
         self._tasks = [
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -6,7 +6,6 @@
 
 from dandelioncleat.adapters.system_clock import SystemClock
 from dandelioncleat.app.direct.crash_quarantine import (
-    CrashQuarantine,
     WatchedRun,
 )
 from dandelioncleat.app.direct.shared_crash_records import CRASHES_TOPIC
@@ -33,13 +32,13 @@
 from tests.builders.quarantine import (
     FakeTargets,
     list_start,
+    new_quarantine,
     request,
     run_of,
     run_with_quarantines,
     target,
     wait_for_crash,
 )
-from tests.builders.wallets import HostClock
 
 
 def record(start):
@@ -79,12 +78,7 @@
     def test_a_router_that_starts_later_refuses_it(self):
         async def scenario(fleet):
             await fleet.crash(MIN_CRASHES)
-            late = CrashQuarantine(
-                fleet.store.client(),
-                FakeTargets(),
-                host='late',
-                clock=HostClock(),
-            )
+            late = new_quarantine(fleet.store, FakeTargets(), host='late')
             task = asyncio.ensure_future(late.run())
             await asyncio.sleep(1)
             task.cancel()
@@ -96,12 +90,7 @@
         async def scenario(fleet):
             await fleet.crash(MIN_CRASHES - 1)
             fleet.store.faults = StoreFaults(slow_s=0.3)
-            successor = CrashQuarantine(
-                fleet.store.client(),
-                FakeTargets(),
-                host='h0',
-                clock=HostClock(),
-            )
+            successor = new_quarantine(fleet.store, FakeTargets(), host='h0')
             task = asyncio.ensure_future(successor.run())
             successor.note_lost(run_of(8), target(8))
             await asyncio.sleep(3)
@@ -273,8 +262,8 @@
 
 async def _quarantine_elsewhere(fleet, path):
     """Let a request crash targets at another router, and wait until known."""
-    other = CrashQuarantine(
-        fleet.store.client(), FakeTargets(), host='h2', clock=SystemClock()
+    other = new_quarantine(
+        fleet.store, FakeTargets(), host='h2', clock=SystemClock()
     )
     task = asyncio.ensure_future(other.run())
     # What is recorded with it tells when the router has read the records.
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -15,6 +15,7 @@
     suspects_of,
 )
 from dandelioncleat.core.direct_request import ModelPrompt, PromptPart
+from dandelioncleat.core.quarantine_trial import QuarantineTrials
 from tests.builders.crash_storm import play_storm
 from tests.builders.direct import (
     MODEL_HEADERS,
@@ -124,6 +125,56 @@
         self._check(crash_at=(0.5, 4, 8, 12), crash_share=0.3)
 
 
+class WrongQuarantineTest(testtools.TestCase):
+    """A quarantine that blames the wrong part ends by a trial."""
+
+    def test_first_part_of_all_prompts_is_served_again(self):
+        for seed in range(4):
+            report = play_storm(
+                seed,
+                bad_rate=0,
+                first_parts=1,
+                documents=1,
+                crash_at=(3, 6.5, 10, 13.4),
+                duration_s=60,
+            )
+            self.assertThat(2 * report.refused, LessThan(report.sound))
+
+    def test_trials_of_a_bad_part_are_few(self):
+        for seed in range(2):
+            report = play_storm(seed, duration_s=90)
+            self.assertThat(report.late, LessThan(ALLOWED_LATE + 1))
+
+
+class TrialTest(testtools.TestCase):
+    """One host lets a quarantined request run, more rarely each time."""
+
+    def _trials(self, *, is_known, count=4):
+        """Return the seconds of all trials in which the hosts ask."""
+        cores_by_host = {f'h{number}': 1.0 for number in range(count)}
+        hosts = [QuarantineTrials(host) for host in cores_by_host]
+        for trials in hosts:
+            trials.begin('p', 0, is_known=is_known)
+        return [
+            now
+            for now in range(200)
+            for trials in hosts
+            if trials.take('p', now, cores_by_host=cores_by_host)
+        ]
+
+    def test_what_has_succeeded_before_is_tried_soon(self):
+        self.assertEqual([4, 20, 84], self._trials(is_known=True))
+
+    def test_what_never_succeeded_is_tried_late(self):
+        self.assertEqual([30, 150], self._trials(is_known=False))
+
+    def test_an_ended_quarantine_is_not_tried(self):
+        trials = QuarantineTrials('h0')
+        trials.begin('p', 0, is_known=True)
+        trials.end('p')
+        self.assertFalse(trials.take('p', 99, cores_by_host={'h0': 1.0}))
+
+
 class CauseTest(testtools.TestCase):
     """Crashes blame their cause and nothing that ran beside it."""
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -7,7 +7,6 @@
 import testtools
 
 from dandelioncleat.adapters.virtual_time import run
-from dandelioncleat.app.direct.crash_quarantine import CrashQuarantine
 from dandelioncleat.app.direct.deployment_watch import DeploymentWatch
 from dandelioncleat.app.direct.held_entries import RESTORED_HOLD_S
 from dandelioncleat.app.direct.process_directory import (
@@ -24,8 +23,14 @@
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore, StoreFaults
 from tests.builders.direct import configuration
 from tests.builders.gateways import GatewayNetwork
-from tests.builders.quarantine import FakeTargets, request, run_of, target
-from tests.builders.wallets import COPY_AGE_S, HostClock, end, new_hosts
+from tests.builders.quarantine import (
+    FakeTargets,
+    new_quarantine,
+    request,
+    run_of,
+    target,
+)
+from tests.builders.wallets import COPY_AGE_S, end, new_hosts
 from tests.test_target_notices import decode
 
 PAID = {'o': 100_000}
@@ -202,9 +207,7 @@
         async def scenario():
             store = MemoryKeyedStore()
             routers = [
-                CrashQuarantine(
-                    store, FakeTargets(), host=f'h{n}', clock=HostClock()
-                )
+                new_quarantine(store, FakeTargets(), host=f'h{n}')
                 for n in range(2)
             ]
             tasks = [asyncio.ensure_future(each.run()) for each in routers]
