Take no error of a target for a success of a request that crashes targets

Callers saw targets fail under repeats of one request.

Cause: each relayed answer below 500 withdrew what was recorded of its request, also a 404 or 413, with which a target may refuse a request before it runs it. Evidence: test_error_withdraws_no_record sees one record withdrawn before this change and none after it. Why it works: only a status below 400 is a success.

--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -310,14 +310,18 @@
     quarantine: CrashQuarantine,
 ) -> None:
     """Tell the quarantine how an attempt ended."""
-    match outcome:
-        case AttemptOutcome.LOST:
-            has_begun = context.answer_head is not None
-            quarantine.note_lost(run, target, has_begun=has_begun)
-        case AttemptOutcome.DELIVERED if context.is_close_delimited:
-            quarantine.note_closed(run, target)
-        case AttemptOutcome.DELIVERED:
-            quarantine.note_delivered(run.request)
+    head = context.answer_head
+    if outcome is AttemptOutcome.LOST:
+        quarantine.note_lost(run, target, has_begun=head is not None)
+    if outcome is not AttemptOutcome.DELIVERED or head is None:
+        return
+    if head.is_error:
+        # The target may have refused the request before it ran.
+        return
+    if head.is_close_delimited:
+        quarantine.note_closed(run, target)
+    else:
+        quarantine.note_delivered(run.request)
 
 
 def _log_not_admitted(
--- a/src/dandelioncleat/core/direct_request.py
+++ b/src/dandelioncleat/core/direct_request.py
@@ -6,6 +6,7 @@
 from xxhash import xxh64_hexdigest
 
 Headers = tuple[tuple[str, str], ...]
+FIRST_ERROR_STATUS = 400
 
 
 class PromptPart(NamedTuple):
@@ -106,6 +107,11 @@
     headers: Headers
     is_close_delimited: bool = False
 
+    @property
+    def is_error(self) -> bool:
+        """Return whether the status is that of an error."""
+        return self.status >= FIRST_ERROR_STATUS
+
 
 class CompleteResponse(NamedTuple):
     """The complete response of a target."""
--- a/src/dandelioncleat/platform/targets.py
+++ b/src/dandelioncleat/platform/targets.py
@@ -11,6 +11,7 @@
 from dandelioncleat.adapters.client_session import new_connector
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import (
+    FIRST_ERROR_STATUS,
     DirectRefusal,
     DirectRequest,
     Headers,
@@ -35,8 +36,6 @@
 MISDIRECTED = 421
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
-# Answers with an error status may lack the id of their request.
-FIRST_ERROR_STATUS = 400
 _BODILESS_STATUSES = frozenset((204, 304))
 _MS_PER_S = 1000
 _AUTOMATIC_HEADERS = (
@@ -178,6 +177,7 @@
 
 
 def _check_echo(response: aiohttp.ClientResponse, call: _Call) -> None:
+    # Answers with an error status may lack the id of their request.
     echoed = response.headers.get(names.REQUEST_ID)
     is_success = response.status < FIRST_ERROR_STATUS
     is_missing = echoed is None and not is_success
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -196,6 +196,37 @@
         self.assertEqual(b'crashes_targets', again[2])
 
 
+class ErrorAnswerTest(testtools.TestCase):
+    """An error of a target is no success of the request."""
+
+    def _withdrawn_by(self, status):
+        """Return how many records an answer with a status withdraws."""
+
+        async def scenario(fleet):
+            await list_start(fleet, 0)
+            fleet.app.answers = [crashed(fleet.app)]
+            await fleet.call('/once/a')
+            await wait_for_crash(fleet, fleet.app, 0)
+            await fleet.app.start()
+            await list_start(fleet, 1)
+            fleet.app.answers = [text_answer('no', status)]
+            with captured_lines() as lines:
+                await fleet.call('/once/a')
+            return [
+                line['records']
+                for line in lines
+                if line['event'] == 'crash records withdrawn'
+            ]
+
+        return run_with_fleet(scenario)
+
+    def test_error_withdraws_no_record(self):
+        self.assertEqual([], self._withdrawn_by(404))
+
+    def test_success_withdraws_the_record(self):
+        self.assertEqual([1], self._withdrawn_by(200))
+
+
 class EndOfConnectionTest(testtools.TestCase):
     """A crash may close the connection of an answer without a length."""
 
