--- a/src/dandelioncleat/app/direct/crash_quarantine.py
+++ b/src/dandelioncleat/app/direct/crash_quarantine.py
@@ -7,7 +7,11 @@
 import structlog
 
 from dandelioncleat.app.direct.shared_crash_records import SharedCrashRecords
-from dandelioncleat.core.crash_cause import CrashCause, find_causes
+from dandelioncleat.core.crash_cause import (
+    MIN_CRASHES,
+    CrashCause,
+    find_causes,
+)
 from dandelioncleat.core.crash_records import RECORD_AGE_S, CrashRecord
 from dandelioncleat.core.crash_suspect import (
     CrashSuspect,
@@ -176,7 +180,7 @@
         known = self._records.known
         if known.changes != self._changes_seen:
             self._changes_seen = known.changes
-            causes_by_suspect = find_causes(known.all())
+            causes_by_suspect = find_causes(known.of_frequent(MIN_CRASHES))
             self._note_causes(causes_by_suspect)
             self._causes_by_suspect = causes_by_suspect
         return self._causes_by_suspect
--- a/src/dandelioncleat/core/crash_records.py
+++ b/src/dandelioncleat/core/crash_records.py
@@ -59,9 +59,17 @@
         """Return the number of records."""
         return len(self._records_by_key)
 
-    def all(self) -> tuple[CrashRecord, ...]:
-        """Return all records."""
-        return tuple(self._records_by_key.values())
+    def of_frequent(self, least: int) -> tuple[CrashRecord, ...]:
+        """Return the records of the suspects that have some number of them.
+
+        Most suspects ran beside one crash only.
+        """
+        return tuple(
+            self._records_by_key[key]
+            for keys in self._keys_by_suspect.values()
+            if len(keys) >= least
+            for key in keys
+        )
 
     def put(self, record: CrashRecord) -> None:
         """Store a record."""
