--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -366,6 +366,11 @@
             )
         )
 
+    async def list_second_engine(self):
+        """List the second model engine, and wait until the router knows it."""
+        await self.put('servers', self.llm2.name, self.llm2.entry())
+        await self.wait_until(lambda: self.router.target_count('llm') > 1)
+
     async def call(self, path, *, method='POST', body=b'{}', **headers):
         """Send a request; return its status, headers and body."""
         response = await self.begin(path, method=method, body=body, **headers)
--- a/tests/test_close_delimited_answers.py
+++ b/tests/test_close_delimited_answers.py
@@ -70,8 +70,7 @@
 
     def test_stream_closed_inside_an_event_is_resumed(self):
         async def scenario(fleet):
-            await fleet.put('servers', 'i-llm2', fleet.llm2.entry())
-            await fleet.wait_until(lambda: fleet.router.target_count('llm') > 1)
+            await fleet.list_second_engine()
             for target in (fleet.llm, fleet.llm2):
                 target.answers = [_closed_then_resumed]
             return await fleet.call('/stream/a', **MODEL_HEADERS)
@@ -106,8 +105,7 @@
 
     def test_chunked_stream_resumed_without_chunks_gets_no_last_chunk(self):
         async def scenario(fleet):
-            await fleet.put('servers', 'i-llm2', fleet.llm2.entry())
-            await fleet.wait_until(lambda: fleet.router.target_count('llm') > 1)
+            await fleet.list_second_engine()
             for target in (fleet.llm, fleet.llm2):
                 target.answers = [_cut_then_closed]
             return await fleet.raw_answer('/stream/a', **MODEL_HEADERS)
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -271,8 +271,7 @@
 
     def test_request_is_not_sent_on_once_it_is_quarantined(self):
         async def scenario(fleet):
-            await fleet.put('servers', 'i-llm2', fleet.llm2.entry())
-            await fleet.wait_until(lambda: fleet.router.target_count('llm') > 1)
+            await fleet.list_second_engine()
             held = asyncio.Event()
             engines = (fleet.llm, fleet.llm2)
             for engine in engines:
