--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -256,8 +256,7 @@
 
     def test_a_stream_resumes_after_its_last_whole_event(self):
         async def scenario(fleet):
-            await fleet.put('servers', 'i-llm2', fleet.llm2.entry())
-            await fleet.wait_until(lambda: fleet.router.target_count('llm') > 1)
+            await fleet.list_second_engine()
             for target in (fleet.llm, fleet.llm2):
                 target.answers = [cut_then_resumed(2, 5)]
             answer = await fleet.call('/stream/a', **MODEL_HEADERS)
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -149,8 +149,7 @@
 
     def test_another_target_gets_the_request(self):
         async def scenario(fleet):
-            await fleet.put('servers', 'i-llm2', fleet.llm2.entry())
-            await fleet.wait_until(lambda: fleet.router.target_count('llm') > 1)
+            await fleet.list_second_engine()
             for target in (fleet.llm, fleet.llm2):
                 target.answers = [_refuse_or_serve(fleet)] * 6
             statuses = [
