Log the limits that targets name, and when they change and end

Each router now decodes the limit from any answer of a target and logs when it begins, changes and ends. A value that is no decimal number gets one line and no effect. Placement is not changed: the limit still binds nobody.

Answers overtake each other, so an answer without a limit ends one only if its request was sent after the limit was last heard; a poll's answer ends none. The stand-in of targets can name a limit in all its answers.

Tests: LimitNoticeTest, LimitLineTest; there was nothing to fail before.

--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -9,6 +9,7 @@
 from dandelioncleat.app.direct.run_context import RunContext
 from dandelioncleat.app.direct.stream_origins import StreamOrigins
 from dandelioncleat.app.direct.stream_relay import relay_stream
+from dandelioncleat.app.direct.target_limits import TargetLimits
 from dandelioncleat.app.direct.target_state import TargetState
 from dandelioncleat.core.direct_request import CompleteResponse
 from dandelioncleat.core.failure import FailureError
@@ -48,11 +49,13 @@
     targets: DirectTargets,
     reply: Reply,
     origins: StreamOrigins,
+    limits: TargetLimits,
 ) -> AttemptOutcome:
     """Send a request to a target and relay its answer, if there is one.
 
     :param reply: receives the answer unless it is a server error or a refusal
     :param origins: is told where a stream began that the caller may resume
+    :param limits: is told what the target says about its limit
     :raises TimeoutError: if the answer does not arrive in time
     """
     target_request = _target_request(context, state)
@@ -63,6 +66,7 @@
         async with asyncio.timeout_at(context.answer_by) as timer:
             async with targets.send(target_request) as answer:
                 is_answered = True
+                _note_notice(context, state, answer, limits)
                 return await _relay_answer(
                     context,
                     state,
@@ -78,6 +82,23 @@
         state.end(context.request.id)
 
 
+def _note_notice(
+    context: RunContext,
+    state: TargetState,
+    answer: TargetAnswer,
+    limits: TargetLimits,
+) -> None:
+    """Apply what an answer says about further requests."""
+    context.answer_head = answer.head
+    state.wishes.apply(answer.notice, asyncio.get_running_loop().time())
+    limits.note_answer(
+        state.entry,
+        answer.notice,
+        sent_at=context.sent_at,
+        is_success=answer.has_run and not answer.head.is_error,
+    )
+
+
 async def _relay_answer(
     context: RunContext,
     state: TargetState,
@@ -88,8 +109,6 @@
     origins: StreamOrigins,
 ) -> AttemptOutcome:
     now = asyncio.get_running_loop().time()
-    context.answer_head = answer.head
-    state.wishes.apply(answer.notice, now)
     if not answer.has_run:
         return _note_not_run(context, state, answer)
     context.tried_targets.add(state.entry.id)
--- a/src/dandelioncleat/app/direct/cache_watch.py
+++ b/src/dandelioncleat/app/direct/cache_watch.py
@@ -7,6 +7,7 @@
 import structlog
 
 from dandelioncleat.app.direct.target_directory import TargetDirectory
+from dandelioncleat.app.direct.target_limits import TargetLimits
 from dandelioncleat.app.direct.target_state import TargetState
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.ports.cache_events import CacheEventSource
@@ -34,17 +35,20 @@
         *,
         source: random.Random,
         is_poller: Callable[[str], bool],
+        limits: TargetLimits,
     ) -> None:
         """Initialise with the targets and the client of their cache events.
 
         :param is_poller: returns whether this router polls a target; all
             routers of a large fleet would be more than targets answer
+        :param limits: is told what the targets say about their limits
         :param source: spreads the pauses after refused polls
         """
         self._directory = directory
         self._events = events
         self._source = source
         self._is_poller = is_poller
+        self._limits = limits
         self._tasks_by_target: dict[str, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
@@ -94,6 +98,7 @@
             state.entry, start=cache.position, wait_s=POLL_WAIT_S
         )
         state.wishes.apply(poll.notice, _now())
+        self._limits.note_poll(state.entry, poll.notice)
         if poll.update is None:
             return False
         cache.take(poll.update)
--- a/src/dandelioncleat/app/direct/crash_quarantine.py
+++ b/src/dandelioncleat/app/direct/crash_quarantine.py
@@ -214,7 +214,7 @@
         return True
 
     def _probe_soon(self, end: _RunEnd, target: TargetEntry) -> None:
-        start = _start_of(target)
+        start = target.start
         ends = self._ends_by_start.get(start)
         if ends is not None:
             ends.append(end)
@@ -227,7 +227,7 @@
     async def _probe(self, target: TargetEntry) -> None:
         await asyncio.sleep(PROBE_DELAY_S)
         has_crashed = await self._targets.refuses_connections(target)
-        start = _start_of(target)
+        start = target.start
         ends = self._ends_by_start.pop(start)
         _log_probe(target, ends, has_crashed=has_crashed)
         if has_crashed:
@@ -277,7 +277,7 @@
     log(
         'target crashed' if has_crashed else 'target did not crash',
         target=target.id,
-        start=_start_of(target),
+        start=target.start,
         runs=len(ends),
         begun=sum(each.has_begun for each in ends),
         digests_by_request={each.id: each.digest for each in requests},
@@ -296,7 +296,3 @@
     if suspect.is_request or request.prompt is None:
         return None
     return request.prompt.parts[suspect.depth].id
-
-
-def _start_of(target: TargetEntry) -> str:
-    return f'{target.id}/{target.started_at}'
--- a/src/dandelioncleat/app/direct/run_context.py
+++ b/src/dandelioncleat/app/direct/run_context.py
@@ -23,6 +23,7 @@
 
     ``answer_by`` is when the answer must have begun, ``deadline`` when the
     caller stops waiting; both are event loop times in seconds.
+    ``sent_at`` is when the last attempt was sent, an event loop time.
     ``may_have_run`` says that any attempt may have run,
     ``earlier_may_have_run`` that one before the last may have.
     ``sent_head`` is the head of the answer that the caller was sent,
@@ -48,6 +49,7 @@
         self.has_lost_answer = False
         self.tried_targets: set[str] = set()
         self.attempts_sent = 0
+        self.sent_at = float('-inf')
         self.may_have_run = False
         self.failed_answer: CompleteResponse | None = None
         self.outcome = CALLER_LEFT
@@ -99,6 +101,7 @@
     def begin_attempt(self) -> None:
         """Note that the request is about to be sent to a target."""
         self.attempts_sent += 1
+        self.sent_at = _now()
         self.answer_head = None
         self.stream.unfinished_bytes = 0
         self.earlier_may_have_run = self.may_have_run
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -25,6 +25,7 @@
 from dandelioncleat.app.direct.resumption import resumption_refusal
 from dandelioncleat.app.direct.run_context import RunContext
 from dandelioncleat.app.direct.stream_origins import StreamOrigins
+from dandelioncleat.app.direct.target_limits import TargetLimits
 from dandelioncleat.app.direct.wallet import ReservationOutcome, Wallet
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import (
@@ -56,6 +57,7 @@
     forwarding: Forwarding
     quarantine: CrashQuarantine
     origins: StreamOrigins
+    limits: TargetLimits
     telemetry: Telemetry
 
 
@@ -228,6 +230,7 @@
                 targets=self._parts.targets,
                 reply=reply,
                 origins=self._parts.origins,
+                limits=self._parts.limits,
             )
         _report_outcome(
             context, run, state.entry, outcome=outcome, quarantine=quarantine
--- a/src/dandelioncleat/core/deployment.py
+++ b/src/dandelioncleat/core/deployment.py
@@ -158,3 +158,8 @@
     is_draining: bool
     started_at: int
     software_version: str | None = None
+
+    @property
+    def start(self) -> str:
+        """Return the id of this start of the target."""
+        return f'{self.id}/{self.started_at}'
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -30,6 +30,7 @@
 )
 from dandelioncleat.app.direct.stream_origins import StreamOrigins
 from dandelioncleat.app.direct.target_directory import TargetDirectory
+from dandelioncleat.app.direct.target_limits import TargetLimits
 from dandelioncleat.app.direct.topic_follower import TopicFollower
 from dandelioncleat.app.direct.wallet import Wallet
 from dandelioncleat.app.router_life import RouterLife
@@ -151,6 +152,7 @@
         self._targets_topic = TopicFollower(
             store, names.TARGETS_TOPIC, on_change=self._directory.apply
         )
+        self._target_limits = TargetLimits()
         self._cache_watch = CacheWatch(
             self._directory,
             HttpCacheEvents(self._session),
@@ -158,6 +160,7 @@
             is_poller=lambda target: self._host_choice.includes(
                 target, settings.host
             ),
+            limits=self._target_limits,
         )
         self._placement = Placement(
             self._directory,
@@ -186,6 +189,7 @@
                 ),
                 self._quarantine,
                 self._origins,
+                self._target_limits,
                 telemetry,
             )
         )
--- a/src/dandelioncleat/platform/names.py
+++ b/src/dandelioncleat/platform/names.py
@@ -19,6 +19,7 @@
 OCCUPANCY: Final = 'Server-Load'
 NOT_RUN: Final = 'Not-Run'
 LEAVING: Final = 'Server-Leaving'
+RATE_LIMIT: Final = 'Server-Limit'
 RETRY_AFTER: Final = 'Retry-After'
 
 # Between routers: marks a forwarded request, and gives a refusal's reason.
--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -33,6 +33,9 @@
     'Prompt-Prefix': 'aa:60,bb:40',
 }
 
+# Headers that are in all answers of the target that got a request.
+NOTICES = web.RequestKey('notices', dict)
+
 
 def route(prefix, kind, service, **changes):
     """Return a route as the operator writes it."""
@@ -97,6 +100,7 @@
         self.polls = 0
         self.poll_status = 404
         self.poll_headers = {}
+        self.limit_per_s = None
         self._server = None
         self.address = ''
 
@@ -130,8 +134,10 @@
             # The router polls on its own schedule, beside the requests.
             self.polls += 1
             return web.Response(
-                status=self.poll_status, headers=self.poll_headers
+                status=self.poll_status,
+                headers={**self._notices(), **self.poll_headers},
             )
+        request[NOTICES] = self._notices()
         body = await request.read()
         self.requests.append(request)
         self.bodies.append(body)
@@ -142,6 +148,12 @@
             self.cancelled.set()
             raise
 
+    def _notices(self):
+        """Return the headers that are in all answers of the target."""
+        if self.limit_per_s is None:
+            return {}
+        return {'Server-Limit': str(self.limit_per_s)}
+
 
 def text_answer(text, status=200, **headers):
     """Return an answer with a stamp and the request's id."""
@@ -305,6 +317,7 @@
     return {
         'Request-Id': request.headers.get('Request-Id', ''),
         'Server-Stamp': 's.1',
+        **request.get(NOTICES, {}),
         **more,
     }
 
--- /dev/null
+++ b/tests/test_target_limits.py
@@ -0,0 +1,105 @@
+"""Tests of targets that name a limit of requests a second."""
+
+import testtools
+
+from dandelioncleat.adapters.virtual_time import run
+from dandelioncleat.app.direct.target_limits import TargetLimits
+from dandelioncleat.core.deployment import TargetEntry
+from dandelioncleat.core.target_notice import NO_NOTICE, TargetNotice
+from dandelioncleat.platform.notices import target_notice
+from tests.builders.direct import run_with_fleet
+from tests.builders.logs import captured_lines
+
+BEGUN = 'target names a limit'
+CHANGED = 'limit of a target changed'
+ENDED = 'limit of a target ended'
+INVALID = 'limit of a target cannot be read'
+
+
+def entry(started_at=1):
+    """Return the entry of a start of a target."""
+    return TargetEntry('i', 's', '10.0.0.1:80', 'z', 8, False, started_at)
+
+
+class LimitNoticeTest(testtools.TestCase):
+    """A limit is read from the headers of any answer."""
+
+    def test_any_answer_may_name_a_limit(self):
+        for status in (200, 421, 429, 500, 503):
+            notice = target_notice(status, {'Server-Limit': '2.5'})
+            self.assertEqual(2.5, notice.limit_per_s)
+        self.assertEqual(NO_NOTICE, target_notice(200, {}))
+
+    def test_zero_is_a_limit(self):
+        notice = target_notice(200, {'Server-Limit': '0'})
+        self.assertEqual((0, None), (notice.limit_per_s, notice.invalid_limit))
+
+    def test_what_is_no_decimal_number_is_no_limit(self):
+        for text in ('', 'none', '-1', 'inf', 'nan', '1e3', '1,5', '9' * 99):
+            notice = target_notice(200, {'Server-Limit': text})
+            self.assertIs(None, notice.limit_per_s)
+            self.assertEqual(text[:40], notice.invalid_limit)
+
+
+class LimitLineTest(testtools.TestCase):
+    """The lines tell when a limit begins, changes and ends."""
+
+    def _lines_after(self, *answers):
+        """Return the events of lines after answers to requests.
+
+        :param answers: pairs of a notice and when its request was sent
+        """
+
+        async def scenario():
+            limits = TargetLimits()
+            for notice, sent_at in answers:
+                limits.note_answer(
+                    entry(), notice, sent_at=sent_at, is_success=True
+                )
+
+        with captured_lines() as lines:
+            run(scenario())
+        return [line['event'] for line in lines]
+
+    def test_a_limit_begins_changes_and_ends(self):
+        self.assertEqual(
+            [BEGUN, CHANGED, ENDED],
+            self._lines_after(
+                (TargetNotice(limit_per_s=2), 0),
+                (TargetNotice(limit_per_s=2), 0),
+                (TargetNotice(limit_per_s=1), 0),
+                (NO_NOTICE, 1),
+            ),
+        )
+
+    def test_an_answer_to_an_earlier_request_ends_no_limit(self):
+        self.assertEqual(
+            [BEGUN],
+            self._lines_after((TargetNotice(limit_per_s=2), 0), (NO_NOTICE, 0)),
+        )
+
+    def test_an_answer_to_an_earlier_request_raises_no_limit(self):
+        self.assertEqual(
+            [BEGUN],
+            self._lines_after(
+                (TargetNotice(limit_per_s=2), 0),
+                (TargetNotice(limit_per_s=3), 0),
+            ),
+        )
+
+    def test_a_limit_that_cannot_be_read_gets_one_line(self):
+        notice = TargetNotice(invalid_limit='x')
+        self.assertEqual([INVALID], self._lines_after((notice, 0), (notice, 1)))
+
+    def test_a_request_that_its_target_limits_is_logged_with_the_limit(self):
+        async def scenario(fleet):
+            fleet.app.limit_per_s = 0.5
+            await fleet.call('/safe/a')
+
+        with captured_lines() as lines:
+            run_with_fleet(scenario)
+        found = [line for line in lines if line['event'] == BEGUN]
+        self.assertEqual(
+            [('i-app', 0.5)],
+            [(line['target'], line['limit_per_s']) for line in found],
+        )
--- a/tests/test_token_waits.py
+++ b/tests/test_token_waits.py
@@ -7,6 +7,7 @@
 
 from dandelioncleat.adapters.virtual_time import run
 from dandelioncleat.app.direct.cache_watch import CacheWatch
+from dandelioncleat.app.direct.target_limits import TargetLimits
 from dandelioncleat.app.direct.target_state import TargetState
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.host_holdings import TokenNeed
@@ -100,6 +101,7 @@
         RefusedPolls(),
         source=random.Random(1),
         is_poller=lambda target: is_poller,
+        limits=TargetLimits(),
     )
     task = asyncio.ensure_future(watch.run())
     await asyncio.sleep(duration_s)
