Show with failing tests that routers send on beyond the limit of a target

LimitTest plays 1 to 68 routers before a target that names 0 to 2.5 requests a second, in virtual time, and counts what reaches it as the users do: in any 4 s, from routers that have known the limit for 0.5 s, beginning 3 s after it was first named. LimitedRouterTest asks a real router twice.

--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -543,6 +543,7 @@
         self.head = None
         self.body = b''
         self.end = None
+        self.refusal = None
 
     async def send_complete(self, answer):
         """Keep a complete answer."""
@@ -552,6 +553,7 @@
     async def refuse(self, refusal):
         """Keep that the request was refused."""
         self.end = 'refused'
+        self.refusal = refusal
 
     async def begin(self, head):
         """Keep the head of a stream."""
--- /dev/null
+++ b/tests/builders/limited_fleet.py
@@ -0,0 +1,277 @@
+"""Builders of routers before targets that name limits, in virtual time."""
+
+import asyncio
+import random
+from collections import Counter
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+from dandelioncleat.adapters.virtual_time import run
+from dandelioncleat.app.direct.placement import Placement
+from dandelioncleat.app.direct.serving import Serving, ServingParts
+from dandelioncleat.app.direct.stream_origins import StreamOrigins
+from dandelioncleat.app.direct.target_directory import TargetDirectory
+from dandelioncleat.app.direct.target_limits import TargetLimits
+from dandelioncleat.app.direct.topic_follower import TopicChange
+from dandelioncleat.core.deployment import (
+    CallerLimits,
+    CallKind,
+    Deployment,
+    Organisation,
+    Route,
+    RouteTable,
+    Service,
+    TargetEntry,
+    WeightedService,
+)
+from dandelioncleat.core.direct_request import DirectRequest, ResponseHead
+from dandelioncleat.core.keyed_record import KeyedRecord
+from dandelioncleat.core.retry_window import RetryLimits
+from dandelioncleat.platform.notices import target_notice
+from dandelioncleat.ports.telemetry import NullTelemetry
+from dandelioncleat.standin.keyed_store import MemoryKeyedStore
+from tests.builders.direct import RecordedReply
+from tests.builders.logs import captured_lines
+from tests.builders.quarantine import new_quarantine
+from tests.builders.wallets import HostClock
+
+# The users' bound on what reaches a target that names a limit: in any window,
+# the share of the limit and the excess, once the grace after the first naming
+# has passed; a router counts once it has known the limit for a while.
+WINDOW_S = 4.0
+SHARE = 1.5
+EXCESS = 5
+GRACE_S = 3.0
+KNOWN_S = 0.5
+OBJECTIVE_S = 0.4
+
+
+class FleetShape(NamedTuple):
+    """Routers, targets, and the load in requests a second."""
+
+    routers: int = 4
+    targets: int = 2
+    rate: float = 15
+    duration_s: float = 20
+
+
+class Arrival(NamedTuple):
+    """A request that reaches a target."""
+
+    at: float
+    host: str
+
+
+class LimitedTarget:
+    """A target that may name a limit, and counts what reaches it.
+
+    ``limit`` is the text of the limit in its answers, if it names one.
+    """
+
+    def __init__(self, number):
+        """Initialise without a limit."""
+        self.entry = TargetEntry(
+            f'i-{number}', 's', f'10.0.0.{number}:80', 'z', 8, False, number
+        )
+        self.limit = None
+        self.answer_s = 0.02
+        self.arrivals = []
+        self._named_at = None
+        self._told_at_by_host = {}
+
+    def name_limit(self, limit):
+        """Begin to name a limit in all answers."""
+        self.limit = str(limit)
+        if self._named_at is None:
+            self._named_at = _now()
+
+    async def answer(self, host):
+        """Count a request of a host, and return the answer's headers."""
+        self.arrivals.append(Arrival(_now(), host))
+        await asyncio.sleep(self.answer_s)
+        if self.limit is None:
+            return {}
+        self._told_at_by_host.setdefault(host, _now())
+        return {'Server-Limit': self.limit}
+
+    def most_in_a_window(self):
+        """Return the most requests of one window that count."""
+        counted = [
+            each.at
+            for each in self.arrivals
+            if each.at >= self._named_at + GRACE_S
+            and self._told_at_by_host.get(each.host, _now()) + KNOWN_S
+            <= each.at
+        ]
+        return max(
+            (
+                sum(start <= at < start + WINDOW_S for at in counted)
+                for start in counted
+            ),
+            default=0,
+        )
+
+    def allowed(self):
+        """Return how many requests a window may have."""
+        return SHARE * float(self.limit) * WINDOW_S + EXCESS
+
+
+class _Answer:
+    """A whole answer of a target, read in one piece."""
+
+    def __init__(self, headers):
+        self.head = ResponseHead(200, 'OK', tuple(headers.items()))
+        self.has_run = True
+        self.is_misdirected = False
+        self.is_stream = False
+        self.occupancy = None
+        self.notice = target_notice(200, headers)
+        self.refusal = None
+
+    async def chunks(self):
+        yield b'ok'
+
+
+class _Targets:
+    """The targets as one host reaches them."""
+
+    def __init__(self, targets, host):
+        self._by_id = {each.entry.id: each for each in targets}
+        self._host = host
+
+    @asynccontextmanager
+    async def send(self, order):
+        headers = await self._by_id[order.target.id].answer(self._host)
+        yield _Answer(headers)
+
+    async def refuses_connections(self, entry):
+        return False
+
+
+class _Deployment:
+    """A configuration with one route."""
+
+    def __init__(self):
+        route = Route(
+            name='r',
+            host='h',
+            prefix='/',
+            kind=CallKind.IDEMPOTENT,
+            shares=(WeightedService('s', 1),),
+            timeout_s=2,
+            objective_s=OBJECTIVE_S,
+            priority=0,
+            attempts=2,
+            is_public=False,
+            is_resumable=False,
+        )
+        organisation = Organisation('o')
+        self.current = Deployment(
+            1,
+            RouteTable((route,)),
+            {'s': Service('s', '/health', 9)},
+            {'o': organisation},
+            {'k': organisation},
+            CallerLimits(8000, 1000, 3, 15),
+        )
+
+
+class Ended(NamedTuple):
+    """A request that ended; ``reply`` is what its caller got."""
+
+    began_at: float
+    ended_at: float
+    reply: RecordedReply
+
+
+class LimitedFleet:
+    """Routers that share a store and some targets."""
+
+    def __init__(self, shape, seed=1):
+        """Connect the routers; needs a running event loop."""
+        self.shape = shape
+        self.store = MemoryKeyedStore()
+        self.targets = [LimitedTarget(n) for n in range(shape.targets)]
+        self.ended = []
+        self._source = random.Random(seed)
+        self._number = 0
+        self._hosts = [f'h{n}' for n in range(shape.routers)]
+        self._routers = [self._new_router(host) for host in self._hosts]
+
+    async def play(self, *, changes=()):
+        """Send requests at the shape's rate to random routers.
+
+        :param changes: pairs of a time in seconds and what to do then
+        """
+        start = _now()
+        for at, change in changes:
+            asyncio.get_running_loop().call_at(start + at, change)
+        async with asyncio.TaskGroup() as group:
+            while _now() < start + self.shape.duration_s:
+                await asyncio.sleep(self._source.expovariate(self.shape.rate))
+                group.create_task(
+                    self._call(self._source.choice(self._routers))
+                )
+
+    def refusals(self):
+        """Return what was refused, as counts by reason."""
+        return Counter(
+            each.reply.refusal.reason
+            for each in self.ended
+            if each.reply.end == 'refused'
+        )
+
+    async def _call(self, router):
+        self._number += 1
+        request = DirectRequest(
+            f'r{self._number}', 'POST', 'h', '/a', (), b'', key='k', wait_s=5
+        )
+        reply = RecordedReply()
+        began_at = _now()
+        await router.serve(request, reply)
+        self.ended.append(Ended(began_at, _now(), reply))
+
+    def _new_router(self, host):
+        directory = TargetDirectory(self._decode, silence_s=lambda: 0)
+        records = tuple(
+            KeyedRecord(each.entry.id, b'x', 0) for each in self.targets
+        )
+        directory.apply(TopicChange(True, records))
+        targets = _Targets(self.targets, host)
+        store = self.store.client()
+        placement = Placement(
+            directory,
+            data_centre='z',
+            terms=RetryLimits(0.2, 50, 10),
+            router_count=lambda: len(self._hosts),
+        )
+        return Serving(
+            ServingParts(
+                _Deployment(),
+                None,
+                placement,
+                targets,
+                None,
+                new_quarantine(self.store, targets, host=host),
+                StreamOrigins(store, host=host, clock=HostClock()),
+                TargetLimits(),
+                NullTelemetry(),
+            )
+        )
+
+    def _decode(self, key, value):
+        return next(each.entry for each in self.targets if each.entry.id == key)
+
+
+def run_limited_fleet(scenario, *, seed=1, **shape):
+    """Run a scenario with a fleet and return its result."""
+
+    async def play():
+        return await scenario(LimitedFleet(FleetShape(**shape), seed))
+
+    with captured_lines():
+        return run(play())
+
+
+def _now():
+    return asyncio.get_running_loop().time()
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -8,6 +8,7 @@
 from dandelioncleat.core.target_notice import NO_NOTICE, TargetNotice
 from dandelioncleat.platform.notices import target_notice
 from tests.builders.direct import run_with_fleet
+from tests.builders.limited_fleet import run_limited_fleet
 from tests.builders.logs import captured_lines
 
 BEGUN = 'target names a limit'
@@ -103,3 +104,49 @@
             [('i-app', 0.5)],
             [(line['target'], line['limit_per_s']) for line in found],
         )
+
+
+class LimitTest(testtools.TestCase):
+    """All routers together keep to the limit of a target."""
+
+    def _exceeding(self, limit, *, seeds=2, **shape):
+        """Return the most in a window, if it is more than allowed."""
+
+        async def scenario(fleet):
+            target = fleet.targets[0]
+            named = (2, lambda: target.name_limit(limit))
+            await fleet.play(changes=[named])
+            most = target.most_in_a_window()
+            return most if most > target.allowed() else None
+
+        found = [
+            run_limited_fleet(scenario, seed=seed, **shape)
+            for seed in range(seeds)
+        ]
+        return [most for most in found if most is not None]
+
+    def test_a_target_gets_no_more_than_it_names_from_all_routers(self):
+        for routers in (1, 4, 5, 25, 68):
+            for limit in (0, 0.3, 1, 2.5):
+                self.assertEqual(
+                    [],
+                    self._exceeding(limit, routers=routers, rate=30),
+                    f'{routers} routers, limit {limit}',
+                )
+
+
+class LimitedRouterTest(testtools.TestCase):
+    """A router turns away at once what a limited target can't take."""
+
+    def test_a_second_request_is_refused_with_the_time_of_the_next_one(self):
+        async def scenario(fleet):
+            fleet.app.limit_per_s = 0.01
+            first = await fleet.call('/safe/a')
+            second = await fleet.call('/safe/b')
+            return first[0], second, len(fleet.app.requests)
+
+        first, second, sent = run_with_fleet(scenario)
+        status, headers, body = second
+        self.assertEqual((200, 503, 1), (first, status, sent))
+        self.assertEqual(b'targets_limited', body)
+        self.assertTrue(0 < float(headers['Retry-After']) <= 10)
