Keep to the limit of requests a second that a target names

Callers saw nothing; the targets did.

Ruled out: that each router kept to the limit alone (none did: one placed 1.25 a second by itself), and polls or second attempts (all 12 requests of the first reported window are placements and first attempts).

Now a few hosts, chosen alike by all (a rendezvous hash), send to a limited target, each at an equal part of the limit and never two at once; the others send nothing. So any 4 s hold at most one request of each sender beyond the limit. A request goes to other targets first; if none has room it waits for a turn for a quarter of its objective at most, else it is refused at once (targets_limited) with the time of the fleet's next turn. Each attempt takes a turn: first ones, retries and resumptions alike. A limit below 0.1 a second is kept at that rate, as only the target's own answers can end it.

Which targets take a request moves from placement into a module of its own.

With all targets limited over four fifths of what they take is used (LimitedServiceTest).

--- a/src/dandelioncleat/app/direct/ending.py
+++ b/src/dandelioncleat/app/direct/ending.py
@@ -24,12 +24,12 @@
     last_outcome: AttemptOutcome | None,
     reply: Reply,
     *,
-    pause_s: float | None,
+    busy: DirectRefusal | None,
 ) -> None:
     """End a request that no target could complete.
 
     :param last_outcome: how the last attempt ended, ``None`` if it timed out
-    :param pause_s: time for which no target wants requests, in seconds
+    :param busy: the refusal if no target takes requests now
     """
     if context.has_sent_head:
         context.outcome = 'cut'
@@ -39,7 +39,7 @@
         context.outcome = 'failed at the target'
         await reply.send_complete(context.failed_answer)
         return
-    refusal = _final_refusal(context, last_outcome, pause_s)
+    refusal = _final_refusal(context, last_outcome, busy)
     await refuse(context, refusal, reply)
 
 
@@ -75,16 +75,14 @@
 def _final_refusal(
     context: RunContext,
     last_outcome: AttemptOutcome | None,
-    pause_s: float | None,
+    busy: DirectRefusal | None,
 ) -> DirectRefusal:
     if last_outcome is None:
         return DirectRefusal(RefusalReason.NOT_IN_TIME, has_run=True)
     if context.may_have_run:
         return DirectRefusal(RefusalReason.ANSWER_LOST, has_run=True)
-    if pause_s is not None:
-        return DirectRefusal(
-            RefusalReason.TARGETS_PAUSED, retry_after_s=pause_s
-        )
+    if busy is not None:
+        return busy
     if last_outcome is AttemptOutcome.NOT_RUN:
         return DirectRefusal(
             RefusalReason.NO_ROOM, retry_after_s=NO_ROOM_RETRY_S
--- a/src/dandelioncleat/app/direct/placement.py
+++ b/src/dandelioncleat/app/direct/placement.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from dandelioncleat.app.direct.open_targets import OpenTargets
 from dandelioncleat.app.direct.run_context import RunContext
 from dandelioncleat.app.direct.target_directory import TargetDirectory
 from dandelioncleat.app.direct.target_state import TargetState
@@ -21,11 +22,15 @@
 
 
 class ChosenTarget(NamedTuple):
-    """A chosen target, its state at that time and the candidate count."""
+    """A chosen target, its state at that time and the candidate count.
+
+    ``wait_s`` is the time until its limit lets this host send the request.
+    """
 
     state: TargetState
     view: TargetSnapshot
     candidates: int
+    wait_s: float = 0
 
 
 class Placement:
@@ -35,16 +40,19 @@
         self,
         directory: TargetDirectory,
         *,
+        open_targets: OpenTargets,
         data_centre: str,
         terms: RetryLimits,
         router_count: Callable[[], int],
     ) -> None:
         """Initialise with the targets and the retry limits.
 
+        :param open_targets: which targets take a request
         :param router_count: returns how many routers share the retry budget
         """
         self._router_count = router_count
         self._directory = directory
+        self._open = open_targets
         self._data_centre = data_centre
         self._terms = terms
         self._windows_by_service: dict[str, RetryWindow] = {}
@@ -66,8 +74,10 @@
         )
 
     def has_candidate(self, context: RunContext) -> bool:
-        """Return whether there is an untried target."""
-        return bool(self._candidates(context, _now()))
+        """Return whether an untried target takes the request in time."""
+        if self._open.candidates(context):
+            return True
+        return self._open.next_turn(context) is not None
 
     def has_target_of_origin(self, context: RunContext) -> bool:
         """Return whether the caller's stream may be resumed anywhere."""
@@ -83,22 +93,15 @@
             return None
         return StreamOrigin(service, versions.pop())
 
-    def requested_pause_s(self, service: str) -> float | None:
-        """Return when the first target of a service wants requests again.
+    def choose(self, context: RunContext) -> ChosenTarget | None:
+        """Return the best untried target, if there is one.
 
-        ``None`` if one wants them now, or if none is listed.
+        If targets are limited, this takes the turn of one of them.
         """
         now = _now()
-        states = self._directory.available(service)
-        pauses_s = [state.wishes.pause_s(now) for state in states]
-        return min(pauses_s, default=0) or None
-
-    def choose(self, context: RunContext) -> ChosenTarget | None:
-        """Return the best untried target, if there is one."""
-        now = _now()
-        states = self._candidates(context, now)
+        states = self._open.candidates(context)
         if not states:
-            return None
+            return self._wait_for_turn(context, now)
         views = [
             state.view(data_centre=self._data_centre, now=now)
             for state in states
@@ -108,7 +111,9 @@
             chosen = choose_plain(views, context.request.id)
         else:
             chosen = choose_for_prompt(views, prompt)
-        return ChosenTarget(states[views.index(chosen)], chosen, len(states))
+        state = states[views.index(chosen)]
+        self._open.take_turn(state)
+        return ChosenTarget(state, chosen, len(states))
 
     def log_choice(self, context: RunContext, choice: ChosenTarget) -> None:
         """Log a placement and the inputs of the choice."""
@@ -131,20 +136,20 @@
             resumed_request=context.request.resumed_request,
             version=context.admitted.version,
             attempt=context.attempts_sent + 1,
+            is_limited=self._open.is_limited(choice.state),
+            turn_wait_s=round(choice.wait_s, 3),
             left_ms=int(1000 * context.remaining_s),
         )
 
-    def _candidates(self, context: RunContext, now: float) -> list[TargetState]:
-        service = context.admitted.service.name
-        untried = [
-            state
-            for state in self._directory.available(service)
-            if state.entry.id not in context.tried_targets
-            and context.fits(state.entry)
-            and not state.wishes.pause_s(now)
-        ]
-        healthy = [state for state in untried if not state.is_paused(now)]
-        return healthy or untried
+    def _wait_for_turn(
+        self, context: RunContext, now: float
+    ) -> ChosenTarget | None:
+        turn = self._open.next_turn(context)
+        if turn is None:
+            return None
+        self._open.take_turn(turn.state)
+        view = turn.state.view(data_centre=self._data_centre, now=now)
+        return ChosenTarget(turn.state, view, 1, turn.wait_s)
 
     def _retry_window(self, service: str) -> RetryWindow:
         window = self._windows_by_service.get(service)
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -21,6 +21,7 @@
 )
 from dandelioncleat.app.direct.forwarding import Forwarding
 from dandelioncleat.app.direct.hopeless import hopeless_refusal
+from dandelioncleat.app.direct.open_targets import OpenTargets
 from dandelioncleat.app.direct.placement import Placement
 from dandelioncleat.app.direct.resumption import resumption_refusal
 from dandelioncleat.app.direct.run_context import RunContext
@@ -53,6 +54,7 @@
     deployment: DeploymentWatch
     wallet: Wallet
     placement: Placement
+    open_targets: OpenTargets
     targets: DirectTargets
     forwarding: Forwarding
     quarantine: CrashQuarantine
@@ -206,8 +208,8 @@
         if outcome is AttemptOutcome.DELIVERED:
             context.outcome = 'delivered'
             return
-        pause_s = self._parts.placement.requested_pause_s(service)
-        await give_up(context, outcome, reply, pause_s=pause_s)
+        busy = self._parts.open_targets.busy_refusal(context)
+        await give_up(context, outcome, reply, busy=busy)
 
     async def _send_attempt(
         self, context: RunContext, reply: Reply
@@ -215,8 +217,12 @@
         choice = self._parts.placement.choose(context)
         if choice is None:
             return AttemptOutcome.NOT_SENT
-        self._parts.placement.log_choice(context, choice)
         state = choice.state
+        if choice.wait_s:
+            await asyncio.sleep(choice.wait_s)
+            if not self._parts.open_targets.is_open(state):
+                return AttemptOutcome.NOT_SENT
+        self._parts.placement.log_choice(context, choice)
         quarantine = self._parts.quarantine
         run = quarantine.watch(
             context.request, is_after_loss=context.has_lost_answer
@@ -295,7 +301,7 @@
             RefusalReason.STOPPING, retry_after_s=STOPPING_RETRY_S
         )
     hopeless = hopeless_refusal(
-        context, quarantine=parts.quarantine, placement=parts.placement
+        context, quarantine=parts.quarantine, open_targets=parts.open_targets
     )
     if hopeless is not None:
         return hopeless
--- a/src/dandelioncleat/app/direct/target_limits.py
+++ b/src/dandelioncleat/app/direct/target_limits.py
@@ -1,11 +1,15 @@
-"""Keeps the limits that targets name for requests a second."""
+"""Keeps to the limits of requests a second that targets name."""
 
 import asyncio
+from math import inf
 from typing import NamedTuple
 
 import structlog
 
+from dandelioncleat.app.direct.target_state import TargetState
 from dandelioncleat.core.deployment import TargetEntry
+from dandelioncleat.core.host_choice import HostChoice
+from dandelioncleat.core.send_share import SendShare, send_share
 from dandelioncleat.core.target_notice import TargetNotice
 
 _logger = structlog.get_logger(__name__)
@@ -25,11 +29,44 @@
 class TargetLimits:
     """Keeps the limit of each start of a target that names one."""
 
-    def __init__(self) -> None:
-        """Start without limits."""
+    def __init__(self, *, host: str, fleet: HostChoice) -> None:
+        """Start without limits.
+
+        :param host: host of this router
+        :param fleet: the hosts that share each limit
+        """
+        self._host = host
+        self._fleet = fleet
         self._limits_by_start: dict[str, KnownLimit] = {}
         self._invalid_starts: set[str] = set()
 
+    def is_limited(self, target: TargetEntry) -> bool:
+        """Return whether a target has a limit."""
+        return target.start in self._limits_by_start
+
+    def wait_s(self, state: TargetState, now: float) -> float:
+        """Return when this host may send a target its next request.
+
+        In seconds from now; 0 at once, infinite if only other hosts send.
+        """
+        share = self._share(state.entry)
+        if share is None:
+            return 0
+        if not share.is_sender:
+            return inf
+        return max(float(0), state.last_turn_at + share.interval_s - now)
+
+    def retry_s(self, state: TargetState, now: float) -> float:
+        """Return when a caller finds a host that may send, in seconds."""
+        share = self._share(state.entry)
+        if share is None:
+            return 0
+        return min(self.wait_s(state, now), share.fleet_interval_s)
+
+    def take_turn(self, state: TargetState, now: float) -> None:
+        """Take the next time at which this host may send a request."""
+        state.last_turn_at = now + self.wait_s(state, now)
+
     def note_poll(self, target: TargetEntry, notice: TargetNotice) -> None:
         """Apply the answer to a poll, which ends no limit."""
         self._note_invalid(target, notice)
@@ -62,6 +99,14 @@
         if is_success and sent_at > known.heard_at:
             self._end(target.start)
 
+    def _share(self, target: TargetEntry) -> SendShare | None:
+        known = self._limits_by_start.get(target.start)
+        if known is None:
+            return None
+        return send_share(
+            known.per_s, target=target.id, host=self._host, fleet=self._fleet
+        )
+
     def _hear(
         self, target: TargetEntry, per_s: float, *, sent_at: float
     ) -> None:
--- a/src/dandelioncleat/app/direct/target_state.py
+++ b/src/dandelioncleat/app/direct/target_state.py
@@ -23,7 +23,11 @@
 
 
 class TargetState:
-    """Keeps the router's requests at a target and what its answers reported."""
+    """Keeps the router's requests at a target and what its answers reported.
+
+    ``last_turn_at`` is when the last request was sent or will be, an event
+    loop time in seconds.
+    """
 
     def __init__(self, entry: TargetEntry, *, kv_tokens: int) -> None:
         """Initialise without any request of this router."""
@@ -38,6 +42,7 @@
         self._errors_at: deque[float] = deque(maxlen=MAX_ERRORS)
         self._paused_until = float('-inf')
         self.wishes = TargetWishes(entry.id)
+        self.last_turn_at = float('-inf')
 
     @property
     def accepts_new(self) -> bool:
--- a/src/dandelioncleat/core/direct_request.py
+++ b/src/dandelioncleat/core/direct_request.py
@@ -76,6 +76,7 @@
     NO_TARGET = 'no_target'
     NO_ROOM = 'no_room'
     TARGETS_PAUSED = 'targets_paused'
+    TARGETS_LIMITED = 'targets_limited'
     CRASHES_TARGETS = 'crashes_targets'
     NOT_IN_TIME = 'not_in_time'
     ANSWER_LOST = 'answer_lost'
--- a/src/dandelioncleat/core/host_choice.py
+++ b/src/dandelioncleat/core/host_choice.py
@@ -25,7 +25,12 @@
     def __init__(self) -> None:
         """Start with an unknown fleet, of which every host is chosen."""
         self._cores_by_host: Mapping[str, float] = {}
-        self._chosen_by_key: dict[str, frozenset[str]] = {}
+        self._chosen_by_key: dict[tuple[str, int], frozenset[str]] = {}
+
+    @property
+    def size(self) -> int:
+        """Return the number of hosts, 1 in an unknown fleet."""
+        return max(1, len(self._cores_by_host))
 
     @property
     def is_selective(self) -> bool:
@@ -44,15 +49,27 @@
         """Return whether a host is chosen for a key."""
         if not self.is_selective:
             return True
-        chosen = self._chosen_by_key.get(key)
+        return self.is_among(key, host, most=CHOSEN_HOSTS)
+
+    def is_among(self, key: str, host: str, *, most: int) -> bool:
+        """Return whether a host is one of the first of a key.
+
+        :param most: number of hosts that are chosen
+        """
+        if self.size <= most:
+            return True
+        chosen = self._chosen_by_key.get((key, most))
         if chosen is None:
-            chosen = chosen_hosts(key, self._cores_by_host)
-            self._chosen_by_key[key] = chosen
+            chosen = chosen_hosts(key, self._cores_by_host, most=most)
+            self._chosen_by_key[key, most] = chosen
         return host in chosen
 
 
 def chosen_hosts(
-    key: str, cores_by_host: Mapping[str, float]
+    key: str,
+    cores_by_host: Mapping[str, float],
+    *,
+    most: int = CHOSEN_HOSTS,
 ) -> frozenset[str]:
     """Return the hosts that are chosen for a key in a large fleet.
 
@@ -61,9 +78,10 @@
     or leaves changes few choices.
 
     :param cores_by_host: processor cores of each host
+    :param most: number of hosts that are chosen
     """
     ranked = _ranked(key, cores_by_host)
-    return frozenset(ranked[:CHOSEN_HOSTS])
+    return frozenset(ranked[:most])
 
 
 def first_host(key: str, cores_by_host: Mapping[str, float]) -> str | None:
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -15,6 +15,7 @@
 from dandelioncleat.app.direct.failover_store import FailoverStore
 from dandelioncleat.app.direct.forwarding import Forwarding
 from dandelioncleat.app.direct.gateway_store import GatewayStore
+from dandelioncleat.app.direct.open_targets import OpenTargets
 from dandelioncleat.app.direct.placement import Placement
 from dandelioncleat.app.direct.process_directory import (
     ProcessAnnouncement,
@@ -152,7 +153,9 @@
         self._targets_topic = TopicFollower(
             store, names.TARGETS_TOPIC, on_change=self._directory.apply
         )
-        self._target_limits = TargetLimits()
+        self._target_limits = TargetLimits(
+            host=settings.host, fleet=self._host_choice
+        )
         self._cache_watch = CacheWatch(
             self._directory,
             HttpCacheEvents(self._session),
@@ -162,8 +165,10 @@
             ),
             limits=self._target_limits,
         )
+        self._open_targets = OpenTargets(self._directory, self._target_limits)
         self._placement = Placement(
             self._directory,
+            open_targets=self._open_targets,
             data_centre=settings.data_centre,
             terms=_retry_limits(settings),
             router_count=lambda: self._processes.router_count,
@@ -183,6 +188,7 @@
                 self._deployment,
                 self._wallet,
                 self._placement,
+                self._open_targets,
                 self._targets,
                 Forwarding(
                     self._processes, wallet=self._wallet, targets=self._targets
--- a/tests/builders/limited_fleet.py
+++ b/tests/builders/limited_fleet.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from dandelioncleat.adapters.virtual_time import run
+from dandelioncleat.app.direct.open_targets import OpenTargets
 from dandelioncleat.app.direct.placement import Placement
 from dandelioncleat.app.direct.serving import Serving, ServingParts
 from dandelioncleat.app.direct.stream_origins import StreamOrigins
@@ -25,6 +26,7 @@
     WeightedService,
 )
 from dandelioncleat.core.direct_request import DirectRequest, ResponseHead
+from dandelioncleat.core.host_choice import HostChoice
 from dandelioncleat.core.keyed_record import KeyedRecord
 from dandelioncleat.core.retry_window import RetryLimits
 from dandelioncleat.platform.notices import target_notice
@@ -239,8 +241,13 @@
         directory.apply(TopicChange(True, records))
         targets = _Targets(self.targets, host)
         store = self.store.client()
+        fleet = HostChoice()
+        fleet.set_hosts(dict.fromkeys(self._hosts, 1.0))
+        limits = TargetLimits(host=host, fleet=fleet)
+        open_targets = OpenTargets(directory, limits)
         placement = Placement(
             directory,
+            open_targets=open_targets,
             data_centre='z',
             terms=RetryLimits(0.2, 50, 10),
             router_count=lambda: len(self._hosts),
@@ -250,11 +257,12 @@
                 _Deployment(),
                 None,
                 placement,
+                open_targets,
                 targets,
                 None,
                 new_quarantine(self.store, targets, host=host),
                 StreamOrigins(store, host=host, clock=HostClock()),
-                TargetLimits(),
+                limits,
                 NullTelemetry(),
             )
         )
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -5,9 +5,10 @@
 from dandelioncleat.adapters.virtual_time import run
 from dandelioncleat.app.direct.target_limits import TargetLimits
 from dandelioncleat.core.deployment import TargetEntry
+from dandelioncleat.core.host_choice import HostChoice
 from dandelioncleat.core.target_notice import NO_NOTICE, TargetNotice
 from dandelioncleat.platform.notices import target_notice
-from tests.builders.direct import run_with_fleet
+from tests.builders.direct import MODEL_HEADERS, events, run_with_fleet
 from tests.builders.limited_fleet import run_limited_fleet
 from tests.builders.logs import captured_lines
 
@@ -52,7 +53,7 @@
         """
 
         async def scenario():
-            limits = TargetLimits()
+            limits = TargetLimits(host='h', fleet=HostChoice())
             for notice, sent_at in answers:
                 limits.note_answer(
                     entry(), notice, sent_at=sent_at, is_success=True
@@ -150,3 +151,49 @@
         self.assertEqual((200, 503, 1), (first, status, sent))
         self.assertEqual(b'targets_limited', body)
         self.assertTrue(0 < float(headers['Retry-After']) <= 10)
+
+    def test_another_target_gets_the_request(self):
+        async def scenario(fleet):
+            await fleet.list_second_engine()
+            fleet.llm.limit_per_s = 0.01
+            fleet.llm2.limit_per_s = None
+            for target in (fleet.llm, fleet.llm2):
+                target.answers = [events(0, 1)] * 9
+            statuses = [
+                (await fleet.call('/stream/a', **MODEL_HEADERS))[0]
+                for _ in range(8)
+            ]
+            return statuses, len(fleet.llm.requests)
+
+        statuses, limited = run_with_fleet(scenario)
+        self.assertEqual([200] * 8, statuses)
+        self.assertTrue(limited <= 1)
+
+
+class LimitedServiceTest(testtools.TestCase):
+    """All targets of a service are limited, and callers want more."""
+
+    def _play(self, **shape):
+        """Return the fleet after each target took 2 requests a second."""
+
+        async def scenario(fleet):
+            for target in fleet.targets:
+                target.name_limit(2)
+            await fleet.play()
+            return fleet
+
+        return run_limited_fleet(scenario, targets=4, rate=40, **shape)
+
+    def test_most_of_what_they_take_is_used(self):
+        for routers in (1, 4, 25):
+            fleet = self._play(routers=routers)
+            taken = sum(len(each.arrivals) for each in fleet.targets)
+            self.assertTrue(taken > 0.8 * 4 * 2 * 20, f'{routers}: {taken}')
+
+    def test_the_rest_is_refused_at_once_with_a_time_to_return(self):
+        fleet = self._play()
+        refused = [e for e in fleet.ended if e.reply.end == 'refused']
+        self.assertEqual({'targets_limited'}, set(fleet.refusals()))
+        for each in refused:
+            self.assertTrue(each.ended_at - each.began_at <= 0.1)
+            self.assertTrue(0 < each.reply.refusal.retry_after_s <= 0.5)
--- a/tests/test_token_waits.py
+++ b/tests/test_token_waits.py
@@ -10,6 +10,7 @@
 from dandelioncleat.app.direct.target_limits import TargetLimits
 from dandelioncleat.app.direct.target_state import TargetState
 from dandelioncleat.core.deployment import TargetEntry
+from dandelioncleat.core.host_choice import HostChoice
 from dandelioncleat.core.host_holdings import TokenNeed
 from dandelioncleat.core.target_notice import NO_NOTICE
 from dandelioncleat.ports.cache_events import CachePoll
@@ -101,7 +102,7 @@
         RefusedPolls(),
         source=random.Random(1),
         is_poller=lambda target: is_poller,
-        limits=TargetLimits(),
+        limits=TargetLimits(host='h', fleet=HostChoice()),
     )
     task = asyncio.ensure_future(watch.run())
     await asyncio.sleep(duration_s)
