Write changed records of a topic in one place

SharedCrashRecords kept unwritten changes and retried appends itself; a writer of topics does so now, for the next topic that routers share as well. No behaviour changes but the name of a debug line.

--- a/src/dandelioncleat/app/direct/shared_crash_records.py
+++ b/src/dandelioncleat/app/direct/shared_crash_records.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 import msgspec
 import structlog
@@ -11,20 +11,16 @@
     TopicChange,
     TopicFollower,
 )
+from dandelioncleat.app.direct.topic_writer import TopicWriter
 from dandelioncleat.core.crash_records import CrashRecord, CrashRecords
-from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.keyed_record import KeyedRecord
 from dandelioncleat.ports.clock import Clock
 from dandelioncleat.ports.store import KeyedStore
 
 CRASHES_TOPIC = 'crashes'
-RETRY_PAUSE_S = 0.2
 READ_WAIT_S = 5.0
 EXPIRY_INTERVAL_S = 30.0
 
-# ``None`` stands for a record that is withdrawn.
-_Changes = Mapping[str, CrashRecord | None]
-
 _logger = structlog.get_logger(__name__)
 
 
@@ -37,12 +33,12 @@
         :param host: host of this router
         """
         self.known = CrashRecords()
-        self._store = store
         self._clock = clock
         self._source = random.Random(host)
         self._own_keys: set[str] = set()
-        self._unwritten_by_key: dict[str, CrashRecord | None] = {}
-        self._write_due = asyncio.Event()
+        self._writer = TopicWriter[CrashRecord](
+            store, CRASHES_TOPIC, encode=msgspec.msgpack.encode
+        )
         self._follower = TopicFollower(
             store,
             CRASHES_TOPIC,
@@ -56,32 +52,34 @@
         for record in records_by_key.values():
             self.known.put(record)
         self._own_keys.update(records_by_key)
-        self._write(records_by_key)
+        self._writer.put(records_by_key)
 
     def withdraw(self, keys: Iterable[str]) -> None:
         """Withdraw records everywhere."""
         for key in keys:
             self.known.remove(key)
         self._own_keys.difference_update(keys)
-        self._write(dict.fromkeys(keys))
+        self._writer.put(dict.fromkeys(keys))
 
     async def run(self) -> None:
         """Follow and write the records until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._follower.run())
-            group.create_task(self._write_records())
+            group.create_task(self._writer.run())
             group.create_task(self._expire())
 
     def _apply(self, change: TopicChange) -> None:
         if change.is_restored:
             # The store may have lost what this router wrote.
             own = (self.known.get(key) for key in self._own_keys)
-            self._write({each.key: each for each in own if each is not None})
+            self._writer.put(
+                {each.key: each for each in own if each is not None}
+            )
         elif change.is_snapshot:
             self.known.clear()
         for stored in change.records:
             self._apply_record(stored)
-        for record in self._unwritten_by_key.values():
+        for record in self._writer.unwritten_by_key.values():
             if record is not None:
                 self.known.put(record)
 
@@ -100,41 +98,9 @@
         else:
             self.known.put(record)
 
-    def _write(self, changes_by_key: _Changes) -> None:
-        self._unwritten_by_key.update(changes_by_key)
-        if self._unwritten_by_key:
-            self._write_due.set()
-
-    async def _write_records(self) -> None:
-        while True:
-            await self._write_due.wait()
-            self._write_due.clear()
-            changes_by_key = dict(self._unwritten_by_key)
-            try:
-                await self._store.append(CRASHES_TOPIC, _encode(changes_by_key))
-            except FailureError as error:
-                _logger.debug('crash records not written', reason=str(error))
-                self._write_due.set()
-                await asyncio.sleep(RETRY_PAUSE_S)
-            else:
-                self._forget_written(changes_by_key)
-
-    def _forget_written(self, changes_by_key: _Changes) -> None:
-        for key, change in changes_by_key.items():
-            # What changed meanwhile is still to be written.
-            if self._unwritten_by_key.get(key) is change:
-                self._unwritten_by_key.pop(key, None)
-
     async def _expire(self) -> None:
         while True:
             # One of the routers is first, and the others see its deletions.
             pause_s = EXPIRY_INTERVAL_S * (0.5 + self._source.random())
             await asyncio.sleep(pause_s)
             self.withdraw(self.known.expired_keys(self._clock.wall()))
-
-
-def _encode(changes_by_key: _Changes) -> tuple[tuple[str, bytes], ...]:
-    return tuple(
-        (key, b'' if record is None else msgspec.msgpack.encode(record))
-        for key, record in changes_by_key.items()
-    )
