Share the limits of targets among routers, so that their end is heard by all

Fault: a host that is not among the senders of a limited target sends nothing to it, so it never hears that the limit has ended, and a target that has recovered stays with a few hosts.

Now the first router that hears a limit writes it to the store's topic 'limits', by the target's start, and a sender that gets an answer without it deletes it; all routers follow the topic. An answer ends a limit only if its request was sent after the limit was last heard. A store that is away changes nothing of what a router was told itself; one that comes back from an older copy takes no limit away, and the first host of a target's ranking writes it again. Limits of targets that are gone are deleted after 30 to 90 s.

Ruled out: to let each router ask now and then (68 routers every 10 s are 25 in 4 s; allowed are 11), and cache polls as the carrier (their answers may not name the limit, and six of them a second are more than the target takes).

--- a/src/dandelioncleat/app/direct/target_directory.py
+++ b/src/dandelioncleat/app/direct/target_directory.py
@@ -58,6 +58,11 @@
             if state.entry.service == service and state.accepts_new
         ]
 
+    @property
+    def starts(self) -> set[str]:
+        """Return the starts of all listed targets."""
+        return {state.entry.start for state in self._states_by_id.values()}
+
     def engines(self) -> dict[str, TargetState]:
         """Return the targets that run a model and accept requests, by id."""
         return {
--- a/src/dandelioncleat/app/direct/target_limits.py
+++ b/src/dandelioncleat/app/direct/target_limits.py
@@ -1,16 +1,19 @@
 """Keeps to the limits of requests a second that targets name."""
 
 import asyncio
+from collections.abc import Callable, Collection
 from math import inf
 from typing import NamedTuple
 
 import structlog
 
+from dandelioncleat.app.direct.shared_limits import MIN_CHANGE, SharedLimits
 from dandelioncleat.app.direct.target_state import TargetState
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.host_choice import HostChoice
 from dandelioncleat.core.send_share import SendShare, send_share
 from dandelioncleat.core.target_notice import TargetNotice
+from dandelioncleat.ports.store import KeyedStore
 
 _logger = structlog.get_logger(__name__)
 
@@ -29,17 +32,37 @@
 class TargetLimits:
     """Keeps the limit of each start of a target that names one."""
 
-    def __init__(self, *, host: str, fleet: HostChoice) -> None:
+    def __init__(
+        self,
+        store: KeyedStore,
+        *,
+        host: str,
+        fleet: HostChoice,
+        listed_starts: Callable[[], Collection[str]],
+    ) -> None:
         """Start without limits.
 
+        :param store: keeps the limits for all routers
         :param host: host of this router
         :param fleet: the hosts that share each limit
+        :param listed_starts: returns the starts of all listed targets
         """
         self._host = host
         self._fleet = fleet
+        self._shared = SharedLimits(
+            store,
+            host=host,
+            fleet=fleet,
+            listed_starts=listed_starts,
+            on_change=self._apply_shared,
+        )
         self._limits_by_start: dict[str, KnownLimit] = {}
         self._invalid_starts: set[str] = set()
 
+    async def run(self) -> None:
+        """Share limits with all routers until cancelled."""
+        await self._shared.run()
+
     def is_limited(self, target: TargetEntry) -> bool:
         """Return whether a target has a limit."""
         return target.start in self._limits_by_start
@@ -98,6 +121,7 @@
             return
         if is_success and sent_at > known.heard_at:
             self._end(target.start)
+            self._shared.end(target.start)
 
     def _share(self, target: TargetEntry) -> SendShare | None:
         known = self._limits_by_start.get(target.start)
@@ -111,21 +135,34 @@
         self, target: TargetEntry, per_s: float, *, sent_at: float
     ) -> None:
         known = self._limits_by_start.get(target.start)
-        if known is None:
-            _logger.info(
-                'target names a limit', target=target.id, limit_per_s=per_s
-            )
-        elif per_s > known.per_s and sent_at <= known.heard_at:
+        is_late = known is not None and sent_at <= known.heard_at
+        if known is not None and is_late:
             # A later answer may have named the lower limit.
-            per_s = known.per_s
+            per_s = min(per_s, known.per_s)
+        self._set(target.start, per_s)
+        self._shared.put(target.start, per_s)
+
+    def _apply_shared(self, start: str, per_s: float | None) -> None:
+        """Apply what another router has heard, or this one before."""
+        known = self._limits_by_start.get(start)
+        if per_s is None:
+            if known is not None:
+                self._end(start)
+        elif known is None or abs(per_s - known.per_s) > MIN_CHANGE * per_s:
+            self._set(start, per_s)
+
+    def _set(self, start: str, per_s: float) -> None:
+        known = self._limits_by_start.get(start)
+        if known is None:
+            _logger.info('target names a limit', start=start, limit_per_s=per_s)
         elif per_s != known.per_s:
             _logger.info(
                 'limit of a target changed',
-                target=target.id,
+                start=start,
                 limit_per_s=per_s,
                 earlier_per_s=known.per_s,
             )
-        self._limits_by_start[target.start] = KnownLimit(per_s, _now())
+        self._limits_by_start[start] = KnownLimit(per_s, _now())
 
     def _end(self, start: str) -> None:
         known = self._limits_by_start.pop(start)
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -154,7 +154,10 @@
             store, names.TARGETS_TOPIC, on_change=self._directory.apply
         )
         self._target_limits = TargetLimits(
-            host=settings.host, fleet=self._host_choice
+            store,
+            host=settings.host,
+            fleet=self._host_choice,
+            listed_starts=lambda: self._directory.starts,
         )
         self._cache_watch = CacheWatch(
             self._directory,
@@ -234,6 +237,7 @@
             self._cache_watch.run(),
             self._quarantine.run(),
             self._origins.run(),
+            self._target_limits.run(),
             self._wallet.run(),
             self._become_ready(),
         )
--- a/tests/builders/limited_fleet.py
+++ b/tests/builders/limited_fleet.py
@@ -87,6 +87,10 @@
         if self._named_at is None:
             self._named_at = _now()
 
+    def end_limit(self):
+        """Name no limit any more."""
+        self.limit = None
+
     async def answer(self, host):
         """Count a request of a host, and return the answer's headers."""
         self.arrivals.append(Arrival(_now(), host))
@@ -195,6 +199,8 @@
         self.store = MemoryKeyedStore()
         self.targets = [LimitedTarget(n) for n in range(shape.targets)]
         self.ended = []
+        self.clients = []
+        self._limits = []
         self._source = random.Random(seed)
         self._number = 0
         self._hosts = [f'h{n}' for n in range(shape.routers)]
@@ -208,6 +214,7 @@
         start = _now()
         for at, change in changes:
             asyncio.get_running_loop().call_at(start + at, change)
+        sharing = [asyncio.ensure_future(each.run()) for each in self._limits]
         async with asyncio.TaskGroup() as group:
             while _now() < start + self.shape.duration_s:
                 await asyncio.sleep(self._source.expovariate(self.shape.rate))
@@ -215,6 +222,10 @@
                     self._call(self._source.choice(self._routers))
                 )
 
+        for task in sharing:
+            task.cancel()
+        await asyncio.gather(*sharing, return_exceptions=True)
+
     def refusals(self):
         """Return what was refused, as counts by reason."""
         return Counter(
@@ -241,9 +252,16 @@
         directory.apply(TopicChange(True, records))
         targets = _Targets(self.targets, host)
         store = self.store.client()
+        self.clients.append(store)
         fleet = HostChoice()
         fleet.set_hosts(dict.fromkeys(self._hosts, 1.0))
-        limits = TargetLimits(host=host, fleet=fleet)
+        limits = TargetLimits(
+            store,
+            host=host,
+            fleet=fleet,
+            listed_starts=lambda: directory.starts,
+        )
+        self._limits.append(limits)
         open_targets = OpenTargets(directory, limits)
         placement = Placement(
             directory,
@@ -283,3 +301,13 @@
 
 def _now():
     return asyncio.get_running_loop().time()
+
+
+def new_limits(store=None):
+    """Return the limits of a router that is alone."""
+    return TargetLimits(
+        (store or MemoryKeyedStore()).client(),
+        host='h',
+        fleet=HostChoice(),
+        listed_starts=set,
+    )
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -1,15 +1,21 @@
 """Tests of targets that name a limit of requests a second."""
 
+import asyncio
+from functools import partial
+
 import testtools
 
 from dandelioncleat.adapters.virtual_time import run
-from dandelioncleat.app.direct.target_limits import TargetLimits
+from dandelioncleat.app.direct.shared_limits import (
+    CLEANUP_INTERVAL_S,
+    LIMITS_TOPIC,
+)
 from dandelioncleat.core.deployment import TargetEntry
-from dandelioncleat.core.host_choice import HostChoice
 from dandelioncleat.core.target_notice import NO_NOTICE, TargetNotice
 from dandelioncleat.platform.notices import target_notice
+from dandelioncleat.standin.keyed_store import MemoryKeyedStore, StoreFaults
 from tests.builders.direct import MODEL_HEADERS, events, run_with_fleet
-from tests.builders.limited_fleet import run_limited_fleet
+from tests.builders.limited_fleet import new_limits, run_limited_fleet
 from tests.builders.logs import captured_lines
 
 BEGUN = 'target names a limit'
@@ -53,7 +59,7 @@
         """
 
         async def scenario():
-            limits = TargetLimits(host='h', fleet=HostChoice())
+            limits = new_limits()
             for notice, sent_at in answers:
                 limits.note_answer(
                     entry(), notice, sent_at=sent_at, is_success=True
@@ -102,21 +108,25 @@
             run_with_fleet(scenario)
         found = [line for line in lines if line['event'] == BEGUN]
         self.assertEqual(
-            [('i-app', 0.5)],
-            [(line['target'], line['limit_per_s']) for line in found],
+            [('i-app/0', 0.5)],
+            [(line['start'], line['limit_per_s']) for line in found],
         )
 
 
 class LimitTest(testtools.TestCase):
     """All routers together keep to the limit of a target."""
 
-    def _exceeding(self, limit, *, seeds=2, **shape):
-        """Return the most in a window, if it is more than allowed."""
+    def _exceeding(self, limit, *, seeds=2, changes=(), **shape):
+        """Return the most in a window, if it is more than allowed.
+
+        :param changes: pairs of a time and what to do then with the fleet
+        """
 
         async def scenario(fleet):
             target = fleet.targets[0]
             named = (2, lambda: target.name_limit(limit))
-            await fleet.play(changes=[named])
+            others = [(at, partial(change, fleet)) for at, change in changes]
+            await fleet.play(changes=[named, *others])
             most = target.most_in_a_window()
             return most if most > target.allowed() else None
 
@@ -135,6 +145,44 @@
                     f'{routers} routers, limit {limit}',
                 )
 
+    def test_the_limit_holds_while_the_store_is_away(self):
+        for routers in (4, 25):
+            changes = ((1, _break_store),)
+            self.assertEqual(
+                [], self._exceeding(0.5, routers=routers, changes=changes)
+            )
+
+    def test_the_limit_holds_over_a_restored_store(self):
+        for routers in (4, 25):
+            changes = ((8, partial(_restore, age_s=7)),)
+            self.assertEqual(
+                [], self._exceeding(0.5, routers=routers, changes=changes)
+            )
+
+    def test_a_limit_may_change_and_alternate(self):
+        for routers in (4, 25):
+            changes = tuple(
+                (at, partial(_name_limit, limit=limit))
+                for at, limit in ((6, 3), (7, 1), (8, 2), (9, 1), (12, 1.5))
+            )
+            # The highest limit is what the builder's bound goes by.
+            changes = (*changes, (19, partial(_name_limit, limit=3)))
+            self.assertEqual(
+                [], self._exceeding(1, routers=routers, changes=changes)
+            )
+
+
+def _break_store(fleet):
+    fleet.store.faults = StoreFaults(outage=True)
+
+
+def _restore(fleet, *, age_s):
+    fleet.store.restore(age_s)
+
+
+def _name_limit(fleet, *, limit):
+    fleet.targets[0].name_limit(limit)
+
 
 class LimitedRouterTest(testtools.TestCase):
     """A router turns away at once what a limited target can't take."""
@@ -197,3 +245,76 @@
         for each in refused:
             self.assertTrue(each.ended_at - each.began_at <= 0.1)
             self.assertTrue(0 < each.reply.refusal.retry_after_s <= 0.5)
+
+
+class LimitEndTest(testtools.TestCase):
+    """A limit ends at all routers once the target names none any more."""
+
+    def _hosts_after_end(self, *, routers, limit=0.5):
+        """Return which hosts send in the last seconds.
+
+        The limit holds from 2 to 10 s of 20.
+        """
+
+        async def scenario(fleet):
+            target = fleet.targets[0]
+            changes = (
+                (2, lambda: target.name_limit(limit)),
+                (10, target.end_limit),
+            )
+            await fleet.play(changes=changes)
+            return {each.host for each in target.arrivals if each.at > 16}
+
+        return run_limited_fleet(scenario, routers=routers, rate=10 * routers)
+
+    def test_all_routers_send_again(self):
+        for routers in (1, 4, 25):
+            self.assertEqual(
+                routers, len(self._hosts_after_end(routers=routers))
+            )
+
+    def test_a_router_that_was_cut_off_hears_that_a_limit_has_ended(self):
+        async def scenario(fleet):
+            target = fleet.targets[0]
+            cut = fleet.clients[:2]
+            changes = (
+                (2, lambda: target.name_limit(0.5)),
+                (4, partial(_set_cut_off, cut, is_cut_off=True)),
+                (8, target.end_limit),
+                (12, partial(_set_cut_off, cut, is_cut_off=False)),
+            )
+            await fleet.play(changes=changes)
+            return {each.host for each in target.arrivals if each.at > 16}
+
+        hosts = run_limited_fleet(scenario, routers=4, rate=40)
+        self.assertEqual(4, len(hosts))
+
+    def test_the_next_start_of_a_target_has_no_limit(self):
+        async def scenario():
+            limits = new_limits()
+            notice = TargetNotice(limit_per_s=1)
+            limits.note_answer(entry(1), notice, sent_at=0, is_success=True)
+            return limits.is_limited(entry(1)), limits.is_limited(entry(2))
+
+        self.assertEqual((True, False), run(scenario()))
+
+    def test_the_limit_of_a_target_that_is_gone_is_deleted(self):
+        async def scenario():
+            store = MemoryKeyedStore()
+            limits = new_limits(store=store)
+            sharing = asyncio.ensure_future(limits.run())
+            notice = TargetNotice(limit_per_s=1)
+            limits.note_answer(entry(), notice, sent_at=0, is_success=True)
+            await asyncio.sleep(1)
+            before = (await store.newest(LIMITS_TOPIC)).records
+            await asyncio.sleep(3 * CLEANUP_INTERVAL_S)
+            after = (await store.newest(LIMITS_TOPIC)).records
+            sharing.cancel()
+            return len(before), len(after), limits.is_limited(entry())
+
+        self.assertEqual((1, 0, False), run(scenario()))
+
+
+def _set_cut_off(clients, *, is_cut_off):
+    for client in clients:
+        client.is_cut_off = is_cut_off
--- a/tests/test_token_waits.py
+++ b/tests/test_token_waits.py
@@ -7,14 +7,13 @@
 
 from dandelioncleat.adapters.virtual_time import run
 from dandelioncleat.app.direct.cache_watch import CacheWatch
-from dandelioncleat.app.direct.target_limits import TargetLimits
 from dandelioncleat.app.direct.target_state import TargetState
 from dandelioncleat.core.deployment import TargetEntry
-from dandelioncleat.core.host_choice import HostChoice
 from dandelioncleat.core.host_holdings import TokenNeed
 from dandelioncleat.core.target_notice import NO_NOTICE
 from dandelioncleat.ports.cache_events import CachePoll
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore
+from tests.builders.limited_fleet import new_limits
 from tests.builders.wallets import end, new_hosts, set_fleet
 
 # Requests of a large fleet: a long prompt is a large part of what a host has.
@@ -102,7 +101,7 @@
         RefusedPolls(),
         source=random.Random(1),
         is_poller=lambda target: is_poller,
-        limits=TargetLimits(host='h', fleet=HostChoice()),
+        limits=new_limits(),
     )
     task = asyncio.ensure_future(watch.run())
     await asyncio.sleep(duration_s)
