Do not poll targets whose limit is lower than the polls of all routers

A target that names less than 10 a second is no longer polled; what is known of its cache ages meanwhile, for the few requests that it still gets.

test_a_target_with_a_low_limit_is_not_polled failed before. The line of a placement tells the limit.

--- a/src/dandelioncleat/app/direct/cache_watch.py
+++ b/src/dandelioncleat/app/direct/cache_watch.py
@@ -21,6 +21,9 @@
 # polls it refuses, so each refusal doubles the pause.
 REFUSED_PAUSE_S = 3.0
 MAX_REFUSED_PAUSE_S = 60.0
+# Up to six routers poll a target about once a second each, which is most of
+# what a target takes that names less.
+MIN_POLLED_PER_S = 10.0
 
 _logger = structlog.get_logger(__name__)
 
@@ -79,6 +82,9 @@
         refusals = 0
         while True:
             await asyncio.sleep(state.wishes.pause_s(_now()))
+            if self._is_spared(state):
+                await asyncio.sleep(SCAN_INTERVAL_S)
+                continue
             try:
                 is_answered = await self._poll_once(state)
             except FailureError as error:
@@ -104,6 +110,11 @@
         cache.take(poll.update)
         return True
 
+    def _is_spared(self, state: TargetState) -> bool:
+        """Return whether a target's limit leaves no room for polls."""
+        limit_per_s = self._limits.limit_per_s(state.entry)
+        return limit_per_s is not None and limit_per_s < MIN_POLLED_PER_S
+
     def _pause_s(self, refusals: int) -> float:
         """Return the pause after some refusals in a row, in seconds."""
         if not refusals:
--- a/src/dandelioncleat/app/direct/open_targets.py
+++ b/src/dandelioncleat/app/direct/open_targets.py
@@ -69,9 +69,9 @@
         """Return whether a target still takes requests after a wait."""
         return state.accepts_new and not state.wishes.pause_s(_now())
 
-    def is_limited(self, state: TargetState) -> bool:
-        """Return whether a target names a limit."""
-        return self._limits.is_limited(state.entry)
+    def limit_per_s(self, state: TargetState) -> float | None:
+        """Return the limit that a target names, ``None`` without one."""
+        return self._limits.limit_per_s(state.entry)
 
     def busy_refusal(self, context: RunContext) -> DirectRefusal | None:
         """Return a refusal if no target takes the request in time.
--- a/src/dandelioncleat/app/direct/placement.py
+++ b/src/dandelioncleat/app/direct/placement.py
@@ -136,7 +136,7 @@
             resumed_request=context.request.resumed_request,
             version=context.admitted.version,
             attempt=context.attempts_sent + 1,
-            is_limited=self._open.is_limited(choice.state),
+            limit_per_s=self._open.limit_per_s(choice.state),
             turn_wait_s=round(choice.wait_s, 3),
             left_ms=int(1000 * context.remaining_s),
         )
--- a/src/dandelioncleat/app/direct/target_limits.py
+++ b/src/dandelioncleat/app/direct/target_limits.py
@@ -63,9 +63,10 @@
         """Share limits with all routers until cancelled."""
         await self._shared.run()
 
-    def is_limited(self, target: TargetEntry) -> bool:
-        """Return whether a target has a limit."""
-        return target.start in self._limits_by_start
+    def limit_per_s(self, target: TargetEntry) -> float | None:
+        """Return the limit of a target, ``None`` if it names none."""
+        known = self._limits_by_start.get(target.start)
+        return None if known is None else known.per_s
 
     def wait_s(self, state: TargetState, now: float) -> float:
         """Return when this host may send a target its next request.
@@ -124,11 +125,11 @@
             self._shared.end(target.start)
 
     def _share(self, target: TargetEntry) -> SendShare | None:
-        known = self._limits_by_start.get(target.start)
-        if known is None:
+        limit_per_s = self.limit_per_s(target)
+        if limit_per_s is None:
             return None
         return send_share(
-            known.per_s, target=target.id, host=self._host, fleet=self._fleet
+            limit_per_s, target=target.id, host=self._host, fleet=self._fleet
         )
 
     def _hear(
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -294,9 +294,9 @@
             limits = new_limits()
             notice = TargetNotice(limit_per_s=1)
             limits.note_answer(entry(1), notice, sent_at=0, is_success=True)
-            return limits.is_limited(entry(1)), limits.is_limited(entry(2))
+            return limits.limit_per_s(entry(1)), limits.limit_per_s(entry(2))
 
-        self.assertEqual((True, False), run(scenario()))
+        self.assertEqual((1, None), run(scenario()))
 
     def test_the_limit_of_a_target_that_is_gone_is_deleted(self):
         async def scenario():
@@ -310,9 +310,9 @@
             await asyncio.sleep(3 * CLEANUP_INTERVAL_S)
             after = (await store.newest(LIMITS_TOPIC)).records
             sharing.cancel()
-            return len(before), len(after), limits.is_limited(entry())
+            return len(before), len(after), limits.limit_per_s(entry())
 
-        self.assertEqual((1, 0, False), run(scenario()))
+        self.assertEqual((1, 0, None), run(scenario()))
 
 
 def _set_cut_off(clients, *, is_cut_off):
--- a/tests/test_token_waits.py
+++ b/tests/test_token_waits.py
@@ -10,7 +10,7 @@
 from dandelioncleat.app.direct.target_state import TargetState
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.host_holdings import TokenNeed
-from dandelioncleat.core.target_notice import NO_NOTICE
+from dandelioncleat.core.target_notice import NO_NOTICE, TargetNotice
 from dandelioncleat.ports.cache_events import CachePoll
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore
 from tests.builders.limited_fleet import new_limits
@@ -80,9 +80,17 @@
         polls = run(_count_polls(duration_s=20, is_poller=False))
         self.assertEqual(0, polls)
 
+    def test_a_target_with_a_low_limit_is_not_polled(self):
+        for limit_per_s, is_polled in ((0, False), (1, False), (10, True)):
+            polls = run(_count_polls(duration_s=20, limit_per_s=limit_per_s))
+            self.assertEqual(is_polled, polls > 0)
 
-async def _count_polls(*, duration_s, is_poller):
-    """Return how often a target that refuses all polls is polled."""
+
+async def _count_polls(*, duration_s, is_poller=True, limit_per_s=None):
+    """Return how often a target that refuses all polls is polled.
+
+    :param limit_per_s: requests a second that the target takes, if it says so
+    """
     polls = []
 
     class RefusedPolls:
@@ -96,12 +104,14 @@
 
     entry = TargetEntry('i', 's', '10.0.0.1:80', 'z', 8, False, 1)
     state = TargetState(entry, kv_tokens=1000)
+    limits = new_limits()
+    limits.note_poll(entry, TargetNotice(limit_per_s=limit_per_s))
     watch = CacheWatch(
         OneTarget(),
         RefusedPolls(),
         source=random.Random(1),
         is_poller=lambda target: is_poller,
-        limits=new_limits(),
+        limits=limits,
     )
     task = asyncio.ensure_future(watch.run())
     await asyncio.sleep(duration_s)
