--- a/src/dandelioncleat/platform/names.py
+++ b/src/dandelioncleat/platform/names.py
@@ -22,6 +22,12 @@
 RATE_LIMIT: Final = 'Server-Limit'
 RETRY_AFTER: Final = 'Retry-After'
 
+# Headers of targets that begin so and are not listed here are logged once.
+TARGET_NOTICE_PREFIX: Final = 'server-'
+KNOWN_TARGET_NOTICES: Final = frozenset(
+    ('server-stamp', 'server-load', 'server-leaving', 'server-limit')
+)
+
 # Between routers: marks a forwarded request, and gives a refusal's reason.
 FORWARDED: Final = 'Dandelioncleat-Forwarded'
 REFUSAL: Final = 'Dandelioncleat-Refusal'
--- a/src/dandelioncleat/platform/targets.py
+++ b/src/dandelioncleat/platform/targets.py
@@ -20,7 +20,7 @@
 )
 from dandelioncleat.core.failure import Code, FailureError, failure_error
 from dandelioncleat.platform import names
-from dandelioncleat.platform.notices import target_notice
+from dandelioncleat.platform.notices import UnknownNotices, target_notice
 from dandelioncleat.platform.sockets import new_keepalive_socket
 from dandelioncleat.ports.direct_target import (
     BODY_STEP,
@@ -85,6 +85,7 @@
         """Open the sessions; requires a running event loop."""
         self._pooled = _new_session(is_pooled=True)
         self._unpooled = _new_session(is_pooled=False)
+        self._unknown_notices = UnknownNotices()
 
     @asynccontextmanager
     async def send(
@@ -99,6 +100,7 @@
             _headers(order),
         )
         async with _open(call) as answer:
+            self._unknown_notices.note(order.target.id, answer.head.headers)
             yield answer
 
     @asynccontextmanager
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -17,6 +17,7 @@
     run_with_fleet,
     text_answer,
 )
+from tests.builders.logs import captured_lines
 
 LEAVING = {'Server-Leaving': '1'}
 PAUSE = {'Not-Run': '1', 'Retry-After': '2.5'}
@@ -51,6 +52,25 @@
         self.assertFalse(target_notice(200, {'Server-Leaving': '0'}).is_leaving)
 
 
+class UnknownNoticeTest(testtools.TestCase):
+    """A notice that is not decoded doesn't pass unseen."""
+
+    def test_it_is_logged_once_with_its_text(self):
+        async def scenario(fleet):
+            fleet.app.answers = [text_answer('ok', **{'Server-Mood': '3'})] * 2
+            await fleet.call('/safe/a')
+            await fleet.call('/safe/b')
+
+        with captured_lines() as lines:
+            run_with_fleet(scenario)
+        event = 'unknown notice of a target'
+        found = [line for line in lines if line['event'] == event]
+        self.assertEqual(
+            [('i-app', 'server-mood', '3')],
+            [(each['target'], each['name'], each['text']) for each in found],
+        )
+
+
 class LeavingTargetTest(testtools.TestCase):
     """A target that says that it leaves gets nothing more."""
 
