--- a/src/dandelioncleat/app/direct/target_limits.py
+++ b/src/dandelioncleat/app/direct/target_limits.py
@@ -15,6 +15,9 @@
 from dandelioncleat.core.target_notice import TargetNotice
 from dandelioncleat.ports.store import KeyedStore
 
+# Bounds what faulty targets may have logged.
+MAX_INVALID_STARTS = 100
+
 _logger = structlog.get_logger(__name__)
 
 
@@ -177,6 +180,8 @@
     def _note_invalid(self, target: TargetEntry, notice: TargetNotice) -> None:
         if notice.invalid_limit is None or target.start in self._invalid_starts:
             return
+        if len(self._invalid_starts) >= MAX_INVALID_STARTS:
+            return
         self._invalid_starts.add(target.start)
         _logger.warning(
             'limit of a target cannot be read',
