Let senders send a few requests at once to a target with a limit

Fault of the first form of the fix: strictly even spacing. A limit that callers don't even reach moved prompts away from the targets that had read their beginnings, and refused requests.

Now a sender may use what it left unused, within 3 requests and 2 s of the limit for all senders together (a leaky bucket), so any 4 s hold at most 3 and six times the limit, of 5 and six times that the users allow. Most in 4 s, limits 0, 0.3, 1, 2.5: 1, 3, 6, 12.

--- a/src/dandelioncleat/app/direct/target_limits.py
+++ b/src/dandelioncleat/app/direct/target_limits.py
@@ -81,7 +81,7 @@
             return 0
         if not share.is_sender:
             return inf
-        return max(float(0), state.last_turn_at + share.interval_s - now)
+        return share.wait_s(state.next_due_at, now)
 
     def retry_s(self, state: TargetState, now: float) -> float:
         """Return when a caller finds a host that may send, in seconds."""
@@ -91,8 +91,10 @@
         return min(self.wait_s(state, now), share.fleet_interval_s)
 
     def take_turn(self, state: TargetState, now: float) -> None:
-        """Take the next time at which this host may send a request."""
-        state.last_turn_at = now + self.wait_s(state, now)
+        """Count a request that this host sends as soon as it may."""
+        share = self._share(state.entry)
+        if share is not None:
+            state.next_due_at = share.next_due_at(state.next_due_at, now)
 
     def note_poll(self, target: TargetEntry, notice: TargetNotice) -> None:
         """Apply the answer to a poll, which ends no limit."""
--- a/src/dandelioncleat/app/direct/target_state.py
+++ b/src/dandelioncleat/app/direct/target_state.py
@@ -25,8 +25,8 @@
 class TargetState:
     """Keeps the router's requests at a target and what its answers reported.
 
-    ``last_turn_at`` is when the last request was sent or will be, an event
-    loop time in seconds.
+    ``next_due_at`` is when its limit would have the router send the next
+    request, if requests were evenly spaced; an event loop time in seconds.
     """
 
     def __init__(self, entry: TargetEntry, *, kv_tokens: int) -> None:
@@ -42,7 +42,7 @@
         self._errors_at: deque[float] = deque(maxlen=MAX_ERRORS)
         self._paused_until = float('-inf')
         self.wishes = TargetWishes(entry.id)
-        self.last_turn_at = float('-inf')
+        self.next_due_at = float('-inf')
 
     @property
     def accepts_new(self) -> bool:
--- a/src/dandelioncleat/core/send_share.py
+++ b/src/dandelioncleat/core/send_share.py
@@ -4,15 +4,20 @@
 them choose alike, send to a limited target, each at an equal part of the
 limit, and the others send nothing. A part of a second's limit for each of many
 hosts would let each of them send its first request at once.
+
+A sender may send some requests at once if it sent fewer before, as prompts
+that begin alike come together and should go to one target.
 """
 
 from typing import NamedTuple
 
 from dandelioncleat.core.host_choice import HostChoice
 
-# Each sender may send its first request at the same moment. Targets bear a few
-# requests beyond what they name, and more if they name more.
-SPARE_SENDERS = 3
+# Beyond what they name, targets bear this many requests at once, and what they
+# name for ``BURST_S`` seconds more.
+MIN_BURST = 3
+BURST_S = 2.0
+MIN_SENDERS = 3
 # A target that names less is asked at this rate, as only its own answers tell
 # that its limit has ended.
 MIN_PER_S = 0.1
@@ -22,13 +27,27 @@
     """One host's part of a target's limit.
 
     ``is_sender`` is false for a host that sends nothing. ``interval_s`` is the
-    time between two requests of a sender, ``fleet_interval_s`` that between
-    two requests of all senders, in seconds.
+    mean time between two requests of a sender, ``fleet_interval_s`` that
+    between two requests of all senders, in seconds. ``burst`` is how many
+    requests a sender may send at once.
     """
 
     is_sender: bool
     interval_s: float
     fleet_interval_s: float
+    burst: float
+
+    def wait_s(self, due_at: float, now: float) -> float:
+        """Return when a sender may send its next request, from now.
+
+        :param due_at: when it would be due if requests were evenly spaced
+        """
+        tolerance_s = (self.burst - 1) * self.interval_s
+        return max(float(0), due_at - tolerance_s - now)
+
+    def next_due_at(self, due_at: float, now: float) -> float:
+        """Return when the request after one that is sent now is due."""
+        return max(due_at, now) + self.interval_s
 
 
 def send_share(
@@ -40,9 +59,12 @@
     :param target: what identifies the target, the same at all hosts
     """
     rate_per_s = max(MIN_PER_S, limit_per_s)
-    senders = min(fleet.size, SPARE_SENDERS + int(limit_per_s))
+    burst = MIN_BURST + BURST_S * limit_per_s
+    # More senders would leave each of them a part that is used less.
+    senders = min(fleet.size, MIN_SENDERS + int(limit_per_s))
     return SendShare(
         is_sender=fleet.is_among(target, host, most=senders),
         interval_s=senders / rate_per_s,
         fleet_interval_s=1 / rate_per_s,
+        burst=max(1, burst / senders),
     )
