Let no poll raise the limit of a target

Read: the answer to a poll of cache events counted as sent at once, so one that had waited at the target could raise a limit that an answer had lowered since. test_a_poll_raises_and_ends_no_limit failed before (3 in place of 2).

--- a/src/dandelioncleat/app/direct/target_limits.py
+++ b/src/dandelioncleat/app/direct/target_limits.py
@@ -97,10 +97,10 @@
             state.next_due_at = share.next_due_at(state.next_due_at, now)
 
     def note_poll(self, target: TargetEntry, notice: TargetNotice) -> None:
-        """Apply the answer to a poll, which ends no limit."""
+        """Apply the answer to a poll, which neither raises nor ends a limit."""
         self._note_invalid(target, notice)
         if notice.limit_per_s is not None:
-            self._hear(target, notice.limit_per_s, sent_at=_now())
+            self._hear(target, notice.limit_per_s, sent_at=-inf)
 
     def note_answer(
         self,
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -95,6 +95,17 @@
             ),
         )
 
+    def test_a_poll_raises_and_ends_no_limit(self):
+        async def scenario():
+            limits = new_limits()
+            limits.note_poll(entry(), TargetNotice(limit_per_s=2))
+            await asyncio.sleep(1)
+            for notice in (TargetNotice(limit_per_s=3), NO_NOTICE):
+                limits.note_poll(entry(), notice)
+            return limits.limit_per_s(entry())
+
+        self.assertEqual(2, run(scenario()))
+
     def test_a_limit_that_cannot_be_read_gets_one_line(self):
         notice = TargetNotice(invalid_limit='x')
         self.assertEqual([INVALID], self._lines_after((notice, 0), (notice, 1)))
