Write a limit again that a restored store has lost, whoever hears it

Read: after a restore, all hosts but the one that writes lost limits again still took them for stored, and wrote nothing when they heard them once more. If that host's process was dead, the limit and its end were heard by nobody else. test_a_limit_that_a_restored_store_has_lost_is_written_again failed before (no record).

--- a/src/dandelioncleat/app/direct/shared_limits.py
+++ b/src/dandelioncleat/app/direct/shared_limits.py
@@ -119,11 +119,11 @@
         """Apply that a snapshot lacks limits that were stored."""
         listed = {record.key for record in change.records}
         for start in self._stored_by_start.keys() - listed:
+            per_s = self._stored_by_start.pop(start)
             if not change.is_restored:
-                self._stored_by_start.pop(start)
                 self._report(start, None)
             elif self._is_first_for(start):
-                self._writer.put({start: self._stored_by_start[start]})
+                self._writer.put({start: per_s})
 
     def _report(self, start: str, per_s: float | None) -> None:
         # What this router has not written yet is newer.
--- a/tests/builders/limited_fleet.py
+++ b/tests/builders/limited_fleet.py
@@ -346,11 +346,11 @@
     return asyncio.get_running_loop().time()
 
 
-def new_limits(store=None):
-    """Return the limits of a router that is alone."""
+def new_limits(store=None, fleet=None):
+    """Return the limits of a router on host ``h``, which is alone."""
     return TargetLimits(
         (store or MemoryKeyedStore()).client(),
         host='h',
-        fleet=HostChoice(),
+        fleet=fleet or HostChoice(),
         listed_starts=set,
     )
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -11,6 +11,7 @@
     LIMITS_TOPIC,
 )
 from dandelioncleat.core.deployment import TargetEntry
+from dandelioncleat.core.host_choice import HostChoice
 from dandelioncleat.core.target_notice import NO_NOTICE, TargetNotice
 from dandelioncleat.platform.notices import target_notice
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore, StoreFaults
@@ -339,6 +340,30 @@
 
         self.assertEqual((1, None), run(scenario()))
 
+    def test_a_limit_that_a_restored_store_has_lost_is_written_again(self):
+        async def scenario(*, is_first):
+            store = MemoryKeyedStore()
+            fleet = HostChoice()
+            first = 'h' if is_first else 'dead'
+            # The host without cores is chosen last.
+            fleet.set_hosts({'h': is_first, 'dead': not is_first})
+            self.assertTrue(fleet.is_among(entry().start, first, most=1))
+            limits = new_limits(store=store, fleet=fleet)
+            sharing = asyncio.ensure_future(limits.run())
+            notice = TargetNotice(limit_per_s=1)
+            limits.note_answer(entry(), notice, sent_at=0, is_success=True)
+            await asyncio.sleep(1)
+            store.restore(age_s=2)
+            await asyncio.sleep(6)
+            limits.note_answer(entry(), notice, sent_at=0, is_success=True)
+            await asyncio.sleep(1)
+            records = (await store.newest(LIMITS_TOPIC)).records
+            sharing.cancel()
+            return len(records), limits.limit_per_s(entry())
+
+        for is_first in (True, False):
+            self.assertEqual((1, 1), run(scenario(is_first=is_first)))
+
     def test_the_limit_of_a_target_that_is_gone_is_deleted(self):
         async def scenario():
             store = MemoryKeyedStore()
