--- a/src/dandelioncleat/platform/names.py
+++ b/src/dandelioncleat/platform/names.py
@@ -20,12 +20,13 @@
 NOT_RUN: Final = 'Not-Run'
 LEAVING: Final = 'Server-Leaving'
 RATE_LIMIT: Final = 'Server-Limit'
+STAMP: Final = 'Server-Stamp'
 RETRY_AFTER: Final = 'Retry-After'
 
 # Headers of targets that begin so and are not listed here are logged once.
 TARGET_NOTICE_PREFIX: Final = 'server-'
 KNOWN_TARGET_NOTICES: Final = frozenset(
-    ('server-stamp', 'server-load', 'server-leaving', 'server-limit')
+    name.lower() for name in (STAMP, OCCUPANCY, LEAVING, RATE_LIMIT)
 )
 
 # Between routers: marks a forwarded request, and gives a refusal's reason.
