Ask once what a target's limit lets through

Read of the whole change, no behaviour changed: - whether a limit differs from the stored one stood in two places; one function serves both; - an untried target that takes a request at once is also the first turn, so has_candidate needs no second pass over all targets; - the check before each request stops at the first target that takes it, in place of asking all of them and looking through the list; - a condition of the limit that is heard late was asked twice.

Run on this: linters, and the 44 tests of limits, notices and versions.

--- a/src/dandelioncleat/app/direct/open_targets.py
+++ b/src/dandelioncleat/app/direct/open_targets.py
@@ -15,7 +15,7 @@
 
 
 class Turn(NamedTuple):
-    """A limited target and when it takes a request, in seconds from now."""
+    """A target and when it takes a request, in seconds from now."""
 
     state: TargetState
     wait_s: float
@@ -50,7 +50,7 @@
         return healthy or free
 
     def next_turn(self, context: RunContext) -> Turn | None:
-        """Return the limited target that takes the request first, in time."""
+        """Return the target that takes the request first, in time."""
         now = _now()
         turns = [
             Turn(state, self._limits.wait_s(state, now))
@@ -80,10 +80,15 @@
         """
         now = _now()
         states = self._directory.available(context.admitted.service.name)
-        busy = [self._busy(state, context, now) for state in states]
-        if not busy or None in busy:
+        busy: list[_Busy] = []
+        for state in states:
+            each = self._busy(state, context, now)
+            if each is None:
+                return None
+            busy.append(each)
+        if not busy:
             return None
-        first = min(each for each in busy if each is not None)
+        first = min(busy)
         return DirectRefusal(first.reason, retry_after_s=first.retry_s)
 
     def _untried(self, context: RunContext, now: float) -> list[TargetState]:
--- a/src/dandelioncleat/app/direct/placement.py
+++ b/src/dandelioncleat/app/direct/placement.py
@@ -75,8 +75,6 @@
 
     def has_candidate(self, context: RunContext) -> bool:
         """Return whether an untried target takes the request in time."""
-        if self._open.candidates(context):
-            return True
         return self._open.next_turn(context) is not None
 
     def has_target_of_origin(self, context: RunContext) -> bool:
--- a/src/dandelioncleat/app/direct/shared_limits.py
+++ b/src/dandelioncleat/app/direct/shared_limits.py
@@ -32,6 +32,11 @@
 _logger = structlog.get_logger(__name__)
 
 
+def differs(per_s: float, *, stored: float) -> bool:
+    """Return whether a limit is told apart from the stored one."""
+    return abs(per_s - stored) > MIN_CHANGE * stored
+
+
 class SharedLimits:
     """Keeps the stored limits, by the id of a target's start.
 
@@ -75,7 +80,7 @@
     def put(self, start: str, per_s: float) -> None:
         """Tell all routers of a limit, in requests a second."""
         known = self._newest(start)
-        if known is None or abs(per_s - known) > MIN_CHANGE * known:
+        if known is None or differs(per_s, stored=known):
             self._writer.put({start: per_s})
 
     def end(self, start: str) -> None:
--- a/src/dandelioncleat/app/direct/target_limits.py
+++ b/src/dandelioncleat/app/direct/target_limits.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from dandelioncleat.app.direct.shared_limits import MIN_CHANGE, SharedLimits
+from dandelioncleat.app.direct.shared_limits import SharedLimits, differs
 from dandelioncleat.app.direct.target_state import TargetState
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.host_choice import HostChoice
@@ -141,8 +141,7 @@
         self, target: TargetEntry, per_s: float, *, sent_at: float
     ) -> None:
         known = self._limits_by_start.get(target.start)
-        is_late = known is not None and sent_at <= known.heard_at
-        if known is not None and is_late:
+        if known is not None and sent_at <= known.heard_at:
             # A later answer may have named the lower limit.
             per_s = min(per_s, known.per_s)
         self._set(target.start, per_s)
@@ -154,7 +153,7 @@
         if per_s is None:
             if known is not None:
                 self._end(start)
-        elif known is None or abs(per_s - known.per_s) > MIN_CHANGE * per_s:
+        elif known is None or differs(known.per_s, stored=per_s):
             self._set(start, per_s)
 
     def _set(self, start: str, per_s: float) -> None:
