--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -22,6 +23,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 LIMIT_S = 110
+PORTS = (15_000, 31_000)
 # The bounds of psb-dues.
 BOUNDS = {
     'seedLagS': 3, 'reuseAfterS': 2, 'contactMs': 3000, 'ackMs': 4000,
@@ -196,9 +198,15 @@
 
 
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
+    """Return a port below those that the kernel gives to outgoing channels."""
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+            return port
 
 
 def main(case, folder):
@@ -207,12 +215,15 @@
     record('case begins', trouble=int(TROUBLE))
 
     async def run():
+        # A case that is ended from outside ends its processes, too.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         async with asyncio.timeout(LIMIT_S):
             return await case(record)
 
     try:
         is_broken, text = asyncio.run(run())
-    except (CaseError, OSError, TimeoutError) as error:
+    except (CaseError, OSError, TimeoutError, asyncio.CancelledError) as error:
         record('the case could not run', error=repr(error))
         print(f'the case could not run: {error!r}')
         sys.exit(NOT_RUN)
