--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -34,6 +34,7 @@
     'retryAfterS': 8.4, 'settle_ms': 1500,
 }
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+given_ports = set()
 
 
 class CaseError(Exception):
@@ -201,12 +202,15 @@
     """Return a port below those that the kernel gives to outgoing channels."""
     while True:
         port = random.randrange(*PORTS)
+        if port in given_ports:
+            continue
         with socket.socket() as sock:
             try:
                 sock.bind(('127.0.0.1', port))
             except OSError:
                 continue
-            return port
+        given_ports.add(port)
+        return port
 
 
 def main(case, folder):
