--- a/review/lib/servers.py
+++ b/review/lib/servers.py
@@ -12,7 +12,8 @@
 class Server:
     """A sound server; ``runs`` lists what it has run, in order."""
 
-    def __init__(self, fleet, name, service, *, slots=64, work_s=0.02, zone='klang-a'):
+    def __init__(self, fleet, name, service, *, slots=64, work_s=0.02, zone='klang-a',
+                 is_model=True):
         self.name = name
         self.service = service
         self.runs = []
@@ -25,6 +26,7 @@
         self._fleet = fleet
         self._slots = slots
         self._zone = zone
+        self._is_model = is_model
         self._beat = None
         self._server = None
         self._web = None
@@ -93,7 +95,7 @@
 
     async def _answer(self, request, run):
         await asyncio.sleep(self.work_s)
-        if 'Token-Count' not in request.headers:
+        if 'Token-Count' not in request.headers or not self._is_model:
             run.is_complete = True
             return self._respond(request, 200, b'x' * 800)
         return await self.stream(request, run)
