--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,17 +14,30 @@
 LATE_S = 3.0
 LOST_FOR_S = 4.5
 SETTLE_S = 20.0
+AFTER_S = 2.0
 
 
 async def case(record):
     fleet = fleets.Fleet(record, routers=4, gateways=1)
-    tenants = [{'name': f't{n}', 'apiKeys': [f'key-{n}'], 'prepaid': PREPAID}
-               for n in range(TENANTS)]
+    tenants = [
+        {'name': f't{n}', 'apiKeys': [f'key-{n}'], 'prepaid': PREPAID}
+        for n in range(TENANTS)
+    ]
     await fleet.store.start()
-    fleet.store.put('op', 'config', client.configuration(
-        7, services=[client.MODEL_SERVICE], tenants=tenants,
-        routes=[client.route('/statement/', 'streaming', 'dues-llm',
-                             resumable=True)]))
+    fleet.store.put(
+        'op',
+        'config',
+        client.configuration(
+            7,
+            services=[client.MODEL_SERVICE],
+            tenants=tenants,
+            routes=[
+                client.route(
+                    '/statement/', 'streaming', 'dues-llm', resumable=True
+                )
+            ],
+        ),
+    )
     servers = [Server(fleet, f'i-{n}', 'dues-llm') for n in range(3)]
     try:
         for server in servers:
@@ -43,9 +56,11 @@
         for server in servers:
             await server.close()
     worst = max(used, key=used.get)
-    text = (f'{worst} got {used[worst]} tokens of {PREPAID} prepaid; '
-            f'over: {sorted(n for n in used if used[n] > PREPAID)}; '
-            f'{fleet.store.unanswered} of {fleet.store.calls} calls unanswered')
+    text = (
+        f'{worst} got {used[worst]} tokens of {PREPAID} prepaid; '
+        f'over: {sorted(n for n in used if used[n] > PREPAID)}; '
+        f'{fleet.store.unanswered} of {fleet.store.calls} calls unanswered'
+    )
     return used[worst] > PREPAID, text
 
 
@@ -55,35 +70,50 @@
     executed = asyncio.Event()
     store.on_late = lambda topic, keys, status: executed.set()
     store.fault = lambda topic, keys: LATE_S if 'ceilings' in topic else None
-    stopped = fleet.routers[int(os.environ.get('WHICH', 0))]
-    asyncio.get_running_loop().call_later(LOST_FOR_S, setattr, store, 'fault',
-                                          lambda topic, keys: None)
+    stopped = fleet.routers[0]
+    asyncio.get_running_loop().call_later(
+        LOST_FOR_S, setattr, store, 'fault', lambda topic, keys: None
+    )
     await stopped.stop()
     await asyncio.sleep(0.3)
     await stopped.start()
     await stopped.ready()
     async with asyncio.timeout(LOST_FOR_S + LATE_S):
         await executed.wait()
-    await asyncio.sleep(float(os.environ.get('AFTER', 2.0)))
+    await asyncio.sleep(AFTER_S)
 
 
 async def burst(fleet, record):
-    """Send five requests of each tenant at once; return the tokens it got."""
+    """Send five requests of a tenant at once, tenant by tenant.
+
+    Returns the tokens that each got.
+    """
     first, second, third, fourth = (each.front for each in fleet.routers)
     used = {f't{n}': 0 for n in range(TENANTS)}
 
     async def ask(number, address):
         prompt = f'aa{number}:13300,{os.urandom(4).hex()}:{INPUT - 13300}'
         reply = await client.send(
-            record, address, '/statement/draft', f'key-{number}', headers={
-                'Model': 'm', 'Token-Count': f'{INPUT},{OUTPUT}',
-                'Prompt-Prefix': prompt})
+            record,
+            address,
+            '/statement/draft',
+            f'key-{number}',
+            headers={
+                'Model': 'm',
+                'Token-Count': f'{INPUT},{OUTPUT}',
+                'Prompt-Prefix': prompt,
+            },
+        )
         if reply.status == 200:
             used[f't{number}'] += INPUT + STRIDE * reply.events
 
-    await asyncio.gather(*(
-        ask(number, address) for number in range(TENANTS)
-        for address in (second, second, third, fourth, first)))
+    for number in range(TENANTS):
+        await asyncio.gather(
+            *(
+                ask(number, address)
+                for address in (second, second, third, fourth, first)
+            )
+        )
     return used
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,16 +20,36 @@
 async def case(record):
     fleet = fleets.Fleet(record, routers=3, gateways=1)
     await fleet.store.start()
-    fleet.store.put('op', 'config', client.configuration(
-        7, services=[client.APP_SERVICE],
-        tenants=[{'name': 't0', 'apiKeys': ['key-0']}],
-        routes=[
-            client.route('/invoice/', 'non_idempotent', 'billing-app',
-                         timeoutMs=600, sloMs=125, maxAttempts=1),
-            client.route('/balance/', 'idempotent', 'billing-app',
-                         timeoutMs=600, sloMs=125)]))
-    servers = [Server(fleet, f'i-{n}', 'billing-app', slots=6, work_s=0.05)
-               for n in range(3)]
+    fleet.store.put(
+        'op',
+        'config',
+        client.configuration(
+            7,
+            services=[client.APP_SERVICE],
+            tenants=[{'name': 't0', 'apiKeys': ['key-0']}],
+            routes=[
+                client.route(
+                    '/invoice/',
+                    'non_idempotent',
+                    'billing-app',
+                    timeoutMs=600,
+                    sloMs=125,
+                    maxAttempts=1,
+                ),
+                client.route(
+                    '/balance/',
+                    'idempotent',
+                    'billing-app',
+                    timeoutMs=600,
+                    sloMs=125,
+                ),
+            ],
+        ),
+    )
+    servers = [
+        Server(fleet, f'i-{n}', 'billing-app', slots=6, work_s=0.05)
+        for n in range(3)
+    ]
     ends = {router.name: 0 for router in fleet.routers}
     try:
         for server in servers:
@@ -38,8 +58,10 @@
             await process.start()
         for router in fleet.routers:
             await router.ready()
-        keepers = [asyncio.create_task(restart(router, ends, record))
-                   for router in fleet.routers]
+        keepers = [
+            asyncio.create_task(restart(router, ends, record))
+            for router in fleet.routers
+        ]
         traffic = asyncio.create_task(send_all(fleet, record))
         await asyncio.sleep(WRITTEN_AFTER_S)
         written_at = time.monotonic()
@@ -57,10 +79,15 @@
     after = [each for each in replies if each.sent_at >= written_at]
     if sum(each.is_success for each in before) < len(before) / 2:
         raise fleets.CaseError('the requests before the entry were not served')
-    cut = sum(run.id in {each.id for each in replies if not each.is_success}
-              for server in servers for run in server.runs)
-    text = (f'processes ended by themselves {ends}; {cut} requests were passed on '
-            f'and not answered; served before {count(before)}, after {count(after)}')
+    cut = sum(
+        run.id in {each.id for each in replies if not each.is_success}
+        for server in servers
+        for run in server.runs
+    )
+    text = (
+        f'processes ended by themselves {ends}; {cut} requests were passed on '
+        f'and not answered; served before {count(before)}, after {count(after)}'
+    )
     return sum(n >= ENDS for n in ends.values()) >= MACHINES, text
 
 
@@ -79,8 +106,11 @@
     for number in range(int(LENGTH_S * REQUESTS_PER_S)):
         path = '/invoice/post' if number % 2 else '/balance/read'
         address = fleet.routers[number // 2 % 3].front
-        tasks.append(asyncio.create_task(client.send(
-            record, address, path, 'key-0', limit_s=0.6)))
+        tasks.append(
+            asyncio.create_task(
+                client.send(record, address, path, 'key-0', limit_s=0.6)
+            )
+        )
         await asyncio.sleep(1 / REQUESTS_PER_S)
     return await asyncio.gather(*tasks)
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -26,13 +26,30 @@
 
 async def case(record):
     fleet = fleets.Fleet(record, routers=4, gateways=1)
-    tenants = [{'name': f't{n}', 'apiKeys': [f'key-{n}'], 'prepaid': PREPAID}
-               for n in range(TENANTS)]
+    tenants = [
+        {'name': f't{n}', 'apiKeys': [f'key-{n}'], 'prepaid': PREPAID}
+        for n in range(TENANTS)
+    ]
     await fleet.store.start()
-    fleet.store.put('op', 'config', client.configuration(
-        7, services=[client.MODEL_SERVICE], tenants=tenants,
-        routes=[client.route('/recon/', 'streaming', 'dues-llm', timeoutMs=5000,
-                             sloMs=500, resumable=True)]))
+    fleet.store.put(
+        'op',
+        'config',
+        client.configuration(
+            7,
+            services=[client.MODEL_SERVICE],
+            tenants=tenants,
+            routes=[
+                client.route(
+                    '/recon/',
+                    'streaming',
+                    'dues-llm',
+                    timeoutMs=5000,
+                    sloMs=500,
+                    resumable=True,
+                )
+            ],
+        ),
+    )
     servers = [Server(fleet, f'i-{n}', 'dues-llm') for n in range(3)]
     try:
         for server in servers:
@@ -42,8 +59,10 @@
         for router in fleet.routers:
             await router.ready()
         await asyncio.sleep(15)
-        traffic = [asyncio.create_task(ask_on(fleet, number, record))
-                   for number in range(TENANTS)]
+        traffic = [
+            asyncio.create_task(ask_on(fleet, number, record))
+            for number in range(TENANTS)
+        ]
         await asyncio.sleep(KILLED_AFTER_S)
         if fleets.TROUBLE:
             await kill_some(fleet)
@@ -82,9 +101,17 @@
 
 async def ask(record, address, number, prompt):
     reply = await client.send(
-        record, address, '/recon/claim', f'key-{number}', limit_s=5.0, headers={
-            'Model': 'm', 'Token-Count': f'{INPUT},{OUTPUT}',
-            'Prompt-Prefix': prompt})
+        record,
+        address,
+        '/recon/claim',
+        f'key-{number}',
+        limit_s=5.0,
+        headers={
+            'Model': 'm',
+            'Token-Count': f'{INPUT},{OUTPUT}',
+            'Prompt-Prefix': prompt,
+        },
+    )
     return number, reply, time.monotonic()
 
 
@@ -97,16 +124,26 @@
         used = sum(
             most(other, runs, other_ended_at, reply.sent_at)
             for other_number, other, other_ended_at in asked
-            if other_number == number and other is not reply
-            and other.sent_at <= ended_at)
+            if other_number == number
+            and other is not reply
+            and other.sent_at <= ended_at
+        )
         fits = used + NEED <= OWED_SHARE * PREPAID
         denied += fits
-        record('402', request=reply.id, tenant=f't{number}', used_at_most=used,
-               prepaid=PREPAID, fits=fits)
+        record(
+            '402',
+            request=reply.id,
+            tenant=f't{number}',
+            used_at_most=used,
+            prepaid=PREPAID,
+            fits=fits,
+        )
     allowed = ALLOWED + ALLOWED_SHARE * len(asked)
     served = sum(reply.is_success for _, reply, _ in asked)
-    text = (f'{denied} of {len(asked)} requests got 402 though they fit; allowed '
-            f'are {allowed:.1f}; {served} served')
+    text = (
+        f'{denied} of {len(asked)} requests got 402 though they fit; allowed '
+        f'are {allowed:.1f}; {served} served'
+    )
     return denied > allowed, text
 
 
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -26,12 +26,26 @@
 PORTS = (15_000, 31_000)
 # The bounds of psb-dues.
 BOUNDS = {
-    'seedLagS': 3, 'reuseAfterS': 2, 'contactMs': 3000, 'ackMs': 4000,
-    'catchUpS': 4, 'drainMs': 2000, 'graceS': 8, 'lossSlackMs': 200,
-    'configApplyMs': 2000, 'downgradeMs': 250, 'maxStretchMs': 5000,
-    'strictRevoke': False, 'revokeMs': 5000, 'budgetRatio': 0.2,
-    'budgetWindowS': 10, 'budgetSlack': 52, 'recoverS': 12, 'passMs': 120,
-    'retryAfterS': 8.4, 'settle_ms': 1500,
+    'seedLagS': 3,
+    'reuseAfterS': 2,
+    'contactMs': 3000,
+    'ackMs': 4000,
+    'catchUpS': 4,
+    'drainMs': 2000,
+    'graceS': 8,
+    'lossSlackMs': 200,
+    'configApplyMs': 2000,
+    'downgradeMs': 250,
+    'maxStretchMs': 5000,
+    'strictRevoke': False,
+    'revokeMs': 5000,
+    'budgetRatio': 0.2,
+    'budgetWindowS': 10,
+    'budgetSlack': 52,
+    'recoverS': 12,
+    'passMs': 120,
+    'retryAfterS': 8.4,
+    'settle_ms': 1500,
 }
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 given_ports = set()
@@ -63,8 +77,10 @@
         self.role = role
         self.name = name
         self.zone = f'klang-{"abc"[number % 3]}'
-        self.ports = {part: free_port() for part in
-                      ('front', 'ready', 'control', 'metrics')}
+        self.ports = {
+            part: free_port()
+            for part in ('front', 'ready', 'control', 'metrics')
+        }
         self.child = None
         self._fleet = fleet
 
@@ -76,13 +92,22 @@
         ports = self.ports
         machine = self._fleet.roles[self.role]['on']
         return {
-            'nodeName': self.name, 'role': self.role, 'machineClass': machine,
-            'ip': '127.0.0.1', 'zone': self.zone, 'region': 'klang-west',
-            'listen': {part: f'127.0.0.1:{ports[part]}'
-                       for part in ('front', 'ready', 'control')},
+            'nodeName': self.name,
+            'role': self.role,
+            'machineClass': machine,
+            'ip': '127.0.0.1',
+            'zone': self.zone,
+            'region': 'klang-west',
+            'listen': {
+                part: f'127.0.0.1:{ports[part]}'
+                for part in ('front', 'ready', 'control')
+            },
             'portRange': [ports['metrics'], ports['metrics']],
-            'seeds': [f'127.0.0.1:{each.ports["control"]}'
-                      for each in self._fleet.processes if each.role == 'gateway'][:3],
+            'seeds': [
+                f'127.0.0.1:{each.ports["control"]}'
+                for each in self._fleet.processes
+                if each.role == 'gateway'
+            ][:3],
             'limits': {'cpuShare': 0.817, 'vcpus': 1, 'memoryMb': 150},
             'bounds': BOUNDS,
             'platform': {'address': self._fleet.store.address},
@@ -95,7 +120,10 @@
         path.write_text(render(template, self.settings()))
         log = open(self._fleet.folder / f'{self.name}.log', 'ab')
         self.child = await asyncio.create_subprocess_exec(
-            *role['run'].split(), cwd=ROOT, stdout=log, stderr=log,
+            *role['run'].split(),
+            cwd=ROOT,
+            stdout=log,
+            stderr=log,
             start_new_session=True,
             env={
                 'PATH': os.environ['PATH'],
@@ -103,7 +131,8 @@
                 'PYTHONPATH': str(ROOT / 'target/deps'),
                 'PYTHONDONTWRITEBYTECODE': '1',
                 'DANDELIONCLEAT_SETTINGS': str(path),
-            })
+            },
+        )
         log.close()
         self._fleet.record('process starts', name=self.name, pid=self.child.pid)
 
@@ -116,11 +145,12 @@
         self.send(signal.SIGTERM)
         try:
             await asyncio.wait_for(self.child.wait(), grace_s)
-        except asyncio.TimeoutError:
+        except TimeoutError:
             self.send(signal.SIGKILL)
             await self.child.wait()
-        self._fleet.record('process ended', name=self.name,
-                           code=self.child.returncode)
+        self._fleet.record(
+            'process ended', name=self.name, code=self.child.returncode
+        )
 
     async def kill(self):
         self.send(signal.SIGKILL)
@@ -129,14 +159,17 @@
     async def is_ready(self):
         try:
             reader, writer = await asyncio.open_connection(
-                '127.0.0.1', self.ports['ready'])
+                '127.0.0.1', self.ports['ready']
+            )
         except OSError:
             return False
-        writer.write(b'GET /dandelioncleat/readiness HTTP/1.1\r\n'
-                     b'Host: n\r\nConnection: close\r\n\r\n')
+        writer.write(
+            b'GET /dandelioncleat/readiness HTTP/1.1\r\n'
+            b'Host: n\r\nConnection: close\r\n\r\n'
+        )
         try:
             line = await asyncio.wait_for(reader.readline(), 1)
-        except (OSError, asyncio.TimeoutError):
+        except (TimeoutError, OSError):
             line = b''
         writer.close()
         return b' 200 ' in line
@@ -160,10 +193,12 @@
         self.folder = Path(tempfile.mkdtemp(prefix='review-'))
         self.store = Store(record)
         self.processes = []
-        self.gateways = [Process(self, 'gateway', f'side-{n}', n)
-                         for n in range(gateways)]
-        self.routers = [Process(self, 'router', f'front-{n}', n)
-                        for n in range(routers)]
+        self.gateways = [
+            Process(self, 'gateway', f'side-{n}', n) for n in range(gateways)
+        ]
+        self.routers = [
+            Process(self, 'router', f'front-{n}', n) for n in range(routers)
+        ]
         self.processes = [*self.gateways, *self.routers]
 
     async def start(self):
@@ -189,12 +224,14 @@
 
 def render(template, fields):
     """Fill in the placeholders that the templates of the project use."""
+
     def value(match):
         name, _, form = match.group(1).partition('|')
         found = fields
         for part in name.split('.'):
             found = found[int(part)] if isinstance(found, list) else found[part]
         return json.dumps(found) if form == 'json' else str(found)
+
     return re.sub(r'\{\{([^}]+)\}\}', value, template)
 
 
--- a/review/lib/platform_store.py
+++ b/review/lib/platform_store.py
@@ -109,9 +109,16 @@
             except Answer as refused:
                 return answer(refused.status, refused.document)
         self.unanswered += 1
-        self._record('store: an append gets no answer', topic=name, keys=keys,
-                     at=query.get('at'), executed_in_s=delay_s)
-        task = asyncio.create_task(self._execute_late(name, query, records, delay_s))
+        self._record(
+            'store: an append gets no answer',
+            topic=name,
+            keys=keys,
+            at=query.get('at'),
+            executed_in_s=delay_s,
+        )
+        task = asyncio.create_task(
+            self._execute_late(name, query, records, delay_s)
+        )
         self._late.add(task)
         task.add_done_callback(self._late.discard)
         await asyncio.sleep(60)
@@ -125,8 +132,13 @@
         except Answer as refused:
             status = refused.status
         keys = [key.decode() for key, _ in records]
-        self._record('store: a late append is executed', topic=name, keys=keys,
-                     at=query.get('at'), status=status)
+        self._record(
+            'store: a late append is executed',
+            topic=name,
+            keys=keys,
+            at=query.get('at'),
+            status=status,
+        )
         self.on_late(name, keys, status)
 
     async def _execute(self, name, query, records):
@@ -156,12 +168,16 @@
             wait_s = int(query.get('waitMs', 0)) / 1000
             try:
                 await asyncio.wait_for(topic.changed.wait(), wait_s)
-            except asyncio.TimeoutError:
+            except TimeoutError:
                 pass
         await asyncio.sleep(APPEND_S)
         body = PAGE_HEAD.pack(len(topic.records), 0)
-        return web.Response(body=body + b''.join(
-            frame(key, value) for key, value in topic.records[start:]))
+        return web.Response(
+            body=body
+            + b''.join(
+                frame(key, value) for key, value in topic.records[start:]
+            )
+        )
 
     async def _newest(self, request):
         self.calls += 1
@@ -170,12 +186,21 @@
         after = request.query.get('after', '').encode()
         rest = sorted(item for item in topic.newest.items() if item[0] > after)
         items = [
-            {'key': key.decode('utf-8', 'replace'), 'offset': offset,
-             'value': base64.b64encode(value).decode()}
+            {
+                'key': key.decode('utf-8', 'replace'),
+                'offset': offset,
+                'value': base64.b64encode(value).decode(),
+            }
             for key, (value, offset) in rest[:PAGE_ITEMS]
         ]
-        return answer(200, {'items': items, 'hasMore': len(rest) > PAGE_ITEMS,
-                            'end': len(topic.records)})
+        return answer(
+            200,
+            {
+                'items': items,
+                'hasMore': len(rest) > PAGE_ITEMS,
+                'end': len(topic.records),
+            },
+        )
 
 
 def check_producer(topic, query):
@@ -200,7 +225,10 @@
     recent = known['recent'] if known and known['epoch'] == epoch else []
     recent = [*recent, (sequence, done)][-REMEMBERED:]
     topic.producers[query['producer']] = {
-        'epoch': epoch, 'sequence': sequence, 'recent': recent}
+        'epoch': epoch,
+        'sequence': sequence,
+        'recent': recent,
+    }
 
 
 def frame(key, value):
@@ -212,8 +240,8 @@
     records, at = [], 0
     while at < len(body):
         size = LENGTH.unpack_from(body, at)[0]
-        content = body[at + 4:at + 4 + size]
-        records.append((content[1:1 + content[0]], content[1 + content[0]:]))
+        content = body[at + 4 : at + 4 + size]
+        records.append((content[1 : 1 + content[0]], content[1 + content[0] :]))
         at += 4 + size
     return records
 
--- a/review/lib/servers.py
+++ b/review/lib/servers.py
@@ -12,8 +12,17 @@
 class Server:
     """A sound server; ``runs`` lists what it has run, in order."""
 
-    def __init__(self, fleet, name, service, *, slots=64, work_s=0.02, zone='klang-a',
-                 is_model=True):
+    def __init__(
+        self,
+        fleet,
+        name,
+        service,
+        *,
+        slots=64,
+        work_s=0.02,
+        zone='klang-a',
+        is_model=True,
+    ):
         self.name = name
         self.service = service
         self.runs = []
@@ -46,9 +55,15 @@
     def entry(self):
         self.sequence += 1
         return {
-            'service': self.service, 'address': self.address, 'zone': self._zone,
-            'version': 'v1', 'slots': self._slots, 'state': self.state,
-            'coldMs': 0, 'sequence': self.sequence, 'born': self.born,
+            'service': self.service,
+            'address': self.address,
+            'zone': self._zone,
+            'version': 'v1',
+            'slots': self._slots,
+            'state': self.state,
+            'coldMs': 0,
+            'sequence': self.sequence,
+            'born': self.born,
         }
 
     def register(self):
@@ -73,7 +88,8 @@
         if request.path == '/dandelioncleat/kv-events':
             await asyncio.sleep(int(request.headers.get('Wait-Ms', 0)) / 1000)
             return web.json_response(
-                {'epoch': 'e', 'next': 0, 'lost': False, 'events': []})
+                {'epoch': 'e', 'next': 0, 'lost': False, 'events': []}
+            )
         if request.path == '/health':
             return web.Response(headers={'Instance-Id': self.name})
         name = request.headers.get('Request-Id', '')
@@ -85,8 +101,12 @@
             return self._respond(request, 400, b'', {'Not-Run': '1'})
         run = Run(request, body)
         self.runs.append(run)
-        self._fleet.record('server runs', server=self.name, request=name,
-                           tenant=request.headers.get('Tenant'))
+        self._fleet.record(
+            'server runs',
+            server=self.name,
+            request=name,
+            tenant=request.headers.get('Tenant'),
+        )
         self.running += 1
         try:
             return await (self.answer or self._answer)(request, run)
@@ -102,8 +122,11 @@
 
     async def stream(self, request, run):
         tokens = int(request.headers['Token-Count'].split(',')[1])
-        response = web.StreamResponse(headers=self._headers(
-            request, {'Content-Type': 'text/event-stream'}))
+        response = web.StreamResponse(
+            headers=self._headers(
+                request, {'Content-Type': 'text/event-stream'}
+            )
+        )
         await response.prepare(request)
         first = int(request.headers.get('Last-Event-Id', -1)) + 1
         for number in range(first, -(-tokens // STRIDE)):
@@ -115,8 +138,11 @@
         return response
 
     def _respond(self, request, status, body, headers=None):
-        return web.Response(status=status, body=body,
-                            headers=self._headers(request, headers or {}))
+        return web.Response(
+            status=status,
+            body=body,
+            headers=self._headers(request, headers or {}),
+        )
 
     def _headers(self, request, more):
         return {
