--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -112,6 +112,8 @@
     if not answer.has_run:
         return _note_not_run(context, state, answer)
     context.tried_targets.add(state.entry.id)
+    if context.has_sent_head:
+        _log_continuation(context, state, answer)
     if answer.head.status >= ERROR_STATUS:
         return await _keep_error(context, state, answer)
     state.note_answer(answer.occupancy, now)
@@ -131,6 +133,19 @@
     return AttemptOutcome.DELIVERED
 
 
+def _log_continuation(
+    context: RunContext, state: TargetState, answer: TargetAnswer
+) -> None:
+    _logger.info(
+        'stream continued',
+        request=context.request.id,
+        target=state.entry.id,
+        status=answer.head.status,
+        is_stream=answer.is_stream,
+        resume_after=context.resume_after,
+    )
+
+
 def _note_output(
     context: RunContext, state: TargetState, origins: StreamOrigins
 ) -> None:
--- a/src/dandelioncleat/app/direct/placement.py
+++ b/src/dandelioncleat/app/direct/placement.py
@@ -1,7 +1,6 @@
-"""Chooses targets for requests and limits retries."""
+"""Chooses targets for requests."""
 
 import asyncio
-from collections.abc import Callable
 from typing import NamedTuple
 
 import structlog
@@ -10,7 +9,6 @@
 from dandelioncleat.app.direct.run_context import RunContext
 from dandelioncleat.app.direct.target_directory import TargetDirectory
 from dandelioncleat.app.direct.target_state import TargetState
-from dandelioncleat.core.retry_window import RetryLimits, RetryWindow
 from dandelioncleat.core.stream_origin import StreamOrigin
 from dandelioncleat.core.target_choice import (
     TargetSnapshot,
@@ -42,36 +40,14 @@
         *,
         open_targets: OpenTargets,
         data_centre: str,
-        terms: RetryLimits,
-        router_count: Callable[[], int],
     ) -> None:
-        """Initialise with the targets and the retry limits.
+        """Initialise with the targets.
 
         :param open_targets: which targets take a request
-        :param router_count: returns how many routers share the retry budget
         """
-        self._router_count = router_count
         self._directory = directory
         self._open = open_targets
         self._data_centre = data_centre
-        self._terms = terms
-        self._windows_by_service: dict[str, RetryWindow] = {}
-
-    def set_terms(self, terms: RetryLimits) -> None:
-        """Set new retry limits; requests counted so far still count."""
-        self._terms = terms
-        for window in self._windows_by_service.values():
-            window.limits = terms
-
-    def note_request(self, service: str) -> None:
-        """Count a request towards the service's retry budget."""
-        self._retry_window(service).note_request(_now())
-
-    def take_retry(self, service: str) -> bool:
-        """Take one retry from the budget; return whether one was left."""
-        return self._retry_window(service).take(
-            _now(), routers=self._router_count()
-        )
 
     def has_candidate(self, context: RunContext) -> bool:
         """Return whether an untried target takes the request in time."""
@@ -149,13 +125,6 @@
         view = turn.state.view(data_centre=self._data_centre, now=now)
         return ChosenTarget(turn.state, view, 1, turn.wait_s)
 
-    def _retry_window(self, service: str) -> RetryWindow:
-        window = self._windows_by_service.get(service)
-        if window is None:
-            window = RetryWindow(self._terms)
-            self._windows_by_service[service] = window
-        return window
-
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/dandelioncleat/app/direct/resumption.py
+++ b/src/dandelioncleat/app/direct/resumption.py
@@ -1,5 +1,7 @@
 """Decides whether a stream may be resumed at its caller's request."""
 
+import structlog
+
 from dandelioncleat.app.direct.placement import Placement
 from dandelioncleat.app.direct.run_context import RunContext
 from dandelioncleat.app.direct.stream_origins import StreamOrigins
@@ -11,6 +13,8 @@
 # A crashed target of the version may have started again by then.
 VERSION_GONE_RETRY_S = 1.0
 
+_logger = structlog.get_logger(__name__)
+
 
 async def resumption_refusal(
     context: RunContext, *, origins: StreamOrigins, placement: Placement
@@ -23,6 +27,7 @@
     if context.request.resume_after is None:
         return None
     context.origin = await _find_origin(context, origins, placement)
+    _log_origin(context)
     if context.origin is None:
         return DirectRefusal(
             RefusalReason.STREAM_UNKNOWN, retry_after_s=UNKNOWN_RETRY_S
@@ -41,3 +46,15 @@
     if first_request is None:
         return placement.only_origin(context.admitted.service.name)
     return await origins.find(context.stream_key(first_request))
+
+
+def _log_origin(context: RunContext) -> None:
+    origin = context.origin
+    _logger.info(
+        'stream resumed by its caller',
+        request=context.request.id,
+        resume_after=context.request.resume_after,
+        resumed_request=context.request.resumed_request,
+        origin_service=None if origin is None else origin.service,
+        origin_version=None if origin is None else origin.software_version,
+    )
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -24,6 +24,7 @@
 from dandelioncleat.app.direct.open_targets import OpenTargets
 from dandelioncleat.app.direct.placement import Placement
 from dandelioncleat.app.direct.resumption import resumption_refusal
+from dandelioncleat.app.direct.retry_budget import RetryBudget
 from dandelioncleat.app.direct.run_context import RunContext
 from dandelioncleat.app.direct.stream_origins import StreamOrigins
 from dandelioncleat.app.direct.target_limits import TargetLimits
@@ -55,6 +56,7 @@
     wallet: Wallet
     placement: Placement
     open_targets: OpenTargets
+    retries: RetryBudget
     targets: DirectTargets
     forwarding: Forwarding
     quarantine: CrashQuarantine
@@ -197,7 +199,7 @@
 
     async def _run_attempts(self, context: RunContext, reply: Reply) -> None:
         service = context.admitted.service.name
-        self._parts.placement.note_request(service)
+        self._parts.retries.note_request(service)
         outcome: AttemptOutcome | None = None
         try:
             outcome = await self._send_attempt(context, reply)
@@ -257,7 +259,7 @@
         if outcome is AttemptOutcome.NOT_SENT:
             return True
         service = context.admitted.service.name
-        return self._parts.placement.take_retry(service)
+        return self._parts.retries.take(context.request.id, service)
 
     def _note_end(self, context: RunContext, need: TokenNeed | None) -> None:
         budget = {}
--- a/src/dandelioncleat/core/retry_window.py
+++ b/src/dandelioncleat/core/retry_window.py
@@ -27,6 +27,16 @@
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
 
+    @property
+    def requests(self) -> int:
+        """Return the number of requests that are counted now."""
+        return len(self._requests)
+
+    @property
+    def retries(self) -> int:
+        """Return the number of retries that are counted now."""
+        return len(self._retries)
+
     def note_request(self, now: float) -> None:
         """Count a request; ``now`` is in seconds."""
         self._requests.append(now)
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -23,6 +23,7 @@
     ProcessEntry,
     ProcessRole,
 )
+from dandelioncleat.app.direct.retry_budget import RetryBudget
 from dandelioncleat.app.direct.serving import (
     NOTHING_ADMITTED,
     Serving,
@@ -173,7 +174,9 @@
             self._directory,
             open_targets=self._open_targets,
             data_centre=settings.data_centre,
-            terms=_retry_limits(settings),
+        )
+        self._retries = RetryBudget(
+            _retry_limits(settings),
             router_count=lambda: self._processes.router_count,
         )
         self._quarantine = CrashQuarantine(
@@ -192,6 +195,7 @@
                 self._wallet,
                 self._placement,
                 self._open_targets,
+                self._retries,
                 self._targets,
                 Forwarding(
                     self._processes, wallet=self._wallet, targets=self._targets
@@ -287,7 +291,7 @@
     def reload(self, settings: DirectSettings) -> None:
         """Apply new settings; addresses change at the next start only."""
         self._settings = settings
-        self._placement.set_terms(_retry_limits(settings))
+        self._retries.set_terms(_retry_limits(settings))
 
     async def _finish_requests(self, end_at: float) -> str:
         lost = ''
--- a/src/dandelioncleat/platform/targets.py
+++ b/src/dandelioncleat/platform/targets.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 import aiohttp
+import structlog
 from yarl import URL
 
 from dandelioncleat.adapters.client_session import new_connector
@@ -47,6 +48,8 @@
 _REASONS = frozenset(reason.value for reason in RefusalReason)
 _ERRORS = (aiohttp.ClientError, OSError, asyncio.TimeoutError, ValueError)
 
+_logger = structlog.get_logger(__name__)
+
 
 class HttpTargetAnswer:
     """The answer of a target; its head was read, its body was not."""
@@ -183,6 +186,14 @@
     echoed = response.headers.get(names.REQUEST_ID)
     is_success = response.status < FIRST_ERROR_STATUS
     is_missing = echoed is None and not is_success
+    if is_missing:
+        _logger.info(
+            'answer without the id of its request',
+            request=call.request.id,
+            target=call.peer,
+            status=response.status,
+            not_run=names.NOT_RUN in response.headers,
+        )
     if echoed != call.request.id and not is_missing:
         raise failure_error(
             Code.TARGET,
--- a/tests/builders/limited_fleet.py
+++ b/tests/builders/limited_fleet.py
@@ -9,6 +9,7 @@
 from dandelioncleat.adapters.virtual_time import run
 from dandelioncleat.app.direct.open_targets import OpenTargets
 from dandelioncleat.app.direct.placement import Placement
+from dandelioncleat.app.direct.retry_budget import RetryBudget
 from dandelioncleat.app.direct.serving import Serving, ServingParts
 from dandelioncleat.app.direct.stream_origins import StreamOrigins
 from dandelioncleat.app.direct.target_directory import TargetDirectory
@@ -310,8 +311,9 @@
             directory,
             open_targets=open_targets,
             data_centre='z',
-            terms=RetryLimits(0.2, 50, 10),
-            router_count=lambda: len(self._hosts),
+        )
+        retries = RetryBudget(
+            RetryLimits(0.2, 50, 10), router_count=lambda: len(self._hosts)
         )
         return Serving(
             ServingParts(
@@ -319,6 +321,7 @@
                 _Unlimited(),
                 placement,
                 open_targets,
+                retries,
                 targets,
                 None,
                 new_quarantine(self.store, targets, host=host),
