Count retries of ended and leaving routers for the whole window

Cause: each process began with an empty window and its whole part of the slack, and the part was that of the routers listed at the moment. So a router that started again used its predecessor's part once more, and joining routers used what the earlier ones had used already. Fix: a router has no part of the slack until one window after the others can know it, none from the beginning of its planned stop, and shares it with all routers that were listed in the last window. The ratio needs no such rule, as each process counts only its own requests. That this explains the users' record is only suspected, as it tells of no restart.

A router that has just started has no slack in its first window.

--- a/src/dandelioncleat/app/direct/process_directory.py
+++ b/src/dandelioncleat/app/direct/process_directory.py
@@ -50,9 +50,19 @@
     It is registered again if the store was restored from a copy.
     """
 
-    def __init__(self, store: KeyedStore, entry: ProcessEntry) -> None:
-        """Initialise with the store and the process's entry."""
+    def __init__(
+        self,
+        store: KeyedStore,
+        entry: ProcessEntry,
+        *,
+        on_join: Callable[[], None] | None = None,
+    ) -> None:
+        """Initialise with the store and the process's entry.
+
+        :param on_join: called whenever the store has confirmed the entry
+        """
         self.entry = entry
+        self._on_join = on_join
         self._store = store
         self._is_due = asyncio.Event()
         self._is_due.set()
@@ -68,6 +78,8 @@
     async def join(self) -> None:
         """Register the process; return once the store has confirmed it."""
         await self._write(msgspec.msgpack.encode(self.entry))
+        if self._on_join is not None and not self._is_leaving:
+            self._on_join()
 
     def renew(self) -> None:
         """Register the process again, as the store may have lost its entry."""
--- a/src/dandelioncleat/app/direct/retry_budget.py
+++ b/src/dandelioncleat/app/direct/retry_budget.py
@@ -1,11 +1,11 @@
 """The router's part of the fleet's retry budget, by service."""
 
 import asyncio
-from collections.abc import Callable
 
 import structlog
 
 from dandelioncleat.core.retry_window import RetryLimits, RetryWindow
+from dandelioncleat.core.slack_share import SlackShare
 
 _logger = structlog.get_logger(__name__)
 
@@ -13,23 +13,31 @@
 class RetryBudget:
     """Counts requests and retries, and decides on each retry."""
 
-    def __init__(
-        self, terms: RetryLimits, *, router_count: Callable[[], int]
-    ) -> None:
-        """Initialise with the fleet's limits.
-
-        :param router_count: returns how many routers share the budget
-        """
+    def __init__(self, terms: RetryLimits) -> None:
+        """Initialise with the fleet's limits."""
         self._terms = terms
-        self._router_count = router_count
+        self._slack = SlackShare(terms.window_s)
         self._windows_by_service: dict[str, RetryWindow] = {}
 
     def set_terms(self, terms: RetryLimits) -> None:
         """Set new limits; what was counted so far still counts."""
         self._terms = terms
+        self._slack.window_s = terms.window_s
         for window in self._windows_by_service.values():
             window.limits = terms
 
+    def set_routers(self, count: int) -> None:
+        """Set how many routers share the budget."""
+        self._slack.set_routers(count, _now())
+
+    def join(self) -> None:
+        """Note that the other routers can know this one."""
+        self._slack.join(_now())
+
+    def leave(self) -> None:
+        """Leave the slack to the other routers."""
+        self._slack.leave()
+
     def note_request(self, service: str) -> None:
         """Count a request for a service."""
         self._window(service).note_request(_now())
@@ -37,8 +45,8 @@
     def take(self, request: str, service: str) -> bool:
         """Take a retry of a request; return whether the budget allows it."""
         window = self._window(service)
-        routers = self._router_count()
-        is_allowed = window.take(_now(), routers=routers)
+        share = self._slack.part(_now())
+        is_allowed = window.take(_now(), share=share)
         _logger.info(
             'retry allowed' if is_allowed else 'retry denied',
             request=request,
@@ -46,7 +54,8 @@
             requests=window.requests,
             retries=window.retries,
             window_s=self._terms.window_s,
-            routers=routers,
+            routers=self._slack.routers(),
+            slack_share=round(share, 4),
         )
         return is_allowed
 
--- a/src/dandelioncleat/core/retry_window.py
+++ b/src/dandelioncleat/core/retry_window.py
@@ -42,10 +42,13 @@
         self._requests.append(now)
         self._expire(now)
 
-    def take(self, now: float, *, routers: int) -> bool:
-        """Take one retry; return whether the budget allows it."""
+    def take(self, now: float, *, share: float) -> bool:
+        """Take one retry; return whether the budget allows it.
+
+        :param share: the router's part of the slack, between 0 and 1
+        """
         self._expire(now)
-        slack = self.limits.slack / max(1, routers)
+        slack = share * self.limits.slack
         most = MARGIN * (self.limits.ratio * len(self._requests) + slack)
         if len(self._retries) + 1 > most:
             return False
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -130,13 +130,16 @@
             settings.listen.callers,
             settings.cores,
         )
-        self._announcement = ProcessAnnouncement(store, entry)
+        self._retries = RetryBudget(_retry_limits(settings))
+        self._announcement = ProcessAnnouncement(
+            store, entry, on_join=self._retries.join
+        )
         self._processes = ProcessDirectory(
             store,
             entry,
             configured_gateways=settings.gateways,
-            on_change=lambda: self._host_choice.set_hosts(
-                self._processes.cores_by_router_host
+            on_change=lambda: _share_among_routers(
+                self._processes, self._host_choice, self._retries
             ),
             on_restored=self._announcement.renew,
         )
@@ -175,10 +178,6 @@
             open_targets=self._open_targets,
             data_centre=settings.data_centre,
         )
-        self._retries = RetryBudget(
-            _retry_limits(settings),
-            router_count=lambda: self._processes.router_count,
-        )
         self._quarantine = CrashQuarantine(
             store,
             self._targets,
@@ -262,6 +261,7 @@
         end_at = now + limit_s - STOP_RESERVE_S
         self._serving.begin_stop(StopTimes(now + accept_s, end_at))
         self._wallet.prepare_close()
+        self._retries.leave()
         leaving = asyncio.create_task(self._announcement.leave())
         lost = [
             await self._finish_requests(end_at),
@@ -346,6 +346,13 @@
             self._servers.append(self._server)
 
 
+def _share_among_routers(
+    processes: ProcessDirectory, host_choice: HostChoice, retries: RetryBudget
+) -> None:
+    host_choice.set_hosts(processes.cores_by_router_host)
+    retries.set_routers(processes.router_count)
+
+
 def _retry_limits(settings: DirectSettings) -> RetryLimits:
     retries = settings.retries
     return RetryLimits(retries.ratio, retries.slack, retries.window_s)
