Keep answers that are no stream out of a stream that broke off

Cause: once a stream had broken off, whatever the next target answered below 500 was passed on as an answer of its own, though the caller was in the middle of one. An error of the type of a stream that broke off was resumed like one. Fix: after the head was sent, only a stream with the same status continues it. What is dropped counts as a failed attempt, so another target is tried, else the stream is broken off. An error's text is never resumed. Evidence: AnswerInsideStreamTest failed before for 400 to 429, 204, a plain 200 and the error of the type of a stream; 500 and above were kept back already.

--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -114,6 +114,8 @@
     context.tried_targets.add(state.entry.id)
     if context.has_sent_head:
         _log_continuation(context, state, answer)
+        if not _continues_stream(context, answer):
+            return _drop_answer(context, state, answer)
     if answer.head.status >= ERROR_STATUS:
         return await _keep_error(context, state, answer)
     state.note_answer(answer.occupancy, now)
@@ -133,6 +135,25 @@
     return AttemptOutcome.DELIVERED
 
 
+def _continues_stream(context: RunContext, answer: TargetAnswer) -> bool:
+    """Return whether an answer can follow the events that were sent."""
+    sent = context.sent_head
+    return (
+        answer.is_stream
+        and sent is not None
+        and answer.head.status == sent.status
+    )
+
+
+def _drop_answer(
+    context: RunContext, state: TargetState, answer: TargetAnswer
+) -> AttemptOutcome:
+    """Note an answer that must not reach a caller inside a stream."""
+    state.note_error(asyncio.get_running_loop().time())
+    _log_attempt(context, state, AttemptOutcome.FAILED, answer.head.status)
+    return AttemptOutcome.FAILED
+
+
 def _log_continuation(
     context: RunContext, state: TargetState, answer: TargetAnswer
 ) -> None:
--- a/src/dandelioncleat/app/direct/run_context.py
+++ b/src/dandelioncleat/app/direct/run_context.py
@@ -94,6 +94,9 @@
         route = self.admitted.route
         if self.may_have_run and not route.is_repeatable:
             return False
+        if self.sent_head is not None and self.sent_head.is_error:
+            # The text of an error is no stream that could be resumed.
+            return False
         return (
             self.attempts_sent < max(2, route.attempts) and self.remaining_s > 0
         )
--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -210,7 +210,20 @@
     return answer
 
 
-def events(first, last, *, cut=False, until=None):
+def typed_answer(text, status, **headers):
+    """Return an answer whose headers may name its content type."""
+
+    async def answer(request):
+        return web.Response(
+            body=text.encode(),
+            status=status,
+            headers=_headers(request, headers),
+        )
+
+    return answer
+
+
+def events(first, last, *, cut=False, until=None, status=200):
     """Return a stream of numbered events.
 
     :param cut: whether the stream breaks off inside another event
@@ -219,7 +232,8 @@
 
     async def answer(request):
         response = web.StreamResponse(
-            headers=_headers(request, {'Content-Type': 'text/event-stream'})
+            status=status,
+            headers=_headers(request, {'Content-Type': 'text/event-stream'}),
         )
         await response.prepare(request)
         for number in range(first, last + 1):
