Break off a resumed stream that starts again from events already sent

Cause: what a target sends after Last-Event-Id was passed on unread, so a target that ignored it repeated the stream from its start. Fix: the first event of a resumed answer must follow the last one that was delivered; else the attempt is lost, another target is tried, and the stream is broken off if none goes on. Ids that aren't numbers have no order, only an equal one is a repeat.

--- a/src/dandelioncleat/app/direct/stream_relay.py
+++ b/src/dandelioncleat/app/direct/stream_relay.py
@@ -3,7 +3,10 @@
 from collections.abc import Callable
 
 from dandelioncleat.app.direct.run_context import RunContext
-from dandelioncleat.core.event_stream import MAX_EVENT_BYTES
+from dandelioncleat.core.event_stream import (
+    MAX_EVENT_BYTES,
+    EventStreamParser,
+)
 from dandelioncleat.core.failure import Code, failure_error
 from dandelioncleat.ports.direct_caller import Reply
 from dandelioncleat.ports.direct_target import (
@@ -25,13 +28,14 @@
 
     :param peer: the target or router that answers
     :param on_output: called whenever events have arrived
-    :raises FailureError: if the answer breaks off, also inside an event, or if
-        an event is too large
+    :raises FailureError: if the answer breaks off, also inside an event, if
+        an event is too large, or if the answer repeats delivered events
     """
     if context.sent_head is None:
         context.sent_head = answer.head
         await reply.begin(answer.head)
     stream = context.stream
+    stream.begin_answer(context.resume_after)
     async for data in answer.chunks():
         whole_events = stream.take(data)
         if whole_events:
@@ -39,12 +43,10 @@
             if on_output is not None:
                 on_output()
             await reply.write(whole_events)
-        if stream.exceeds_limit:
+        fault = _fault(stream)
+        if fault is not None:
             raise failure_error(
-                Code.TARGET,
-                step=BODY_STEP,
-                peer=peer,
-                text=f'an event exceeds {MAX_EVENT_BYTES} bytes',
+                Code.TARGET, step=BODY_STEP, peer=peer, text=fault
             )
     problem = _end_problem(context, answer)
     if problem is not None:
@@ -57,6 +59,15 @@
     await reply.finish()
 
 
+def _fault(stream: EventStreamParser) -> str | None:
+    """Return why a stream can't go on."""
+    if stream.repeats_events:
+        return 'the resumed stream repeats events'
+    if stream.exceeds_limit:
+        return f'an event exceeds {MAX_EVENT_BYTES} bytes'
+    return None
+
+
 def _end_problem(context: RunContext, answer: TargetAnswer) -> str | None:
     """Return why the end of an answer can't end the caller's stream."""
     if context.stream.is_inside_event:
--- a/src/dandelioncleat/core/event_stream.py
+++ b/src/dandelioncleat/core/event_stream.py
@@ -22,14 +22,29 @@
         self.last_id: str | None = None
         self.events = 0
         self.unfinished_bytes = 0
+        self.repeats_events = False
+        self._resume_after: str | None = None
         self._partial = b''
 
+    def begin_answer(self, resume_after: str | None) -> None:
+        """Expect the events after one, the first event if it is ``None``."""
+        self.repeats_events = False
+        self._resume_after = resume_after
+
     def take(self, data: bytes) -> bytes:
-        """Add bytes and return the events that they complete."""
+        """Add bytes and return the events that they complete.
+
+        Sets ``repeats_events``, and returns no further events, if an answer
+        begins with an event that was delivered before.
+        """
         text = self._partial + data
         start = 0
         for event_end in EVENT_END.finditer(text):
-            self._note(text[start : event_end.start()])
+            event = text[start : event_end.start()]
+            if self._is_repeated(event):
+                self.repeats_events = True
+                break
+            self._note(event)
             start = event_end.end()
         self._partial = text[start:]
         return text[:start]
@@ -55,8 +70,32 @@
         self.unfinished_bytes = len(self._partial)
         self._partial = b''
 
+    def _is_repeated(self, event: bytes) -> bool:
+        """Return whether the first event of an answer was delivered before."""
+        after = self._resume_after
+        name = _event_id(event)
+        if after is None or name is None:
+            return False
+        self._resume_after = None
+        if not (name.isdecimal() and after.isdecimal()):
+            # Only numbers have an order.
+            return name == after
+        return _order(name) <= _order(after)
+
     def _note(self, event: bytes) -> None:
         self.events += 1
-        for line in event.splitlines():
-            if line.startswith(ID_FIELD):
-                self.last_id = line[len(ID_FIELD) :].strip().decode('latin-1')
+        self.last_id = _event_id(event) or self.last_id
+
+
+def _order(number: str) -> tuple[int, str]:
+    """Return what numbers sort by, however many digits they have."""
+    digits = number.lstrip('0')
+    return len(digits), digits
+
+
+def _event_id(event: bytes) -> str | None:
+    name = None
+    for line in event.splitlines():
+        if line.startswith(ID_FIELD):
+            name = line[len(ID_FIELD) :].strip().decode('latin-1')
+    return name
--- a/tests/test_continued_streams.py
+++ b/tests/test_continued_streams.py
@@ -4,6 +4,7 @@
 
 from tests.builders.direct import (
     MODEL_HEADERS,
+    event_bytes,
     events,
     run_with_fleet,
     text_answer,
@@ -73,3 +74,32 @@
         answer, _ = self.answer_after(events(3, 5))
         self.assertIn(b'id: 5', answer.body)
         self.assertTrue(answer.looks_complete, answer)
+
+
+class RepeatedEventsTest(_Case):
+    """A stream that starts again is not joined to what was sent."""
+
+    def test_resumed_stream_that_starts_again(self):
+        for first in (0, 1, 2):
+            answer, _ = self.answer_after(events(first, 5))
+            self.assertEqual(1, answer.body.count(b'id: 2\n'), first)
+            self.assertFalse(answer.looks_complete, answer)
+
+    def test_stream_that_its_caller_resumes_and_that_starts_again(self):
+        async def scenario(fleet):
+            fleet.llm.answers = [events(0, 2)]
+            await fleet.call('/stream/a', **MODEL_HEADERS)
+            fleet.llm.answers = [events(0, 5)] * 2
+            return await fleet.raw_answer(
+                '/stream/a',
+                **MODEL_HEADERS,
+                **{
+                    'Request-Id': 'r-2',
+                    'Resumes': 'r-1',
+                    'Last-Event-Id': '2',
+                },
+            )
+
+        answer = run_with_fleet(scenario)
+        self.assertNotIn(event_bytes(0, 0), answer.body)
+        self.assertFalse(answer.looks_complete, answer)
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -237,6 +237,21 @@
         )
         self.assertEqual(('2', 2), (stream.last_id, stream.events))
 
+    def test_event_that_was_delivered_before_is_not_returned(self):
+        cases = (('9', b'9'), ('10', b'9'), ('10', b'010'), ('1' * 5000, b'2'))
+        for after, first in cases:
+            stream = EventStreamParser()
+            stream.begin_answer(after)
+            taken = stream.take(b'id: %s\ndata: a\n\n' % first)
+            self.assertEqual((b'', True), (taken, stream.repeats_events))
+
+    def test_event_that_follows_is_returned(self):
+        for after, first in (('9', b'10'), ('b', b'a'), ('2', b'1' * 5000)):
+            stream = EventStreamParser()
+            stream.begin_answer(after)
+            event = b'id: %s\ndata: a\n\n' % first
+            self.assertEqual(event, stream.take(event))
+
     def test_events_end_with_an_empty_line_of_any_kind(self):
         for line_end in (b'\n', b'\r\n', b'\r'):
             stream = EventStreamParser()
