Resume an unnamed stream only if one version has served alone of late

Cause: a stream that is resumed without the name of its first request was taken to have begun at the only version that accepts requests now. Targets that drain and those that have left did not count, so after a release each such stream went on at the new version; a router that has just started can't know what had served before. Fix: the list's past versions are kept for 25 s. An unnamed stream is resumed if the router has followed the list for so long, the store is not silent, and only one version was listed; else it is refused at once, not run, with Retry-After.

--- a/src/dandelioncleat/app/direct/placement.py
+++ b/src/dandelioncleat/app/direct/placement.py
@@ -60,9 +60,11 @@
         return any(context.fits(state.entry) for state in states)
 
     def only_origin(self, service: str) -> StreamOrigin | None:
-        """Return the origin of all streams if one version serves alone."""
-        states = self._directory.available(service)
-        versions = {state.entry.software_version for state in states}
+        """Return the origin of all streams that callers may resume now.
+
+        ``None`` unless one version has served alone since they began.
+        """
+        versions = self._directory.recent_versions(service)
         if len(versions) != 1:
             return None
         return StreamOrigin(service, versions.pop())
--- a/src/dandelioncleat/app/direct/target_directory.py
+++ b/src/dandelioncleat/app/direct/target_directory.py
@@ -11,10 +11,13 @@
 from dandelioncleat.app.direct.topic_follower import TopicChange
 from dandelioncleat.core.deployment import Service, TargetEntry
 from dandelioncleat.core.keyed_record import KeyedRecord
+from dandelioncleat.core.past_versions import PastVersions
 
 # Targets whose entries expired in a store outage are listed again within this
 # time after it.
 RELIST_GRACE_S = 2.0
+# A read of the list waits up to two seconds for changes.
+MAX_SILENCE_S = 3.0
 # What removed targets asked for still holds if they are listed again.
 MAX_REMOVED = 1000
 
@@ -43,6 +46,7 @@
         self._held = HeldEntries(on_release=self._apply_record)
         self._services_by_name: Mapping[str, Service] = {}
         self._grace_until = float('-inf')
+        self._past_versions = PastVersions()
 
     def set_services(self, services_by_name: Mapping[str, Service]) -> None:
         """Set the services of the current configuration."""
@@ -58,6 +62,21 @@
             if state.entry.service == service and state.accepts_new
         ]
 
+    def recent_versions(self, service: str) -> set[str | None]:
+        """Return all versions that may have begun a stream of late.
+
+        Empty if they can't be known: this process has not followed the list
+        for long enough, or the store is silent.
+        """
+        past = self._past_versions.of(service, _now())
+        if past is None or self._silence_s() > MAX_SILENCE_S:
+            return set()
+        return past | {
+            state.entry.software_version
+            for state in self._states_by_id.values()
+            if state.entry.service == service
+        }
+
     @property
     def starts(self) -> set[str]:
         """Return the starts of all listed targets."""
@@ -79,6 +98,7 @@
         if change.is_restored:
             change = self._held.without_removed(change, self._removed_by_id)
         if change.is_snapshot:
+            self._past_versions.begin(_now())
             listed = {record.key for record in change.records if record.value}
             for target in self._states_by_id.keys() - listed:
                 self._delist(target)
@@ -104,11 +124,15 @@
             is_draining = entry.is_draining or known.entry.is_draining
             entry = entry._replace(is_draining=is_draining)
             if known.entry != entry:
-                self._log_entry(entry)
+                _log_entry(entry)
+                self._past_versions.note_end(known.entry, _now())
             known.entry = entry
             self._states_by_id[entry.id] = known
             return
-        self._log_entry(entry)
+        _log_entry(entry)
+        replaced = self._states_by_id.get(entry.id)
+        if replaced is not None:
+            self._past_versions.note_end(replaced.entry, _now())
         self._states_by_id[entry.id] = TargetState(
             entry, kv_tokens=self._kv_tokens(entry.service)
         )
@@ -121,16 +145,6 @@
             return None
         return known
 
-    def _log_entry(self, entry: TargetEntry) -> None:
-        _logger.info(
-            'target listed',
-            target=entry.id,
-            service=entry.service,
-            address=entry.address,
-            draining=entry.is_draining,
-            software_version=entry.software_version,
-        )
-
     def _delist(self, target: str) -> None:
         if target not in self._states_by_id:
             return
@@ -153,6 +167,7 @@
         if state is None:
             return
         _logger.info('target gone', target=target)
+        self._past_versions.note_end(state.entry, _now())
         self._removed_by_id[target] = state
         if len(self._removed_by_id) > MAX_REMOVED:
             self._removed_by_id.popitem(last=False)
@@ -164,5 +179,16 @@
         return known.engine.kv_tokens
 
 
+def _log_entry(entry: TargetEntry) -> None:
+    _logger.info(
+        'target listed',
+        target=entry.id,
+        service=entry.service,
+        address=entry.address,
+        draining=entry.is_draining,
+        software_version=entry.software_version,
+    )
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/test_target_versions.py
+++ b/tests/test_target_versions.py
@@ -2,8 +2,15 @@
 
 import asyncio
 
+import msgspec
 import testtools
 
+from dandelioncleat.adapters.virtual_time import run
+from dandelioncleat.app.direct.placement import Placement
+from dandelioncleat.app.direct.target_directory import TargetDirectory
+from dandelioncleat.app.direct.topic_follower import TopicChange
+from dandelioncleat.core.keyed_record import KeyedRecord
+from dandelioncleat.platform.documents import decode_target
 from tests.builders.direct import (
     MODEL_HEADERS,
     Target,
@@ -145,6 +152,85 @@
         self.assertEqual((503, [1, 0]), (status, requests))
 
 
+class UnnamedStreamTest(testtools.TestCase):
+    """A caller that names no first request joins no two versions."""
+
+    def _origin(self, *steps, silence_s=0):
+        """Return the version that streams are taken to have begun at.
+
+        :param steps: pairs of a wait in seconds and entries to apply
+        """
+
+        async def scenario():
+            directory = TargetDirectory(
+                decode_target, silence_s=lambda: silence_s
+            )
+            is_first = True
+            for wait_s, documents in steps:
+                await asyncio.sleep(wait_s)
+                directory.apply(_listed(documents, is_snapshot=is_first))
+                is_first = False
+            placement = Placement(
+                directory, open_targets=None, data_centre='z1'
+            )
+            origin = placement.only_origin('llm')
+            return origin and origin.software_version
+
+        with captured_lines():
+            return run(scenario())
+
+    def test_stream_is_joined_after_the_old_version_has_left(self):
+        steps = [(0, {'a': 'v1'}), (30, {'b': 'v1.1'}), (2, {'a': None})]
+        self.assertIs(None, self._origin(*steps))
+        self.assertIs(None, self._origin(*steps, (20, {})))
+        self.assertEqual('v1.1', self._origin(*steps, (26, {})))
+
+    def test_stream_is_joined_by_a_router_that_has_just_started(self):
+        self.assertIs(None, self._origin((0, {'b': 'v1.1'})))
+        self.assertIs(None, self._origin((0, {'b': 'v1.1'}), (20, {})))
+
+    def test_stream_is_joined_after_a_target_started_again(self):
+        steps = [(0, {'a': 'v1'}), (30, {'a': 'v1.1'}), (1, {})]
+        self.assertIs(None, self._origin(*steps))
+
+    def test_stream_is_joined_while_the_list_is_old(self):
+        steps = [(0, {'a': 'v1'}), (30, {})]
+        self.assertIs(None, self._origin(*steps, silence_s=5))
+
+    def test_stream_is_resumed_if_one_version_has_served_alone(self):
+        steps = [(0, {'a': 'v1', 'b': 'v1'}), (30, {'b': None})]
+        self.assertEqual('v1', self._origin(*steps))
+
+    def test_new_router_refuses_after_a_release(self):
+        async def scenario(fleet):
+            await begin_at_first_version(fleet)
+            await list_target(fleet, fleet.llm2, 'v1.1')
+            await delist(fleet, fleet.llm)
+            await fleet.replace_router('h2')
+            sent = {**MODEL_HEADERS, 'Request-Id': 'r-2', 'Last-Event-Id': '2'}
+            status, received, _ = await fleet.call('/stream/a', **sent)
+            return status, received.get('Retry-After'), fleet.llm2.requests
+
+        document = configuration(prepaid=None)
+        status, retry_after, requests = run_with_fleet(
+            scenario, document=document
+        )
+        self.assertEqual((503, []), (status, requests))
+        self.assertIsNotNone(retry_after)
+
+
+def _listed(documents, *, is_snapshot):
+    """Return a change of the list of targets; versions are given by id."""
+    records = []
+    for key, version in documents.items():
+        target = Target(key, 'llm')
+        target.address = '10.0.0.1:80'
+        entry = target.entry(version=version)
+        value = msgspec.json.encode(entry) if version else b''
+        records.append(KeyedRecord(key, value, 0))
+    return TopicChange(is_snapshot, tuple(records))
+
+
 def _engines(fleet):
     return fleet.llm, fleet.llm2
 
