--- a/src/dandelioncleat/core/event_stream.py
+++ b/src/dandelioncleat/core/event_stream.py
@@ -73,8 +73,10 @@
     def _is_repeated(self, event: bytes) -> bool:
         """Return whether the first event of an answer was delivered before."""
         after = self._resume_after
+        if after is None:
+            return False
         name = _event_id(event)
-        if after is None or name is None:
+        if name is None:
             return False
         self._resume_after = None
         if not (name.isdecimal() and after.isdecimal()):
