--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -29,7 +29,6 @@
         self.connections = 0
         self._fleet = fleet
         self._answers = list(answers)
-        self._writers = []
 
     async def list(self):
         """Listen, and wait until the router knows the target alone."""
@@ -44,13 +43,8 @@
         await self._fleet.wait_until(lambda: router.target_count('app'))
         return server
 
-    def write_once_more(self, data):
-        """Write bytes that nobody asked for on the last connection."""
-        self._writers[-1].write(data)
-
     async def _serve(self, reader, writer):
         self.connections += 1
-        self._writers.append(writer)
         while head := await _read_head(reader):
             name = head.partition(b'Request-Id: ')[2].partition(b'\r')[0]
             self.ids.append(name)
