Fence the ceilings of a host before its next process reads them

Cause: appends of ceilings require an end of the topic. That orders writers that live; an append of a dead process still succeeds if nobody has written since. The next process of the host had read the higher ceiling and kept it, while the others claimed what the late record set free. Now a starting process first appends a barrier, which moves the end beyond all that the dead process can have read, and reads the ceilings after that.

--- a/src/dandelioncleat/app/direct/ceiling_writer.py
+++ b/src/dandelioncleat/app/direct/ceiling_writer.py
@@ -13,6 +13,8 @@
 from dandelioncleat.ports.store import Appended, ConflictError, KeyedStore
 
 RETRY_PAUSE_S = 0.1
+# Keys of ceilings contain a slash, so the barrier deletes none of them.
+BARRIER_KEY = 'barrier'
 
 _logger = structlog.get_logger(__name__)
 
@@ -46,6 +48,19 @@
         self._follower = follower
         self._holdings = holdings
 
+    async def fence(self) -> int:
+        """Make all appends of the host's earlier process fail.
+
+        They require an end of the topic that the earlier process has read.
+        The append of a barrier moves the end beyond it.
+
+        :returns: the store's era in which they fail
+        :raises FailureError: if the store does not answer
+        """
+        barrier = ((BARRIER_KEY, b''),)
+        appended = await self._store.append(self._follower.topic, barrier)
+        return appended.era
+
     async def write(self, ceilings: tuple[Ceiling, ...]) -> bool:
         """Append ceilings; return ``False`` if another append came first."""
         proposed = _ProposedWrite(
--- a/src/dandelioncleat/app/direct/holdings_sync.py
+++ b/src/dandelioncleat/app/direct/holdings_sync.py
@@ -135,15 +135,16 @@
         await self._marks.read_snapshot()
         host = self._holdings.host
         await self._mark_writer.fence(self._holdings.records.epoch_of(host))
+        era = await self._ceiling_writer.fence()
         # Read again: the earlier process may have written until it was fenced.
         await self._marks.read_snapshot()
         await self._ceilings.read_snapshot()
-        if self._marks.era != self._ceilings.era:
+        if {self._marks.era, self._ceilings.era} != {era}:
             raise failure_error(
                 Code.LOG,
                 step='open budgets',
                 peer='store',
-                text='restored between two reads',
+                text='restored between two calls',
             )
         standing = self._holdings.standing
         standing.open(self._clock.monotonic(), copy_age_s=self._copy_age_s)
--- a/src/dandelioncleat/standin/keyed_store.py
+++ b/src/dandelioncleat/standin/keyed_store.py
@@ -36,6 +36,7 @@
     :param lost_share: appends that take effect, but are not answered
     :param late_share: appends that fail and take effect later
     :param late_s: delay of the late appends in seconds
+    :param late_topic: the only topic with late appends, if any
     """
 
     outage: bool = False
@@ -43,6 +44,13 @@
     lost_share: float = 0
     late_share: float = 0
     late_s: float = 3
+    late_topic: str | None = None
+
+    def late_share_of(self, topic: str) -> float:
+        """Return the share of a topic's appends that take effect later."""
+        if self.late_topic not in {None, topic}:
+            return 0
+        return self.late_share
 
 
 class _Change(NamedTuple):
@@ -168,11 +176,12 @@
         """Append records and return the new end of the topic."""
         await self._simulate_call('append')
         sample = self._generator.random()
-        if sample < self.faults.late_share:
+        late_share = self.faults.late_share_of(topic)
+        if sample < late_share:
             self._schedule_append(topic, records, at=at, producer=producer)
             raise _no_answer_error('append')
         end = self._append(topic, records, at=at, producer=producer)
-        if sample < self.faults.late_share + self.faults.lost_share:
+        if sample < late_share + self.faults.lost_share:
             raise _no_answer_error('append')
         return Appended(end, self.era)
 
--- a/tests/test_wallet.py
+++ b/tests/test_wallet.py
@@ -234,6 +234,32 @@
 
         self.assertEqual(100_000, run(scenario()))
 
+    def test_a_late_ceiling_of_a_stopped_process_frees_no_held_tokens(self):
+        # The successor has read the ceiling that the late append lowers.
+        async def scenario():
+            hosts, store = await new_hosts(4, {'o': 72_000})
+            await asyncio.sleep(10)
+            store.faults = StoreFaults(late_share=1, late_topic='ceilings')
+            closing = asyncio.ensure_future(hosts[0].wallet.close())
+            await asyncio.sleep(0.3)
+            closing.cancel()
+            await hosts[0].kill()
+            store.faults = StoreFaults()
+            hosts[0].start()
+            await hosts[0].ready()
+            await asyncio.sleep(5)
+            askers = (hosts[1], hosts[1], *hosts[2:], hosts[0])
+            await asyncio.gather(
+                *(
+                    host.spend('o', 17_140, request=f'r{number}', limit_s=2)
+                    for number, host in enumerate(askers)
+                )
+            )
+            await end(hosts)
+            return sum(host.spent for host in hosts)
+
+        self.assertEqual(4 * 17_140, run(scenario()))
+
     def assertBetween(self, least, value, most):
         """Check that a value lies between two others."""
         self.assertLessEqual(least, value)
