Give the bytes of any writer one kind of error

Cause: a decoder recurses into nested values, also those that it skips, and raises RecursionError. The readers expected the library's own error, so it left the task that follows the list and ended the process. Twenty places listed the errors that they expected, each its own way. Now core/decoding.py calls every decoder and raises UnreadableError for any bytes. A rejection of the store and a value in base64 that can't be read raised past their callers too, and fail as an answer of the store now.

Ruled out: memory or time (the processes end with the decoder's traceback).

--- a/src/dandelioncleat/adapters/_completion_events.py
+++ b/src/dandelioncleat/adapters/_completion_events.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from dandelioncleat.core.decoding import decode_bytes
 from dandelioncleat.ports.target import Piece
 
 EVENT_END = b'\n\n'
@@ -63,7 +64,7 @@
     def feed(self, data: bytes) -> Piece | None:
         """Parse bytes and return what they add to the answer.
 
-        :raises msgspec.MsgspecError: if an event is malformed
+        :raises UnreadableError: if an event is malformed
         """
         before = self.output_tokens
         events = (self._incomplete + data).split(EVENT_END)
@@ -81,7 +82,7 @@
         if payload == DONE:
             self.is_done = True
             return ''
-        return self._apply(_EVENT_DECODER.decode(payload))
+        return self._apply(decode_bytes(_EVENT_DECODER.decode, payload))
 
     def _apply(self, event: _Event) -> str:
         text = ''
--- a/src/dandelioncleat/adapters/_named_json.py
+++ b/src/dandelioncleat/adapters/_named_json.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from dandelioncleat.core.decoding import decode_bytes
+
 NamedT = TypeVar('NamedT', bound=NamedTuple)
 
 _OBJECT_DECODER = msgspec.json.Decoder(dict[str, Any])
@@ -15,13 +17,14 @@
 
 def decode_named(body: bytes, named: type[NamedT]) -> NamedT:
     """Decode one object; raise ``msgspec.MsgspecError`` if malformed."""
-    return _convert(_OBJECT_DECODER.decode(body), named)
+    return _convert(decode_bytes(_OBJECT_DECODER.decode, body), named)
 
 
 def decode_all_named(body: bytes, named: type[NamedT]) -> tuple[NamedT, ...]:
     """Decode a list of objects."""
     return tuple(
-        _convert(each, named) for each in _OBJECTS_DECODER.decode(body)
+        _convert(each, named)
+        for each in decode_bytes(_OBJECTS_DECODER.decode, body)
     )
 
 
--- a/src/dandelioncleat/adapters/_target_http.py
+++ b/src/dandelioncleat/adapters/_target_http.py
@@ -9,6 +9,7 @@
 from dandelioncleat.adapters._http_call import FailureContext, call
 from dandelioncleat.adapters._named_json import decode_named
 from dandelioncleat.adapters.run_text import run_text
+from dandelioncleat.core.decoding import decode_bytes
 from dandelioncleat.core.failure import Code, failure_error
 from dandelioncleat.core.scoped_key import caller_key
 from dandelioncleat.ports.target import TargetCall, TargetLoad
@@ -84,7 +85,7 @@
             headers={FENCE_HEADER: str(number)},
         )
         try:
-            return _FENCE_DECODER.decode(body).checks
+            return decode_bytes(_FENCE_DECODER.decode, body).checks
         except msgspec.MsgspecError as error:
             raise self.failure_context('fence').failure(error) from error
 
--- a/src/dandelioncleat/adapters/http_log.py
+++ b/src/dandelioncleat/adapters/http_log.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from dandelioncleat.adapters._http_call import FailureContext, call
+from dandelioncleat.core.decoding import UnreadableError, decode_bytes
 from dandelioncleat.core.failure import Code
 from dandelioncleat.ports.log import Page
 
@@ -49,8 +50,8 @@
             'POST', stream, context, self._timeout_s, data=data
         )
         try:
-            return _APPENDED_DECODER.decode(body).offset
-        except msgspec.MsgspecError as error:
+            return decode_bytes(_APPENDED_DECODER.decode, body).offset
+        except UnreadableError as error:
             raise context.failure(error) from error
 
     async def read(
@@ -68,8 +69,8 @@
             'GET', stream, context, self._timeout_s + wait_s, params=query
         )
         try:
-            return _PAGE_DECODER.decode(body)
-        except msgspec.MsgspecError as error:
+            return decode_bytes(_PAGE_DECODER.decode, body)
+        except UnreadableError as error:
             raise context.failure(error) from error
 
     async def _call(
--- a/src/dandelioncleat/adapters/http_model_target.py
+++ b/src/dandelioncleat/adapters/http_model_target.py
@@ -20,6 +20,7 @@
     run_headers,
 )
 from dandelioncleat.adapters.run_text import run_text
+from dandelioncleat.core.decoding import decode_bytes
 from dandelioncleat.core.event_stream import MAX_EVENT_BYTES
 from dandelioncleat.core.failure import Code, FailureError, failure_error
 from dandelioncleat.core.identity import RunId
@@ -93,7 +94,7 @@
             body = await self._target.control(
                 'POST', '/tokenize', 'tokenize', data=call.body
             )
-            return _COUNT_DECODER.decode(body).count
+            return decode_bytes(_COUNT_DECODER.decode, body).count
         except (FailureError, msgspec.MsgspecError):
             return None
 
@@ -155,7 +156,7 @@
 
 def _engine_body(call: TargetCall) -> bytes | None:
     try:
-        body = _BODY_DECODER.decode(call.body)
+        body = decode_bytes(_BODY_DECODER.decode, call.body)
     except msgspec.MsgspecError:
         return None
     body.pop('max_completion_tokens', None)
--- a/src/dandelioncleat/adapters/operator_http.py
+++ b/src/dandelioncleat/adapters/operator_http.py
@@ -14,6 +14,7 @@
 from dandelioncleat.app.operator import OperatorBackend
 from dandelioncleat.core.configuration_document import as_builtins, document_of
 from dandelioncleat.core.configuration_history import VersionEntry
+from dandelioncleat.core.decoding import UnreadableError, decode_bytes
 from dandelioncleat.core.failure import Code, Failure, FailureError
 from dandelioncleat.core.identity import BudgetId, Digest, Incarnation
 from dandelioncleat.core.patch import MAX_BODY_BYTES
@@ -259,8 +260,8 @@
 
 def _decode(body: bytes, order_type: type[Any]) -> Any:
     try:
-        return msgspec.json.decode(body, type=order_type)
-    except msgspec.DecodeError as error:
+        return decode_bytes(msgspec.json.Decoder(order_type).decode, body)
+    except UnreadableError as error:
         raise _invalid('body', str(error)) from error
 
 
--- a/src/dandelioncleat/app/_stream_state.py
+++ b/src/dandelioncleat/app/_stream_state.py
@@ -3,9 +3,8 @@
 from collections.abc import Callable
 from typing import Generic, NamedTuple, TypeVar
 
-import msgspec
-
 from dandelioncleat.core.checkpoint import Checkpoint
+from dandelioncleat.core.decoding import UnreadableError
 from dandelioncleat.core.deduplication import DuplicateFilter
 from dandelioncleat.core.envelope import Codec, Envelope
 from dandelioncleat.core.fold import Fold
@@ -51,7 +50,7 @@
         self.position = entry.offset + 1
         try:
             envelopes = self._codec.decode(entry.data)
-        except msgspec.MsgspecError:
+        except UnreadableError:
             self.undecodable_entries += 1
             return []
         return [
--- a/src/dandelioncleat/app/bill_relay.py
+++ b/src/dandelioncleat/app/bill_relay.py
@@ -10,10 +10,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-import msgspec
-
 from dandelioncleat.app.typed_handler import TypedHandler
 from dandelioncleat.core.configuration import Configuration
+from dandelioncleat.core.decoding import UnreadableError
 from dandelioncleat.core.envelope import Envelope, ledger_codec
 from dandelioncleat.core.failure import Code, FailureError
 from dandelioncleat.core.identity import Incarnation
@@ -36,7 +35,6 @@
 MAX_DATA_BYTES = 262_144
 MAX_WAITING_BYTES = 1_048_576
 
-_DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
 
 _Reply = Accepted | Refusal
 _Envelopes = tuple[Envelope[LedgerRecord], ...]
@@ -70,7 +68,7 @@
             return self._refuse(Code.TOO_LARGE, 'the entry is too large')
         try:
             envelopes = self._codec.decode(message.data)
-        except _DECODE_ERRORS as error:
+        except UnreadableError as error:
             return self._refuse(Code.INVALID, f'not an entry: {error}')
         if not _has_bills_only(envelopes):
             return self._refuse(
--- a/src/dandelioncleat/app/direct/holdings_sync.py
+++ b/src/dandelioncleat/app/direct/holdings_sync.py
@@ -14,6 +14,7 @@
     TopicFollower,
 )
 from dandelioncleat.app.event_wait import wait_at_most
+from dandelioncleat.core.decoding import UnreadableError, decode_bytes
 from dandelioncleat.core.failure import Code, FailureError, failure_error
 from dandelioncleat.core.holding import Ceiling, Moment, UsageMark
 from dandelioncleat.core.host_holdings import HostHoldings
@@ -46,6 +47,9 @@
 
 RecordT = TypeVar('RecordT', Ceiling, UsageMark)
 
+_CEILING_DECODER = msgspec.msgpack.Decoder(Ceiling)
+_MARK_DECODER = msgspec.msgpack.Decoder(UsageMark)
+
 _logger = structlog.get_logger(__name__)
 
 
@@ -161,7 +165,7 @@
         records = self._holdings.records
         records.begin_era(change.era)
         for record in change.records:
-            ceiling = _decode(record, Ceiling)
+            ceiling = _decode(record, _CEILING_DECODER)
             if ceiling is None or records.set_ceiling(ceiling):
                 continue
             if ceiling.host == self._holdings.host and not change.is_snapshot:
@@ -177,7 +181,7 @@
     def _apply_marks(self, change: TopicChange) -> None:
         self._holdings.records.begin_era(change.era)
         for record in change.records:
-            mark = _decode(record, UsageMark)
+            mark = _decode(record, _MARK_DECODER)
             if mark is not None:
                 self._holdings.records.set_mark(mark)
         self._marks.pause_s = min(
@@ -271,12 +275,14 @@
     return Moment(clock.monotonic(), clock.wall())
 
 
-def _decode(record: KeyedRecord, kind: type[RecordT]) -> RecordT | None:
+def _decode(
+    record: KeyedRecord, decoder: msgspec.msgpack.Decoder[RecordT]
+) -> RecordT | None:
     if not record.value:
         return None
     try:
-        return msgspec.msgpack.decode(record.value, type=kind)
-    except msgspec.DecodeError as error:
+        return decode_bytes(decoder.decode, record.value)
+    except UnreadableError as error:
         _logger.warning(
             'record cannot be read', key=record.key, reason=str(error)
         )
--- a/src/dandelioncleat/app/direct/process_directory.py
+++ b/src/dandelioncleat/app/direct/process_directory.py
@@ -11,6 +11,7 @@
     TopicChange,
     TopicFollower,
 )
+from dandelioncleat.core.decoding import UnreadableError, decode_bytes
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.gateway_choice import GatewayEndpoint
 from dandelioncleat.ports.store import KeyedStore
@@ -44,6 +45,9 @@
         return f'{self.role}/{self.host}'
 
 
+_DECODER = msgspec.msgpack.Decoder(ProcessEntry)
+
+
 class ProcessAnnouncement:
     """Registers a process in the store and removes it.
 
@@ -188,8 +192,8 @@
 
     def _apply_entry(self, key: str, value: bytes) -> None:
         try:
-            entry = msgspec.msgpack.decode(value, type=ProcessEntry)
-        except msgspec.DecodeError as error:
+            entry = decode_bytes(_DECODER.decode, value)
+        except UnreadableError as error:
             _logger.warning(
                 'process entry cannot be decoded',
                 process=key,
--- a/src/dandelioncleat/app/direct/shared_crash_records.py
+++ b/src/dandelioncleat/app/direct/shared_crash_records.py
@@ -13,6 +13,7 @@
 )
 from dandelioncleat.app.direct.topic_writer import TopicWriter
 from dandelioncleat.core.crash_records import CrashRecord, CrashRecords
+from dandelioncleat.core.decoding import UnreadableError, decode_bytes
 from dandelioncleat.core.keyed_record import KeyedRecord
 from dandelioncleat.ports.clock import Clock
 from dandelioncleat.ports.store import KeyedStore
@@ -21,6 +22,8 @@
 READ_WAIT_S = 5.0
 EXPIRY_INTERVAL_S = 30.0
 
+_DECODER = msgspec.msgpack.Decoder(CrashRecord)
+
 _logger = structlog.get_logger(__name__)
 
 
@@ -88,8 +91,8 @@
             self.known.remove(stored.key)
             return
         try:
-            record = msgspec.msgpack.decode(stored.value, type=CrashRecord)
-        except msgspec.DecodeError as error:
+            record = decode_bytes(_DECODER.decode, stored.value)
+        except UnreadableError as error:
             _logger.warning(
                 'crash record cannot be decoded',
                 key=stored.key,
--- a/src/dandelioncleat/app/direct/shared_limits.py
+++ b/src/dandelioncleat/app/direct/shared_limits.py
@@ -16,6 +16,7 @@
     TopicFollower,
 )
 from dandelioncleat.app.direct.topic_writer import TopicWriter
+from dandelioncleat.core.decoding import UnreadableError, decode_bytes
 from dandelioncleat.core.host_choice import HostChoice
 from dandelioncleat.core.keyed_record import KeyedRecord
 from dandelioncleat.ports.store import KeyedStore
@@ -29,6 +30,8 @@
 # Limits of targets that are not listed for one to two of these are deleted.
 CLEANUP_INTERVAL_S = 30.0
 
+_DECODER = msgspec.msgpack.Decoder(float)
+
 _logger = structlog.get_logger(__name__)
 
 
@@ -111,8 +114,8 @@
             self._report(record.key, None)
             return
         try:
-            per_s = msgspec.msgpack.decode(record.value, type=float)
-        except msgspec.DecodeError as error:
+            per_s = decode_bytes(_DECODER.decode, record.value)
+        except UnreadableError as error:
             _logger.warning(
                 'limit cannot be decoded', start=record.key, reason=str(error)
             )
--- a/src/dandelioncleat/app/direct/stream_origins.py
+++ b/src/dandelioncleat/app/direct/stream_origins.py
@@ -9,9 +9,9 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
-import msgspec
 import structlog
 
+from dandelioncleat.core.decoding import UnreadableError
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.keyed_record import KeyedRecord
 from dandelioncleat.core.stream_origin import (
@@ -124,7 +124,7 @@
     def _learn(self, record: KeyedRecord) -> None:
         try:
             origins_by_key = decode_origins(record.value)
-        except msgspec.DecodeError as error:
+        except UnreadableError as error:
             _logger.warning(
                 'stream origins cannot be decoded',
                 key=record.key,
--- a/src/dandelioncleat/app/fleet_status.py
+++ b/src/dandelioncleat/app/fleet_status.py
@@ -8,6 +8,7 @@
 from dandelioncleat.app.configuration import ConfigurationKeeper
 from dandelioncleat.app.fleet import FleetKeeper
 from dandelioncleat.core.configuration import Target
+from dandelioncleat.core.decoding import UnreadableError, decode_bytes
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.fleet import ROUTER, SIDECAR, Member
 from dandelioncleat.core.identity import Digest, Incarnation
@@ -195,6 +196,6 @@
 
 def _details(data: bytes) -> object:
     try:
-        return msgspec.json.decode(data or b'null')
-    except msgspec.DecodeError:
+        return decode_bytes(msgspec.json.decode, data or b'null')
+    except UnreadableError:
         return None
--- a/src/dandelioncleat/core/checkpoint.py
+++ b/src/dandelioncleat/core/checkpoint.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from dandelioncleat.core.decoding import UnreadableError, decode_bytes
 from dandelioncleat.core.identity import Incarnation
 
 FORMAT = 1
@@ -54,8 +55,8 @@
 def decode_entry(data: bytes) -> CheckpointEntry | None:
     """Decode an entry of a checkpoint stream; ``None`` for other data."""
     try:
-        return _entry_decoder.decode(data)
-    except msgspec.MsgspecError:
+        return decode_bytes(_entry_decoder.decode, data)
+    except UnreadableError:
         return None
 
 
--- a/src/dandelioncleat/core/completion.py
+++ b/src/dandelioncleat/core/completion.py
@@ -7,6 +7,7 @@
 from returns.result import Result, Success
 
 from dandelioncleat.core.configuration import Service
+from dandelioncleat.core.decoding import UnreadableError, decode_bytes
 from dandelioncleat.core.failure import Code, Failure
 from dandelioncleat.core.identity import Digest
 from dandelioncleat.core.prompt import prefix_digests, prompt_text
@@ -58,9 +59,9 @@
 ) -> Result[Completion, Failure]:
     """Parse and validate the body of a completion or a chat."""
     try:
-        options = _DECODER.decode(body)
+        options = decode_bytes(_DECODER.decode, body)
         text = prompt_text(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except UnreadableError as error:
         return Failed(_invalid(f'not a valid body: {error}'))
     error_text = _validation_error(options, is_chat=is_chat)
     if error_text:
--- a/src/dandelioncleat/core/envelope.py
+++ b/src/dandelioncleat/core/envelope.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from dandelioncleat.core.decoding import decode_bytes
 from dandelioncleat.core.identity import Incarnation
 from dandelioncleat.core.record import (
     ClaimRecord,
@@ -45,8 +46,8 @@
         return self._encoder.encode(envelopes)
 
     def decode(self, data: bytes) -> tuple[Envelope[RecordT], ...]:
-        """Decode an entry; raise ``msgspec.DecodeError`` on other data."""
-        return self._decoder.decode(data)
+        """Decode an entry; raise ``UnreadableError`` on other data."""
+        return decode_bytes(self._decoder.decode, data)
 
 
 def ledger_codec() -> Codec[LedgerRecord]:
--- a/src/dandelioncleat/core/prompt.py
+++ b/src/dandelioncleat/core/prompt.py
@@ -5,6 +5,7 @@
 import msgspec
 import xxhash
 
+from dandelioncleat.core.decoding import decode_bytes
 from dandelioncleat.core.identity import Digest
 
 MIN_PREFIX_BYTES = 256
@@ -30,9 +31,9 @@
 def prompt_text(body: bytes) -> str:
     """Return the prompt text of the body of a completion or a chat.
 
-    :raises msgspec.DecodeError: if the body can't be decoded as either
+    :raises UnreadableError: if the body can't be decoded as either
     """
-    decoded = _BODY_DECODER.decode(body)
+    decoded = decode_bytes(_BODY_DECODER.decode, body)
     if decoded.messages:
         return ''.join(_message_text(each) for each in decoded.messages)
     if isinstance(decoded.prompt, str):
--- a/src/dandelioncleat/core/stream_origin.py
+++ b/src/dandelioncleat/core/stream_origin.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from dandelioncleat.core.decoding import decode_bytes
 from dandelioncleat.core.deployment import TargetEntry
 
 
@@ -45,7 +46,7 @@
 def decode_origins(data: bytes) -> dict[str, StreamOrigin]:
     """Return the origins in a record.
 
-    :raises msgspec.DecodeError: if the record is malformed
+    :raises UnreadableError: if the record is malformed
     """
-    rows_by_key = _DECODER.decode(data)
+    rows_by_key = decode_bytes(_DECODER.decode, data)
     return {key: StreamOrigin(*row) for key, row in rows_by_key.items()}
--- a/src/dandelioncleat/platform/cache_events.py
+++ b/src/dandelioncleat/platform/cache_events.py
@@ -5,6 +5,7 @@
 
 from dandelioncleat.adapters._http_call import FailureContext, call
 from dandelioncleat.core.cache_update import CacheUpdate, HeldPart
+from dandelioncleat.core.decoding import UnreadableError, decode_bytes
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.failure import Code
 from dandelioncleat.platform.names import CACHE_EVENTS_PATH, LONG_POLL_MS
@@ -56,8 +57,8 @@
         if reply.status != OK:
             return CachePoll(None, notice)
         try:
-            decoded = _DECODER.decode(reply.body)
-        except msgspec.DecodeError as error:
+            decoded = decode_bytes(_DECODER.decode, reply.body)
+        except UnreadableError as error:
             raise origin.failure(error) from error
         return CachePoll(_update(decoded), notice)
 
--- a/src/dandelioncleat/platform/documents.py
+++ b/src/dandelioncleat/platform/documents.py
@@ -5,6 +5,7 @@
 from returns.result import Result, Success
 
 from dandelioncleat.core.address import is_address
+from dandelioncleat.core.decoding import UnreadableError, decode_bytes
 from dandelioncleat.core.deployment import (
     CallerLimits,
     CallKind,
@@ -112,9 +113,9 @@
 def decode_deployment(data: bytes) -> Result[Deployment, str]:
     """Return the configuration in a record, or the decoding error."""
     try:
-        config = _CONFIG_DECODER.decode(data)
+        config = decode_bytes(_CONFIG_DECODER.decode, data)
         routes = [_route(route) for route in config.routes]
-    except (msgspec.DecodeError, KeyError) as error:
+    except (UnreadableError, KeyError) as error:
         return Failed(f'{type(error).__name__}: {error}')
     organisations = [_organisation(tenant) for tenant in config.tenants]
     return Success(
@@ -136,8 +137,8 @@
 def decode_target(key: str, data: bytes) -> TargetEntry | None:
     """Return the target of an entry, ``None`` if the entry is unusable."""
     try:
-        server = _SERVER_DECODER.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        server = decode_bytes(_SERVER_DECODER.decode, data)
+    except UnreadableError:
         return None
     is_draining = _DRAINING_BY_STATE.get(server.state)
     if is_draining is None or not is_address(server.address):
--- a/src/dandelioncleat/platform/store.py
+++ b/src/dandelioncleat/platform/store.py
@@ -1,6 +1,5 @@
 """Client of the platform's store."""
 
-from base64 import b64decode
 from collections.abc import Iterator
 from typing import NoReturn, TypeVar
 
@@ -9,6 +8,7 @@
 
 from dandelioncleat.adapters._http_call import FailureContext, Reply, call
 from dandelioncleat.adapters.client_session import new_connector
+from dandelioncleat.core.decoding import UnreadableError, decode_bytes
 from dandelioncleat.core.failure import Code, FailureError, failure_error
 from dandelioncleat.core.keyed_record import KeyedRecord
 from dandelioncleat.platform.framing import (
@@ -47,11 +47,11 @@
 
 
 class _Item(msgspec.Struct):
-    """A record; ``value`` is encoded in base64."""
+    """A record; the document has its value in base64."""
 
     key: str
     offset: int
-    value: str = ''
+    value: bytes = b''
 
 
 class _Newest(msgspec.Struct, rename='camel'):
@@ -144,7 +144,7 @@
         if reply.status == PRECONDITION_FAILED:
             raise ConflictError
         if reply.status == CONFLICT:
-            _raise_rejection(reply)
+            self._raise_rejection(reply)
         self._check(reply, APPEND_PATH)
         appended = self._decode(_APPENDED_DECODER, reply, APPEND_PATH)
         return Appended(appended.end, _era(reply))
@@ -187,14 +187,22 @@
         self, decoder: msgspec.json.Decoder[_Body], reply: Reply, path: str
     ) -> _Body:
         try:
-            return decoder.decode(reply.body)
-        except msgspec.DecodeError as error:
+            return decode_bytes(decoder.decode, reply.body)
+        except UnreadableError as error:
             raise self._failure(path, str(error)) from error
 
     def _check(self, reply: Reply, path: str) -> None:
         if reply.status != OK:
             raise self._failure(path, f'HTTP status {reply.status}')
 
+    def _raise_rejection(self, reply: Reply) -> NoReturn:
+        rejected = self._decode(_REJECTED_DECODER, reply, APPEND_PATH)
+        if rejected.reason == 'fenced':
+            raise FencedError
+        if rejected.reason == 'seq':
+            raise SequenceError
+        raise self._failure(APPEND_PATH, rejected.reason)
+
     def _failure(self, path: str, text: str) -> FailureError:
         return failure_error(Code.LOG, step=path, peer=self._address, text=text)
 
@@ -213,17 +221,6 @@
     )
 
 
-def _raise_rejection(reply: Reply) -> NoReturn:
-    rejected = _REJECTED_DECODER.decode(reply.body)
-    if rejected.reason == 'fenced':
-        raise FencedError
-    if rejected.reason == 'seq':
-        raise SequenceError
-    raise failure_error(
-        Code.LOG, step=APPEND_PATH, peer='store', text=rejected.reason
-    )
-
-
 def _era(reply: Reply) -> int:
     """Return the store's era; a store that is never restored has none."""
     text = reply.headers.get(ERA, '')
@@ -239,4 +236,4 @@
 
 
 def _record_of(item: _Item) -> KeyedRecord:
-    return KeyedRecord(item.key, b64decode(item.value), item.offset)
+    return KeyedRecord(item.key, item.value, item.offset)
