Refuse with 402 only what the lowest possible use leaves no room for

Cause: what a dead process may have used is bounded from above, and that bound was taken for the use when a request was refused. A mark now says which part of the stated use nobody can prove: what was presumed of earlier processes, and what was open when they died. A request that fits only without it gets 503, not run, `balance_unproven`; 402 needs a balance that is too small even then.

Ruled out: tokens counted twice (the sums add up to marks and presumption), tokens that lie at hosts that don't give them (less than one request is free anywhere).

--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -44,6 +44,9 @@
 # A slow store confirms a mark within two round trips.
 MAX_TOKEN_WAIT_S = 0.5
 TOKENS_RETRY_S = 0.3
+# Only a top-up, or open requests that use less than they reserve, add to what
+# is left.
+UNPROVEN_RETRY_S = 10.0
 STOPPING_RETRY_S = 0.05
 
 _logger = structlog.get_logger(__name__)
@@ -180,20 +183,14 @@
         reservation: ReservationOutcome,
         reply: Reply,
     ) -> None:
-        refusal: DirectRefusal | None = DirectRefusal(
-            RefusalReason.PREPAID_SPENT
-        )
-        if reservation is ReservationOutcome.ELSEWHERE:
+        refusal = _budget_refusal(reservation)
+        if refusal is None:
             refusal = await self._parts.forwarding.forward(context, need, reply)
         if refusal is None:
             context.outcome = 'forwarded'
             return
-        if (
-            not refusal.has_run
-            and refusal.reason is not RefusalReason.PREPAID_SPENT
-        ):
-            room_in_s = self._parts.wallet.room_in_s(need)
-            retry_s = max(TOKENS_RETRY_S, room_in_s or 0)
+        if not refusal.has_run:
+            retry_s = _tokens_retry_s(need, refusal.reason, self._parts.wallet)
             refusal = DirectRefusal(refusal.reason, retry_after_s=retry_s)
         await refuse(context, refusal, reply)
 
@@ -284,6 +281,30 @@
         self._parts.telemetry.count('direct.requests', outcome=str(outcome))
 
 
+def _budget_refusal(reservation: ReservationOutcome) -> DirectRefusal | None:
+    """Return the refusal of what no host can serve, ``None`` if one may."""
+    match reservation:
+        case ReservationOutcome.EXHAUSTED:
+            return DirectRefusal(RefusalReason.PREPAID_SPENT)
+        case ReservationOutcome.UNPROVEN:
+            return DirectRefusal(RefusalReason.BALANCE_UNPROVEN)
+        case _:
+            return None
+
+
+def _tokens_retry_s(
+    need: TokenNeed, reason: RefusalReason, wallet: Wallet
+) -> float | None:
+    """Return when a request without tokens may come back, in seconds."""
+    match reason:
+        case RefusalReason.PREPAID_SPENT:
+            return None
+        case RefusalReason.BALANCE_UNPROVEN:
+            return UNPROVEN_RETRY_S
+        case _:
+            return max(TOKENS_RETRY_S, wallet.room_in_s(need) or 0)
+
+
 async def _early_refusal(
     context: RunContext, parts: ServingParts, stop: StopTimes | None
 ) -> DirectRefusal | None:
--- a/src/dandelioncleat/app/direct/wallet.py
+++ b/src/dandelioncleat/app/direct/wallet.py
@@ -23,6 +23,8 @@
 
     RESERVED = 'reserved'
     EXHAUSTED = 'exhausted'
+    UNPROVEN = 'unproven'
+    """The tokens may have been used by a process that died."""
     ELSEWHERE = 'elsewhere'
     """Other hosts hold the tokens, and they can't be moved here in time."""
 
@@ -148,11 +150,13 @@
             return ReservationOutcome.RESERVED
         # While the store is unreachable, a top-up or an ended request elsewhere
         # may be unknown here.
-        if (
-            self._holdings.is_exhausted(need)
-            and not self._sync.is_store_unreachable
-        ):
+        if self._sync.is_store_unreachable:
+            return None
+        balance = self._holdings.balance(need.budget)
+        if balance.possible < need.tokens:
             return ReservationOutcome.EXHAUSTED
+        if balance.certain < need.tokens:
+            return ReservationOutcome.UNPROVEN
         return None
 
     async def _wait_for_tokens(self, need: TokenNeed) -> ReservationOutcome:
--- a/src/dandelioncleat/core/budget_records.py
+++ b/src/dandelioncleat/core/budget_records.py
@@ -8,13 +8,18 @@
 
 
 class Share(NamedTuple):
-    """A host's known part of a budget."""
+    """A host's known part of a budget.
+
+    ``unproven`` is the part of ``used`` that may not have been used: what
+    had to be presumed of processes that died.
+    """
 
     host: str
     ceiling: int
     used: int
     rate: float
     wanted: int
+    unproven: int = 0
 
     @property
     def free(self) -> int:
@@ -81,7 +86,9 @@
 
 def _share(host: str, ceiling: Ceiling | None, mark: UsageMark | None) -> Share:
     tokens = 0 if ceiling is None else ceiling.tokens
-    if mark is None or (ceiling is not None and ceiling.is_presumed):
-        used = 0 if ceiling is None or not ceiling.is_presumed else tokens
-        return Share(host, tokens, used, float(0), 0)
-    return Share(host, tokens, mark.used, mark.rate, mark.wanted)
+    if ceiling is not None and ceiling.is_presumed:
+        proven = 0 if mark is None else mark.proven
+        return Share(host, tokens, tokens, float(0), 0, tokens - proven)
+    if mark is None:
+        return Share(host, tokens, 0, float(0), 0)
+    return Share(host, tokens, mark.used, mark.rate, mark.wanted, mark.unproven)
--- a/src/dandelioncleat/core/direct_request.py
+++ b/src/dandelioncleat/core/direct_request.py
@@ -76,6 +76,7 @@
     TOO_LARGE = 'too_large'
     PREPAID_SPENT = 'prepaid_spent'
     NO_TOKENS_HERE = 'no_tokens_here'
+    BALANCE_UNPROVEN = 'balance_unproven'
     NO_TARGET = 'no_target'
     NO_ROOM = 'no_room'
     TARGETS_PAUSED = 'targets_paused'
--- a/src/dandelioncleat/core/holding.py
+++ b/src/dandelioncleat/core/holding.py
@@ -67,6 +67,8 @@
     :param wanted: tokens that waiting requests lack
     :param epoch: number of the process among those of its host
     :param era: era of the store for which the host wrote it
+    :param reserved: part of ``used`` that open requests reserve
+    :param unproven: part of ``used`` that earlier processes may not have used
     """
 
     budget: str
@@ -80,6 +82,13 @@
     epoch: int
     span_s: float = inf
     era: int = 0
+    reserved: int = 0
+    unproven: int = 0
+
+    @property
+    def proven(self) -> int:
+        """Return a lower bound of what the host used by the mark."""
+        return self.used - self.reserved - self.unproven
 
     def limit_after(self, passed_s: float) -> float:
         """Return the total that may be used by some seconds after the mark."""
--- a/src/dandelioncleat/core/host_account.py
+++ b/src/dandelioncleat/core/host_account.py
@@ -38,9 +38,13 @@
     the next process may read either.
     """
 
-    def __init__(self, *, ceiling: int, used: int) -> None:
-        """Start with the host's ceiling and its tokens used so far."""
+    def __init__(self, *, ceiling: int, used: int, unproven: int = 0) -> None:
+        """Start with the host's ceiling and its tokens used so far.
+
+        :param unproven: part of ``used`` that may not have been used
+        """
         self.used = used
+        self.unproven = unproven
         self.reserved = 0
         self.meter = UsageMeter(used)
         self.large_need = 0
@@ -121,4 +125,5 @@
     def presume_used(self, ceiling: int) -> None:
         """Store a ceiling of which all counts as used."""
         self.limit.confirm(ceiling)
+        self.unproven += max(0, ceiling - self.used)
         self.used = max(self.used, ceiling)
--- a/src/dandelioncleat/core/host_holdings.py
+++ b/src/dandelioncleat/core/host_holdings.py
@@ -36,13 +36,28 @@
     tokens: int
 
 
+class Balance(NamedTuple):
+    """The tokens of a budget that are left on all hosts together.
+
+    :param certain: what is left if all was used that had to be presumed
+    :param possible: what is left if none of that was used
+    """
+
+    certain: int
+    possible: int
+
+
 class OpenedAccount(NamedTuple):
-    """The state that a budget's account takes over at a process start."""
+    """The state that a budget's account takes over at a process start.
+
+    ``unproven`` is the part of ``presumed_used`` that may not have been used.
+    """
 
     budget: str
     ceiling: int
     marked: int
     presumed_used: int
+    unproven: int
     mark_age_s: float
 
 
@@ -88,13 +103,16 @@
         account.reserve(need.tokens)
         return True
 
-    def is_exhausted(self, need: TokenNeed) -> bool:
-        """Return whether the tokens left on all hosts can't cover a request."""
-        account = self.accounts_by_budget.get(need.budget)
-        own = 0 if account is None else account.total
-        others = sum(share.used for share in self._others(need.budget))
-        paid = self.paid_by_budget.get(need.budget, 0)
-        return paid - others - own < need.tokens
+    def balance(self, budget: str) -> Balance:
+        """Return the tokens of a budget that are left on all hosts."""
+        account = self.accounts_by_budget.get(budget)
+        used = 0 if account is None else account.total
+        unproven = 0 if account is None else account.unproven
+        for share in self._others(budget):
+            used += share.used
+            unproven += share.unproven
+        left = self.paid_by_budget.get(budget, 0) - used
+        return Balance(left, left + unproven)
 
     def others_with_free_tokens(self, need: TokenNeed) -> tuple[str, ...]:
         """Return the other hosts that can cover a request, best first.
@@ -194,13 +212,14 @@
             now=now,
             is_newest=_is_newest(self, budget, mark),
         )
+        unproven = used if mark is None else used - mark.proven
         self.accounts_by_budget[budget] = HostAccount(
-            ceiling=ceiling, used=used
+            ceiling=ceiling, used=used, unproven=unproven
         )
         if mark is None:
-            return OpenedAccount(budget, ceiling, 0, used, float(0))
+            return OpenedAccount(budget, ceiling, 0, used, unproven, float(0))
         age_s = round(now.max_elapsed_s(mark.at), 3)
-        return OpenedAccount(budget, ceiling, mark.used, used, age_s)
+        return OpenedAccount(budget, ceiling, mark.used, used, unproven, age_s)
 
     def _mark(
         self,
@@ -229,6 +248,8 @@
             epoch=epoch,
             span_s=OUTAGE_S,
             era=self.records.era,
+            reserved=account.reserved,
+            unproven=account.unproven,
         )
 
     def _next_ceiling(
@@ -298,6 +319,7 @@
     return {
         'paid': holdings.paid_by_budget.get(budget, 0),
         'used_by_all': holdings.records.used(budget),
+        'left_at_most': holdings.balance(budget).possible,
         'ceiling': account.ceiling,
         'free': account.free,
         'marked': int(account.headroom(now)),
@@ -332,7 +354,7 @@
     confirmed = account.confirmed
     if confirmed is None or confirmed.era != mark.era:
         return True
-    if (mark.used, mark.wanted) != (confirmed.used, confirmed.wanted):
+    if _stated_use(mark) != _stated_use(confirmed):
         return True
     if _unblocks_request(account, mark.at.monotonic):
         return True
@@ -344,6 +366,10 @@
     )
 
 
+def _stated_use(mark: UsageMark) -> tuple[int, int, int]:
+    return mark.used, mark.wanted, mark.reserved
+
+
 def _releases_allowance(mark: UsageMark, confirmed: UsageMark) -> bool:
     """Return whether a mark ends an allowance; a stop waits for that."""
     return _extra_allowance(mark) == 0 and _extra_allowance(confirmed) > 0
--- a/src/dandelioncleat/platform/caller_reply.py
+++ b/src/dandelioncleat/platform/caller_reply.py
@@ -24,6 +24,7 @@
     RefusalReason.TOO_LARGE: 413,
     RefusalReason.PREPAID_SPENT: 402,
     RefusalReason.NO_TOKENS_HERE: UNAVAILABLE,
+    RefusalReason.BALANCE_UNPROVEN: UNAVAILABLE,
     RefusalReason.NO_TARGET: UNAVAILABLE,
     RefusalReason.NO_ROOM: UNAVAILABLE,
     RefusalReason.TARGETS_PAUSED: UNAVAILABLE,
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -89,6 +89,33 @@
         self.assertEqual(4, body.count(b'id: '))
 
 
+class PresumedUseTest(testtools.TestCase):
+    """Tokens that a killed process may have used are not reported as spent."""
+
+    def test_refusal_of_a_balance_that_is_not_known_is_not_that_it_is_spent(
+        self,
+    ):
+        async def scenario(fleet):
+            fleet.llm.answers = [never_answered()]
+            waiting = asyncio.ensure_future(
+                fleet.call('/stream/a', **MODEL_HEADERS)
+            )
+            await fleet.wait_until(lambda: fleet.llm.requests)
+            await fleet.replace_router('h1')
+            await asyncio.gather(waiting, return_exceptions=True)
+            large = {**MODEL_HEADERS, 'Token-Count': '700,50'}
+            too_large = {**MODEL_HEADERS, 'Token-Count': '801,0'}
+            status, headers, _ = await fleet.call('/stream/a', **large)
+            spent = await fleet.call('/stream/a', **too_large)
+            return status, headers['Retry-After'], spent[0]
+
+        document = configuration(prepaid=800)
+        status, retry_after, spent = run_with_fleet(scenario, document=document)
+        self.assertEqual(503, status)
+        self.assertGreater(float(retry_after), 1)
+        self.assertEqual(402, spent)
+
+
 class GatewayAccessTest(testtools.TestCase):
     """A router that can't reach the store uses a gateway."""
 
