Ignore an entry of a target that is older than what was read of it

Cause: each start of a target numbers its entries, and the number was not decoded. A heartbeat that the store executed seconds late, after newer ones and after the removal of the entry, counted as a return. Now an entry with a lower number than one that was read, or of a start that was removed with this number or a higher one, has no effect and one line.

Ruled out: that the removal is read late (`target gone` follows within 0.1 s).

--- a/src/dandelioncleat/app/direct/target_directory.py
+++ b/src/dandelioncleat/app/direct/target_directory.py
@@ -1,12 +1,13 @@
 """Follows the platform's list of targets."""
 
 import asyncio
-from collections import OrderedDict
 from collections.abc import Callable, Mapping
+from functools import partial
 
 import structlog
 
 from dandelioncleat.app.direct.held_entries import HeldEntries
+from dandelioncleat.app.direct.removed_targets import RemovedTargets
 from dandelioncleat.app.direct.target_state import TargetState
 from dandelioncleat.app.direct.topic_follower import TopicChange
 from dandelioncleat.core.deployment import Service, TargetEntry
@@ -18,8 +19,6 @@
 RELIST_GRACE_S = 2.0
 # A read of the list waits up to two seconds for changes.
 MAX_SILENCE_S = 3.0
-# What removed targets asked for still holds if they are listed again.
-MAX_REMOVED = 1000
 
 _logger = structlog.get_logger(__name__)
 
@@ -42,8 +41,10 @@
         self._decode = decode
         self._silence_s = silence_s
         self._states_by_id: dict[str, TargetState] = {}
-        self._removed_by_id: OrderedDict[str, TargetState] = OrderedDict()
-        self._held = HeldEntries(on_release=self._apply_record)
+        self._removed = RemovedTargets()
+        self._held = HeldEntries(
+            on_release=partial(self._apply_record, is_held=True)
+        )
         self._services_by_name: Mapping[str, Service] = {}
         self._grace_until = float('-inf')
         self._past_versions = PastVersions()
@@ -96,7 +97,7 @@
         if was_silent or change.is_restored:
             self._grace_until = _now() + RELIST_GRACE_S
         if change.is_restored:
-            change = self._held.without_removed(change, self._removed_by_id)
+            change = self._held.without_removed(change, self._removed)
         if change.is_snapshot:
             self._past_versions.begin(_now())
             listed = {record.key for record in change.records if record.value}
@@ -105,7 +106,13 @@
         for record in change.records:
             self._apply_record(record)
 
-    def _apply_record(self, record: KeyedRecord) -> None:
+    def _apply_record(
+        self, record: KeyedRecord, *, is_held: bool = False
+    ) -> None:
+        """Apply a record.
+
+        :param is_held: whether it comes from the copy of a restored store
+        """
         self._held.discard(record.key)
         if not record.value:
             self._delist(record.key)
@@ -115,7 +122,12 @@
             _logger.warning('target entry is invalid', target=record.key)
             self._remove(record.key)
             return
-        self._set(entry)
+        known = self._states_by_id.get(entry.id)
+        is_late = self._removed.has_outlived(entry) or _is_late(entry, known)
+        if is_late and not is_held:
+            _log_late(entry)
+        else:
+            self._set(entry)
 
     def _set(self, entry: TargetEntry) -> None:
         known = self._known_start(entry)
@@ -123,7 +135,7 @@
             # A target never takes back that it drains.
             is_draining = entry.is_draining or known.entry.is_draining
             entry = entry._replace(is_draining=is_draining)
-            if known.entry != entry:
+            if known.entry._replace(sequence=entry.sequence) != entry:
                 _log_entry(entry)
                 self._past_versions.note_end(known.entry, _now())
             known.entry = entry
@@ -139,7 +151,7 @@
 
     def _known_start(self, entry: TargetEntry) -> TargetState | None:
         """Return the state of the start that an entry is about."""
-        removed = self._removed_by_id.pop(entry.id, None)
+        removed = self._removed.pop(entry.id)
         known = self._states_by_id.get(entry.id, removed)
         if known is None or known.entry.started_at != entry.started_at:
             return None
@@ -168,9 +180,7 @@
             return
         _logger.info('target gone', target=target)
         self._past_versions.note_end(state.entry, _now())
-        self._removed_by_id[target] = state
-        if len(self._removed_by_id) > MAX_REMOVED:
-            self._removed_by_id.popitem(last=False)
+        self._removed.add(state)
 
     def _kv_tokens(self, service: str) -> int:
         known = self._services_by_name.get(service)
@@ -179,6 +189,23 @@
         return known.engine.kv_tokens
 
 
+def _is_late(entry: TargetEntry, known: TargetState | None) -> bool:
+    """Return whether the start of an entry has written newer ones."""
+    if known is None or known.entry.start != entry.start:
+        return False
+    return entry.sequence < known.entry.sequence
+
+
+def _log_late(entry: TargetEntry) -> None:
+    _logger.info(
+        'late entry of a target',
+        target=entry.id,
+        started_at=entry.started_at,
+        sequence=entry.sequence,
+        draining=entry.is_draining,
+    )
+
+
 def _log_entry(entry: TargetEntry) -> None:
     _logger.info(
         'target listed',
--- a/src/dandelioncleat/core/deployment.py
+++ b/src/dandelioncleat/core/deployment.py
@@ -145,7 +145,8 @@
 class TargetEntry(NamedTuple):
     """One target in the platform's list.
 
-    ``started_at`` distinguishes starts of a target under the same id.
+    ``started_at`` distinguishes starts of a target under the same id;
+    ``sequence`` rises with each entry that a start writes.
     ``software_version`` is ``None`` if the entry tells none; streams of two
     versions don't fit together.
     """
@@ -158,6 +159,7 @@
     is_draining: bool
     started_at: int
     software_version: str | None = None
+    sequence: int = 0
 
     @property
     def start(self) -> str:
--- a/src/dandelioncleat/platform/documents.py
+++ b/src/dandelioncleat/platform/documents.py
@@ -94,7 +94,8 @@
     """A target's entry.
 
     ``born`` is the start time, which tells restarts of a target apart;
-    ``version`` is the version of its software.
+    ``version`` is the version of its software, ``sequence`` the number of the
+    entry among those of its start.
     """
 
     service: str
@@ -104,6 +105,7 @@
     slots: int
     born: int = 0
     version: str | None = None
+    sequence: int = 0
 
 
 _CONFIG_DECODER = msgspec.json.Decoder(_Config)
@@ -152,6 +154,7 @@
         is_draining=is_draining,
         started_at=server.born,
         software_version=server.version,
+        sequence=server.sequence,
     )
 
 
