Bound the values of other writers where they are decoded

Here a port of 5,000 digits ended every router, since Python converts at most 4,300 digits. Port 0, digits that are not ASCII, hosts that are no IPv4 address, slots of 0 or of hundreds of digits and ids that can't stand in a header were listed as targets; a request to the last kind counted as lost, so that a call that runs once got 502 though it had not run. The same in headers: callers got no answer when their target told its load, or they their wait or prompt size, with thousands of digits.

Cause: types were checked, ranges were not. Entries are bounded where they are decoded, and one function reads whole numbers in headers, of any length.

Ruled out: a port above 65,535 (was refused before); that the follower stops without an end of the process (each error left its task and ended the process).

--- a/src/dandelioncleat/platform/cache_events.py
+++ b/src/dandelioncleat/platform/cache_events.py
@@ -1,5 +1,7 @@
 """Reads the cache events of model engines."""
 
+from typing import Annotated
+
 import aiohttp
 import msgspec
 
@@ -16,7 +18,9 @@
 OK = 200
 _MS_PER_S = 1000
 
-_Event = tuple[int, str, str, str, int, str]
+MAX_TOKENS = 2**53
+_Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
+_Event = tuple[int, str, str, str, _Tokens, str]
 """Number, ``+`` or ``-``, an unused field, part, cached tokens, model."""
 
 
--- a/src/dandelioncleat/platform/caller_request.py
+++ b/src/dandelioncleat/platform/caller_request.py
@@ -12,12 +12,12 @@
     ModelPrompt,
     PromptPart,
 )
+from dandelioncleat.core.whole_number import whole_number
 from dandelioncleat.platform import names
 
 _MS_PER_S = 1000
 _MAX_WAIT_S = 3600.0
 MAX_ARRIVALS = 1000
-_MAX_DIGITS = 4
 
 
 class _MalformedError(ValueError):
@@ -57,10 +57,8 @@
 
 def arrivals_in(headers: Mapping[str, str]) -> int | None:
     """Return how often other routers have sent a request to targets."""
-    text = headers.get(names.ARRIVALS, '')
-    if not (text.isascii() and text.isdecimal()):
-        return None
-    return min(MAX_ARRIVALS, int(text[:_MAX_DIGITS]))
+    arrivals = whole_number(headers.get(names.ARRIVALS, ''))
+    return None if arrivals is None else min(MAX_ARRIVALS, arrivals)
 
 
 def _end_to_end_headers(request: web.BaseRequest) -> Headers:
@@ -93,9 +91,10 @@
 def _wait_s(text: str | None) -> float | None:
     if text is None:
         return None
-    if not text.isdecimal():
+    wait_ms = whole_number(text)
+    if wait_ms is None:
         raise _MalformedError(f'{names.DEADLINE_MS} must be a whole number')
-    return min(_MAX_WAIT_S, int(text) / _MS_PER_S)
+    return min(_MAX_WAIT_S, wait_ms / _MS_PER_S)
 
 
 def _prompt(request: web.BaseRequest) -> ModelPrompt | None:
@@ -121,9 +120,9 @@
 
 
 def _count(text: str) -> int:
-    stripped = text.strip()
-    if not stripped.isdecimal():
+    count = whole_number(text.strip())
+    if count is None:
         raise _MalformedError(
-            f'a token count must be a whole number, not {stripped!r}'
+            f'a token count must be a whole number, not {text.strip()!r}'
         )
-    return int(stripped)
+    return count
--- a/src/dandelioncleat/platform/documents.py
+++ b/src/dandelioncleat/platform/documents.py
@@ -1,10 +1,13 @@
 """Decodes the operator's configuration and the target entries."""
 
+import re
+from typing import Annotated
+
 import msgspec
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from dandelioncleat.core.address import is_address
+from dandelioncleat.core.address import is_dialable
 from dandelioncleat.core.decoding import UnreadableError, decode_bytes
 from dandelioncleat.core.deployment import (
     CallerLimits,
@@ -26,6 +29,11 @@
 }
 _MS_PER_S = 1000
 _DEFAULT_OBJECTIVE_MS = 1000
+# What targets can't mean, or what can't be stored or sent.
+MAX_SLOTS = 1_000_000
+MAX_NUMBER = 2**63 - 1
+MAX_NAME_LENGTH = 255
+_ID = re.compile(f'[!-~]{{1,{MAX_NAME_LENGTH}}}')
 _DRAINING_BY_STATE = {'ready': False, 'draining': True}
 
 
@@ -90,6 +98,10 @@
     tenants: list[_Tenant] = msgspec.field(default_factory=list)
 
 
+_Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+_Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
+
 class _Server(msgspec.Struct, rename='camel'):
     """A target's entry.
 
@@ -98,14 +110,14 @@
     entry among those of its start.
     """
 
-    service: str
+    service: _Name
     address: str
-    zone: str
+    zone: _Name
     state: str
-    slots: int
-    born: int = 0
-    version: str | None = None
-    sequence: int = 0
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    born: _Number = 0
+    version: _Name | None = None
+    sequence: _Number = 0
 
 
 _CONFIG_DECODER = msgspec.json.Decoder(_Config)
@@ -143,7 +155,10 @@
     except UnreadableError:
         return None
     is_draining = _DRAINING_BY_STATE.get(server.state)
-    if is_draining is None or not is_address(server.address):
+    if is_draining is None or not is_dialable(server.address):
+        return None
+    if _ID.fullmatch(key) is None:
+        # It could not be sent in a header.
         return None
     return TargetEntry(
         id=key,
--- a/src/dandelioncleat/platform/targets.py
+++ b/src/dandelioncleat/platform/targets.py
@@ -21,6 +21,7 @@
     ResponseHead,
 )
 from dandelioncleat.core.failure import Code, FailureError, failure_error
+from dandelioncleat.core.whole_number import whole_number
 from dandelioncleat.platform import names
 from dandelioncleat.platform.caller_request import arrivals_in
 from dandelioncleat.platform.notices import UnknownNotices, target_notice
@@ -41,6 +42,7 @@
 GATEWAY_TIMEOUT = 504
 _BODILESS_STATUSES = frozenset((204, 304))
 _MS_PER_S = 1000
+_COUNTS = len(TargetOccupancy._fields)
 _AUTOMATIC_HEADERS = (
     'Accept',
     'Accept-Encoding',
@@ -336,12 +338,11 @@
 
 
 def _occupancy(text: str | None) -> TargetOccupancy | None:
-    parts = (text or '').split(',')
-    if len(parts) != len(TargetOccupancy._fields):
+    counts = [whole_number(part.strip()) for part in (text or '').split(',')]
+    known = [count for count in counts if count is not None]
+    if (len(known), len(counts)) != (_COUNTS, _COUNTS):
         return None
-    if not all(part.strip().isdecimal() for part in parts):
-        return None
-    return TargetOccupancy(*(int(part) for part in parts))
+    return TargetOccupancy(*known)
 
 
 def _failure(step: str, peer: str, error: Exception) -> FailureError:
