Begin a late stream in a planned stop only if its caller stops waiting in time

Cause: `answer_by`, the time for an answer to begin, was taken for its end. Ruled out: calls (their whole body is due by `answer_by`), and requests after the last open one has ended (refused as not run before).

Evidence: PlannedStopTest.test_a_late_stream_that_may_outlast_the_stop_is_not_begun failed before (200 and one run at the target in place of 503 and none).

--- a/src/dandelioncleat/app/direct/run_context.py
+++ b/src/dandelioncleat/app/direct/run_context.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from dandelioncleat.app.direct.admission import Admitted
-from dandelioncleat.core.deployment import TargetEntry
+from dandelioncleat.core.deployment import CallKind, TargetEntry
 from dandelioncleat.core.direct_request import (
     CompleteResponse,
     DirectRequest,
@@ -86,6 +86,16 @@
         """Return the time left for an answer to begin, in seconds."""
         return self.answer_by - _now()
 
+    @property
+    def ends_by(self) -> float:
+        """Return when the answer ends at the latest, an event loop time.
+
+        A stream that has begun in time may go on as long as its caller waits.
+        """
+        if self.admitted.route.kind is CallKind.STREAM:
+            return self.deadline
+        return self.answer_by
+
     @property
     def elapsed_s(self) -> float:
         """Return the time since the request arrived, in seconds."""
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -72,7 +72,7 @@
     """Limits of a planned stop, as event loop times in seconds.
 
     Requests that arrive until ``accept_until`` are all served, as new
-    connections may still come in; later ones only if their answer is due by
+    connections may still come in; later ones only if their answer ends by
     ``end_at``.
     """
 
@@ -83,7 +83,7 @@
         """Return whether a request is still served."""
         if context.started_at <= self.accept_until:
             return True
-        return context.answer_by <= self.end_at
+        return context.ends_by <= self.end_at
 
 
 NOTHING_ADMITTED = StopTimes(float('-inf'), float('-inf'))
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -418,6 +418,32 @@
 
         self.assertEqual((503, 200, 1), run_with_fleet(scenario))
 
+    def test_a_late_stream_that_may_outlast_the_stop_is_not_begun(self):
+        # Its first event is due in time, but its caller waits longer.
+        document = configuration(
+            routes=[
+                route('/stream/', 'streaming', 'llm', timeoutMs=500),
+                route('/safe/', 'idempotent', 'app'),
+            ]
+        )
+
+        async def scenario(fleet):
+            go_on = asyncio.Event()
+            fleet.app.answers = [_answered_after(go_on)]
+            first = asyncio.ensure_future(fleet.call('/safe/a'))
+            await fleet.wait_until(lambda: fleet.app.requests)
+            stop = asyncio.ensure_future(
+                fleet.router.stop(limit_s=5, accept_s=-1)
+            )
+            await fleet.wait_until(lambda: not fleet.router.is_ready)
+            fleet.llm.answers = [events(0, 1)]
+            late = await fleet.call('/stream/a', **MODEL_HEADERS)
+            go_on.set()
+            await asyncio.gather(first, stop)
+            return late[0], len(fleet.llm.requests)
+
+        self.assertEqual((503, 0), run_with_fleet(scenario, document=document))
+
     def test_nothing_begins_once_the_requests_are_finished(self):
         async def scenario(fleet):
             await fleet.router.stop(limit_s=5)
@@ -492,6 +518,14 @@
         )
 
 
+def _answered_after(event):
+    async def answer(request):
+        await event.wait()
+        return await text_answer('ok')(request)
+
+    return answer
+
+
 async def _ask(connection, path):
     """Send a request and read its short answer."""
     reader, writer = connection
