Answer what a planned stop ends, before its connections are closed

Cause: the end of the process was left to close what was open. Now each open request is ended first and answered: 502 if it may have run, 503 if not; a stream that has begun is broken off as before. Its tokens are settled before the unused ones go back.

Ruled out: that the answers could be waited for (the platform kills at the end of the grace).

Evidence: PlannedStopTest.test_call_that_outlasts_the_stop_is_answered_that_it_may_have_run failed before (the connection was closed without an answer).

--- a/src/dandelioncleat/app/direct/ending.py
+++ b/src/dandelioncleat/app/direct/ending.py
@@ -8,6 +8,7 @@
 
 NO_TARGET_RETRY_S = 1.0
 NO_ROOM_RETRY_S = 0.5
+STOPPING_RETRY_S = 0.05
 
 
 async def refuse(
@@ -45,6 +46,26 @@
     await refuse(context, refusal, reply)
 
 
+async def end_at_stop(context: RunContext, reply: Reply) -> None:
+    """End a request that outlasts a planned stop of the process.
+
+    Its run ends with the connection to its target.
+    """
+    if context.has_sent_head or context.has_output:
+        context.outcome = 'cut'
+        await reply.abort()
+        return
+    reason = RefusalReason.STOPPING
+    if context.may_have_run:
+        reason = RefusalReason.ANSWER_LOST
+    refusal = DirectRefusal(
+        reason,
+        has_run=context.may_have_run,
+        retry_after_s=None if context.may_have_run else STOPPING_RETRY_S,
+    )
+    await refuse(context, refusal, reply)
+
+
 def used_tokens(context: RunContext, need: TokenNeed) -> int:
     """Return an upper bound on the tokens that a request used."""
     prompt = context.request.prompt
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -1,7 +1,6 @@
 """Serves a request from its admission through retries to its end."""
 
 import asyncio
-from itertools import count
 from typing import NamedTuple
 
 import structlog
@@ -15,12 +14,18 @@
 )
 from dandelioncleat.app.direct.deployment_watch import DeploymentWatch
 from dandelioncleat.app.direct.ending import (
+    STOPPING_RETRY_S,
+    end_at_stop,
     give_up,
     refuse,
     used_tokens,
 )
 from dandelioncleat.app.direct.forwarding import Forwarding
 from dandelioncleat.app.direct.hopeless import hopeless_refusal
+from dandelioncleat.app.direct.open_requests import (
+    OpenRequests,
+    RequestEndedError,
+)
 from dandelioncleat.app.direct.open_targets import OpenTargets
 from dandelioncleat.app.direct.placement import Placement
 from dandelioncleat.app.direct.resumption import resumption_refusal
@@ -47,7 +52,6 @@
 # Only a top-up, or open requests that use less than they reserve, add to what
 # is left.
 UNPROVEN_RETRY_S = 10.0
-STOPPING_RETRY_S = 0.05
 
 _logger = structlog.get_logger(__name__)
 
@@ -94,33 +98,18 @@
 
     def __init__(self, parts: ServingParts) -> None:
         """Initialise with what requests need."""
-        self._open_ids_by_number: dict[int, str] = {}
-        self._numbers = count()
-        self.idle = asyncio.Event()
-        self.idle.set()
+        self.open_requests = OpenRequests()
         self._parts = parts
         self._stop: StopTimes | None = None
 
-    @property
-    def open_ids(self) -> tuple[str, ...]:
-        """Return the ids of the requests that are being served."""
-        return tuple(self._open_ids_by_number.values())
-
     def begin_stop(self, times: StopTimes) -> None:
         """Refuse new requests that might outlast the process."""
         self._stop = times
 
     async def serve(self, request: DirectRequest, reply: Reply) -> None:
         """Answer a request; cancelling the task also stops its run."""
-        number = next(self._numbers)
-        self._open_ids_by_number[number] = request.id
-        self.idle.clear()
-        try:
+        with self.open_requests.added(request.id):
             await self._serve(request, reply)
-        finally:
-            self._open_ids_by_number.pop(number)
-            if not self._open_ids_by_number:
-                self.idle.set()
 
     async def _serve(self, request: DirectRequest, reply: Reply) -> None:
         admission = admit(request, self._parts.deployment.current)
@@ -134,7 +123,10 @@
         need = self._need(context)
         try:
             with self._parts.telemetry.span('direct.request'):
-                await self._serve_admitted(context, need, reply)
+                async with self.open_requests.until_ended():
+                    await self._serve_admitted(context, need, reply)
+        except RequestEndedError:
+            await end_at_stop(context, reply)
         finally:
             self._note_end(context, need)
 
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -35,6 +35,7 @@
 from dandelioncleat.app.direct.target_limits import TargetLimits
 from dandelioncleat.app.direct.topic_follower import TopicFollower
 from dandelioncleat.app.direct.wallet import Wallet
+from dandelioncleat.app.event_wait import wait_at_most
 from dandelioncleat.app.router_life import RouterLife
 from dandelioncleat.core.deployment import Deployment
 from dandelioncleat.core.gateway_choice import GatewayChoice
@@ -67,6 +68,8 @@
 SHUTDOWN_TIMEOUT_S = 0.05
 # Requests that were just read are refused within this time.
 LAST_ANSWERS_S = 0.05
+# Time to answer the requests that outlast a planned stop.
+END_ANSWERS_LIMIT_S = 0.1
 
 _logger = structlog.get_logger(__name__)
 
@@ -271,7 +274,7 @@
 
     def losses(self) -> str:
         """Return what would be lost if the process ended now."""
-        open_ids = sorted(self._serving.open_ids)
+        open_ids = sorted(self._serving.open_requests.ids)
         return f'open requests: {open_ids}' if open_ids else ''
 
     async def close(self) -> None:
@@ -297,11 +300,16 @@
         lost = ''
         try:
             async with asyncio.timeout_at(end_at):
-                await self._serving.idle.wait()
+                await self._serving.open_requests.idle.wait()
         except TimeoutError:
             lost = self.losses()
         # The exit would interrupt any request that arrives from now on.
         self._serving.begin_stop(NOTHING_ADMITTED)
+        if lost:
+            self._serving.open_requests.end_all()
+            await wait_at_most(
+                self._serving.open_requests.idle, END_ANSWERS_LIMIT_S
+            )
         _logger.info('requests finished', lost=lost)
         return lost
 
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -506,6 +506,20 @@
 
         self.assertIn('r-1', run_with_fleet(scenario))
 
+    def test_call_that_outlasts_the_stop_is_answered_that_it_may_have_run(self):
+        async def scenario(fleet):
+            fleet.app.answers = [never_answered()]
+            call = asyncio.ensure_future(fleet.call('/once/a'))
+            await fleet.wait_until(lambda: fleet.app.requests)
+            lost = await fleet.router.stop(limit_s=1.3)
+            await fleet.router.close()
+            await fleet.app.cancelled.wait()
+            return lost, (await call)[0]
+
+        lost, status = run_with_fleet(scenario)
+        self.assertIn('r-1', lost)
+        self.assertEqual(502, status)
+
     def test_stop_returns_tokens_to_the_budget(self):
         async def scenario(fleet):
             await fleet.call('/stream/a', **MODEL_HEADERS)
