Let a record that raises at any step cost that record only

The follower now applies such a change record by record and leaves out what raises alone, with a line each.

Ruled out: to leave out the whole change (a configuration beside an odd record would be missed).

Evidence: the two tests of RaisingRecordTest failed before.

--- a/src/dandelioncleat/app/direct/topic_follower.py
+++ b/src/dandelioncleat/app/direct/topic_follower.py
@@ -150,9 +150,33 @@
         self.last_answer_at = asyncio.get_running_loop().time()
         self._note_return()
         if change.is_snapshot or change.records:
-            self._on_change(change)
+            self._report(change)
         self.advanced.notify()
 
+    def _report(self, change: TopicChange) -> None:
+        """Report a change; a record that raises an error is left out."""
+        try:
+            self._on_change(change)
+        except Exception:
+            _logger.exception(
+                'change applied record by record',
+                topic=self.topic,
+                records=len(change.records),
+            )
+            for record in change.records:
+                self._report_alone(record, change.era)
+
+    def _report_alone(self, record: KeyedRecord, era: int) -> None:
+        try:
+            self._on_change(TopicChange(False, (record,), era))
+        except Exception:
+            _logger.exception(
+                'record cannot be applied',
+                topic=self.topic,
+                key=record.key,
+                offset=record.offset,
+            )
+
     def _note_loss(self, error: FailureError) -> None:
         if not self._is_store_lost:
             self._is_store_lost = True
--- a/tests/test_unreadable_records.py
+++ b/tests/test_unreadable_records.py
@@ -23,6 +23,7 @@
     ORIGINS_TOPIC,
     StreamOrigins,
 )
+from dandelioncleat.app.direct.topic_follower import TopicFollower
 from dandelioncleat.core.decoding import UnreadableError, decode_bytes
 from dandelioncleat.core.envelope import ledger_codec
 from dandelioncleat.core.host_choice import HostChoice
@@ -135,6 +136,47 @@
         self.assertRaises(UnreadableError, ledger_codec().decode, data)
 
 
+class RaisingRecordTest(testtools.TestCase):
+    """A record that raises an error when it is applied costs that record."""
+
+    def _applied(self, *values_by_append):
+        """Return the values that a follower applied of some appends."""
+
+        async def scenario():
+            store = MemoryKeyedStore()
+            applied = {}
+
+            def apply(change):
+                for record in change.records:
+                    if record.value == b'bad':
+                        raise ArithmeticError('an error of some step')
+                    applied[record.key] = record.value
+
+            follower = TopicFollower(store, 't', on_change=apply)
+            await store.append('t', values_by_append[0])
+            task = asyncio.ensure_future(follower.run())
+            for values in values_by_append[1:]:
+                await asyncio.sleep(1)
+                await store.append('t', values)
+            await asyncio.sleep(1)
+            is_running = not task.done()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return applied, is_running
+
+        return run(scenario())
+
+    def test_in_a_snapshot(self):
+        records = (('a', b'1'), ('b', b'bad'), ('c', b'1'))
+        self.assertEqual(({'a': b'1', 'c': b'1'}, True), self._applied(records))
+
+    def test_among_changes(self):
+        applied = self._applied(
+            (('a', b'1'),), (('b', b'bad'), ('c', b'1')), (('a', b'2'),)
+        )
+        self.assertEqual(({'a': b'2', 'c': b'1'}, True), applied)
+
+
 class AnyBytesTest(testtools.TestCase):
     """No bytes raise anything but the error of unreadable bytes."""
 
