Tell the list of targets how long the store had been silent

The directory waits with removals after an outage, but asked for the silence when the answer that ends it had been noted, so it never waited.

A change now carries the silence before it. It counts as an outage from three seconds on, as a read waits two seconds for changes; before, two seconds would have counted. The wait is 1.8 s in place of 2, so that a target that has left while the store was away gets nothing later than `drainMs` after the router has read it.

Evidence: test_entry_that_lapsed_in_an_outage_is_not_removed_at_once, with the follower, failed before; the tests with a given silence hand it over with the change.

--- a/src/dandelioncleat/app/direct/target_directory.py
+++ b/src/dandelioncleat/app/direct/target_directory.py
@@ -14,9 +14,9 @@
 from dandelioncleat.core.keyed_record import KeyedRecord
 from dandelioncleat.core.past_versions import PastVersions
 
-# Targets whose entries expired in a store outage are listed again within this
-# time after it.
-RELIST_GRACE_S = 2.0
+# Targets whose entries expired in a store outage are listed again within about
+# two seconds after it. Those that have left must get nothing after that time.
+RELIST_GRACE_S = 1.8
 # A read of the list waits up to two seconds for changes.
 MAX_SILENCE_S = 3.0
 
@@ -93,7 +93,7 @@
 
     def apply(self, change: TopicChange) -> None:
         """Apply changed entries."""
-        was_silent = self._silence_s() > RELIST_GRACE_S
+        was_silent = change.silence_s > MAX_SILENCE_S
         if was_silent or change.is_restored:
             self._grace_until = _now() + RELIST_GRACE_S
         if change.is_restored:
--- a/src/dandelioncleat/app/direct/topic_follower.py
+++ b/src/dandelioncleat/app/direct/topic_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from math import isfinite
 from typing import NamedTuple
 
 import structlog
@@ -26,13 +27,15 @@
     """Records of a topic in order.
 
     ``is_snapshot`` says that they replace all records read before,
-    ``is_restored`` that the store has lost some of these.
+    ``is_restored`` that the store has lost some of these. ``silence_s`` is
+    the time for which the store had not answered, 0 for the first answer.
     """
 
     is_snapshot: bool
     records: tuple[KeyedRecord, ...]
     era: int = 0
     is_restored: bool = False
+    silence_s: float = 0
 
 
 class TopicFollower:
@@ -147,6 +150,8 @@
         return self.era is not None and page.era < self.era
 
     def _apply(self, change: TopicChange) -> None:
+        if isfinite(self.last_answer_at):
+            change = change._replace(silence_s=self.silence_s)
         self.last_answer_at = asyncio.get_running_loop().time()
         self._note_return()
         if change.is_snapshot or change.records:
--- a/tests/test_target_directory.py
+++ b/tests/test_target_directory.py
@@ -9,9 +9,13 @@
     RELIST_GRACE_S,
     TargetDirectory,
 )
-from dandelioncleat.app.direct.topic_follower import TopicChange
+from dandelioncleat.app.direct.topic_follower import (
+    TopicChange,
+    TopicFollower,
+)
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.keyed_record import KeyedRecord
+from dandelioncleat.standin.keyed_store import MemoryKeyedStore
 
 
 def decode(key, value):
@@ -27,12 +31,9 @@
         """Return the target count after an entry expired in an outage."""
 
         async def scenario():
-            silence = [0.0]
-            directory = TargetDirectory(decode, silence_s=lambda: silence[0])
+            directory = TargetDirectory(decode, silence_s=lambda: 0)
             directory.apply(_listed(b'1'))
-            silence[0] = silence_s
-            directory.apply(_listed(b''))
-            silence[0] = 0.0
+            directory.apply(_listed(b'')._replace(silence_s=silence_s))
             if returns:
                 directory.apply(_listed(b'1'))
             await asyncio.sleep(wait_s)
@@ -54,5 +55,36 @@
         self.assertEqual(0, self._targets_after(0, silence_s=0.1))
 
 
+class OutageTest(testtools.TestCase):
+    """The follower of the list tells the directory of an outage."""
+
+    def _targets_after(self, outage_s):
+        """Return the target count after an entry lapsed behind a cut."""
+
+        async def scenario():
+            store = MemoryKeyedStore()
+            client = store.client()
+            directory = TargetDirectory(decode, silence_s=lambda: 0)
+            follower = TopicFollower(client, 's', on_change=directory.apply)
+            await store.append('s', (('i', b'1'),))
+            task = asyncio.ensure_future(follower.run())
+            await asyncio.sleep(1)
+            client.is_cut_off = True
+            await store.append('s', (('i', b''),))
+            await asyncio.sleep(outage_s)
+            client.is_cut_off = False
+            await asyncio.sleep(1)
+            task.cancel()
+            return len(directory.available('s'))
+
+        return run(scenario())
+
+    def test_entry_that_lapsed_in_an_outage_is_not_removed_at_once(self):
+        self.assertEqual(1, self._targets_after(6))
+
+    def test_entry_that_was_removed_without_an_outage_is_gone(self):
+        self.assertEqual(0, self._targets_after(0.1))
+
+
 def _listed(value):
     return TopicChange(False, (KeyedRecord('i', value, 0),))
