Take an entry for a target's only if it has all fields of one

Cause: two of the fields had defaults and two were not decoded, so that the entry was a new start at time 0. All eight fields that the users' page lists are needed now. `born` may be missing, as the page's own example lacks it.

Ruled out: the expected instance (it is the ledger's own id) and a check of the service (the entry may move a target).

--- a/src/dandelioncleat/platform/documents.py
+++ b/src/dandelioncleat/platform/documents.py
@@ -99,6 +99,7 @@
 
 
 _Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
 _Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 
 
@@ -107,7 +108,8 @@
 
     ``born`` is the start time, which tells restarts of a target apart;
     ``version`` is the version of its software, ``sequence`` the number of the
-    entry among those of its start.
+    entry among those of its start. ``cold_ms`` is not used, but an entry
+    without it is not one of a target.
     """
 
     service: _Name
@@ -115,9 +117,10 @@
     zone: _Name
     state: str
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    version: _Name
+    cold_ms: _Milliseconds
+    sequence: _Number
     born: _Number = 0
-    version: _Name | None = None
-    sequence: _Number = 0
 
 
 _CONFIG_DECODER = msgspec.json.Decoder(_Config)
--- a/tests/test_odd_values.py
+++ b/tests/test_odd_values.py
@@ -59,6 +59,15 @@
             self.assertIsNone(self._decoded(born=number))
             self.assertIsNone(self._decoded(sequence=number))
 
+    def test_entry_of_another_writer_that_lacks_a_field(self):
+        # It would move prompts to a target of another service.
+        for name in entry():
+            if name != 'born':
+                incomplete = entry()
+                incomplete.pop(name)
+                value = msgspec.json.encode(incomplete)
+                self.assertIsNone(decode_target('i-odd', value), name)
+
     def test_name(self):
         for key in ('', 'i odd', 'i-\n', 'i-\u00f6', 'i' * 256):
             self.assertIsNone(self._decoded(key=key), key[:30])
