Register a process again if a late record has removed it

The other routers then divided the budget of retries among too few, and forwarded nothing to it.

Cause: a process skipped the records of its own key. It now registers again whenever what stands there is not its own entry, as after a restored store.

Evidence: test_a_late_leave_of_the_earlier_process_removes_no_successor failed before. A gateway does not follow the list and is not found again until its next start.

--- a/src/dandelioncleat/app/direct/process_directory.py
+++ b/src/dandelioncleat/app/direct/process_directory.py
@@ -87,6 +87,8 @@
 
     def renew(self) -> None:
         """Register the process again, as the store may have lost its entry."""
+        if not self._is_leaving:
+            _logger.info('process entry renewed', process=self.entry.key)
         self._is_due.set()
 
     async def leave(self) -> None:
@@ -120,18 +122,19 @@
         *,
         configured_gateways: Iterable[str],
         on_change: Callable[[], None] | None = None,
-        on_restored: Callable[[], None] | None = None,
+        on_own_lost: Callable[[], None] | None = None,
     ) -> None:
         """Initialise with the store and the process's own entry.
 
         :param configured_gateways: addresses of gateways that are known
             before the store was read
         :param on_change: called after the entries have changed
-        :param on_restored: called after the store was restored from a copy
+        :param on_own_lost: called if the store may have lost the own entry:
+            it was restored, or an earlier process of the host left late
         """
         self._own = own
         self._on_change = on_change
-        self._on_restored = on_restored
+        self._on_own_lost = on_own_lost
         self._configured_gateways = tuple(configured_gateways)
         self._entries_by_key: dict[str, ProcessEntry] = {}
         self._follower = TopicFollower(
@@ -178,18 +181,26 @@
     def _apply(self, change: TopicChange) -> None:
         if change.is_snapshot:
             self._entries_by_key.clear()
-        if change.is_restored and self._on_restored is not None:
-            self._on_restored()
+        if change.is_restored:
+            self._report_own_lost()
         for record in change.records:
             if record.key == self._own.key:
-                continue
-            if record.value:
+                self._check_own(record.value)
+            elif record.value:
                 self._apply_entry(record.key, record.value)
             elif self._entries_by_key.pop(record.key, None) is not None:
                 _logger.info('process left', process=record.key)
         if self._on_change is not None:
             self._on_change()
 
+    def _check_own(self, value: bytes) -> None:
+        if value != msgspec.msgpack.encode(self._own):
+            self._report_own_lost()
+
+    def _report_own_lost(self) -> None:
+        if self._on_own_lost is not None:
+            self._on_own_lost()
+
     def _apply_entry(self, key: str, value: bytes) -> None:
         try:
             entry = decode_bytes(_DECODER.decode, value)
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -144,7 +144,7 @@
             on_change=lambda: _share_among_routers(
                 self._processes, self._host_choice, self._retries
             ),
-            on_restored=self._announcement.renew,
+            on_own_lost=self._announcement.renew,
         )
         self._deployment = DeploymentWatch(
             decode_deployment,
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -184,7 +184,7 @@
                 store,
                 entry,
                 configured_gateways=(),
-                on_restored=announcement.renew,
+                on_own_lost=announcement.renew,
             )
             await asyncio.sleep(5)
             tasks = [
@@ -203,6 +203,34 @@
 
         self.assertEqual((1, 0), run(scenario()))
 
+    def test_a_late_leave_of_the_earlier_process_removes_no_successor(self):
+        async def scenario():
+            store = MemoryKeyedStore()
+            entry = ProcessEntry(ProcessRole.ROUTER, 'h', 'z', '10.0.0.1:80')
+            announcement = ProcessAnnouncement(store, entry)
+            directory = ProcessDirectory(
+                store,
+                entry,
+                configured_gateways=(),
+                on_own_lost=announcement.renew,
+            )
+            tasks = [
+                asyncio.ensure_future(announcement.run()),
+                asyncio.ensure_future(directory.run()),
+            ]
+            await asyncio.sleep(1)
+            await store.append(PROCESSES_TOPIC, ((entry.key, b''),))
+            await asyncio.sleep(1)
+            listed = (await store.newest(PROCESSES_TOPIC)).records
+            await announcement.leave()
+            await asyncio.sleep(1)
+            left = (await store.newest(PROCESSES_TOPIC)).records
+            for task in tasks:
+                task.cancel()
+            return len(listed), len(left)
+
+        self.assertEqual((1, 0), run(scenario()))
+
     def test_crash_records_are_written_again(self):
         async def scenario():
             store = MemoryKeyedStore()
