Refuse a head whose bytes can't be sent on as they came

The compiled writer of the client's library drops such bytes, so a target got another header than the caller sent; its writer in Python raises an error, which ended the request with 502 and paused a sound target. Such a request now gets 400 before a target is chosen.

Evidence: test_header_that_is_not_utf8_is_refused_and_not_sent_on_changed failed before (200, and the target got two bytes of three). Header bytes in UTF-8 pass unchanged, as before.

--- a/src/dandelioncleat/platform/caller_request.py
+++ b/src/dandelioncleat/platform/caller_request.py
@@ -39,7 +39,7 @@
                 method=request.method,
                 host=headers.get('Host', '').rpartition(':')[0]
                 or headers.get('Host', ''),
-                path=request.raw_path,
+                path=_encodable(request.raw_path),
                 headers=_end_to_end_headers(request),
                 body=body,
                 key=_key(headers.get(names.API_KEY)),
@@ -68,12 +68,24 @@
         | _connection_options(request)
     )
     return tuple(
-        (name, text)
+        (name, _encodable(text))
         for name, text in request.headers.items()
         if name.lower() not in dropped
     )
 
 
+def _encodable(text: str) -> str:
+    """Return a text that can be sent on as it came.
+
+    The client writes heads in UTF-8 and would drop other bytes.
+    """
+    try:
+        text.encode()
+    except UnicodeEncodeError as error:
+        raise _MalformedError('the head is not UTF-8') from error
+    return text
+
+
 def _connection_options(request: web.BaseRequest) -> frozenset[str]:
     """Return the names that the ``Connection`` header declares hop-by-hop."""
     options = request.headers.get('Connection', '')
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -89,6 +89,38 @@
         self.assertEqual(4, body.count(b'id: '))
 
 
+class HeaderBytesTest(testtools.TestCase):
+    """Header bytes reach the target as they came, or not at all."""
+
+    def _sent(self, header):
+        """Send a header; return the status and the header at the target.
+
+        The status of a sound request after it comes last.
+        """
+
+        async def scenario(fleet):
+            answer = await fleet.send_raw(
+                b'POST /safe/a HTTP/1.1\r\nHost: api.example\r\n'
+                b'Request-Id: r-1\r\nAuthorization: Bearer k-1\r\n'
+                b'X-Odd: ' + header + b'\r\nContent-Length: 2\r\n'
+                b'Connection: close\r\n\r\n{}'
+            )
+            sent = None
+            if fleet.app.requests:
+                sent = dict(fleet.app.requests[0].raw_headers)[b'X-Odd']
+            sound = await fleet.call('/safe/a')
+            return answer.split()[1], sent, sound[0]
+
+        return run_with_fleet(scenario)
+
+    def test_header_that_is_not_utf8_is_refused_and_not_sent_on_changed(self):
+        self.assertEqual((b'400', None, 200), self._sent(b'\xff\xc3\xb6'))
+
+    def test_header_in_utf8(self):
+        sent = b'\xc3\xb6'
+        self.assertEqual((b'200', sent, 200), self._sent(sent))
+
+
 class PresumedUseTest(testtools.TestCase):
     """Tokens that a killed process may have used are not reported as spent."""
 
