--- a/tests/builders/quarantine.py
+++ b/tests/builders/quarantine.py
@@ -117,7 +117,8 @@
     await fleet.wait_until(
         lambda: not fleet.router.target_count(listed.service)
     )
-    entry = {**listed.entry(), 'born': started_at}
+    # The same start again has written one more entry.
+    entry = {**listed.entry(), 'born': started_at, 'sequence': 2}
     await fleet.put('servers', listed.name, entry)
     await fleet.wait_until(lambda: fleet.router.target_count(listed.service))
 
--- a/tests/builders/wallets.py
+++ b/tests/builders/wallets.py
@@ -1,6 +1,7 @@
 """Builders of wallets that share a store on virtual time."""
 
 import asyncio
+import contextlib
 
 from dandelioncleat.app.direct.wallet import Wallet
 from dandelioncleat.core.host_choice import HostChoice
@@ -70,6 +71,20 @@
         await asyncio.gather(self._task, return_exceptions=True)
         self.client.is_cut_off = True
 
+    async def stop(self, *, limit_s):
+        """Stop the process as planned; it ends after some seconds anyway."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await self.wallet.close()
+        await self.kill()
+
+    def may_use(self, budget):
+        """Return what the host has used and may still use."""
+        account = self.wallet._holdings.accounts_by_budget.get(budget)
+        if account is None or self._task.done():
+            return self.spent
+        return self.spent + account.free
+
     def pay(self, paid):
         """Set the tokens paid for each budget."""
         self._paid = dict(paid)
