Let both tests of a lost process entry share their set-up

The set-up of the late leave repeated that of the restored store. The assertions are the same; after the leave the restored store is read a second later too. Both tests fail if the renewal is taken out. The source is unchanged.

--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -175,7 +175,15 @@
 class OwnRecordsTest(testtools.TestCase):
     """A process writes again what it alone knows."""
 
-    def test_a_process_is_registered_again(self):
+    def _listed_after(self, change, *, start_s=0):
+        """Return how often a process is listed after a change of the store.
+
+        The second number is that after the process has left.
+
+        :param change: coroutine function of the store and the process's entry
+        :param start_s: age of the store when the process starts
+        """
+
         async def scenario():
             store = MemoryKeyedStore()
             entry = ProcessEntry(ProcessRole.ROUTER, 'h', 'z', '10.0.0.1:80')
@@ -186,50 +194,35 @@
                 configured_gateways=(),
                 on_own_lost=announcement.renew,
             )
-            await asyncio.sleep(5)
+            await asyncio.sleep(start_s)
             tasks = [
                 asyncio.ensure_future(announcement.run()),
                 asyncio.ensure_future(directory.run()),
             ]
             await asyncio.sleep(1)
-            store.restore(3)
+            await change(store, entry)
             await asyncio.sleep(1)
             listed = (await store.newest(PROCESSES_TOPIC)).records
             await announcement.leave()
+            await asyncio.sleep(1)
             left = (await store.newest(PROCESSES_TOPIC)).records
             for task in tasks:
                 task.cancel()
             return len(listed), len(left)
 
-        self.assertEqual((1, 0), run(scenario()))
+        return run(scenario())
+
+    def test_a_process_is_registered_again(self):
+        async def restore(store, _entry):
+            store.restore(3)
+
+        self.assertEqual((1, 0), self._listed_after(restore, start_s=5))
 
     def test_a_late_leave_of_the_earlier_process_removes_no_successor(self):
-        async def scenario():
-            store = MemoryKeyedStore()
-            entry = ProcessEntry(ProcessRole.ROUTER, 'h', 'z', '10.0.0.1:80')
-            announcement = ProcessAnnouncement(store, entry)
-            directory = ProcessDirectory(
-                store,
-                entry,
-                configured_gateways=(),
-                on_own_lost=announcement.renew,
-            )
-            tasks = [
-                asyncio.ensure_future(announcement.run()),
-                asyncio.ensure_future(directory.run()),
-            ]
-            await asyncio.sleep(1)
+        async def leave_late(store, entry):
             await store.append(PROCESSES_TOPIC, ((entry.key, b''),))
-            await asyncio.sleep(1)
-            listed = (await store.newest(PROCESSES_TOPIC)).records
-            await announcement.leave()
-            await asyncio.sleep(1)
-            left = (await store.newest(PROCESSES_TOPIC)).records
-            for task in tasks:
-                task.cancel()
-            return len(listed), len(left)
 
-        self.assertEqual((1, 0), run(scenario()))
+        self.assertEqual((1, 0), self._listed_after(leave_late))
 
     def test_crash_records_are_written_again(self):
         async def scenario():
