--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -24,6 +24,7 @@
 from dandelioncleat.platform.store_standin import new_store_application
 from dandelioncleat.ports.telemetry import NullTelemetry
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore
+from tests.builders.store_paths import StorePath
 
 KEY = 'k-1'
 HOST = 'api.example'
@@ -342,6 +343,7 @@
     def __init__(self):
         """Initialise without starting anything."""
         self.store = MemoryKeyedStore()
+        self.store_path = StorePath(self.store)
         self.app = Target('i-app', 'app')
         self.llm = Target('i-llm', 'llm')
         self.llm2 = Target('i-llm2', 'llm')
@@ -458,6 +460,7 @@
 
     async def close(self):
         """Stop everything."""
+        self.store_path.open()
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
         await self.router.close()
@@ -469,7 +472,9 @@
         await self._store_runner.cleanup()
 
     async def _start_store(self):
-        self._store_runner = web.AppRunner(new_store_application(self.store))
+        self._store_runner = web.AppRunner(
+            new_store_application(self.store_path)
+        )
         await self._store_runner.setup()
         sock = _listener()
         self._store_address = _address(sock)
