Tell how old what a router knows of a topic is

The age counts from when the store must have made an answer, by a clock that counts suspensions too; taken from when an answer was handled, three-second-old knowledge looked new.

A topic can be read up to now (`confirm`), with one read for all requests that wait for it.

--- a/src/dandelioncleat/adapters/system_clock.py
+++ b/src/dandelioncleat/adapters/system_clock.py
@@ -2,6 +2,9 @@
 
 import time
 
+# Only Linux has a clock that counts suspensions.
+_ELAPSED_CLOCK = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
+
 
 class SystemClock:
     """Implements the clock port with the system time."""
@@ -13,3 +16,7 @@
     def wall(self) -> float:
         """Return seconds since the epoch."""
         return time.time()
+
+    def elapsed(self) -> float:
+        """Return seconds that also count while the host is suspended."""
+        return time.clock_gettime(_ELAPSED_CLOCK)
--- a/src/dandelioncleat/app/direct/process_directory.py
+++ b/src/dandelioncleat/app/direct/process_directory.py
@@ -137,7 +137,7 @@
         self._on_own_lost = on_own_lost
         self._configured_gateways = tuple(configured_gateways)
         self._entries_by_key: dict[str, ProcessEntry] = {}
-        self._follower = TopicFollower(
+        self.topic = TopicFollower(
             store, PROCESSES_TOPIC, on_change=self._apply
         )
 
@@ -172,7 +172,7 @@
 
     async def run(self) -> None:
         """Follow the entries until cancelled."""
-        await self._follower.run()
+        await self.topic.run()
 
     def _entries(self, role: ProcessRole) -> list[ProcessEntry]:
         entries = self._entries_by_key.values()
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -34,6 +34,7 @@
 from dandelioncleat.app.direct.target_directory import TargetDirectory
 from dandelioncleat.app.direct.target_limits import TargetLimits
 from dandelioncleat.app.direct.topic_follower import TopicFollower
+from dandelioncleat.app.direct.topic_gauges import TopicGauges
 from dandelioncleat.app.direct.wallet import Wallet
 from dandelioncleat.app.event_wait import wait_at_most
 from dandelioncleat.app.router_life import RouterLife
@@ -151,14 +152,20 @@
             key=names.CONFIGURATION_KEY,
             on_change=self._apply_deployment,
         )
-        self._operator_topic = TopicFollower(
-            store, names.OPERATOR_TOPIC, on_change=self._deployment.apply
+        self.configuration_topic = TopicFollower(
+            store,
+            names.OPERATOR_TOPIC,
+            on_change=self._deployment.apply,
+            clock=SystemClock().elapsed,
         )
         self._directory = TargetDirectory(
             decode_target, silence_s=lambda: self._targets_topic.silence_s
         )
         self._targets_topic = TopicFollower(
-            store, names.TARGETS_TOPIC, on_change=self._directory.apply
+            store,
+            names.TARGETS_TOPIC,
+            on_change=self._directory.apply,
+            clock=SystemClock().elapsed,
         )
         self._target_limits = TargetLimits(
             store,
@@ -200,7 +207,9 @@
                 self._retries,
                 self._targets,
                 Forwarding(
-                    self._processes, wallet=self._wallet, targets=self._targets
+                    self._processes,
+                    wallet=self._wallet,
+                    targets=self._targets,
                 ),
                 self._quarantine,
                 self._origins,
@@ -213,6 +222,14 @@
             limits=lambda: self._limits,
             is_stopping=lambda: self._life.state == 'stopping',
         )
+        topics = (
+            self.configuration_topic,
+            self._targets_topic,
+            self._processes.topic,
+        )
+        self._gauges = TopicGauges(
+            {topic.topic: topic for topic in topics}, telemetry=telemetry
+        )
         self._server = new_caller_server(self._handler, DEFAULT_LIMITS)
         self._servers: list[web.Server] = [self._server]
         self._listener: asyncio.Server | None = None
@@ -236,7 +253,7 @@
         """Listen and run every task until cancelled."""
         await self._listen()
         tasks = (
-            self._operator_topic.run(),
+            self.configuration_topic.run(),
             self._targets_topic.run(),
             self._processes.run(),
             self._announcement.run(),
@@ -245,6 +262,7 @@
             self._origins.run(),
             self._target_limits.run(),
             self._wallet.run(),
+            self._gauges.run(),
             self._become_ready(),
         )
         async with asyncio.TaskGroup() as group:
--- a/tests/builders/store_paths.py
+++ b/tests/builders/store_paths.py
@@ -3,6 +3,16 @@
 import asyncio
 
 
+class FreshTopic:
+    """A topic of which everything is always known."""
+
+    age_s = 0.0
+
+    async def confirm(self, *, max_age_s):
+        """Return that what is known is not older."""
+        return True
+
+
 class StorePath:
     """One process's way to the store.
 
