Find a silent path to the store within a second

A version came late to routers that the store turned away in silence: a read was tried on the other path 2.15 s after it was sent, over the two seconds in which a version has to be in force; gateways that said nothing held it for 2.5 s each, one after the other.

Kept connections that may have gone silent are not used again: idle ones to the store after a second, one to a gateway once a call on it heard nothing.

SilentPathTest, in virtual time: the direct path silent, 1.06 s before at the tested phase of the read, under 1 s now; two of three gateways silent as well, 3.56 s before, under 2 s now. Its other two cases passed before. Ruled out: a read without any wait as often, which costs a call for each.

--- a/src/dandelioncleat/adapters/_peer_connection.py
+++ b/src/dandelioncleat/adapters/_peer_connection.py
@@ -19,7 +19,10 @@
 
 
 class PeerConnection:
-    """Multiplexes calls over one connection by call number."""
+    """Multiplexes calls over one connection by call number.
+
+    ``last_frame_at`` is when the peer last sent a frame, a loop time.
+    """
 
     def __init__(
         self,
@@ -36,6 +39,7 @@
         self._on_version = on_version
         self._numbers = itertools.count(1)
         self._queues_by_call: dict[int, asyncio.Queue[Frame]] = {}
+        self.last_frame_at = asyncio.get_running_loop().time()
         self._reader = asyncio.create_task(self._read())
 
     @property
@@ -103,6 +107,7 @@
             self._fail_all()
 
     def _receive(self, frame: Frame) -> None:
+        self.last_frame_at = asyncio.get_running_loop().time()
         self._on_version(self._address, frame.version)
         queue = self._queues_by_call.get(frame.call)
         if queue is None:
--- a/src/dandelioncleat/adapters/websocket_peers.py
+++ b/src/dandelioncleat/adapters/websocket_peers.py
@@ -44,6 +44,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._connections_by_address: dict[str, PeerConnection] = {}
         self._locks_by_address: dict[str, asyncio.Lock] = {}
+        self._closing: set[asyncio.Task[None]] = set()
 
     async def stream(
         self,
@@ -67,11 +68,16 @@
         timeout_s: float,
         traceparent: str = '',
     ) -> Message:
-        """Send a message and return its only reply."""
+        """Send a message and return its only reply.
+
+        A connection that was silent all the while is not used again.
+        """
+        started_at = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._first_reply(address, message, traceparent)
         except TimeoutError as error:
+            self._drop_if_silent(address, started_at)
             raise unreachable('call', address, 'timed out') from error
 
     async def close(self) -> None:
@@ -79,6 +85,8 @@
         for connection in tuple(self._connections_by_address.values()):
             await connection.close()
         self._connections_by_address.clear()
+        for task in tuple(self._closing):
+            task.cancel()
         if self._session is not None:
             await self._session.close()
 
@@ -87,6 +95,15 @@
         if self._session is not None:
             await self._session.close()
 
+    def _drop_if_silent(self, address: str, since: float) -> None:
+        connection = self._connections_by_address.get(address)
+        if connection is None or connection.last_frame_at > since:
+            return
+        self._connections_by_address.pop(address)
+        task = asyncio.create_task(connection.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
     async def _first_reply(
         self,
         address: str,
--- a/src/dandelioncleat/app/direct/failover_store.py
+++ b/src/dandelioncleat/app/direct/failover_store.py
@@ -43,10 +43,12 @@
 class _Call(NamedTuple, Generic[ResultT]):
     """A call that can be made on either path.
 
-    ``hedge_after_s`` is the time after which it is also made on the other.
+    ``make`` gets the path and the time for which the other one has been tried,
+    in seconds. ``hedge_after_s`` is the time after which it is also made on
+    the other.
     """
 
-    make: Callable[[KeyedStore], Awaitable[ResultT]]
+    make: Callable[[KeyedStore, float], Awaitable[ResultT]]
     hedge_after_s: float
     is_probe: bool = False
 
@@ -72,14 +74,19 @@
     async def newest(self, topic: str) -> KeyedPage:
         """Return the newest record of each key."""
         return await self._call_with_hedge(
-            _Call(lambda each: each.newest(topic), HEDGE_DELAY_S)
+            _Call(lambda each, tried_s: each.newest(topic), HEDGE_DELAY_S)
         )
 
     async def read(self, topic: str, *, start: int, wait_s: float) -> KeyedPage:
-        """Return the records from offset ``start`` on."""
+        """Return the records from offset ``start`` on.
+
+        On both paths together the read waits for ``wait_s``.
+        """
         return await self._call_with_hedge(
             _Call(
-                lambda each: each.read(topic, start=start, wait_s=wait_s),
+                lambda each, tried_s: each.read(
+                    topic, start=start, wait_s=max(0, wait_s - tried_s)
+                ),
                 wait_s + HEDGE_DELAY_S,
             )
         )
@@ -95,7 +102,7 @@
         """Append records and return the new end of the topic."""
         return await self._call_with_hedge(
             _Call(
-                lambda each: each.append(
+                lambda each, tried_s: each.append(
                     topic, records, at=at, producer=producer
                 ),
                 HEDGE_DELAY_S,
@@ -107,6 +114,7 @@
         first = self.preferred
         if call.is_probe:
             first = PathName.DIRECT
+        started_at = _now()
         runs = {first: self._start(first, call)}
         try:
             is_overdue = not call.is_probe and await self._is_overdue(
@@ -114,7 +122,7 @@
             )
             if not _has_answered(runs[first]):
                 second = _other(first)
-                runs[second] = self._start(second, call)
+                runs[second] = self._start(second, call, _now() - started_at)
             path = await self._first_answering_path(runs)
         finally:
             for run in runs.values():
@@ -126,9 +134,10 @@
         return runs[path or first].result()
 
     def _start(
-        self, path: PathName, call: _Call[ResultT]
+        self, path: PathName, call: _Call[ResultT], tried_s: float = 0
     ) -> asyncio.Future[ResultT]:
-        return asyncio.ensure_future(call.make(self._stores_by_path[path]))
+        store = self._stores_by_path[path]
+        return asyncio.ensure_future(call.make(store, tried_s))
 
     async def _is_overdue(
         self, run: asyncio.Future[Any], hedge_after_s: float
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -33,7 +33,10 @@
 from dandelioncleat.app.direct.stream_origins import StreamOrigins
 from dandelioncleat.app.direct.target_directory import TargetDirectory
 from dandelioncleat.app.direct.target_limits import TargetLimits
-from dandelioncleat.app.direct.topic_follower import TopicFollower
+from dandelioncleat.app.direct.topic_follower import (
+    SHORT_READ_WAIT_S,
+    TopicFollower,
+)
 from dandelioncleat.app.direct.topic_gauges import TopicGauges
 from dandelioncleat.app.direct.wallet import Wallet
 from dandelioncleat.app.event_wait import wait_at_most
@@ -156,6 +159,7 @@
             store,
             names.OPERATOR_TOPIC,
             on_change=self._deployment.apply,
+            read_wait_s=SHORT_READ_WAIT_S,
             clock=SystemClock().elapsed,
         )
         self._directory = TargetDirectory(
@@ -165,6 +169,7 @@
             store,
             names.TARGETS_TOPIC,
             on_change=self._directory.apply,
+            read_wait_s=SHORT_READ_WAIT_S,
             clock=SystemClock().elapsed,
         )
         self._target_limits = TargetLimits(
--- a/src/dandelioncleat/platform/store.py
+++ b/src/dandelioncleat/platform/store.py
@@ -37,6 +37,9 @@
 
 CALL_TIMEOUT_S = 1.0
 READ_SLACK_S = 1.0
+# Connections may go silent without a reset; one that was idle for longer is
+# not used again.
+POOL_IDLE_S = 1.0
 PARTITION = '0'
 OK = 200
 CONFLICT = 409
@@ -213,7 +216,11 @@
 def new_store_session(*, connect_timeout_s: float) -> aiohttp.ClientSession:
     """Return a session for store calls; requires a running event loop."""
     return aiohttp.ClientSession(
-        connector=new_connector(limit=0, socket_factory=new_keepalive_socket),
+        connector=new_connector(
+            limit=0,
+            keepalive_timeout=POOL_IDLE_S,
+            socket_factory=new_keepalive_socket,
+        ),
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=connect_timeout_s
         ),
--- a/tests/test_topic_age.py
+++ b/tests/test_topic_age.py
@@ -7,17 +7,21 @@
 from dandelioncleat.adapters.virtual_time import run
 from dandelioncleat.app.direct.topic_age import TopicAge
 from dandelioncleat.app.direct.topic_follower import (
+    SHORT_READ_WAIT_S,
     TopicFollower,
 )
 from dandelioncleat.core.keyed_record import KeyedRecord
 from dandelioncleat.ports.store import KeyedPage
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore
+from tests.builders.gateways import GatewayNetwork
 from tests.builders.logs import captured_lines
 from tests.builders.store_paths import StorePath
 
 RECORDS = (('k', b'1'),)
 EMPTY = KeyedPage(0, ())
 ONE = KeyedPage(1, (KeyedRecord('k', b'1', 0),))
+# A router has this long from the store's confirmation of a version on.
+APPLY_LIMIT_S = 2.0
 
 
 class TopicAgeTest(testtools.TestCase):
@@ -118,5 +122,72 @@
         self.assertEqual((True, 1), run(scenario()))
 
 
+class SilentPathTest(testtools.TestCase):
+    """A change is read in time while the path to the store is silent."""
+
+    def _reading_time_s(self, change_path, *, gateways=3, change_after_s=0.0):
+        """Return how long after its confirmation a record is read.
+
+        :param change_path: called with the direct path and the gateways
+        :param change_after_s: time until the record is written, in seconds
+        """
+
+        async def scenario():
+            store = MemoryKeyedStore()
+            direct = StorePath(store)
+            network = GatewayNetwork(store, gateways)
+            is_read = asyncio.Event()
+            follower = TopicFollower(
+                network.path('h', direct),
+                't',
+                on_change=lambda change: is_read.set(),
+                read_wait_s=SHORT_READ_WAIT_S,
+            )
+            following = asyncio.create_task(follower.run())
+            await asyncio.sleep(3.1)
+            is_read.clear()
+            change_path(direct, network)
+            await asyncio.sleep(change_after_s)
+            await store.append('t', RECORDS)
+            written_at = _now()
+            await is_read.wait()
+            following.cancel()
+            return _now() - written_at
+
+        with captured_lines():
+            return run(scenario())
+
+    def test_direct_path_is_silent(self):
+        took_s = self._reading_time_s(lambda direct, _: direct.fall_silent())
+        self.assertLess(took_s, APPLY_LIMIT_S / 2)
+
+    def test_two_of_the_gateways_are_silent_as_well(self):
+        def change_path(direct, network):
+            direct.fall_silent()
+            network.partitioned |= {'g0', 'g1'}
+
+        took_s = self._reading_time_s(change_path)
+        self.assertLess(took_s, APPLY_LIMIT_S)
+
+    def test_gateways_stay_silent_after_the_direct_path_answers_again(self):
+        def change_path(direct, network):
+            direct.fall_silent()
+            network.partitioned |= {'g0', 'g1', 'g2'}
+            asyncio.get_running_loop().call_later(2.9, direct.open)
+
+        took_s = self._reading_time_s(change_path, change_after_s=3.0)
+        self.assertLess(took_s, APPLY_LIMIT_S)
+
+    def test_preferred_gateway_falls_silent(self):
+        def change_path(direct, network):
+            direct.fall_silent()
+            loop = asyncio.get_running_loop()
+            loop.call_later(2.9, direct.open)
+            loop.call_later(3, network.partitioned.update, {'g0', 'g1', 'g2'})
+
+        took_s = self._reading_time_s(change_path, change_after_s=3.1)
+        self.assertLess(took_s, APPLY_LIMIT_S)
+
+
 def _now():
     return asyncio.get_running_loop().time()
