Refuse for good only by a configuration that is known to be recent

Callers got 404, 401 and 402 for what the version in force allowed: a router whose path to the store was silent went on with its version for ever. Each of these ends a request for good, and the router knew nothing of the age.

SilentStoreTest failed before with 404, 401 and 402 until the end of its 3.5 s. Lines of requests tell `version_age_s`.

--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -6,13 +6,12 @@
 import structlog
 from returns.pipeline import is_successful
 
-from dandelioncleat.app.direct.admission import admit
+from dandelioncleat.app.direct.admission import Admission
 from dandelioncleat.app.direct.attempt import AttemptOutcome, run_attempt
 from dandelioncleat.app.direct.crash_quarantine import (
     CrashQuarantine,
     WatchedRun,
 )
-from dandelioncleat.app.direct.deployment_watch import DeploymentWatch
 from dandelioncleat.app.direct.ending import (
     STOPPING_RETRY_S,
     end_at_stop,
@@ -33,6 +32,7 @@
 from dandelioncleat.app.direct.run_context import RunContext
 from dandelioncleat.app.direct.stream_origins import StreamOrigins
 from dandelioncleat.app.direct.target_limits import TargetLimits
+from dandelioncleat.app.direct.topic_age import rounded_age_s
 from dandelioncleat.app.direct.wallet import ReservationOutcome, Wallet
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import (
@@ -59,7 +59,7 @@
 class ServingParts(NamedTuple):
     """What requests need to be served."""
 
-    deployment: DeploymentWatch
+    admission: Admission
     wallet: Wallet
     placement: Placement
     open_targets: OpenTargets
@@ -112,14 +112,14 @@
             await self._serve(request, reply)
 
     async def _serve(self, request: DirectRequest, reply: Reply) -> None:
-        admission = admit(request, self._parts.deployment.current)
-        if not is_successful(admission):
-            refusal = admission.failure()
-            _log_not_admitted(request, refusal, self._parts.deployment)
+        decision = await self._parts.admission.admit(request)
+        if not is_successful(decision):
+            refusal = decision.failure()
+            _log_not_admitted(request, refusal, self._parts.admission)
             self._count(refusal.reason)
             await reply.refuse(refusal)
             return
-        context = RunContext(request, admission.unwrap())
+        context = RunContext(request, decision.unwrap())
         need = self._need(context)
         try:
             with self._parts.telemetry.span('direct.request'):
@@ -182,7 +182,8 @@
             context.outcome = 'forwarded'
             return
         if not refusal.has_run:
-            retry_s = _tokens_retry_s(need, refusal.reason, self._parts.wallet)
+            refusal = await self._parts.admission.confirmed(refusal)
+            retry_s = _tokens_retry_s(need, refusal, self._parts.wallet)
             refusal = DirectRefusal(refusal.reason, retry_after_s=retry_s)
         await refuse(context, refusal, reply)
 
@@ -256,6 +257,7 @@
             reason=context.refusal,
             route=context.admitted.route.name,
             version=context.admitted.version,
+            version_age_s=rounded_age_s(self._parts.admission.topic),
             organisation=None if organisation is None else organisation.name,
             sent=context.attempts_sent,
             targets=sorted(context.tried_targets),
@@ -285,12 +287,14 @@
 
 
 def _tokens_retry_s(
-    need: TokenNeed, reason: RefusalReason, wallet: Wallet
+    need: TokenNeed, refusal: DirectRefusal, wallet: Wallet
 ) -> float | None:
     """Return when a request without tokens may come back, in seconds."""
-    match reason:
+    match refusal.reason:
         case RefusalReason.PREPAID_SPENT:
             return None
+        case RefusalReason.CONFIGURATION_UNCONFIRMED:
+            return refusal.retry_after_s
         case RefusalReason.BALANCE_UNPROVEN:
             return UNPROVEN_RETRY_S
         case _:
@@ -353,9 +357,8 @@
 
 
 def _log_not_admitted(
-    request: DirectRequest, refusal: DirectRefusal, deployment: DeploymentWatch
+    request: DirectRequest, refusal: DirectRefusal, admission: Admission
 ) -> None:
-    current = deployment.current
     _logger.info(
         'request ended',
         request=request.id,
@@ -363,5 +366,7 @@
         reason=refusal.reason,
         host=request.host,
         path=request.path,
-        version=None if current is None else current.version,
+        sender_version=request.sender_version,
+        version=admission.version,
+        version_age_s=rounded_age_s(admission.topic),
     )
--- a/src/dandelioncleat/core/direct_request.py
+++ b/src/dandelioncleat/core/direct_request.py
@@ -40,6 +40,8 @@
     unchanged. ``is_forwarded`` means that another router sent the request.
     ``earlier_arrivals`` is how often routers that refused it before have sent
     it to targets, ``None`` if no router has counted it yet.
+    ``sender_version`` is the version of the configuration at the router that
+    forwarded the request, ``None`` if that is not known.
     ``wait_s`` is how long the caller waits, if it states that;
     ``resume_after`` is the last event that a resuming caller received,
     ``resumed_request`` the id of its attempt that began the stream.
@@ -58,6 +60,7 @@
     is_forwarded: bool = False
     resumed_request: str | None = None
     earlier_arrivals: int | None = None
+    sender_version: int | None = None
 
     @property
     def digest(self) -> str:
@@ -70,6 +73,12 @@
     """Why a request ends without a target's response."""
 
     NO_CONFIGURATION = 'no_configuration'
+    CONFIGURATION_UNCONFIRMED = 'configuration_unconfirmed'
+    """A newer version may allow what this router's version does not."""
+    CONFIGURATION_BEHIND = 'configuration_behind'
+    """The router that forwarded the request has a newer version."""
+    CONFIGURATION_AHEAD = 'configuration_ahead'
+    """The router that forwarded the request has an older version."""
     NO_ROUTE = 'no_route'
     BAD_KEY = 'bad_key'
     BAD_REQUEST = 'bad_request'
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from dandelioncleat.adapters.system_clock import SystemClock
+from dandelioncleat.app.direct.admission import Admission
 from dandelioncleat.app.direct.cache_watch import CacheWatch
 from dandelioncleat.app.direct.crash_quarantine import CrashQuarantine
 from dandelioncleat.app.direct.deployment_watch import DeploymentWatch
@@ -162,6 +163,7 @@
             read_wait_s=SHORT_READ_WAIT_S,
             clock=SystemClock().elapsed,
         )
+        self._admission = Admission(self._deployment, self.configuration_topic)
         self._directory = TargetDirectory(
             decode_target, silence_s=lambda: self._targets_topic.silence_s
         )
@@ -205,7 +207,7 @@
         )
         self._serving = Serving(
             ServingParts(
-                self._deployment,
+                self._admission,
                 self._wallet,
                 self._placement,
                 self._open_targets,
--- a/src/dandelioncleat/platform/caller_reply.py
+++ b/src/dandelioncleat/platform/caller_reply.py
@@ -18,6 +18,9 @@
 # The statuses of refusals; some differ if a target may have run the request.
 _STATUS_BY_REASON = {
     RefusalReason.NO_CONFIGURATION: UNAVAILABLE,
+    RefusalReason.CONFIGURATION_UNCONFIRMED: UNAVAILABLE,
+    RefusalReason.CONFIGURATION_BEHIND: UNAVAILABLE,
+    RefusalReason.CONFIGURATION_AHEAD: UNAVAILABLE,
     RefusalReason.NO_ROUTE: 404,
     RefusalReason.BAD_KEY: 401,
     RefusalReason.BAD_REQUEST: 400,
--- a/tests/builders/limited_fleet.py
+++ b/tests/builders/limited_fleet.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from dandelioncleat.adapters.virtual_time import run
+from dandelioncleat.app.direct.admission import Admission
 from dandelioncleat.app.direct.forwarding import Forwarding
 from dandelioncleat.app.direct.open_targets import OpenTargets
 from dandelioncleat.app.direct.placement import Placement
@@ -49,6 +50,7 @@
 from tests.builders.direct import RecordedReply
 from tests.builders.logs import captured_lines
 from tests.builders.quarantine import new_quarantine
+from tests.builders.store_paths import FreshTopic
 from tests.builders.wallets import HostClock
 
 # The users' bound on what reaches a target that names a limit: in any window,
@@ -366,7 +368,11 @@
             if each != host
         }
         processes = SimpleNamespace(other_routers_by_host=entries_by_host)
-        return Forwarding(processes, wallet=self._wallet(host), targets=targets)
+        return Forwarding(
+            processes,
+            wallet=self._wallet(host),
+            targets=targets,
+        )
 
     def _new_router(self, host):
         directory = TargetDirectory(self._decode, silence_s=lambda: 0)
@@ -398,7 +404,7 @@
         retries.join()
         return Serving(
             ServingParts(
-                _Deployment(),
+                _admission(),
                 self._wallet(host),
                 placement,
                 open_targets,
@@ -416,6 +422,10 @@
         return next(each.entry for each in self.targets if each.entry.id == key)
 
 
+def _admission():
+    return Admission(_Deployment(), FreshTopic())
+
+
 def run_limited_fleet(scenario, *, seed=1, **shape):
     """Run a scenario with a fleet and return its result."""
 
