Judge no forwarded request by another version of the configuration

A router that was in force passed requests on to one that was not, which refused them with 404 or 401 by its older version, or ran them at the service where the route was before; the caller got that from the router in force. A forward carried no version.

It carries the sender's version now. Ruled out: to serve whatever is newer (the regression above), and to send the route along (a second router can't check it).

ForwardedTest failed before: 404, 401 and a run at the old service.

--- a/src/dandelioncleat/app/direct/forwarding.py
+++ b/src/dandelioncleat/app/direct/forwarding.py
@@ -2,12 +2,15 @@
 
 This serves budgets whose tokens are unevenly spread over the hosts and can't
 be moved, because the store is unreachable or the budget is nearly spent.
+Both routers must have the same version of the configuration: an older one
+would refuse what is allowed now, or run it where it ran before.
 """
 
 import asyncio
 
 import structlog
 
+from dandelioncleat.app.direct.admission import Admission
 from dandelioncleat.app.direct.answer_body import read_body
 from dandelioncleat.app.direct.process_directory import (
     ProcessDirectory,
@@ -15,6 +18,7 @@
 )
 from dandelioncleat.app.direct.run_context import RunContext
 from dandelioncleat.app.direct.stream_relay import relay_stream
+from dandelioncleat.app.direct.topic_age import rounded_age_s
 from dandelioncleat.app.direct.wallet import Wallet
 from dandelioncleat.core.direct_request import (
     CompleteResponse,
@@ -46,11 +50,13 @@
         self,
         processes: ProcessDirectory,
         *,
+        admission: Admission,
         wallet: Wallet,
         targets: DirectTargets,
     ) -> None:
         """Initialise with the known processes and a client to call them."""
         self._processes = processes
+        self._admission = admission
         self._wallet = wallet
         self._targets = targets
         self._avoid_until_by_host: dict[str, float] = {}
@@ -68,20 +74,43 @@
         if context.request.is_forwarded:
             return refusal
         for entry in self._routers_with_tokens(need)[:MAX_FORWARDS]:
-            refusal = await self._forward_to(context, entry, reply)
-            _note_arrivals(context, refusal)
-            _logger.info(
-                'request forwarded',
-                request=context.request.id,
-                router=entry.host,
-                refusal=None if refusal is None else refusal.reason,
-                arrivals=context.arrivals,
-                passed_ms=int(1000 * context.elapsed_s),
-            )
+            refusal = await self._forward_at_one_version(context, entry, reply)
             if refusal is None or refusal.has_run:
                 return refusal
         return refusal
 
+    async def _forward_at_one_version(
+        self, context: RunContext, entry: ProcessEntry, reply: Reply
+    ) -> DirectRefusal | None:
+        """Forward a request, once more if only this router was behind."""
+        refusal = await self._forward_to(context, entry, reply)
+        self._note_end(context, entry, refusal)
+        if refusal is None or not _is_ahead(refusal):
+            return refusal
+        if not await self._admission.catch_up():
+            return refusal
+        refusal = await self._forward_to(context, entry, reply)
+        self._note_end(context, entry, refusal)
+        return refusal
+
+    def _note_end(
+        self,
+        context: RunContext,
+        entry: ProcessEntry,
+        refusal: DirectRefusal | None,
+    ) -> None:
+        _note_arrivals(context, refusal)
+        _logger.info(
+            'request forwarded',
+            request=context.request.id,
+            router=entry.host,
+            refusal=None if refusal is None else refusal.reason,
+            arrivals=context.arrivals,
+            version=self._admission.version,
+            version_age_s=rounded_age_s(self._admission.topic),
+            passed_ms=int(1000 * context.elapsed_s),
+        )
+
     def _routers_with_tokens(self, need: TokenNeed) -> list[ProcessEntry]:
         """Return the routers that can cover a request, in order of trial."""
         now = asyncio.get_running_loop().time()
@@ -100,7 +129,7 @@
         self, context: RunContext, entry: ProcessEntry, reply: Reply
     ) -> DirectRefusal | None:
         forwarded = self._targets.forward(
-            _forwarded_request(context),
+            _forwarded_request(context, self._admission.version),
             entry.address,
             remaining_s=context.remaining_s,
         )
@@ -127,9 +156,17 @@
             return await _end_broken(context, reply, RefusalReason.ANSWER_LOST)
 
 
-def _forwarded_request(context: RunContext) -> DirectRequest:
+def _forwarded_request(
+    context: RunContext, version: int | None
+) -> DirectRequest:
     arrivals = context.arrivals if context.is_counted else None
-    return context.request._replace(earlier_arrivals=arrivals)
+    return context.request._replace(
+        earlier_arrivals=arrivals, sender_version=version
+    )
+
+
+def _is_ahead(refusal: DirectRefusal) -> bool:
+    return refusal.reason is RefusalReason.CONFIGURATION_AHEAD
 
 
 def _note_arrivals(context: RunContext, refusal: DirectRefusal | None) -> None:
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -215,6 +215,7 @@
                 self._targets,
                 Forwarding(
                     self._processes,
+                    admission=self._admission,
                     wallet=self._wallet,
                     targets=self._targets,
                 ),
--- a/src/dandelioncleat/platform/caller_request.py
+++ b/src/dandelioncleat/platform/caller_request.py
@@ -49,6 +49,7 @@
                 resumed_request=headers.get(names.RESUMED_REQUEST),
                 is_forwarded=names.FORWARDED in headers,
                 earlier_arrivals=arrivals_in(headers),
+                sender_version=_sender_version(headers),
             )
         )
     except _MalformedError as error:
@@ -61,6 +62,12 @@
     return None if arrivals is None else min(MAX_ARRIVALS, arrivals)
 
 
+def _sender_version(headers: Mapping[str, str]) -> int | None:
+    if names.FORWARDED not in headers:
+        return None
+    return whole_number(headers.get(names.SENDER_VERSION, ''))
+
+
 def _end_to_end_headers(request: web.BaseRequest) -> Headers:
     dropped = (
         names.RESERVED_HEADERS
--- a/src/dandelioncleat/platform/names.py
+++ b/src/dandelioncleat/platform/names.py
@@ -29,9 +29,11 @@
     name.lower() for name in (STAMP, OCCUPANCY, LEAVING, RATE_LIMIT)
 )
 
-# Between routers: marks a forwarded request, gives a refusal's reason, and
-# tells in both how often the request has been sent to targets.
+# Between routers: marks a forwarded request, gives the sender's version of the
+# configuration and a refusal's reason, and tells in requests and refusals how
+# often the request has been sent to targets.
 FORWARDED: Final = 'Dandelioncleat-Forwarded'
+SENDER_VERSION: Final = 'Dandelioncleat-Version'
 ARRIVALS: Final = 'Dandelioncleat-Arrivals'
 REFUSAL: Final = 'Dandelioncleat-Refusal'
 
@@ -50,6 +52,7 @@
         'kv-fetch',
         'deadline-ms',
         'dandelioncleat-forwarded',
+        'dandelioncleat-version',
         'dandelioncleat-arrivals',
         'last-event-id',
     )
--- a/src/dandelioncleat/platform/targets.py
+++ b/src/dandelioncleat/platform/targets.py
@@ -285,6 +285,8 @@
         (names.DEADLINE_MS, str(max(1, int(remaining_s * _MS_PER_S))))
     )
     headers.append((names.FORWARDED, '1'))
+    if request.sender_version is not None:
+        headers.append((names.SENDER_VERSION, str(request.sender_version)))
     if request.earlier_arrivals is not None:
         headers.append((names.ARRIVALS, str(request.earlier_arrivals)))
     if request.key is not None:
--- a/tests/builders/limited_fleet.py
+++ b/tests/builders/limited_fleet.py
@@ -370,6 +370,7 @@
         processes = SimpleNamespace(other_routers_by_host=entries_by_host)
         return Forwarding(
             processes,
+            admission=_admission(),
             wallet=self._wallet(host),
             targets=targets,
         )
--- a/tests/test_close_delimited_answers.py
+++ b/tests/test_close_delimited_answers.py
@@ -6,7 +6,7 @@
 import msgspec
 import testtools
 
-from dandelioncleat.app.direct.admission import admit
+from dandelioncleat.app.direct.admission import Admission, admit
 from dandelioncleat.app.direct.forwarding import Forwarding
 from dandelioncleat.app.direct.process_directory import (
     ProcessEntry,
@@ -31,6 +31,7 @@
     whole_frame,
 )
 from tests.builders.logs import captured_lines
+from tests.builders.store_paths import FreshTopic
 
 INSIDE_EVENT = event_bytes(0, 2) + b'id: 3\nda'
 
@@ -163,11 +164,13 @@
         prompt=prompt,
     )
     deployment = decode_deployment(msgspec.json.encode(configuration()))
-    context = RunContext(request, admit(request, deployment.unwrap()).unwrap())
+    current = deployment.unwrap()
+    context = RunContext(request, admit(request, current).unwrap())
     entry = ProcessEntry(ProcessRole.ROUTER, 'h2', 'z1', address)
     targets = HttpTargets()
     forwarding = Forwarding(
         SimpleNamespace(other_routers_by_host={'h2': entry}),
+        admission=Admission(SimpleNamespace(current=current), FreshTopic()),
         wallet=SimpleNamespace(hosts_with_tokens=lambda need: ['h2']),
         targets=targets,
     )
