Read the list of targets before a stream is resumed

Reported by other operators (ORDER): a router that was out of step for some seconds resumed streams of a new software version at an older one. Here a router took a list of up to three seconds, or one that it had not read since it stood still, to show that only one version serves.

The list is read again after the request has come, or after the answer has broken off. Without that a stream whose first request is not named is refused as not run; a named one goes on at its version, as before.

--- a/src/dandelioncleat/app/direct/placement.py
+++ b/src/dandelioncleat/app/direct/placement.py
@@ -9,6 +9,7 @@
 from dandelioncleat.app.direct.run_context import RunContext
 from dandelioncleat.app.direct.target_directory import TargetDirectory
 from dandelioncleat.app.direct.target_state import TargetState
+from dandelioncleat.app.direct.topic_age import AgedTopic, rounded_age_s
 from dandelioncleat.core.stream_origin import StreamOrigin
 from dandelioncleat.core.target_choice import (
     TargetSnapshot,
@@ -38,14 +39,17 @@
         self,
         directory: TargetDirectory,
         *,
+        topic: AgedTopic,
         open_targets: OpenTargets,
         data_centre: str,
     ) -> None:
         """Initialise with the targets.
 
+        :param topic: what the list of targets is read from
         :param open_targets: which targets take a request
         """
         self._directory = directory
+        self._topic = topic
         self._open = open_targets
         self._data_centre = data_centre
 
@@ -53,6 +57,14 @@
         """Return whether an untried target takes the request in time."""
         return self._open.next_turn(context) is not None
 
+    async def read_list(self) -> bool:
+        """Read all changes of the list until now; return whether that is done.
+
+        A target of another version may have joined unseen, or have started
+        under a known id.
+        """
+        return await self._topic.confirm(max_age_s=0)
+
     def has_target_of_origin(self, context: RunContext) -> bool:
         """Return whether the caller's stream may be resumed anywhere."""
         service = context.admitted.service.name
@@ -108,6 +120,7 @@
             backlog_tokens=view.backlog_tokens,
             unread_tokens=unread,
             software_version=choice.state.entry.software_version,
+            list_age_s=rounded_age_s(self._topic),
             resume_after=context.resume_after,
             resumed_request=context.request.resumed_request,
             version=context.admitted.version,
--- a/src/dandelioncleat/app/direct/resumption.py
+++ b/src/dandelioncleat/app/direct/resumption.py
@@ -22,11 +22,14 @@
     """Set the origin of a resumed stream, or return a refusal.
 
     Events of two software versions don't fit together, so a stream whose
-    origin is not known can't be resumed.
+    origin is not known can't be resumed. The list of targets is read again
+    first: what this router knew before may be older than the stream.
     """
     if context.request.resume_after is None:
         return None
-    context.origin = await _find_origin(context, origins, placement)
+    is_read = await placement.read_list()
+    if is_read or context.request.resumed_request is not None:
+        context.origin = await _find_origin(context, origins, placement)
     _log_origin(context)
     if context.origin is None:
         return DirectRefusal(
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -204,6 +204,8 @@
         try:
             outcome = await self._send_attempt(context, reply)
             while _should_retry(context, outcome, self._parts):
+                if context.has_sent_head:
+                    await self._parts.placement.read_list()
                 outcome = await self._send_attempt(context, reply)
         except TimeoutError:
             return None
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -192,6 +192,7 @@
         self._open_targets = OpenTargets(self._directory, self._target_limits)
         self._placement = Placement(
             self._directory,
+            topic=self._targets_topic,
             open_targets=self._open_targets,
             data_centre=settings.data_centre,
         )
--- a/tests/builders/limited_fleet.py
+++ b/tests/builders/limited_fleet.py
@@ -397,6 +397,7 @@
         open_targets = OpenTargets(directory, limits)
         placement = Placement(
             directory,
+            topic=FreshTopic(),
             open_targets=open_targets,
             data_centre='z',
         )
--- a/tests/test_target_versions.py
+++ b/tests/test_target_versions.py
@@ -19,6 +19,7 @@
     run_with_fleet,
 )
 from tests.builders.logs import captured_lines
+from tests.builders.store_paths import FreshTopic
 
 RESUMING = {'Request-Id': 'r-2', 'Last-Event-Id': '2', 'Resumes': 'r-1'}
 
@@ -171,7 +172,10 @@
                 directory.apply(_listed(documents, is_snapshot=is_first))
                 is_first = False
             placement = Placement(
-                directory, open_targets=None, data_centre='z1'
+                directory,
+                topic=FreshTopic(),
+                open_targets=None,
+                data_centre='z1',
             )
             origin = placement.only_origin('llm')
             return origin and origin.software_version
