Read the operator's configuration if it has nulls or 3.0 for 3

Such documents are read leniently now; while the newest one can't be read at all, nothing is refused for good. Weights below one counted as none, so that a route's smaller part got everything.

--- a/src/dandelioncleat/app/direct/admission.py
+++ b/src/dandelioncleat/app/direct/admission.py
@@ -114,7 +114,8 @@
         if not is_confirmed:
             is_confirmed = await self.topic.confirm(max_age_s=max_age_s)
             decision = admit(request, self._deployment.current)
-        if _is_final(decision) and not is_confirmed:
+        is_newest = is_confirmed and not self._deployment.is_outdated
+        if _is_final(decision) and not is_newest:
             return Failed(_unconfirmed())
         return decision
 
@@ -127,7 +128,8 @@
             return refusal
         version = self.version
         is_confirmed = await self.topic.confirm(max_age_s=MAX_REFUSAL_AGE_S)
-        if is_confirmed and self.version == version:
+        is_newest = is_confirmed and not self._deployment.is_outdated
+        if is_newest and self.version == version:
             return refusal
         return _unconfirmed()
 
--- a/src/dandelioncleat/app/direct/deployment_watch.py
+++ b/src/dandelioncleat/app/direct/deployment_watch.py
@@ -16,7 +16,10 @@
 
 
 class DeploymentWatch:
-    """Keeps the newest configuration and ignores older versions."""
+    """Keeps the newest configuration and ignores older versions.
+
+    ``is_outdated`` says that the newest one could not be decoded.
+    """
 
     def __init__(
         self,
@@ -27,6 +30,7 @@
     ) -> None:
         """Initialise with a decoder and the key of the configuration record."""
         self.current: Deployment | None = None
+        self.is_outdated = False
         self.loaded = asyncio.Event()
         self._decode = decode
         self._key = key
@@ -41,13 +45,17 @@
     def _apply_record(self, data: bytes) -> None:
         decoded = self._decode(data)
         if not is_successful(decoded):
+            self.is_outdated = True
             _logger.error(
                 'configuration cannot be decoded', reason=decoded.failure()
             )
             return
         deployment = decoded.unwrap()
         current = self.current
-        if current is not None and deployment.version <= current.version:
+        if current is not None and deployment.version < current.version:
+            return
+        self.is_outdated = False
+        if current is not None and deployment.version == current.version:
             return
         self.current = deployment
         self._on_change(deployment)
--- a/src/dandelioncleat/core/deployment.py
+++ b/src/dandelioncleat/core/deployment.py
@@ -6,6 +6,8 @@
 
 from dandelioncleat.core.stable_hash import stable_hash
 
+_HASH_RANGE = 2.0**64
+
 
 class CallKind(StrEnum):
     """Whether a call may run more than once.
@@ -22,7 +24,7 @@
     """A service and its weight in a route."""
 
     service: str
-    weight: int
+    weight: float
 
 
 class Route(NamedTuple):
@@ -61,7 +63,7 @@
         total = sum(share.weight for share in self.shares)
         if total <= 0:
             return self.shares[0].service
-        point = stable_hash(request) % total
+        point = stable_hash(request) / _HASH_RANGE * total
         for share in self.shares:
             point -= share.weight
             if point < 0:
--- a/src/dandelioncleat/platform/documents.py
+++ b/src/dandelioncleat/platform/documents.py
@@ -130,7 +130,7 @@
 def decode_deployment(data: bytes) -> Result[Deployment, str]:
     """Return the configuration in a record, or the decoding error."""
     try:
-        config = decode_bytes(_CONFIG_DECODER.decode, data)
+        config = _decode_config(data)
         routes = [_route(route) for route in config.routes]
     except (UnreadableError, KeyError) as error:
         return Failed(f'{type(error).__name__}: {error}')
@@ -176,10 +176,41 @@
     )
 
 
+def _decode_config(data: bytes) -> _Config:
+    """Return the operator's document, read leniently if it has to be.
+
+    :raises UnreadableError: if it can't be read
+    """
+    try:
+        return decode_bytes(_CONFIG_DECODER.decode, data)
+    except UnreadableError:
+        return decode_bytes(_read_leniently, data)
+
+
+def _read_leniently(data: bytes) -> _Config:
+    """Read a document with nulls for defaults, or with 3.0 for 3."""
+    document = _without_nulls(msgspec.json.decode(data))
+    return msgspec.convert(document, _Config, strict=False)
+
+
+def _without_nulls(document: object) -> object:
+    match document:
+        case dict():
+            return {
+                key: _without_nulls(member)
+                for key, member in document.items()
+                if member is not None
+            }
+        case list():
+            return [_without_nulls(member) for member in document]
+        case _:
+            return document
+
+
 def _route(route: _Route) -> Route:
     if route.backends:
         shares = tuple(
-            WeightedService(each.service, int(each.weight))
+            WeightedService(each.service, max(0, each.weight))
             for each in route.backends
         )
     else:
--- a/tests/builders/limited_fleet.py
+++ b/tests/builders/limited_fleet.py
@@ -199,6 +199,7 @@
     """A configuration with one route."""
 
     def __init__(self):
+        self.is_outdated = False
         route = Route(
             name='r',
             host='h',
