Count the time in which the store is asked to the request's own

A request that waits for its configuration to be confirmed arrived before the wait: its deadlines count from then, or targets would be handed more time than is left.

An outage of the list of targets is found by half as long a silence, as its reads wait half a second in place of two: else entries that lapsed in a short outage would be removed at once. has_outlived said little; it is is_outdated.

--- a/src/dandelioncleat/app/direct/admission.py
+++ b/src/dandelioncleat/app/direct/admission.py
@@ -142,7 +142,7 @@
     async def _version_refusal(
         self, request: DirectRequest
     ) -> DirectRefusal | None:
-        """Return a refusal if the sender has another version of it all."""
+        """Return a refusal if the sender has another version."""
         expected = request.sender_version
         if expected is None or self.version is None:
             return None
--- a/src/dandelioncleat/app/direct/removed_targets.py
+++ b/src/dandelioncleat/app/direct/removed_targets.py
@@ -30,7 +30,7 @@
         """Return and forget the state of a target that is listed again."""
         return self._states_by_id.pop(target, None)
 
-    def has_outlived(self, entry: TargetEntry) -> bool:
+    def is_outdated(self, entry: TargetEntry) -> bool:
         """Return whether an entry is older than the removal of its start."""
         state = self._states_by_id.get(entry.id)
         if state is None or state.entry.start != entry.start:
--- a/src/dandelioncleat/app/direct/run_context.py
+++ b/src/dandelioncleat/app/direct/run_context.py
@@ -37,11 +37,21 @@
     ``is_counted`` says that one has counted it in its retry budget.
     """
 
-    def __init__(self, request: DirectRequest, admitted: Admitted) -> None:
-        """Initialise the deadlines of a request that has just arrived."""
+    def __init__(
+        self,
+        request: DirectRequest,
+        admitted: Admitted,
+        *,
+        arrived_at: float | None = None,
+    ) -> None:
+        """Initialise the deadlines of a request.
+
+        :param arrived_at: when it arrived, an event loop time in seconds; now
+            by default
+        """
         self.request = request
         self.admitted = admitted
-        self.started_at = _now()
+        self.started_at = _now() if arrived_at is None else arrived_at
         wait_s = request.wait_s or DEFAULT_WAIT_S
         self.deadline = self.started_at + wait_s
         self.answer_by = self.started_at + min(wait_s, admitted.route.timeout_s)
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -112,6 +112,7 @@
             await self._serve(request, reply)
 
     async def _serve(self, request: DirectRequest, reply: Reply) -> None:
+        arrived_at = asyncio.get_running_loop().time()
         decision = await self._parts.admission.admit(request)
         if not is_successful(decision):
             refusal = decision.failure()
@@ -119,7 +120,7 @@
             self._count(refusal.reason)
             await reply.refuse(refusal)
             return
-        context = RunContext(request, decision.unwrap())
+        context = RunContext(request, decision.unwrap(), arrived_at=arrived_at)
         need = self._need(context)
         try:
             with self._parts.telemetry.span('direct.request'):
--- a/src/dandelioncleat/app/direct/target_directory.py
+++ b/src/dandelioncleat/app/direct/target_directory.py
@@ -17,8 +17,8 @@
 # Targets whose entries expired in a store outage are listed again within about
 # two seconds after it. Those that have left must get nothing after that time.
 RELIST_GRACE_S = 1.8
-# A read of the list waits up to two seconds for changes.
-MAX_SILENCE_S = 3.0
+# A read of the list waits up to half a second for changes.
+MAX_SILENCE_S = 1.5
 
 _logger = structlog.get_logger(__name__)
 
@@ -123,7 +123,7 @@
             self._remove(record.key)
             return
         known = self._states_by_id.get(entry.id)
-        is_late = self._removed.has_outlived(entry) or _is_late(entry, known)
+        is_late = self._removed.is_outdated(entry) or _is_late(entry, known)
         if is_late and not is_held:
             _log_late(entry)
         else:
--- a/tests/test_old_configuration.py
+++ b/tests/test_old_configuration.py
@@ -2,9 +2,16 @@
 
 import asyncio
 
+import msgspec
 import testtools
 
+from dandelioncleat.adapters.virtual_time import run
+from dandelioncleat.app.direct.admission import admit
+from dandelioncleat.app.direct.run_context import RunContext
+from dandelioncleat.core.direct_request import DirectRequest
+from dandelioncleat.platform.documents import decode_deployment
 from tests.builders.direct import (
+    HOST,
     KEY,
     MODEL_HEADERS,
     configuration,
@@ -79,6 +86,24 @@
         self.assertEqual({(503, True)}, statuses)
 
 
+class ConfirmedRequestTest(testtools.TestCase):
+    """The time in which the store is asked is part of the request's time."""
+
+    def test_target_gets_more_time_than_is_left(self):
+        async def scenario():
+            deployment = decode_deployment(msgspec.json.encode(configuration()))
+            request = DirectRequest(
+                'r', 'GET', HOST, '/safe/a', (), b'', key=KEY, wait_s=2
+            )
+            admitted = admit(request, deployment.unwrap()).unwrap()
+            arrived_at = _now()
+            await asyncio.sleep(0.4)
+            context = RunContext(request, admitted, arrived_at=arrived_at)
+            return context.remaining_s
+
+        self.assertAlmostEqual(1.6, run(scenario()))
+
+
 class ForwardedTest(testtools.TestCase):
     """A router judges no forwarded request by an older version."""
 
