--- a/src/dandelioncleat/app/direct/admission.py
+++ b/src/dandelioncleat/app/direct/admission.py
@@ -133,10 +133,13 @@
             return refusal
         return _unconfirmed()
 
-    async def catch_up(self) -> bool:
-        """Read the newest version; return whether there was a newer one."""
-        version = self.version
-        await self.topic.confirm(max_age_s=0)
+    async def catch_up(self, version: int | None) -> bool:
+        """Read the store if no newer version than this one is known yet.
+
+        Returns whether a newer one is known.
+        """
+        if self.version == version:
+            await self.topic.confirm(max_age_s=0)
         return self.version != version
 
     async def _version_refusal(
@@ -147,7 +150,7 @@
         if expected is None or self.version is None:
             return None
         if self.version < expected:
-            await self.catch_up()
+            await self.topic.confirm(max_age_s=0)
         if self.version == expected:
             return None
         reason = RefusalReason.CONFIGURATION_AHEAD
--- a/src/dandelioncleat/app/direct/forwarding.py
+++ b/src/dandelioncleat/app/direct/forwarding.py
@@ -83,11 +83,12 @@
         self, context: RunContext, entry: ProcessEntry, reply: Reply
     ) -> DirectRefusal | None:
         """Forward a request, once more if only this router was behind."""
+        sent_version = self._admission.version
         refusal = await self._forward_to(context, entry, reply)
         self._note_end(context, entry, refusal)
         if refusal is None or not _is_ahead(refusal):
             return refusal
-        if not await self._admission.catch_up():
+        if not await self._admission.catch_up(sent_version):
             return refusal
         refusal = await self._forward_to(context, entry, reply)
         self._note_end(context, entry, refusal)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -26,16 +26,17 @@
 class ForwardingTest(testtools.TestCase):
     """A router that forwards a request catches up with a newer version."""
 
-    def _forward(self, *refusals, newest=2):
+    def _forward(self, *refusals, newest=2, comes_meanwhile=False):
         """Return the versions that were sent, and the last refusal.
 
         :param refusals: reasons with which the other router answers in turn
         :param newest: the version that this router finds in the store
+        :param comes_meanwhile: whether version 2 comes during the first forward
         """
 
         async def scenario():
             deployment = SimpleNamespace(current=SimpleNamespace(version=1))
-            peer = _Peer(refusals)
+            peer = _Peer(refusals, deployment if comes_meanwhile else None)
             forwarding = Forwarding(
                 SimpleNamespace(other_routers_by_host={'h2': PEER}),
                 admission=Admission(deployment, _Topic(deployment, newest)),
@@ -62,6 +63,15 @@
         )
         self.assertEqual(([1, 2], RefusalReason.NO_ROOM), answer)
 
+    def test_newer_version_that_came_meanwhile_is_enough(self):
+        answer = self._forward(
+            RefusalReason.CONFIGURATION_AHEAD,
+            RefusalReason.NO_ROOM,
+            newest=1,
+            comes_meanwhile=True,
+        )
+        self.assertEqual(([1, 2], RefusalReason.NO_ROOM), answer)
+
     def test_router_without_a_newer_version_gives_up(self):
         reason = RefusalReason.CONFIGURATION_AHEAD
         self.assertEqual(([1], reason), self._forward(reason, newest=1))
@@ -81,20 +91,25 @@
         self._newest = newest
 
     async def confirm(self, *, max_age_s):
-        self._deployment.current = SimpleNamespace(version=self._newest)
+        known = self._deployment.current.version
+        newest = max(known, self._newest)
+        self._deployment.current = SimpleNamespace(version=newest)
         return True
 
 
 class _Peer:
     """A router that refuses what is forwarded to it."""
 
-    def __init__(self, reasons):
+    def __init__(self, reasons, deployment):
         self.versions = []
         self._reasons = list(reasons)
+        self._deployment = deployment
 
     @asynccontextmanager
     async def forward(self, request, address, *, remaining_s):
         self.versions.append(request.sender_version)
+        if self._deployment is not None:
+            self._deployment.current = SimpleNamespace(version=2)
         yield SimpleNamespace(refusal=DirectRefusal(self._reasons.pop(0)))
 
 
