Play the deploy file's programs as processes, and judge repeats and lost requests

A soak of real processes on loopback: routers and gateways of the deploy file with the review's stand-ins, callers on kept connections, a store that falls silent and targets that fail, stand still, or reject. All draws come from one seed. The repeats are counted in the users' words from what targets read, lost requests from what callers saw.

--- /dev/null
+++ b/tests/soak/play.py
@@ -0,0 +1,262 @@
+"""Plays a soak: starts the programs, traffic and troubles, and judges."""
+
+import asyncio
+import contextlib
+import time
+from collections import Counter
+from typing import NamedTuple
+
+import client
+import fleet as fleets
+
+from tests.soak.callers import Caller, End, Kind
+from tests.soak.retry_judge import RetryLimit, repeats_of, worst_window
+from tests.soak.standins import FaultyTarget, SilentStore
+from tests.soak.troubles import PLANNED, TROUBLES, source_of
+
+# The routers' shares of the retry budget count from a window after their start.
+SETTLE_S = 12.0
+# A router is bound by time limits again this long after a disruption, in s.
+CONTACT_S = 3.0
+# A process may close a connection on which a request is under way, in s.
+LOSS_SLACK_S = 0.2
+KEY = 'key'
+MODEL, APP = 'dues-llm', 'billing-app'
+KINDS = (
+    Kind('post', APP, 'POST', '/post/', 0.6),
+    Kind('read', APP, 'GET', '/read/', 0.6, is_idempotent=True),
+    Kind('draft', MODEL, 'POST', '/draft/', 6.0, True, (900, 60)),
+)
+LIMIT = RetryLimit(0.2, 52, 10)
+
+
+class Plan(NamedTuple):
+    """What is played; ``rate`` is in requests a second, of all callers."""
+
+    seed: int
+    troubles: tuple[str, ...]
+    routers: int = 4
+    gateways: int = 2
+    targets: int = 4
+    length_s: float = 40.0
+    rate: float = 60.0
+    callers: int = 6
+
+
+class Disruption(NamedTuple):
+    """What was done to a router; times are monotonic, in seconds."""
+
+    router: str
+    kind: str
+    began_at: float
+    ended_at: float
+
+
+class Verdict(NamedTuple):
+    """What callers and targets saw.
+
+    ``used_by_service`` is the part of the retry limit that was used in the
+    worst window, ``lost`` has the requests that a router in touch passed on
+    and whose connection it closed without an answer, ``overdue`` those that
+    ended without a byte at their callers' time limit.
+    """
+
+    used_by_service: dict[str, float]
+    requests: int
+    ends: Counter
+    reasons: Counter
+    lost: list
+    overdue: list
+    ended_by_themselves: list[str]
+
+    def __str__(self):
+        """Return the verdict on one line."""
+        used = {name: round(x, 3) for name, x in self.used_by_service.items()}
+        return (
+            f'used {used} of {self.requests} requests; '
+            f'{dict(self.ends)}; {dict(self.reasons)}; lost {len(self.lost)}; '
+            f'overdue {len(self.overdue)}; ended {self.ended_by_themselves}'
+        )
+
+
+class Soak:
+    """The running programs, with what was done to them."""
+
+    def __init__(self, record, plan):
+        """Initialise; nothing runs yet."""
+        self.plan = plan
+        self.record = record
+        self.fleet = fleets.Fleet(
+            record, routers=plan.routers, gateways=plan.gateways
+        )
+        self.store = self.fleet.store = SilentStore(record)
+        self.routers = self.fleet.routers
+        self.targets = [
+            FaultyTarget(self.fleet, f'{service}-{number}', service)
+            for service in (MODEL, APP)
+            for number in range(plan.targets)
+        ]
+        for target in self.targets:
+            target._is_model = target.service == MODEL
+        self.disruptions = []
+        self._version = 0
+
+    @contextlib.contextmanager
+    def disrupted(self, routers, kind):
+        """Note a disruption of routers, from its begin to its end."""
+        began_at = time.monotonic()
+        try:
+            yield
+        finally:
+            self.disruptions.extend(
+                Disruption(router.name, kind, began_at, time.monotonic())
+                for router in routers
+            )
+
+    def write_configuration(self):
+        """Write the next version of the configuration."""
+        self._version += 1
+        routes = [
+            client.route(
+                kind.prefix,
+                _route_type(kind),
+                kind.service,
+                timeoutMs=int(kind.limit_s * 1000),
+                sloMs=int(kind.limit_s * 200),
+                resumable=kind.tokens is not None,
+            )
+            for kind in KINDS
+        ]
+        self.store.put(
+            'op',
+            'config',
+            client.configuration(
+                self._version,
+                services=[client.MODEL_SERVICE, client.APP_SERVICE],
+                routes=routes,
+                tenants=[
+                    {'name': 't', 'apiKeys': [KEY], 'prepaid': 1_000_000_000}
+                ],
+            ),
+        )
+
+
+def _route_type(kind):
+    if kind.tokens is not None:
+        return 'streaming'
+    return 'idempotent' if kind.is_idempotent else 'non_idempotent'
+
+
+async def play(record, plan):
+    """Play a plan; return the verdict."""
+    soak = Soak(record, plan)
+    await soak.store.start()
+    soak.write_configuration()
+    try:
+        for target in soak.targets:
+            await target.start()
+        for process in soak.fleet.processes:
+            await process.start()
+        for router in soak.routers:
+            await router.ready()
+        await asyncio.sleep(SETTLE_S)
+        return _judge(soak, await _play_traffic(soak))
+    finally:
+        await soak.fleet.close()
+        for target in soak.targets:
+            await target.close()
+
+
+async def _play_traffic(soak):
+    plan = soak.plan
+    until = time.monotonic() + plan.length_s
+    pause_s = plan.routers * plan.callers / plan.rate
+    callers = [
+        Caller(
+            router,
+            number=number,
+            key=KEY,
+            kinds=KINDS,
+            pause_s=pause_s,
+            seed=f'{plan.seed}/{router.name}/{number}',
+        )
+        for router in soak.routers
+        for number in range(plan.callers)
+    ]
+    troubles = [
+        asyncio.create_task(TROUBLES[name](soak, source_of(plan.seed, name)))
+        for name in plan.troubles
+    ]
+    try:
+        await asyncio.gather(*(caller.run(until) for caller in callers))
+    finally:
+        for trouble in troubles:
+            trouble.cancel()
+        for trouble in troubles:
+            with contextlib.suppress(asyncio.CancelledError):
+                await trouble
+    return [sent for caller in callers for sent in caller.sent]
+
+
+def _judge(soak, sent):
+    arrived = {name for each in soak.targets for _, name in each.arrivals}
+    own = {each.id for each in sent}
+    ends = [
+        process.name
+        for process in soak.fleet.processes
+        if process.child.returncode not in (None, 0, -9)
+    ]
+    return Verdict(
+        {
+            service: _used(soak, service, sent, own).used
+            for service in (MODEL, APP)
+        },
+        len(sent),
+        Counter(each.end.value for each in sent),
+        Counter(
+            f'{each.status} {each.reason}'
+            for each in sent
+            if each.status != 200
+        ),
+        [
+            each
+            for each in sent
+            if each.end is End.CUT
+            and (each.id in arrived or _is_late(each))
+            and _is_in_touch(soak, each)
+        ],
+        [
+            each
+            for each in sent
+            if each.end is End.OVERDUE and _is_in_touch(soak, each)
+        ],
+        ends,
+    )
+
+
+def _used(soak, service, sent, own):
+    arrivals = [
+        arrival
+        for target in soak.targets
+        if target.service == service
+        for arrival in target.arrivals
+        if arrival[1] in own
+    ]
+    times = [each.sent_at for each in sent if each.kind.service == service]
+    return worst_window(repeats_of(arrivals), times, LIMIT)
+
+
+def _is_late(sent):
+    """Return whether a process has had the time to read a whole request."""
+    return sent.ended_at - sent.sent_at > LOSS_SLACK_S
+
+
+def _is_in_touch(soak, sent):
+    """Return whether a router ran without a kill or freeze around a request."""
+    return not any(
+        each.router == sent.router
+        and each.kind != PLANNED
+        and each.began_at < sent.ended_at
+        and sent.sent_at < each.ended_at + CONTACT_S
+        for each in soak.disruptions
+    )
--- /dev/null
+++ b/tests/soak/standins.py
@@ -0,0 +1,139 @@
+"""Stand-ins that misbehave: a store that falls silent, targets that fail."""
+
+import asyncio
+import random
+import time
+from enum import StrEnum
+
+from aiohttp import web
+from platform_store import Store
+from servers import Server
+
+POLL_PATH = '/dandelioncleat/kv-events'
+# Calls without an answer are held for longer than any process waits.
+HELD_S = 120.0
+
+
+class SilentStore(Store):
+    """A store that can fall silent.
+
+    A call that is made, or waits, while it is silent is never answered, also
+    not after the silence.
+    """
+
+    def __init__(self, record):
+        """Initialise a store that answers."""
+        super().__init__(record)
+        self._ends = asyncio.Event()
+        self._is_silent = False
+
+    def fall_silent(self):
+        """Answer no call until ``answer_again``."""
+        self._is_silent = True
+        self._ends.set()
+        self._ends = asyncio.Event()
+
+    def answer_again(self):
+        """Answer the calls that are made from now on."""
+        self._is_silent = False
+
+    async def _append(self, request):
+        return await self._unless_silent(super()._append, request)
+
+    async def _read(self, request):
+        return await self._unless_silent(super()._read, request)
+
+    async def _newest(self, request):
+        return await self._unless_silent(super()._newest, request)
+
+    async def _unless_silent(self, answer, request):
+        if self._is_silent:
+            await asyncio.sleep(HELD_S)
+        call = asyncio.ensure_future(answer(request))
+        silence = asyncio.ensure_future(self._ends.wait())
+        try:
+            await asyncio.wait(
+                (call, silence), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not call.done():
+                await asyncio.sleep(HELD_S)
+            return call.result()
+        finally:
+            call.cancel()
+            silence.cancel()
+
+
+class Mode(StrEnum):
+    """How a target treats requests."""
+
+    SOUND = 'sound'
+    ERROR = 'error'
+    NOT_RUN = 'not run'
+    RESET = 'reset'
+    CUT = 'cut'
+    LATE = 'late'
+    STILL = 'still'
+    """It reads what has come only after it goes on."""
+
+
+class FaultyTarget(Server):
+    """A target whose mode can be set; ``arrivals`` has what reached it."""
+
+    def __init__(self, fleet, name, service, **options):
+        """Initialise a sound target."""
+        super().__init__(fleet, name, service, **options)
+        self.source = random.Random(name)
+        self.late_s = 0.5
+        self._mode = Mode.SOUND
+        self._goes_on = asyncio.Event()
+        self._goes_on.set()
+        self._tasks = set()
+        self.answer = self._answer_by_mode
+
+    @property
+    def mode(self):
+        """Return how the target treats requests."""
+        return self._mode
+
+    @mode.setter
+    def mode(self, mode):
+        self._mode = mode
+        if mode is Mode.STILL:
+            self._goes_on.clear()
+        else:
+            self._goes_on.set()
+
+    async def _handle(self, request):
+        if request.path != POLL_PATH:
+            task = asyncio.create_task(
+                self._arrive(request.headers.get('Request-Id', ''))
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await self._goes_on.wait()
+        return await super()._handle(request)
+
+    async def _arrive(self, request):
+        """Count an arrival, also if its sender has left by then."""
+        await self._goes_on.wait()
+        self.arrivals.append((time.monotonic(), request))
+
+    async def _answer_by_mode(self, request, run):
+        match self._mode:
+            case Mode.ERROR:
+                return self._respond(request, 500, b'failed')
+            case Mode.NOT_RUN:
+                self.runs.remove(run)
+                return self._respond(request, 503, b'', {'Not-Run': '1'})
+            case Mode.RESET:
+                return self._cut(request)
+            case Mode.CUT:
+                await asyncio.sleep(self.work_s)
+                return self._cut(request)
+            case Mode.LATE:
+                await asyncio.sleep(self.late_s)
+        return await self._answer(request, run)
+
+    def _cut(self, request):
+        request.transport.abort()
+        return web.Response()
--- /dev/null
+++ b/tests/soak/troubles.py
@@ -0,0 +1,164 @@
+"""What is done to the processes, the store and the targets of a soak.
+
+Each trouble goes on until it is cancelled. All draws come from one seed.
+"""
+
+import asyncio
+import random
+import signal
+
+from tests.soak.standins import Mode
+
+# A planned stop does not excuse a router.
+PLANNED = 'stop'
+FAILING_MODES = (
+    Mode.ERROR,
+    Mode.NOT_RUN,
+    Mode.RESET,
+    Mode.CUT,
+    Mode.LATE,
+    Mode.SOUND,
+)
+
+
+async def fail_in_turn(soak, source):
+    """Let each target fail in another way, for some seconds each."""
+    while True:
+        for target in soak.targets:
+            target.mode = source.choice(FAILING_MODES)
+        await asyncio.sleep(source.uniform(1, 3))
+
+
+async def fail_always(soak, source):
+    """Let all targets fail, in ways that routers retry."""
+    while True:
+        for target in soak.targets:
+            target.mode = source.choice((Mode.ERROR, Mode.NOT_RUN))
+        await asyncio.sleep(source.uniform(1, 3))
+
+
+async def stand_still(soak, source):
+    """Let targets stand still for some seconds, most at the same time."""
+    while True:
+        await asyncio.sleep(source.uniform(2, 6))
+        chosen = source.sample(
+            soak.targets, source.randint(1, len(soak.targets))
+        )
+        for target in chosen:
+            target.mode = Mode.STILL
+        await asyncio.sleep(source.uniform(1, 6))
+        for target in chosen:
+            target.mode = Mode.SOUND
+
+
+async def reject_beside_still(soak, source):
+    """Let most targets stand still at once while the others reject."""
+    while True:
+        chosen = set(
+            source.sample(soak.targets, max(1, len(soak.targets) * 5 // 8))
+        )
+        for target in soak.targets:
+            target.mode = Mode.STILL if target in chosen else Mode.NOT_RUN
+        await asyncio.sleep(source.uniform(4, 8))
+        for target in chosen:
+            target.mode = Mode.NOT_RUN
+        await asyncio.sleep(source.uniform(1, 6))
+
+
+async def kill_routers(soak, source):
+    """Kill all routers but one, and start them again at once."""
+    while True:
+        await asyncio.sleep(source.uniform(1.5, 5))
+        chosen = source.sample(soak.routers, max(1, len(soak.routers) - 1))
+        with soak.disrupted(chosen, 'kill'):
+            for router in chosen:
+                router.send(signal.SIGKILL)
+            for router in chosen:
+                await router.child.wait()
+            await start_again(chosen)
+
+
+async def kill_one(soak, source):
+    """Kill one router, and start it again at once."""
+    while True:
+        await asyncio.sleep(source.uniform(1.5, 5))
+        router = source.choice(soak.routers)
+        with soak.disrupted([router], 'kill'):
+            await router.kill()
+            await start_again([router])
+
+
+async def stop_routers(soak, source):
+    """Stop one router after the other as planned, and start it again."""
+    while True:
+        await asyncio.sleep(source.uniform(0.2, 2))
+        router = source.choice(soak.routers)
+        with soak.disrupted([router], PLANNED):
+            await router.stop()
+            await start_again([router])
+
+
+async def freeze_routers(soak, source):
+    """Let single routers stand still for some seconds."""
+    while True:
+        await asyncio.sleep(source.uniform(1, 5))
+        router = source.choice(soak.routers)
+        with soak.disrupted([router], 'freeze'):
+            router.send(signal.SIGSTOP)
+            await asyncio.sleep(source.uniform(0.5, 4))
+            router.send(signal.SIGCONT)
+
+
+async def silence_store(soak, source):
+    """Let the store answer nothing for some seconds."""
+    while True:
+        await asyncio.sleep(source.uniform(4, 8))
+        soak.store.fall_silent()
+        soak.record('store falls silent')
+        await asyncio.sleep(source.uniform(1, 5))
+        soak.store.answer_again()
+        soak.record('store answers again')
+
+
+async def change_configuration(soak, source):
+    """Write a new version about each second."""
+    while True:
+        await asyncio.sleep(source.uniform(0.5, 1.5))
+        soak.write_configuration()
+
+
+async def reload_routers(soak, source):
+    """Let routers read their settings again."""
+    while True:
+        await asyncio.sleep(source.uniform(0.5, 2))
+        router = source.choice(soak.routers)
+        if router.child.returncode is None:
+            router.send(signal.SIGHUP)
+
+
+TROUBLES = {
+    'fail': fail_in_turn,
+    'reject': fail_always,
+    'still': stand_still,
+    'reject-beside-still': reject_beside_still,
+    'kill': kill_routers,
+    'kill-one': kill_one,
+    'stop': stop_routers,
+    'freeze': freeze_routers,
+    'silence': silence_store,
+    'configuration': change_configuration,
+    'reload': reload_routers,
+}
+
+
+async def start_again(routers):
+    """Start routers whose processes have ended, and wait for them."""
+    for router in routers:
+        await router.start()
+    for router in routers:
+        await router.ready()
+
+
+def source_of(seed, name):
+    """Return the random numbers of one trouble."""
+    return random.Random(f'{seed}/{name}')
