Count a retry until its target has read it, and a window from there

Cause: a retry counted from the moment in which it was decided, for one window. A target that stands still reads it later, beside the retries of the next window, also if the router has given up and closed its connection by then. The class: a limit on what arrives, counted when it is sent.

What waits for its turn, for a slow connection, or in a suspended router counts meanwhile, too.

--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -61,11 +61,13 @@
     target_request = _target_request(context, state)
     state.begin(context.request)
     context.begin_attempt(state.entry.id)
+    retry = state.unread_retries.take_over(context)
     is_answered = False
     try:
         async with asyncio.timeout_at(context.answer_by) as timer:
             async with targets.send(target_request) as answer:
                 is_answered = True
+                state.unread_retries.note_read()
                 _note_notice(context, state, answer, limits)
                 return await _relay_answer(
                     context,
@@ -77,7 +79,11 @@
                 )
     except FailureError as error:
         state.note_failure(asyncio.get_running_loop().time())
-        return _note_failure(context, state, error, is_answered=is_answered)
+        outcome = _note_failure(context, state, error, is_answered=is_answered)
+        if outcome is AttemptOutcome.NOT_SENT:
+            state.unread_retries.give_back(retry, context)
+        state.unread_retries.end(retry)
+        return outcome
     finally:
         state.end(context.request.id)
 
@@ -170,6 +176,7 @@
 def _note_output(
     context: RunContext, state: TargetState, origins: StreamOrigins
 ) -> None:
+    state.unread_retries.note_read()
     state.note_first_token(context.request.id)
     if context.origin is not None:
         return
--- a/src/dandelioncleat/app/direct/cache_watch.py
+++ b/src/dandelioncleat/app/direct/cache_watch.py
@@ -103,6 +103,7 @@
         poll = await self._events.cache_update(
             state.entry, start=cache.position, wait_s=POLL_WAIT_S
         )
+        state.unread_retries.note_read()
         state.wishes.apply(poll.notice, _now())
         self._limits.note_poll(state.entry, poll.notice)
         if poll.update is None:
--- a/src/dandelioncleat/app/direct/retry_budget.py
+++ b/src/dandelioncleat/app/direct/retry_budget.py
@@ -5,6 +5,7 @@
 import structlog
 
 from dandelioncleat.app.direct.run_context import RunContext
+from dandelioncleat.app.direct.taken_retry import TakenRetry
 from dandelioncleat.core.retry_window import RetryLimits, RetryWindow
 from dandelioncleat.core.slack_share import SlackShare
 
@@ -51,11 +52,16 @@
         return not context.arrivals or self.take(context)
 
     def take(self, context: RunContext) -> bool:
-        """Take a retry of a request; return whether the budget allows it."""
+        """Take a retry of a request; return whether the budget allows it.
+
+        The context keeps it until it is sent.
+        """
         service = context.admitted.service.name
         window = self._window(service)
         share = self._slack.part(_now())
         is_allowed = window.take(_now(), share=share)
+        if is_allowed:
+            context.retry = TakenRetry(window)
         _logger.info(
             'retry allowed' if is_allowed else 'retry denied',
             request=context.request.id,
@@ -63,6 +69,7 @@
             service=service,
             requests=window.requests,
             retries=window.retries,
+            unread=window.unread,
             window_s=self._terms.window_s,
             routers=self._slack.routers(),
             slack_share=round(share, 4),
--- a/src/dandelioncleat/app/direct/run_context.py
+++ b/src/dandelioncleat/app/direct/run_context.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from dandelioncleat.app.direct.admission import Admitted
+from dandelioncleat.app.direct.taken_retry import TakenRetry
 from dandelioncleat.core.deployment import CallKind, TargetEntry
 from dandelioncleat.core.direct_request import (
     CompleteResponse,
@@ -34,7 +35,8 @@
     ``has_lost_answer`` says that a target's answer was lost. ``origin`` is
     where the caller's stream began, ``None`` before its first event.
     ``arrivals`` counts how often routers have sent the request to targets;
-    ``is_counted`` says that one has counted it in its retry budget.
+    ``is_counted`` says that one has counted it in its retry budget. ``retry``
+    is a retry that was taken from that and not sent yet.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         self.earlier_may_have_run = False
         self.arrivals = request.earlier_arrivals or 0
         self.is_counted = request.earlier_arrivals is not None
+        self.retry: TakenRetry | None = None
 
     def stream_key(self, first_request: str) -> str:
         """Return the key of the stream that a request of the caller began."""
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -190,8 +190,12 @@
 
     async def _run_attempts(self, context: RunContext, reply: Reply) -> None:
         outcome: AttemptOutcome | None = AttemptOutcome.NOT_RUN
-        if self._parts.retries.begin(context):
-            outcome = await self._send_attempts(context, reply)
+        try:
+            if self._parts.retries.begin(context):
+                outcome = await self._send_attempts(context, reply)
+        finally:
+            if context.retry is not None:
+                context.retry.note_read()
         if outcome is AttemptOutcome.DELIVERED:
             context.outcome = 'delivered'
             return
--- a/src/dandelioncleat/app/direct/target_state.py
+++ b/src/dandelioncleat/app/direct/target_state.py
@@ -3,6 +3,7 @@
 from collections import deque
 
 from dandelioncleat.app.direct.target_wishes import TargetWishes
+from dandelioncleat.app.direct.unread_retries import UnreadRetries
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import DirectRequest
 from dandelioncleat.core.held_parts import HeldParts
@@ -42,6 +43,7 @@
         self._errors_at: deque[float] = deque(maxlen=MAX_ERRORS)
         self._paused_until = float('-inf')
         self.wishes = TargetWishes(entry.id)
+        self.unread_retries = UnreadRetries()
         self.next_due_at = float('-inf')
 
     @property
--- a/src/dandelioncleat/core/retry_window.py
+++ b/src/dandelioncleat/core/retry_window.py
@@ -19,13 +19,19 @@
 
 
 class RetryWindow:
-    """Counts the requests and the retries of one service."""
+    """Counts the requests and the retries of one service.
+
+    A retry counts from when it is taken until a window after its target has
+    read it: one that waits in a socket arrives in a later window. ``unread``
+    is the number of those that may not have been read yet.
+    """
 
     def __init__(self, limits: RetryLimits) -> None:
         """Start with empty counts."""
         self.limits = limits
         self._requests: deque[float] = deque()
-        self._retries: deque[float] = deque()
+        self.unread = 0
+        self._read_at: deque[float] = deque()
 
     @property
     def requests(self) -> int:
@@ -35,7 +41,7 @@
     @property
     def retries(self) -> int:
         """Return the number of retries that are counted now."""
-        return len(self._retries)
+        return self.unread + len(self._read_at)
 
     def note_request(self, now: float) -> None:
         """Count a request; ``now`` is in seconds."""
@@ -50,13 +56,18 @@
         self._expire(now)
         slack = share * self.limits.slack
         most = MARGIN * (self.limits.ratio * len(self._requests) + slack)
-        if len(self._retries) + 1 > most:
+        if self.retries + 1 > most:
             return False
-        self._retries.append(now)
+        self.unread += 1
         return True
 
+    def note_read(self, now: float) -> None:
+        """Note that a target has read a retry that was taken."""
+        self.unread -= 1
+        self._read_at.append(now)
+
     def _expire(self, now: float) -> None:
         start = now - self.limits.window_s
-        for times in (self._requests, self._retries):
+        for times in (self._requests, self._read_at):
             while times and times[0] < start:
                 times.popleft()
--- a/tests/builders/limited_fleet.py
+++ b/tests/builders/limited_fleet.py
@@ -71,7 +71,7 @@
 
     Prompts begin with one of ``documents``; without any, requests have none.
     If there are ``holders``, only the last routers, as many as that, have
-    tokens; the others forward to them.
+    tokens; the others forward to them. Callers wait for ``wait_s`` seconds.
     """
 
     routers: int = 4
@@ -80,6 +80,7 @@
     duration_s: float = 20
     documents: int = 0
     holders: int = 0
+    wait_s: float = 5
 
 
 class Arrival(NamedTuple):
@@ -106,6 +107,9 @@
         self.answer_s = 0.02
         self.arrivals = []
         self.documents_read = set()
+        self._arriving = set()
+        self._goes_on = asyncio.Event()
+        self._goes_on.set()
         self._named_at = None
         self._told_at_by_host = {}
 
@@ -119,10 +123,22 @@
         """Name no limit any more."""
         self.limit = None
 
+    def stand_still(self):
+        """Leave what is sent in the sockets."""
+        self._goes_on.clear()
+
+    def go_on(self):
+        """Read what is in the sockets, and what comes."""
+        self._goes_on.set()
+
     async def answer(self, host, request):
         """Count a request of a host, and return the answer's headers."""
+        arriving = asyncio.ensure_future(self._read(host, request))
+        self._arriving.add(arriving)
+        arriving.add_done_callback(self._arriving.discard)
+        # A sender that leaves does not take back what it has sent.
+        await asyncio.shield(arriving)
         prompt = request.prompt
-        self.arrivals.append(Arrival(_now(), host, request.id))
         if prompt is not None:
             self.documents_read.add(prompt.parts[0].id)
         await asyncio.sleep(self.answer_s)
@@ -131,6 +147,10 @@
         self._told_at_by_host.setdefault(host, _now())
         return {'Server-Limit': self.limit}
 
+    async def _read(self, host, request):
+        await self._goes_on.wait()
+        self.arrivals.append(Arrival(_now(), host, request.id))
+
     def most_in_a_window(self):
         """Return the most requests of one window that count."""
         counted = [
@@ -336,7 +356,7 @@
             (),
             b'',
             key='k',
-            wait_s=5,
+            wait_s=self.shape.wait_s,
             prompt=self._prompt(),
         )
         reply = RecordedReply()
--- a/tests/builders/retry_fleet.py
+++ b/tests/builders/retry_fleet.py
@@ -1,4 +1,4 @@
-"""Builders of routers whose targets fail every request, in virtual time."""
+"""Builders of routers whose targets fail at once, in virtual time."""
 
 import asyncio
 import random
@@ -89,6 +89,7 @@
             router.budget.begin(context)
             for _ in range(RETRIES_PER_REQUEST):
                 if router.budget.take(context):
+                    context.retry.note_read()
                     self.retries.append(_now())
 
     def _join(self, router):
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -110,7 +110,7 @@
             )
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-            await self._goes_on.wait()
+        await self._goes_on.wait()
         return await super()._handle(request)
 
     async def _arrive(self, request):
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -221,9 +221,18 @@
     def test_the_budget_recovers_after_the_window(self):
         window = RetryWindow(RetryLimits(0.0, 10, 10))
         while window.take(0.0, share=1):
-            continue
+            window.note_read(0.0)
         self.assertTrue(window.take(10.5, share=1))
 
+    def test_unread_retry_counts_until_a_window_after_it_was_read(self):
+        window = RetryWindow(RetryLimits(0.0, 10, 10))
+        while window.take(0.0, share=1):
+            continue
+        self.assertFalse(window.take(30.0, share=1))
+        window.note_read(30.0)
+        self.assertFalse(window.take(39.0, share=1))
+        self.assertTrue(window.take(40.5, share=1))
+
 
 class EventStreamTest(testtools.TestCase):
     """A stream is split between events only."""
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -102,6 +102,46 @@
         self.assertGreater(repeats, 25 * 40 * LIMITS.ratio / 2)
 
 
+class UnreadRetryTest(testtools.TestCase):
+    """A retry counts when its target reads it."""
+
+    def _play(self, *, still_s, **options):
+        """Let four targets stand still, and all reject; return the excess."""
+
+        async def scenario(fleet):
+            still = fleet.targets[:4]
+
+            def begin():
+                for target in fleet.targets:
+                    target.is_full = True
+                for target in still:
+                    target.stand_still()
+
+            def end():
+                for target in still:
+                    target.go_on()
+
+            await fleet.play(changes=[(15, begin), (15 + still_s, end)])
+            requests = [each.began_at for each in fleet.ended]
+            repeats = fleet.arrivals_beyond_the_first()
+            return excess(repeats, requests), len(repeats)
+
+        return run_limited_fleet(
+            scenario, targets=8, rate=60, duration_s=45, **options
+        )
+
+    def test_retries_in_the_sockets_of_targets_arrive_in_a_later_window(self):
+        for still_s in (4, 6, 8, 10):
+            beyond, _ = self._play(still_s=still_s)
+            self.assertLessEqual(beyond, 0, still_s)
+        beyond, _ = self._play(still_s=8, documents=5)
+        self.assertLessEqual(beyond, 0)
+
+    def test_budget_is_used_again_once_the_targets_go_on(self):
+        _, repeats = self._play(still_s=6)
+        self.assertGreater(repeats, 60 * 30 * LIMITS.ratio)
+
+
 class ForwardedHeaderTest(testtools.TestCase):
     """Routers tell each other how often a request has reached targets."""
 
