Answer a request before its caller stops waiting for it

The 504 was written at the moment in which the caller left.

The router's time limit for an answer was the caller's own, so that what it says in the end could not arrive in time. And the time of a request counted from when its body had been read; a caller that sends slowly had left by then, and the target was told to work on.

Now the last answer is sent 50 ms before the caller's limit (a tenth of short limits), and the time counts from the first byte of the head.

--- a/src/dandelioncleat/app/direct/run_context.py
+++ b/src/dandelioncleat/app/direct/run_context.py
@@ -15,6 +15,10 @@
 from dandelioncleat.core.stream_origin import StreamOrigin, stream_key
 
 DEFAULT_WAIT_S = 30.0
+# An answer is sent this much before its caller stops waiting for it, or a tenth
+# of that time before if that is less.
+ANSWER_MARGIN_S = 0.05
+ANSWER_MARGIN_SHARE = 0.1
 # Outcome of a request whose task was cancelled, as its caller disconnected.
 CALLER_LEFT = 'caller left'
 
@@ -23,7 +27,8 @@
     """Keeps the deadlines, the tried targets and the delivered output.
 
     ``answer_by`` is when the answer must have begun, ``deadline`` when the
-    caller stops waiting; both are event loop times in seconds.
+    caller stops waiting; both are event loop times in seconds. Without an
+    answer of a target until then the caller still gets one of the router.
     ``sent_at`` is when the last attempt was sent, an event loop time;
     ``sent_to`` has the targets of all attempts, ``tried_targets`` those that
     may have run it.
@@ -56,7 +61,10 @@
         self.started_at = _now() if arrived_at is None else arrived_at
         wait_s = request.wait_s or DEFAULT_WAIT_S
         self.deadline = self.started_at + wait_s
-        self.answer_by = self.started_at + min(wait_s, admitted.route.timeout_s)
+        margin_s = min(ANSWER_MARGIN_S, ANSWER_MARGIN_SHARE * wait_s)
+        self.answer_by = self.started_at + min(
+            wait_s - margin_s, admitted.route.timeout_s
+        )
         self.stream = EventStreamParser()
         self.origin: StreamOrigin | None = None
         self.sent_head: ResponseHead | None = None
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -106,13 +106,26 @@
         """Refuse new requests that might outlast the process."""
         self._stop = times
 
-    async def serve(self, request: DirectRequest, reply: Reply) -> None:
-        """Answer a request; cancelling the task also stops its run."""
+    async def serve(
+        self,
+        request: DirectRequest,
+        reply: Reply,
+        *,
+        arrived_at: float | None = None,
+    ) -> None:
+        """Answer a request; cancelling the task also stops its run.
+
+        :param arrived_at: when its head began to arrive, an event loop time
+            in seconds; now by default
+        """
+        if arrived_at is None:
+            arrived_at = asyncio.get_running_loop().time()
         with self.open_requests.added(request.id):
-            await self._serve(request, reply)
+            await self._serve(request, reply, arrived_at)
 
-    async def _serve(self, request: DirectRequest, reply: Reply) -> None:
-        arrived_at = asyncio.get_running_loop().time()
+    async def _serve(
+        self, request: DirectRequest, reply: Reply, arrived_at: float
+    ) -> None:
         decision = await self._parts.admission.admit(request)
         if not is_successful(decision):
             refusal = decision.failure()
--- /dev/null
+++ b/src/dandelioncleat/platform/caller_connection.py
@@ -0,0 +1,68 @@
+"""The connection of a caller, with the time of its requests' heads."""
+
+import asyncio
+from typing import Any
+
+import structlog
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+
+_logger = structlog.get_logger(__name__)
+
+
+class CallerConnection(RequestHandler):
+    """Closes a connection whose request head takes too long to arrive.
+
+    aiohttp only limits the idle time between two requests.
+    """
+
+    def __init__(
+        self, server: web.Server, *, header_s: float, **options: Any
+    ) -> None:
+        """Initialise.
+
+        :param header_s: maximum time for a request head, in seconds
+        """
+        super().__init__(server, **options)
+        self._header_s = header_s
+        self._timer: asyncio.TimerHandle | None = None
+        self._head_began_at: float | None = None
+
+    def take_head_time(self) -> float:
+        """Return when the head of the request began to arrive.
+
+        An event loop time in seconds; now for a request that came while the
+        one before it was served.
+        """
+        began_at = self._head_began_at
+        self._head_began_at = None
+        return (
+            asyncio.get_running_loop().time() if began_at is None else began_at
+        )
+
+    def data_received(self, data: bytes) -> None:
+        """Receive bytes; the first ones of a head start its timer."""
+        is_idle = not self._messages and self._current_request is None
+        if is_idle and self._timer is None:
+            self._head_began_at = asyncio.get_running_loop().time()
+        super().data_received(data)
+        if self._messages or self._current_request is not None:
+            self._stop_timer()
+        elif self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(self._header_s, self._close_overdue)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop the timer of a closed connection."""
+        self._stop_timer()
+        super().connection_lost(exc)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _close_overdue(self) -> None:
+        self._timer = None
+        _logger.info('head of a request late', limit_s=self._header_s)
+        self.force_close()
--- a/src/dandelioncleat/platform/caller_server.py
+++ b/src/dandelioncleat/platform/caller_server.py
@@ -3,57 +3,13 @@
 import asyncio
 from typing import Any
 
-import structlog
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
 from dandelioncleat.core.deployment import CallerLimits
+from dandelioncleat.platform.caller_connection import CallerConnection
 from dandelioncleat.platform.callers import CallerHandler
 
-_logger = structlog.get_logger(__name__)
-
-
-class _CallerConnection(RequestHandler):
-    """Closes a connection whose request head takes too long to arrive.
-
-    aiohttp only limits the idle time between two requests.
-    """
-
-    def __init__(
-        self, server: web.Server, *, header_s: float, **options: Any
-    ) -> None:
-        """Initialise.
-
-        :param header_s: maximum time for a request head, in seconds
-        """
-        super().__init__(server, **options)
-        self._header_s = header_s
-        self._timer: asyncio.TimerHandle | None = None
-
-    def data_received(self, data: bytes) -> None:
-        """Receive bytes; the first ones of a head start its timer."""
-        super().data_received(data)
-        if self._messages or self._current_request is not None:
-            self._stop_timer()
-        elif self._timer is None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(self._header_s, self._close_overdue)
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Stop the timer of a closed connection."""
-        self._stop_timer()
-        super().connection_lost(exc)
-
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
-    def _close_overdue(self) -> None:
-        self._timer = None
-        _logger.info('head of a request late', limit_s=self._header_s)
-        self.force_close()
-
 
 class _CallerServer(web.Server):
     """Creates connections that also limit the time of a request head."""
@@ -71,7 +27,7 @@
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
         loop = asyncio.get_running_loop()
-        return _CallerConnection(self, loop=loop, **self._options)
+        return CallerConnection(self, loop=loop, **self._options)
 
 
 def new_caller_server(
--- a/src/dandelioncleat/platform/callers.py
+++ b/src/dandelioncleat/platform/callers.py
@@ -1,5 +1,6 @@
 """Serves callers over HTTP."""
 
+import asyncio
 from collections.abc import Callable
 
 import structlog
@@ -13,6 +14,7 @@
     DirectRequest,
     RefusalReason,
 )
+from dandelioncleat.platform.caller_connection import CallerConnection
 from dandelioncleat.platform.caller_reply import HttpReply
 from dandelioncleat.platform.caller_request import decode_request
 
@@ -42,6 +44,7 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one HTTP request."""
+        arrived_at = _arrived_at(request)
         reply = HttpReply(request, is_last_answer=self._is_stopping())
         body = await self._read(request)
         if body is None:
@@ -50,15 +53,17 @@
             return _response(reply)
         decoded = decode_request(request, body)
         if is_successful(decoded):
-            await self._serve(decoded.unwrap(), reply)
+            await self._serve(decoded.unwrap(), reply, arrived_at)
             return _response(reply)
         _logger.info('request malformed', reason=decoded.failure())
         await reply.refuse(DirectRefusal(RefusalReason.BAD_REQUEST))
         return _response(reply)
 
-    async def _serve(self, request: DirectRequest, reply: HttpReply) -> None:
+    async def _serve(
+        self, request: DirectRequest, reply: HttpReply, arrived_at: float
+    ) -> None:
         try:
-            await self._serving.serve(request, reply)
+            await self._serving.serve(request, reply, arrived_at=arrived_at)
         except ConnectionError:
             # The caller disconnected while its answer was written.
             raise
@@ -85,6 +90,14 @@
         return bytes(body)
 
 
+def _arrived_at(request: web.BaseRequest) -> float:
+    """Return when a request began to arrive, an event loop time in seconds."""
+    connection = request.protocol
+    if isinstance(connection, CallerConnection):
+        return connection.take_head_time()
+    return asyncio.get_running_loop().time()
+
+
 def _response(reply: HttpReply) -> web.StreamResponse:
     if reply.response is None:
         raise ConnectionResetError('the request was not answered')
