Repeat a call to the store that no path answers

Cause: what is sent in the last moments of a silence is never answered, and each call waits for its own time limit, an append for a second and a read that waits for records for up to three, although the store answers new ones.

Now a call that neither path answers is made again each 0.25 s until the first ones fail; made twice it has no second effect. The first answer after a silence of a second repeats the reads that wait. In an outage an append is sent five times until it fails, after 1.15 s, in place of twice.

The tests failed before.

--- a/src/dandelioncleat/app/direct/failover_store.py
+++ b/src/dandelioncleat/app/direct/failover_store.py
@@ -23,6 +23,10 @@
 # A reachable store mostly answers within a few ms. Appends may be sent on both
 # paths: the second of them has no effect.
 HEDGE_DELAY_S = 0.15
+# A call that neither path answers may be lost though the store answers again.
+REPEAT_INTERVAL_S = 0.25
+# A store that answers does so more often, as reads wait for half a second.
+SILENCE_S = 1.0
 # Interval between probes of the direct path while the gateways are used.
 PROBE_INTERVAL_S = 1.0
 
@@ -53,12 +57,21 @@
     is_probe: bool = False
 
 
+class _Run(NamedTuple, Generic[ResultT]):
+    """A call that was made on one path."""
+
+    path: PathName
+    reply: asyncio.Future[ResultT]
+
+
 class FailoverStore:
     """Implements the ``KeyedStore`` port over two paths to the same store.
 
     The path that answered last is called first, and the other one if it does
-    not answer soon. Long polls are repeated on the other path as soon as the
-    preferred path changes.
+    not answer soon. While neither answers, the call is repeated: a store that
+    was silent never answers what was sent to it meanwhile. Long polls are
+    repeated on the other path as soon as the preferred path changes, or the
+    store answers after a silence.
     """
 
     def __init__(self, direct: KeyedStore, gateway: KeyedStore) -> None:
@@ -68,7 +81,8 @@
             PathName.DIRECT: direct,
             PathName.GATEWAY: gateway,
         }
-        self._changed = Signal()
+        self._polls_due = Signal()
+        self._answered_at = float('-inf')
         self._probe_at = float('-inf')
 
     async def newest(self, topic: str) -> KeyedPage:
@@ -115,68 +129,89 @@
         if call.is_probe:
             first = PathName.DIRECT
         started_at = _now()
-        runs = {first: self._start(first, call)}
+        runs = [self._start(first, call)]
         try:
             is_overdue = not call.is_probe and await self._is_overdue(
-                runs[first], call.hedge_after_s
+                runs[0].reply, call.hedge_after_s
             )
-            if not _has_answered(runs[first]):
-                second = _other(first)
-                runs[second] = self._start(second, call, _now() - started_at)
-            path = await self._first_answering_path(runs)
+            if not _has_answered(runs[0].reply):
+                tried_s = _now() - started_at
+                runs.append(self._start(_other(first), call, tried_s))
+            answered = await self._first_answered(runs, call, started_at)
         finally:
-            for run in runs.values():
-                run.cancel()
+            for run in runs:
+                run.reply.cancel()
         # A call repeated due to a path change says nothing about the paths.
         is_preferred_overdue = is_overdue and first is self.preferred
-        if path is not None and (call.is_probe or is_preferred_overdue):
-            self._prefer(path)
-        return runs[path or first].result()
+        if answered is not None and (call.is_probe or is_preferred_overdue):
+            self._prefer(answered.path)
+        if answered is not None:
+            self._note_answer()
+        return (answered or runs[0]).reply.result()
 
     def _start(
         self, path: PathName, call: _Call[ResultT], tried_s: float = 0
-    ) -> asyncio.Future[ResultT]:
+    ) -> _Run[ResultT]:
         store = self._stores_by_path[path]
-        return asyncio.ensure_future(call.make(store, tried_s))
+        reply = asyncio.ensure_future(call.make(store, tried_s))
+        return _Run(path, reply)
 
     async def _is_overdue(
         self, run: asyncio.Future[Any], hedge_after_s: float
     ) -> bool:
         """Return whether a run failed, or did not answer in time.
 
-        Returns early if the preferred path changes meanwhile.
+        Returns early if long polls are to be repeated meanwhile.
         """
-        changed = asyncio.ensure_future(self._changed.wait())
+        due = asyncio.ensure_future(self._polls_due.wait())
         try:
             await asyncio.wait(
-                (run, changed),
+                (run, due),
                 timeout=hedge_after_s,
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            return not _has_answered(run) and not changed.done()
+            return not _has_answered(run) and not due.done()
         finally:
-            changed.cancel()
-
-    async def _first_answering_path(
-        self, runs: dict[PathName, asyncio.Future[ResultT]]
-    ) -> PathName | None:
-        """Return the path that answered first, ``None`` if both failed."""
-        waiting = set(runs.values())
-        while waiting:
-            _, waiting = await asyncio.wait(
-                waiting, return_when=asyncio.FIRST_COMPLETED
+            due.cancel()
+
+    async def _first_answered(
+        self,
+        runs: list[_Run[ResultT]],
+        call: _Call[ResultT],
+        started_at: float,
+    ) -> _Run[ResultT] | None:
+        """Return the run that is answered first, ``None`` if both paths fail.
+
+        Runs that repeat the call are added to ``runs``.
+        """
+        first_runs = tuple(runs)
+        while not all(run.reply.done() for run in first_runs):
+            waiting = [run.reply for run in runs if not run.reply.done()]
+            done, _ = await asyncio.wait(
+                waiting,
+                timeout=REPEAT_INTERVAL_S,
+                return_when=asyncio.FIRST_COMPLETED,
             )
-            for path, run in runs.items():
-                if _has_answered(run):
-                    return path
-        return None
+            if _answered(runs) is not None:
+                break
+            if not done:
+                tried_s = _now() - started_at
+                runs.append(self._start(first_runs[0].path, call, tried_s))
+        return _answered(runs)
+
+    def _note_answer(self) -> None:
+        """Repeat the long polls if the store had been silent."""
+        now = _now()
+        if now - self._answered_at > SILENCE_S:
+            self._polls_due.notify()
+        self._answered_at = now
 
     def _prefer(self, path: PathName) -> None:
         if path is self.preferred:
             return
         self.preferred = path
         self._probe_at = _now() + PROBE_INTERVAL_S
-        self._changed.notify()
+        self._polls_due.notify()
         _logger.info('path to the store changed', path=path)
 
     def _is_probe_due(self) -> bool:
@@ -192,6 +227,10 @@
     return PathName.DIRECT
 
 
+def _answered(runs: list[_Run[ResultT]]) -> _Run[ResultT] | None:
+    return next((run for run in runs if _has_answered(run.reply)), None)
+
+
 def _has_answered(run: asyncio.Future[Any]) -> bool:
     """Return whether the store has answered, also with an error."""
     if not run.done():
