--- a/src/dandelioncleat/app/direct/failover_store.py
+++ b/src/dandelioncleat/app/direct/failover_store.py
@@ -182,21 +182,24 @@
     ) -> _Run[ResultT] | None:
         """Return the run that is answered first, ``None`` if both paths fail.
 
-        Runs that repeat the call are added to ``runs``.
+        Once the call is overdue it is repeated; these runs are added to
+        ``runs``.
         """
         first_runs = tuple(runs)
-        while not all(run.reply.done() for run in first_runs):
-            waiting = [run.reply for run in runs if not run.reply.done()]
-            done, _ = await asyncio.wait(
-                waiting,
-                timeout=REPEAT_INTERVAL_S,
+        overdue_at = max(_now(), started_at + call.hedge_after_s)
+        repeat_at = overdue_at + REPEAT_INTERVAL_S
+        while _answered(runs) is None:
+            if all(run.reply.done() for run in first_runs):
+                break
+            await asyncio.wait(
+                [run.reply for run in runs if not run.reply.done()],
+                timeout=repeat_at - _now(),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if _answered(runs) is not None:
-                break
-            if not done:
+            if _now() >= repeat_at:
                 tried_s = _now() - started_at
                 runs.append(self._start(first_runs[0].path, call, tried_s))
+                repeat_at = _now() + REPEAT_INTERVAL_S
         return _answered(runs)
 
     def _note_answer(self) -> None:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -6,6 +6,7 @@
 
 import argparse
 import asyncio
+import os
 import sys
 import tempfile
 from pathlib import Path
@@ -46,6 +47,7 @@
             rate=arguments.rate,
         )
         record = fleets.Record(folder / f'record-{seed}.txt')
+        os.environ['KEEP_LOGS'] = str(folder / f'logs-{seed}')
         verdict = asyncio.run(play(record, plan))
         for each in (*verdict.lost, *verdict.overdue):
             record(
--- a/tests/test_lost_calls.py
+++ b/tests/test_lost_calls.py
@@ -92,6 +92,18 @@
         self.assertLess(took_s, 1.5)
         self.assertLessEqual(calls, 6)
 
+    def test_poll_that_waits_on_both_paths_is_not_repeated(self):
+        async def scenario(store, failover, paths):
+            poll = asyncio.ensure_future(failover.read('t', start=0, wait_s=2))
+            await asyncio.sleep(0.1)
+            paths[0].fall_silent()
+            await failover.append('u', RECORDS)
+            await poll
+            return sum(path.calls for path in paths)
+
+        # The append and the poll, each on both paths.
+        self.assertEqual(4, self._play(scenario))
+
     def test_slow_store_is_not_called_again(self):
         async def scenario(store, failover, paths):
             await failover.read('t', start=0, wait_s=2)
