Refuse at once what comes as a planned stop ends, without asking the store

Cause: while the process waits up to half a second for the return of its tokens, it still reads requests, to refuse them. But it asked the store first whether its configuration was recent, for up to 0.4 s, and its connections are closed 50 ms after reading ends. The lines of other requests of that stop show it: refused as stopping after 401 and 403 ms. Class: a decision that is made already waits for one that no longer matters.

Now nothing is asked once nothing is admitted, and the end of the stop also ends the question of those that wait. Ruled out: a process that ended by itself (its lines go on to "stopped"), and a request in the queue of the listener (others that came later were read and refused).

The tests failed before: 0.4 s in place of 0.

--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -5,8 +5,10 @@
 
 import structlog
 from returns.pipeline import is_successful
+from returns.result import Failure as Failed
+from returns.result import Result
 
-from dandelioncleat.app.direct.admission import Admission
+from dandelioncleat.app.direct.admission import Admission, Admitted
 from dandelioncleat.app.direct.attempt import AttemptOutcome, run_attempt
 from dandelioncleat.app.direct.crash_quarantine import (
     CrashQuarantine,
@@ -126,7 +128,7 @@
     async def _serve(
         self, request: DirectRequest, reply: Reply, arrived_at: float
     ) -> None:
-        decision = await self._parts.admission.admit(request)
+        decision = await self._admit(request)
         if not is_successful(decision):
             refusal = decision.failure()
             _log_not_admitted(request, refusal, self._parts.admission)
@@ -144,6 +146,18 @@
         finally:
             self._note_end(context, need)
 
+    async def _admit(
+        self, request: DirectRequest
+    ) -> Result[Admitted, DirectRefusal]:
+        """Admit a request; a stop refuses it without asking the store."""
+        if self._stop is NOTHING_ADMITTED:
+            return Failed(_stopping())
+        try:
+            async with self.open_requests.until_ended():
+                return await self._parts.admission.admit(request)
+        except RequestEndedError:
+            return Failed(_stopping())
+
     async def _serve_admitted(
         self, context: RunContext, need: TokenNeed | None, reply: Reply
     ) -> None:
@@ -326,9 +340,7 @@
 ) -> DirectRefusal | None:
     """Return why a request can't be served, before it takes tokens."""
     if stop is not None and not stop.admits(context):
-        return DirectRefusal(
-            RefusalReason.STOPPING, retry_after_s=STOPPING_RETRY_S
-        )
+        return _stopping()
     hopeless = hopeless_refusal(
         context, quarantine=parts.quarantine, open_targets=parts.open_targets
     )
@@ -339,6 +351,10 @@
     )
 
 
+def _stopping() -> DirectRefusal:
+    return DirectRefusal(RefusalReason.STOPPING, retry_after_s=STOPPING_RETRY_S)
+
+
 def _should_retry(
     context: RunContext, outcome: AttemptOutcome, parts: ServingParts
 ) -> bool:
--- a/tests/builders/limited_fleet.py
+++ b/tests/builders/limited_fleet.py
@@ -72,6 +72,7 @@
     Prompts begin with one of ``documents``; without any, requests have none.
     If there are ``holders``, only the last routers, as many as that, have
     tokens; the others forward to them. Callers wait for ``wait_s`` seconds.
+    ``topic`` is what routers read the configuration from.
     """
 
     routers: int = 4
@@ -81,6 +82,7 @@
     documents: int = 0
     holders: int = 0
     wait_s: float = 5
+    topic: object = FreshTopic()
 
 
 class Arrival(NamedTuple):
@@ -318,7 +320,7 @@
             while _now() < start + self.shape.duration_s:
                 await asyncio.sleep(self._source.expovariate(self.shape.rate))
                 group.create_task(
-                    self._call(self._routers_by_host[self._next_host()])
+                    self.call(self._routers_by_host[self._next_host()])
                 )
 
         for task in sharing:
@@ -346,9 +348,24 @@
             seen.add(each.request)
         return times
 
-    async def _call(self, router):
+    @property
+    def routers(self):
+        """Return what serves requests at each host."""
+        return tuple(self._routers_by_host.values())
+
+    async def call(self, router, **changes):
+        """Send a request to a router; return what its caller got."""
+        reply = RecordedReply()
+        began_at = _now()
+        request = self._next_request()._replace(**changes)
+        await router.serve(request, reply)
+        ended = Ended(began_at, _now(), reply)
+        self.ended.append(ended)
+        return ended
+
+    def _next_request(self):
         self._number += 1
-        request = DirectRequest(
+        return DirectRequest(
             f'r{self._number}',
             'POST',
             'h',
@@ -359,10 +376,6 @@
             wait_s=self.shape.wait_s,
             prompt=self._prompt(),
         )
-        reply = RecordedReply()
-        began_at = _now()
-        await router.serve(request, reply)
-        self.ended.append(Ended(began_at, _now(), reply))
 
     def _prompt(self):
         if not self.shape.documents:
@@ -391,7 +404,7 @@
         processes = SimpleNamespace(other_routers_by_host=entries_by_host)
         return Forwarding(
             processes,
-            admission=_admission(),
+            admission=self._admission(),
             wallet=self._wallet(host),
             targets=targets,
         )
@@ -427,7 +440,7 @@
         retries.join()
         return Serving(
             ServingParts(
-                _admission(),
+                self._admission(),
                 self._wallet(host),
                 placement,
                 open_targets,
@@ -441,14 +454,13 @@
             )
         )
 
+    def _admission(self):
+        return Admission(_Deployment(), self.shape.topic)
+
     def _decode(self, key, value):
         return next(each.entry for each in self.targets if each.entry.id == key)
 
 
-def _admission():
-    return Admission(_Deployment(), FreshTopic())
-
-
 def run_limited_fleet(scenario, *, seed=1, **shape):
     """Run a scenario with a fleet and return its result."""
 
--- a/tests/builders/store_paths.py
+++ b/tests/builders/store_paths.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from dandelioncleat.app.direct.topic_follower import CONFIRM_LIMIT_S
 from dandelioncleat.core.failure import Code, failure_error
 
 
@@ -15,6 +16,17 @@
         return True
 
 
+class SilentTopic:
+    """A topic of a store that does not answer."""
+
+    age_s = 9.0
+
+    async def confirm(self, *, max_age_s):
+        """Return that what is known is still as old, after a while."""
+        await asyncio.sleep(CONFIRM_LIMIT_S)
+        return False
+
+
 class LosingPath:
     """A way to the store that loses what is sent while it is silent.
 
