--- a/src/dandelioncleat/app/direct/run_context.py
+++ b/src/dandelioncleat/app/direct/run_context.py
@@ -59,7 +59,7 @@
         self.request = request
         self.admitted = admitted
         self.started_at = _now() if arrived_at is None else arrived_at
-        wait_s = request.wait_s or DEFAULT_WAIT_S
+        wait_s = DEFAULT_WAIT_S if request.wait_s is None else request.wait_s
         self.deadline = self.started_at + wait_s
         margin_s = min(ANSWER_MARGIN_S, ANSWER_MARGIN_SHARE * wait_s)
         self.answer_by = self.started_at + min(
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -341,6 +341,8 @@
     """Return why a request can't be served, before it takes tokens."""
     if stop is not None and not stop.admits(context):
         return _stopping()
+    if context.remaining_s <= 0:
+        return DirectRefusal(RefusalReason.NOT_IN_TIME)
     hopeless = hopeless_refusal(
         context, quarantine=parts.quarantine, open_targets=parts.open_targets
     )
--- a/tests/test_caller_time_limit.py
+++ b/tests/test_caller_time_limit.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from dandelioncleat.core.direct_request import RefusalReason
 from tests.builders.direct import run_with_fleet
 from tests.builders.limited_fleet import run_limited_fleet
 
@@ -62,3 +63,17 @@
 
         left_ms = run_with_fleet(scenario)
         self.assertLessEqual(left_ms, 4000 - 1000 * PAUSE_S)
+
+
+class OverdueRequestTest(testtools.TestCase):
+    """What came too late is not sent to a target."""
+
+    def test_target_runs_a_request_whose_caller_has_left(self):
+        async def scenario(fleet):
+            router = fleet.routers[0]
+            ended = await fleet.call(router, wait_s=0)
+            return ended.reply.refusal, fleet.targets[0].arrivals
+
+        refusal, arrivals = run_limited_fleet(scenario, routers=1, targets=1)
+        self.assertEqual((RefusalReason.NOT_IN_TIME, False), refusal[:2])
+        self.assertEqual([], arrivals)
