--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -7,6 +7,7 @@
 import argparse
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -48,7 +49,7 @@
         )
         record = fleets.Record(folder / f'record-{seed}.txt')
         os.environ['KEEP_LOGS'] = str(folder / f'logs-{seed}')
-        verdict = asyncio.run(play(record, plan))
+        verdict = asyncio.run(_play(record, plan))
         for each in (*verdict.lost, *verdict.overdue):
             record(
                 'lost' if each in verdict.lost else 'overdue', **_fields(each)
@@ -59,6 +60,13 @@
     sys.exit(int(is_broken))
 
 
+async def _play(record, plan):
+    """Play a plan; a soak that is told to end also ends its programs."""
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+    return await play(record, plan)
+
+
 def _fields(sent):
     fields = sent._asdict()
     kind = fields.pop('kind')
