Let one judge count repeats in tests and in the soak

The windows of the retry limit and the arrivals beyond the first were worked out twice, in the builders and in the soak; tests/builders/retry_judge.py serves both now, with the same bounds.

--- a/tests/builders/limited_fleet.py
+++ b/tests/builders/limited_fleet.py
@@ -50,6 +50,7 @@
 from tests.builders.direct import RecordedReply
 from tests.builders.logs import captured_lines
 from tests.builders.quarantine import new_quarantine
+from tests.builders.retry_judge import repeats_of
 from tests.builders.store_paths import FreshTopic
 from tests.builders.wallets import HostClock
 
@@ -337,16 +338,13 @@
 
     def arrivals_beyond_the_first(self):
         """Return the times of what reached targets once more, in order."""
-        arrivals = sorted(
-            each for target in self.targets for each in target.arrivals
+        return repeats_of(
+            [
+                (each.at, each.request)
+                for target in self.targets
+                for each in target.arrivals
+            ]
         )
-        seen = set()
-        times = []
-        for each in arrivals:
-            if each.request in seen:
-                times.append(each.at)
-            seen.add(each.request)
-        return times
 
     @property
     def routers(self):
--- a/tests/builders/retry_fleet.py
+++ b/tests/builders/retry_fleet.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from bisect import bisect_left
 from types import SimpleNamespace
 from typing import NamedTuple
 
@@ -10,6 +9,7 @@
 from dandelioncleat.app.direct.retry_budget import RetryBudget
 from dandelioncleat.core.retry_window import RetryLimits
 from tests.builders.logs import captured_lines
+from tests.builders.retry_judge import excess
 
 LIMITS = RetryLimits(ratio=0.2, slack=52, window_s=10)
 # A process hears of another one this long after it was listed.
@@ -80,7 +80,7 @@
 
     def excess(self):
         """Return by how much the worst window passes the fleet's limit."""
-        return excess(self.retries, self.requests)
+        return excess(self.retries, self.requests, LIMITS)
 
     def _serve(self, router):
         for _ in range(round(self._rate_per_s * STEP_S)):
@@ -109,29 +109,6 @@
             router.budget.set_routers(len(self._listed | {router.host}))
 
 
-def excess(retries, requests):
-    """Return by how much the worst window passes the fleet's limit.
-
-    :param retries: when retries arrived, in seconds, in order
-    :param requests: when requests were sent, in seconds
-    """
-    requests = sorted(requests)
-    return max(
-        (_excess_from(start, retries, requests) for start in retries),
-        default=0,
-    )
-
-
-def _excess_from(start, retries, requests):
-    # The users count the requests of this window or of earlier ones.
-    counted = max(
-        _count(requests, start - earlier_s)
-        for earlier_s in (0, LIMITS.window_s / 2, LIMITS.window_s)
-    )
-    allowed = LIMITS.ratio * counted + LIMITS.slack
-    return _count(retries, start) - allowed
-
-
 def play_retries(scenario, *, rate_per_s=50):
     """Run a scenario with a fleet; return the excess of retries."""
 
@@ -182,10 +159,5 @@
     asyncio.get_running_loop().call_later(LISTING_S, action, *arguments)
 
 
-def _count(times, start):
-    end = bisect_left(times, start + LIMITS.window_s)
-    return end - bisect_left(times, start)
-
-
 def _now():
     return asyncio.get_running_loop().time()
--- a/tests/soak/retry_judge.py
+++ b/tests/builders/retry_judge.py
@@ -7,6 +7,7 @@
 """
 
 from bisect import bisect_left
+from collections.abc import Iterator
 from typing import NamedTuple
 
 
@@ -18,8 +19,8 @@
     window_s: float
 
 
-class WorstWindow(NamedTuple):
-    """The window in which most of the limit was used.
+class RetriedWindow(NamedTuple):
+    """A window with repeats.
 
     ``begins_at`` is in seconds on the clock of the arrivals; ``used`` is the
     part of the limit that was used, above 1 if it was exceeded.
@@ -34,6 +35,11 @@
         """Return the used part of the limit."""
         return self.repeats / self.allowed
 
+    @property
+    def excess(self) -> float:
+        """Return the repeats beyond the limit, negative within it."""
+        return self.repeats - self.allowed
+
 
 def repeats_of(arrivals: list[tuple[float, str]]) -> list[float]:
     """Return when requests arrived that had arrived before.
@@ -51,21 +57,41 @@
 
 def worst_window(
     repeats: list[float], sent: list[float], limit: RetryLimit
-) -> WorstWindow:
+) -> RetriedWindow:
     """Return the window that uses most of the limit.
 
     :param repeats: when repeats arrived, in order, in seconds
     :param sent: when callers sent requests, in seconds
     """
+    return max(
+        _windows(repeats, sent, limit),
+        key=lambda window: window.used,
+        default=RetriedWindow(0, 0, limit.slack),
+    )
+
+
+def excess(repeats: list[float], sent: list[float], limit: RetryLimit) -> float:
+    """Return by how much the worst window passes the limit.
+
+    :param repeats: when repeats arrived, in order, in seconds
+    :param sent: when callers sent requests, in seconds
+    """
+    return max(
+        (window.excess for window in _windows(repeats, sent, limit)),
+        default=0,
+    )
+
+
+def _windows(
+    repeats: list[float], sent: list[float], limit: RetryLimit
+) -> Iterator[RetriedWindow]:
+    """Yield the windows that begin with a repeat."""
     sent = sorted(sent)
-    worst = WorstWindow(0, 0, limit.slack)
     for number, begins_at in enumerate(repeats):
         end = bisect_left(repeats, begins_at + limit.window_s)
-        window = WorstWindow(
+        yield RetriedWindow(
             begins_at, end - number, _allowed(sent, begins_at, limit)
         )
-        worst = max(worst, window, key=lambda each: each.used)
-    return worst
 
 
 def _allowed(sent: list[float], begins_at: float, limit: RetryLimit) -> float:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -39,7 +39,6 @@
     """The caller left at its own time limit, without a byte."""
     BROKEN = 'broken'
     """The caller left at its own time limit, inside an answer."""
-    UNSENT = 'unsent'
 
 
 class Sent(NamedTuple):
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -9,8 +9,8 @@
 import client
 import fleet as fleets
 
+from tests.builders.retry_judge import RetryLimit, repeats_of, worst_window
 from tests.soak.callers import Caller, End, Kind
-from tests.soak.retry_judge import RetryLimit, repeats_of, worst_window
 from tests.soak.standins import FaultyTarget, SilentStore
 from tests.soak.troubles import PLANNED, TROUBLES, source_of
 
@@ -92,12 +92,15 @@
         self.store = self.fleet.store = SilentStore(record)
         self.routers = self.fleet.routers
         self.targets = [
-            FaultyTarget(self.fleet, f'{service}-{number}', service)
+            FaultyTarget(
+                self.fleet,
+                f'{service}-{number}',
+                service,
+                is_model=service == MODEL,
+            )
             for service in (MODEL, APP)
             for number in range(plan.targets)
         ]
-        for target in self.targets:
-            target._is_model = target.service == MODEL
         self.disruptions = []
         self._version = 0
 
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -1,7 +1,6 @@
 """Stand-ins that misbehave: a store that falls silent, targets that fail."""
 
 import asyncio
-import random
 import time
 from enum import StrEnum
 
@@ -82,7 +81,6 @@
     def __init__(self, fleet, name, service, **options):
         """Initialise a sound target."""
         super().__init__(fleet, name, service, **options)
-        self.source = random.Random(name)
         self.late_s = 0.5
         self._mode = Mode.SOUND
         self._goes_on = asyncio.Event()
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -11,10 +11,10 @@
 from tests.builders.limited_fleet import run_limited_fleet
 from tests.builders.retry_fleet import (
     LIMITS,
-    excess,
     play_random_changes,
     play_retries,
 )
+from tests.builders.retry_judge import excess
 
 SEEDS = range(6)
 
@@ -89,7 +89,7 @@
             await fleet.play()
             requests = [each.began_at for each in fleet.ended]
             repeats = fleet.arrivals_beyond_the_first()
-            return excess(repeats, requests), len(repeats)
+            return excess(repeats, requests, LIMITS), len(repeats)
 
         return run_limited_fleet(scenario, documents=5, **options)
 
@@ -124,7 +124,7 @@
             await fleet.play(changes=[(15, begin), (15 + still_s, end)])
             requests = [each.began_at for each in fleet.ended]
             repeats = fleet.arrivals_beyond_the_first()
-            return excess(repeats, requests), len(repeats)
+            return excess(repeats, requests, LIMITS), len(repeats)
 
         return run_limited_fleet(
             scenario, targets=8, rate=60, duration_s=45, **options
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,8 +8,8 @@
 
 import testtools
 
+from tests.builders.retry_judge import RetryLimit, repeats_of, worst_window
 from tests.soak.play import Plan, play
-from tests.soak.retry_judge import RetryLimit, repeats_of, worst_window
 
 import fleet as fleets  # isort: skip  (found by the package of the soak)
 
