--- a/review/lib/servers.py
+++ b/review/lib/servers.py
@@ -42,10 +42,10 @@
         self.answer = None
         self.running = 0
 
-    async def start(self, *, beats=True):
+    async def start(self, *, beats=True, port=0):
         loop = asyncio.get_running_loop()
         self._web = web.Server(self._handle, handler_cancellation=True)
-        self._server = await loop.create_server(self._web, '127.0.0.1', 0)
+        self._server = await loop.create_server(self._web, '127.0.0.1', port)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f'127.0.0.1:{port}'
         self.register()
--- /dev/null
+++ b/src/dandelioncleat/app/direct/crash_detector.py
@@ -0,0 +1,246 @@
+"""Finds out whether targets whose answers were lost have crashed.
+
+A connection that breaks off may mean a crash, a reset, a cut or a planned end.
+What is at the target's address soon afterwards decides it at once if nothing
+listens there, or another target answers. A supervisor, a relay or a quick
+restart may answer in place of a crashed target, so the platform's list decides
+the rest:
+
+- The target has started again: it had crashed.
+- It goes on to write its entry: it lives.
+- Nothing at its address answered: it is presumed to have crashed, until it
+  writes its entry.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import NamedTuple, Protocol
+
+import structlog
+
+from dandelioncleat.app.direct.crash_mark import SIGN_DELAY_S
+from dandelioncleat.app.direct.lost_runs import LostRun, LostRuns, WatchedRun
+from dandelioncleat.core.crash_suspect import CrashSuspect
+from dandelioncleat.core.deployment import TargetEntry
+from dandelioncleat.core.direct_request import DirectRequest
+from dandelioncleat.ports.direct_target import DirectTargets, TargetStatus
+
+# The runs that one crash interrupts are reported within this time.
+PROBE_DELAY_S = 0.05
+# A target that lives writes its entry, and one that starts again is listed,
+# well within this time.
+UNDECIDED_LIMIT_S = 10.0
+# A crash may interrupt as many requests as a target runs.
+MAX_LOGGED_REQUESTS = 64
+MAX_LOGGED_PARTS = 16
+
+_logger = structlog.get_logger(__name__)
+
+
+class TargetList(Protocol):
+    """What the platform's list says about targets."""
+
+    def started_at(self, target: str) -> int | None:
+        """Return the newest known start of a target, ``None`` if unknown."""
+
+    def health_path(self, service: str) -> str | None:
+        """Return where a service's targets tell that they are healthy."""
+
+    def note_crash(self, start: str) -> None:
+        """Note that a start of a target has crashed, as any router found."""
+
+
+class CrashListener(NamedTuple):
+    """What is called as it is found out what happened.
+
+    ``on_crash`` records a crash and returns the keys of its records,
+    ``on_alive`` gets runs whose target lives, and the keys of records that
+    were wrong.
+    """
+
+    on_crash: Callable[[LostRuns], set[str]]
+    on_alive: Callable[[list[LostRun], set[str]], None]
+
+
+class CrashDetector:
+    """Decides for each start of a target that has lost answers."""
+
+    def __init__(
+        self,
+        targets: DirectTargets,
+        listed: TargetList,
+        listener: CrashListener,
+    ) -> None:
+        """Initialise with the client of targets and the platform's list."""
+        self._targets = targets
+        self._listed = listed
+        self._listener = listener
+        self._lost_by_start: dict[str, LostRuns] = {}
+        self._starts_by_target: dict[str, str] = {}
+        self._probes_by_start: dict[str, asyncio.Task[None]] = {}
+
+    @property
+    def is_undecided(self) -> bool:
+        """Return whether any target may have crashed."""
+        return bool(self._lost_by_start)
+
+    def note_lost(
+        self,
+        run: WatchedRun,
+        target: TargetEntry,
+        *,
+        has_begun: bool,
+        looks_whole: bool = False,
+        is_leaving: bool = False,
+    ) -> None:
+        """Find out whether the target of a lost answer has crashed.
+
+        :param has_begun: whether the answer had begun
+        :param looks_whole: whether the answer may be whole
+        :param is_leaving: whether the target was known to leave
+        """
+        start = target.start
+        lost = self._lost_by_start.get(start)
+        if lost is None:
+            lost = LostRuns(target, is_leaving=is_leaving)
+            self._lost_by_start[start] = lost
+            self._starts_by_target[target.id] = start
+            loop = asyncio.get_running_loop()
+            loop.call_later(UNDECIDED_LIMIT_S, self._give_up, lost)
+        if lost.add(LostRun(run, _now(), has_begun, looks_whole)):
+            self._probe_soon(lost)
+
+    def note_entry(self, entry: TargetEntry) -> None:
+        """Note that an entry of a target was read from the list."""
+        start = self._starts_by_target.get(entry.id)
+        lost = self._lost_by_start.get(start or '')
+        if lost is None or start in self._probes_by_start:
+            return
+        if entry.start == start:
+            self._note_alive(lost)
+        elif entry.started_at > lost.target.started_at:
+            self._decide_restarted(lost)
+
+    def note_sound(self, suspects: Iterable[CrashSuspect]) -> None:
+        """Note suspects that have run to a good end."""
+        keys = [each.key for each in suspects]
+        for lost in self._lost_by_start.values():
+            lost.note_sound(keys)
+
+    def may_have_crashed(self, suspect: CrashSuspect) -> bool:
+        """Return whether an undecided loss may be a crash under a suspect."""
+        return any(lost.holds(suspect) for lost in self._lost_by_start.values())
+
+    def close(self) -> None:
+        """End the probes."""
+        for probe in self._probes_by_start.values():
+            probe.cancel()
+
+    def _probe_soon(self, lost: LostRuns) -> None:
+        start = lost.target.start
+        if start in self._probes_by_start:
+            return
+        loop = asyncio.get_running_loop()
+        probe = loop.create_task(self._probe(lost))
+        self._probes_by_start[start] = probe
+        probe.add_done_callback(
+            lambda _probe: self._probes_by_start.pop(start, None)
+        )
+
+    async def _probe(self, lost: LostRuns) -> None:
+        target = lost.target
+        await asyncio.sleep(PROBE_DELAY_S)
+        path = self._listed.health_path(target.service)
+        status = await self._targets.status(target, path)
+        self._probes_by_start.pop(target.start, None)
+        if status is TargetStatus.ANSWERED:
+            lost.note_heard()
+        newest = self._listed.started_at(target.id)
+        is_restarted = newest is not None and newest > target.started_at
+        _log_probe(lost, status, is_restarted=is_restarted)
+        if status in {TargetStatus.REFUSED, TargetStatus.OTHER}:
+            self._decide_crashed(lost)
+        elif is_restarted:
+            self._decide_restarted(lost)
+        elif status is TargetStatus.SILENT and not lost.is_leaving:
+            _log_decision(lost, lost.runs, has_crashed=True)
+            lost.recorded_keys |= self._listener.on_crash(lost)
+
+    def _decide_restarted(self, lost: LostRuns) -> None:
+        """Decide about a target that is listed with a later start."""
+        if lost.is_leaving:
+            self._give_up(lost)
+        else:
+            self._decide_crashed(lost)
+
+    def _decide_crashed(self, lost: LostRuns) -> None:
+        self._forget(lost)
+        _log_decision(lost, lost.runs, has_crashed=True)
+        self._listener.on_crash(lost)
+
+    def _note_alive(self, lost: LostRuns) -> None:
+        """Note that the start has written its entry."""
+        runs = lost.take_before(_now() - SIGN_DELAY_S)
+        if not runs:
+            return
+        if not lost.runs:
+            self._forget(lost)
+        _log_decision(lost, runs, has_crashed=False)
+        wrong_keys = lost.recorded_keys
+        lost.recorded_keys = set()
+        self._listener.on_alive(runs, wrong_keys)
+
+    def _give_up(self, lost: LostRuns) -> None:
+        """Take the target of undecided losses as alive."""
+        if self._lost_by_start.get(lost.target.start) is not lost:
+            return
+        self._forget(lost)
+        if not lost.is_presumed:
+            self._listener.on_alive(lost.runs, set())
+
+    def _forget(self, lost: LostRuns) -> None:
+        start = lost.target.start
+        self._lost_by_start.pop(start, None)
+        if self._starts_by_target.get(lost.target.id) == start:
+            self._starts_by_target.pop(lost.target.id)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _log_probe(
+    lost: LostRuns, status: TargetStatus, *, is_restarted: bool
+) -> None:
+    _logger.info(
+        'target of lost answers probed',
+        target=lost.target.id,
+        start=lost.target.start,
+        status=status.value,
+        is_restarted=is_restarted,
+        is_leaving=lost.is_leaving,
+        runs=len(lost.runs),
+    )
+
+
+def _log_decision(
+    lost: LostRuns, runs: list[LostRun], *, has_crashed: bool
+) -> None:
+    log = _logger.warning if has_crashed else _logger.info
+    requests = [each.run.request for each in runs[:MAX_LOGGED_REQUESTS]]
+    log(
+        'target crashed' if has_crashed else 'target did not crash',
+        target=lost.target.id,
+        start=lost.target.start,
+        runs=len(runs),
+        begun=sum(each.has_begun for each in runs),
+        was_presumed=lost.is_presumed,
+        digests_by_request={each.id: each.digest for each in requests},
+        parts_by_request={each.id: _part_ids(each) for each in requests},
+    )
+
+
+def _part_ids(request: DirectRequest) -> list[str]:
+    if request.prompt is None:
+        return []
+    return [part.id for part in request.prompt.parts[:MAX_LOGGED_PARTS]]
--- a/src/dandelioncleat/app/direct/crash_quarantine.py
+++ b/src/dandelioncleat/app/direct/crash_quarantine.py
@@ -6,6 +6,12 @@
 
 import structlog
 
+from dandelioncleat.app.direct.crash_detector import (
+    CrashDetector,
+    CrashListener,
+    TargetList,
+)
+from dandelioncleat.app.direct.lost_runs import LostRun, LostRuns, WatchedRun
 from dandelioncleat.app.direct.shared_crash_records import SharedCrashRecords
 from dandelioncleat.core.crash_cause import (
     MIN_CRASHES,
@@ -13,12 +19,7 @@
     find_causes,
 )
 from dandelioncleat.core.crash_records import RECORD_AGE_S, CrashRecord
-from dandelioncleat.core.crash_suspect import (
-    CrashSuspect,
-    part_suspects,
-    request_suspect,
-    suspects_of,
-)
+from dandelioncleat.core.crash_suspect import CrashSuspect, suspects_of
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import DirectRequest
 from dandelioncleat.core.quarantine_trial import QuarantineTrials
@@ -27,26 +28,9 @@
 from dandelioncleat.ports.direct_target import DirectTargets
 from dandelioncleat.ports.store import KeyedStore
 
-# The runs that one crash interrupts are reported within this time.
-PROBE_DELAY_S = 0.05
-# A crash may interrupt as many requests as a target runs.
-MAX_LOGGED_REQUESTS = 64
-MAX_LOGGED_PARTS = 16
-
 _logger = structlog.get_logger(__name__)
 
 
-class WatchedRun(NamedTuple):
-    """A run of a request at a target.
-
-    ``repeated`` are the suspects under which another target had crashed, or
-    may have, when the run was sent.
-    """
-
-    request: DirectRequest
-    repeated: frozenset[CrashSuspect] = frozenset()
-
-
 class Quarantine(NamedTuple):
     """A refusal of a request that crashes targets."""
 
@@ -54,35 +38,8 @@
     left_s: float
 
 
-class _RunEnd(NamedTuple):
-    """The end of a run that a crash of its target may have caused.
-
-    ``has_begun`` says that the answer had begun, ``looks_whole`` that it may
-    be whole.
-    """
-
-    run: WatchedRun
-    has_begun: bool
-    looks_whole: bool = False
-
-    @property
-    def suspects(self) -> tuple[CrashSuspect, ...]:
-        """Return what may have caused a crash.
-
-        A part crashes its target as the answer begins, and not before.
-        """
-        if self.has_begun:
-            return suspects_of(self.run.request)
-        return (request_suspect(self.run.request),)
-
-
 class CrashQuarantine:
-    """Records what was running at targets when they crashed.
-
-    A connection that breaks off may mean a crash, a reset or a cut, and one
-    that ends an answer may mean a crash, too. A target that refuses a new
-    connection right afterwards has crashed.
-    """
+    """Records what was running at targets when they crashed."""
 
     def __init__(
         self,
@@ -92,22 +49,28 @@
         host: str,
         clock: Clock,
         cores_by_host: Callable[[], Mapping[str, float]],
+        listed: TargetList,
     ) -> None:
         """Initialise with the store and the client of targets.
 
         :param host: host of this router
         :param cores_by_host: returns the hosts of all routers
+        :param listed: what the platform's list says about targets
         """
         self._cores_by_host = cores_by_host
         self._trials = QuarantineTrials(host)
-        self._targets = targets
         self._clock = clock
-        self._records = SharedCrashRecords(store, host=host, clock=clock)
+        self._detector = CrashDetector(
+            targets,
+            listed,
+            CrashListener(self._add_crash, self._note_alive),
+        )
+        self._records = SharedCrashRecords(
+            store, host=host, clock=clock, on_crash=listed.note_crash
+        )
         self._causes_by_suspect: dict[str, CrashCause] = {}
         self._changes_seen = 0
         self._successes = RecentSuccesses()
-        self._ends_by_start: dict[str, list[_RunEnd]] = {}
-        self._probes: set[asyncio.Task[None]] = set()
 
     def find(self, request: DirectRequest) -> Quarantine | None:
         """Return the quarantine of a request, ``None`` if it may run."""
@@ -123,42 +86,70 @@
         return None
 
     def watch(
-        self, request: DirectRequest, *, is_after_loss: bool
+        self,
+        request: DirectRequest,
+        *,
+        is_after_loss: bool,
+        is_after_crash: bool = False,
     ) -> WatchedRun:
         """Return a run that is about to be sent to a target.
 
         :param is_after_loss: whether an earlier answer to the request was lost
+        :param is_after_crash: whether the target is known to have crashed
         """
-        known = self._records.known
-        if is_after_loss:
-            return WatchedRun(request, frozenset(suspects_of(request)))
-        if not known:
-            return WatchedRun(request)
-        repeated = (each for each in suspects_of(request) if known.has(each))
-        return WatchedRun(request, frozenset(repeated))
+        return WatchedRun(
+            request,
+            self._repeated(request, is_after_loss=is_after_loss),
+            sent_at=_now(),
+            is_after_crash=is_after_crash,
+        )
 
     def note_lost(
-        self, run: WatchedRun, target: TargetEntry, *, has_begun: bool = True
+        self,
+        run: WatchedRun,
+        target: TargetEntry,
+        *,
+        has_begun: bool = True,
+        is_leaving: bool = False,
     ) -> None:
         """Find out whether the target of a lost answer has crashed.
 
         :param has_begun: whether the answer had begun
+        :param is_leaving: whether the target was known to leave
         """
-        self._probe_soon(_RunEnd(run, has_begun), target)
+        self._detector.note_lost(
+            run, target, has_begun=has_begun, is_leaving=is_leaving
+        )
 
-    def note_closed(self, run: WatchedRun, target: TargetEntry) -> None:
+    def note_closed(
+        self, run: WatchedRun, target: TargetEntry, *, is_leaving: bool = False
+    ) -> None:
         """Find out whether an answer that ended by its connection is whole.
 
         It counts as a success only if the target has not crashed.
+
+        :param is_leaving: whether the target was known to leave
         """
-        self._probe_soon(_RunEnd(run, has_begun=True, looks_whole=True), target)
+        self._detector.note_lost(
+            run,
+            target,
+            has_begun=True,
+            looks_whole=True,
+            is_leaving=is_leaving,
+        )
+
+    def note_entry(self, entry: TargetEntry) -> None:
+        """Note that an entry of a target was read from the list."""
+        self._detector.note_entry(entry)
 
     def note_delivered(self, request: DirectRequest) -> None:
         """Withdraw what was recorded of all that has now succeeded."""
-        self._successes.note(part_suspects(request.prompt), _now())
+        suspects = suspects_of(request)
+        self._successes.note(suspects, _now())
+        self._detector.note_sound(suspects)
         if not self._records.known:
             return
-        keys = self._records.known.keys_of(suspects_of(request))
+        keys = self._records.known.keys_of(suspects)
         if keys:
             _logger.info(
                 'crash records withdrawn',
@@ -173,8 +164,7 @@
         try:
             await self._records.run()
         finally:
-            for probe in self._probes:
-                probe.cancel()
+            self._detector.close()
 
     def _causes(self) -> dict[str, CrashCause]:
         known = self._records.known
@@ -213,44 +203,47 @@
         )
         return True
 
-    def _probe_soon(self, end: _RunEnd, target: TargetEntry) -> None:
-        start = target.start
-        ends = self._ends_by_start.get(start)
-        if ends is not None:
-            ends.append(end)
-            return
-        self._ends_by_start[start] = [end]
-        probe = asyncio.get_running_loop().create_task(self._probe(target))
-        self._probes.add(probe)
-        probe.add_done_callback(self._probes.discard)
-
-    async def _probe(self, target: TargetEntry) -> None:
-        await asyncio.sleep(PROBE_DELAY_S)
-        has_crashed = await self._targets.refuses_connections(target)
-        start = target.start
-        ends = self._ends_by_start.pop(start)
-        _log_probe(target, ends, has_crashed=has_crashed)
-        if has_crashed:
-            self._add_crash(start, ends)
-            return
-        for end in ends:
-            if end.looks_whole:
-                self.note_delivered(end.run.request)
+    def _repeated(
+        self, request: DirectRequest, *, is_after_loss: bool
+    ) -> frozenset[CrashSuspect]:
+        """Return the suspects under which a target may have crashed."""
+        if is_after_loss:
+            return frozenset(suspects_of(request))
+        if not self._records.known and not self._detector.is_undecided:
+            return frozenset()
+        suspects = suspects_of(request)
+        known = self._records.known
+        return frozenset(
+            each
+            for each in suspects
+            if known.has(each) or self._detector.may_have_crashed(each)
+        )
 
-    def _add_crash(self, start: str, ends: list[_RunEnd]) -> None:
+    def _add_crash(self, lost: LostRuns) -> set[str]:
+        """Record a crash; return the keys of its records."""
         now = self._clock.wall()
-        self._records.add(
+        records = [
             CrashRecord(
                 suspect.key,
-                start,
+                lost.target.start,
                 now,
                 suspect.depth,
-                suspect in end.run.repeated,
+                suspect in each.run.repeated,
             )
-            for end in ends
-            for suspect in end.suspects
-            if not self._successes.has(suspect, _now())
-        )
+            for each in lost.runs
+            for suspect in each.suspects
+            if not lost.is_sound(suspect)
+            and not self._successes.has(suspect, each.lost_at)
+        ]
+        self._records.add(records)
+        return {record.key for record in records}
+
+    def _note_alive(self, runs: list[LostRun], wrong_keys: set[str]) -> None:
+        """Note that a target lives that had lost some runs."""
+        self._records.withdraw(wrong_keys)
+        for each in runs:
+            if each.looks_whole:
+                self.note_delivered(each.run.request)
 
 
 def _now() -> float:
@@ -269,28 +262,6 @@
     )
 
 
-def _log_probe(
-    target: TargetEntry, ends: list[_RunEnd], *, has_crashed: bool
-) -> None:
-    requests = [each.run.request for each in ends[:MAX_LOGGED_REQUESTS]]
-    log = _logger.warning if has_crashed else _logger.info
-    log(
-        'target crashed' if has_crashed else 'target did not crash',
-        target=target.id,
-        start=target.start,
-        runs=len(ends),
-        begun=sum(each.has_begun for each in ends),
-        digests_by_request={each.id: each.digest for each in requests},
-        parts_by_request={each.id: _part_ids(each) for each in requests},
-    )
-
-
-def _part_ids(request: DirectRequest) -> list[str]:
-    if request.prompt is None:
-        return []
-    return [part.id for part in request.prompt.parts[:MAX_LOGGED_PARTS]]
-
-
 def _part_id(request: DirectRequest, suspect: CrashSuspect) -> str | None:
     """Return the id of a suspected part, ``None`` for a whole request."""
     if suspect.is_request or request.prompt is None:
--- /dev/null
+++ b/src/dandelioncleat/app/direct/lost_runs.py
@@ -0,0 +1,117 @@
+"""Runs whose targets may have crashed, until that is known."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from dandelioncleat.core.crash_suspect import (
+    CrashSuspect,
+    request_suspect,
+    suspects_of,
+)
+from dandelioncleat.core.deployment import TargetEntry
+from dandelioncleat.core.direct_request import DirectRequest
+
+
+class WatchedRun(NamedTuple):
+    """A run of a request at a target.
+
+    ``repeated`` are the suspects under which another target had crashed, or
+    may have, when the run was sent, at ``sent_at``, an event loop time in
+    seconds. ``is_after_crash`` says that the target was known to have crashed
+    by then.
+    """
+
+    request: DirectRequest
+    repeated: frozenset[CrashSuspect] = frozenset()
+    sent_at: float = float('-inf')
+    is_after_crash: bool = False
+
+
+class LostRun(NamedTuple):
+    """A run that a crash of its target may have ended.
+
+    ``lost_at`` is an event loop time in seconds. ``has_begun`` says that the
+    answer had begun, ``looks_whole`` that it may be whole.
+    """
+
+    run: WatchedRun
+    lost_at: float
+    has_begun: bool
+    looks_whole: bool = False
+
+    @property
+    def suspects(self) -> tuple[CrashSuspect, ...]:
+        """Return what may have caused a crash.
+
+        A part crashes its target as the answer begins, and not before.
+        """
+        if self.has_begun:
+            return suspects_of(self.run.request)
+        return (request_suspect(self.run.request),)
+
+
+class LostRuns:
+    """The runs that one start of a target has lost.
+
+    ``recorded_keys`` are the crash records of a target that is presumed to
+    have crashed, which may still turn out to be wrong. ``silent_since`` is
+    when the first answer was lost since the target was last heard, an event
+    loop time in seconds.
+    """
+
+    def __init__(self, target: TargetEntry, *, is_leaving: bool) -> None:
+        """Start without a run.
+
+        :param is_leaving: whether the target was leaving, which also ends
+            its answers
+        """
+        self.target = target
+        self.is_leaving = is_leaving
+        self.runs: list[LostRun] = []
+        self.recorded_keys: set[str] = set()
+        self.silent_since = float('inf')
+        self._sound_keys: set[str] = set()
+
+    @property
+    def is_presumed(self) -> bool:
+        """Return whether the target is presumed to have crashed."""
+        return bool(self.recorded_keys)
+
+    def add(self, lost: LostRun) -> bool:
+        """Add a run, unless the target may have crashed before it was sent.
+
+        Returns whether it was added.
+        """
+        is_later = lost.run.sent_at > self.silent_since
+        if not lost.has_begun and (is_later or lost.run.is_after_crash):
+            return False
+        if is_later:
+            self.note_heard()
+        self.runs.append(lost)
+        self.silent_since = min(self.silent_since, lost.lost_at)
+        return True
+
+    def note_heard(self) -> None:
+        """Note that the target has answered since the last loss."""
+        self.silent_since = float('inf')
+
+    def note_sound(self, keys: Iterable[str]) -> None:
+        """Note suspects that have run to a good end elsewhere."""
+        self._sound_keys.update(keys)
+
+    def is_sound(self, suspect: CrashSuspect) -> bool:
+        """Return whether a suspect has succeeded since the loss."""
+        return suspect.key in self._sound_keys
+
+    def take_before(self, moment: float) -> list[LostRun]:
+        """Remove and return the runs that were lost before a moment.
+
+        :param moment: an event loop time in seconds
+        """
+        taken = [each for each in self.runs if each.lost_at < moment]
+        self.runs = [each for each in self.runs if each.lost_at >= moment]
+        return taken
+
+    def holds(self, suspect: CrashSuspect) -> bool:
+        """Return whether a crash may have been under a suspect."""
+        return any(suspect in each.suspects for each in self.runs)
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -10,10 +10,7 @@
 
 from dandelioncleat.app.direct.admission import Admission, Admitted
 from dandelioncleat.app.direct.attempt import AttemptOutcome, run_attempt
-from dandelioncleat.app.direct.crash_quarantine import (
-    CrashQuarantine,
-    WatchedRun,
-)
+from dandelioncleat.app.direct.crash_quarantine import CrashQuarantine
 from dandelioncleat.app.direct.ending import (
     STOPPING_RETRY_S,
     end_at_stop,
@@ -23,6 +20,7 @@
 )
 from dandelioncleat.app.direct.forwarding import Forwarding
 from dandelioncleat.app.direct.hopeless import hopeless_refusal
+from dandelioncleat.app.direct.lost_runs import WatchedRun
 from dandelioncleat.app.direct.open_requests import (
     OpenRequests,
     RequestEndedError,
@@ -34,9 +32,9 @@
 from dandelioncleat.app.direct.run_context import RunContext
 from dandelioncleat.app.direct.stream_origins import StreamOrigins
 from dandelioncleat.app.direct.target_limits import TargetLimits
+from dandelioncleat.app.direct.target_state import TargetState
 from dandelioncleat.app.direct.topic_age import rounded_age_s
 from dandelioncleat.app.direct.wallet import ReservationOutcome, Wallet
-from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import (
     DirectRefusal,
     DirectRequest,
@@ -257,7 +255,9 @@
         self._parts.placement.log_choice(context, choice)
         quarantine = self._parts.quarantine
         run = quarantine.watch(
-            context.request, is_after_loss=context.has_lost_answer
+            context.request,
+            is_after_loss=context.has_lost_answer,
+            is_after_crash=state.crash_mark.is_set,
         )
         with self._parts.telemetry.span(
             'direct.attempt', target=state.entry.id
@@ -271,7 +271,7 @@
                 limits=self._parts.limits,
             )
         _report_outcome(
-            context, run, state.entry, outcome=outcome, quarantine=quarantine
+            context, run, state, outcome=outcome, quarantine=quarantine
         )
         return outcome
 
@@ -374,7 +374,7 @@
 def _report_outcome(
     context: RunContext,
     run: WatchedRun,
-    target: TargetEntry,
+    state: TargetState,
     *,
     outcome: AttemptOutcome,
     quarantine: CrashQuarantine,
@@ -382,14 +382,19 @@
     """Tell the quarantine how an attempt ended."""
     head = context.answer_head
     if outcome is AttemptOutcome.LOST:
-        quarantine.note_lost(run, target, has_begun=head is not None)
+        quarantine.note_lost(
+            run,
+            state.entry,
+            has_begun=head is not None,
+            is_leaving=state.is_leaving,
+        )
     if outcome is not AttemptOutcome.DELIVERED or head is None:
         return
     if head.is_error:
         # The target may have refused the request before it ran.
         return
     if head.is_close_delimited:
-        quarantine.note_closed(run, target)
+        quarantine.note_closed(run, state.entry, is_leaving=state.is_leaving)
     else:
         quarantine.note_delivered(run.request)
 
--- a/src/dandelioncleat/app/direct/shared_crash_records.py
+++ b/src/dandelioncleat/app/direct/shared_crash_records.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 import structlog
@@ -30,12 +30,21 @@
 class SharedCrashRecords:
     """Keeps the records of all routers, and writes those of this one."""
 
-    def __init__(self, store: KeyedStore, *, host: str, clock: Clock) -> None:
+    def __init__(
+        self,
+        store: KeyedStore,
+        *,
+        host: str,
+        clock: Clock,
+        on_crash: Callable[[str], None],
+    ) -> None:
         """Initialise with the store.
 
         :param host: host of this router
+        :param on_crash: called with the start of a target that has crashed
         """
         self.known = CrashRecords()
+        self._on_crash = on_crash
         self._clock = clock
         self._source = random.Random(host)
         self._own_keys: set[str] = set()
@@ -53,7 +62,7 @@
         """Add what this router has seen."""
         records_by_key = {each.key: each for each in records}
         for record in records_by_key.values():
-            self.known.put(record)
+            self._note(record)
         self._own_keys.update(records_by_key)
         self._writer.put(records_by_key)
 
@@ -99,7 +108,13 @@
                 reason=str(error),
             )
         else:
-            self.known.put(record)
+            self._note(record)
+
+    def _note(self, record: CrashRecord) -> None:
+        is_new = self.known.get(record.key) is None
+        self.known.put(record)
+        if is_new:
+            self._on_crash(record.start)
 
     async def _expire(self) -> None:
         while True:
--- a/src/dandelioncleat/app/direct/target_directory.py
+++ b/src/dandelioncleat/app/direct/target_directory.py
@@ -33,11 +33,14 @@
         decode: DecodeTarget,
         *,
         silence_s: Callable[[], float],
+        on_entry: Callable[[TargetEntry], None] | None = None,
     ) -> None:
         """Initialise with a decoder of the platform's entries.
 
         :param silence_s: returns the time since the store last answered
+        :param on_entry: called with each entry that is read and not outdated
         """
+        self._on_entry = on_entry
         self._decode = decode
         self._silence_s = silence_s
         self._states_by_id: dict[str, TargetState] = {}
@@ -45,15 +48,15 @@
         self._held = HeldEntries(
             on_release=partial(self._apply_record, is_held=True)
         )
-        self._services_by_name: Mapping[str, Service] = {}
+        self.services_by_name: Mapping[str, Service] = {}
         self._grace_until = float('-inf')
         self._past_versions = PastVersions()
 
     def set_services(self, services_by_name: Mapping[str, Service]) -> None:
         """Set the services of the current configuration."""
-        self._services_by_name = services_by_name
+        self.services_by_name = services_by_name
         for state in self._states_by_id.values():
-            state.kv_tokens = self._kv_tokens(state.entry.service)
+            state.kv_tokens = _kv_tokens(services_by_name, state.entry)
 
     def available(self, service: str) -> list[TargetState]:
         """Return the targets of a service that accept new requests."""
@@ -78,6 +81,10 @@
             if state.entry.service == service
         }
 
+    def state(self, target: str) -> TargetState | None:
+        """Return the state of a target, ``None`` if it is not listed."""
+        return self._states_by_id.get(target)
+
     @property
     def starts(self) -> set[str]:
         """Return the starts of all listed targets."""
@@ -126,8 +133,10 @@
         is_late = self._removed.is_outdated(entry) or _is_late(entry, known)
         if is_late and not is_held:
             _log_late(entry)
-        else:
-            self._set(entry)
+            return
+        self._set(entry)
+        if self._on_entry is not None and not is_held:
+            self._on_entry(entry)
 
     def _set(self, entry: TargetEntry) -> None:
         known = self._known_start(entry)
@@ -139,6 +148,8 @@
                 _log_entry(entry)
                 self._past_versions.note_end(known.entry, _now())
             known.entry = entry
+            known.is_removed = False
+            known.crash_mark.note_sign_of_life(_now())
             self._states_by_id[entry.id] = known
             return
         _log_entry(entry)
@@ -146,7 +157,7 @@
         if replaced is not None:
             self._past_versions.note_end(replaced.entry, _now())
         self._states_by_id[entry.id] = TargetState(
-            entry, kv_tokens=self._kv_tokens(entry.service)
+            entry, kv_tokens=_kv_tokens(self.services_by_name, entry)
         )
 
     def _known_start(self, entry: TargetEntry) -> TargetState | None:
@@ -180,13 +191,17 @@
             return
         _logger.info('target gone', target=target)
         self._past_versions.note_end(state.entry, _now())
+        state.is_removed = True
         self._removed.add(state)
 
-    def _kv_tokens(self, service: str) -> int:
-        known = self._services_by_name.get(service)
-        if known is None or known.engine is None:
-            return 0
-        return known.engine.kv_tokens
+
+def _kv_tokens(
+    services_by_name: Mapping[str, Service], entry: TargetEntry
+) -> int:
+    known = services_by_name.get(entry.service)
+    if known is None or known.engine is None:
+        return 0
+    return known.engine.kv_tokens
 
 
 def _is_late(entry: TargetEntry, known: TargetState | None) -> bool:
--- a/src/dandelioncleat/app/direct/target_state.py
+++ b/src/dandelioncleat/app/direct/target_state.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 
+from dandelioncleat.app.direct.crash_mark import CrashMark
 from dandelioncleat.app.direct.target_wishes import TargetWishes
 from dandelioncleat.app.direct.unread_retries import UnreadRetries
 from dandelioncleat.core.deployment import TargetEntry
@@ -28,6 +29,7 @@
 
     ``next_due_at`` is when its limit would have the router send the next
     request, if requests were evenly spaced; an event loop time in seconds.
+    ``is_removed`` says that the target is not listed any more.
     """
 
     def __init__(self, entry: TargetEntry, *, kv_tokens: int) -> None:
@@ -45,12 +47,19 @@
         self.wishes = TargetWishes(entry.id)
         self.unread_retries = UnreadRetries()
         self.next_due_at = float('-inf')
+        self.is_removed = False
+        self.crash_mark = CrashMark()
 
     @property
     def accepts_new(self) -> bool:
         """Return whether the target neither drains nor leaves."""
         return not (self.entry.is_draining or self.wishes.is_leaving)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the target leaves, or was removed from the list."""
+        return self.is_removed or not self.accepts_new
+
     @property
     def running(self) -> int:
         """Return the number of this router's requests at the target."""
@@ -58,7 +67,7 @@
 
     def is_paused(self, now: float) -> bool:
         """Return whether the target should not be used for now."""
-        return now < self._paused_until
+        return now < self._paused_until or self.crash_mark.is_set
 
     def occupancy_age_s(self, now: float) -> float | None:
         """Return the age of the target's last load report, in seconds."""
@@ -109,6 +118,7 @@
         self, occupancy: TargetOccupancy | None, now: float
     ) -> None:
         """Note a successful answer and the load that it reported."""
+        self.crash_mark.note_sign_of_life(now)
         self._failures = 0
         self._paused_until = float('-inf')
         if occupancy is not None:
--- a/src/dandelioncleat/core/crash_cause.py
+++ b/src/dandelioncleat/core/crash_cause.py
@@ -11,6 +11,9 @@
   under a part some must be of runs that were sent after an earlier one.
 - A cause explains its crashes. They don't count against what ran beside it,
   nor against a part that all prompts of a route begin with.
+- A request doesn't explain the crashes under another one: several may crash
+  targets at the same time, and a sound one that ran beside them succeeds when
+  it is sent again.
 """
 
 from collections import defaultdict
@@ -60,10 +63,15 @@
         """Return the number of crashes, and how specific the suspect is."""
         return self._moments(self.at_by_start), self.depth
 
+    @property
+    def is_request(self) -> bool:
+        """Return whether the suspect is a whole request."""
+        return self.depth == REQUEST_DEPTH
+
     @property
     def is_conclusive(self) -> bool:
         """Return whether the suspect must be the cause."""
-        if self.depth == REQUEST_DEPTH:
+        if self.is_request:
             return len(self.at_by_start) >= MIN_CRASHES
         if self._moments(self.at_by_start) < MIN_CRASHES:
             return False
@@ -101,17 +109,32 @@
     The suspects with most crashes are causes, of these the most specific; the
     crashes that they explain are left out for all others.
     """
+    evidence = _evidence(records)
     causes_by_suspect: dict[str, CrashCause] = {}
-    left = _evidence(records)
+    left = evidence
+    explained_by_parts: frozenset[str] = frozenset()
     worst = _worst(left)
     while worst:
         causes_by_suspect.update((each.suspect, each.cause()) for each in worst)
-        explained = frozenset[str]().union(*(each.starts for each in worst))
+        explained_by_parts |= _starts(worst, of_requests=False)
+        explained = _starts(worst, of_requests=True) | explained_by_parts
         left = [each.without(explained) for each in left]
         worst = _worst(left)
+    for each in evidence:
+        own = each.without(explained_by_parts)
+        if own.is_request and own.is_conclusive:
+            causes_by_suspect.setdefault(own.suspect, own.cause())
     return causes_by_suspect
 
 
+def _starts(evidence: list[_Evidence], *, of_requests: bool) -> frozenset[str]:
+    """Return the starts that crashed under requests, or under parts."""
+    starts = (
+        each.starts for each in evidence if each.is_request == of_requests
+    )
+    return frozenset[str]().union(*starts)
+
+
 def _worst(evidence: list[_Evidence]) -> list[_Evidence]:
     """Return the conclusive evidence of the greatest weight."""
     conclusive = [each for each in evidence if each.is_conclusive]
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -16,6 +16,7 @@
 from dandelioncleat.app.direct.failover_store import FailoverStore
 from dandelioncleat.app.direct.forwarding import Forwarding
 from dandelioncleat.app.direct.gateway_store import GatewayStore
+from dandelioncleat.app.direct.listed_targets import ListedTargets
 from dandelioncleat.app.direct.open_targets import OpenTargets
 from dandelioncleat.app.direct.placement import Placement
 from dandelioncleat.app.direct.process_directory import (
@@ -165,7 +166,9 @@
         )
         self._admission = Admission(self._deployment, self.configuration_topic)
         self._directory = TargetDirectory(
-            decode_target, silence_s=lambda: self._targets_topic.silence_s
+            decode_target,
+            silence_s=lambda: self._targets_topic.silence_s,
+            on_entry=lambda entry: self._quarantine.note_entry(entry),
         )
         self._targets_topic = TopicFollower(
             store,
@@ -202,6 +205,7 @@
             host=settings.host,
             clock=SystemClock(),
             cores_by_host=lambda: self._processes.cores_by_router_host,
+            listed=ListedTargets(self._directory),
         )
         self._origins = StreamOrigins(
             store, host=settings.host, clock=SystemClock()
--- a/src/dandelioncleat/platform/targets.py
+++ b/src/dandelioncleat/platform/targets.py
@@ -31,9 +31,13 @@
     CONNECT_STEP,
     TargetOccupancy,
     TargetRequest,
+    TargetStatus,
 )
 
 CONNECT_TIMEOUT_S = 0.5
+# A connection may take as long as for a request; a target that lives answers
+# within some tens of ms.
+STATUS_TIMEOUT_S = CONNECT_TIMEOUT_S + 0.3
 # Targets close idle connections after a timeout of their own.
 POOL_IDLE_S = 2.0
 ANSWER_STEP = 'answer'
@@ -123,19 +127,26 @@
         async with _open(call) as answer:
             yield answer
 
-    async def refuses_connections(self, target: TargetEntry) -> bool:
-        """Return whether nothing listens at a target's address."""
-        host, _, port = target.address.rpartition(':')
+    async def status(
+        self, target: TargetEntry, path: str | None
+    ) -> TargetStatus:
+        """Return what is at a target's address now."""
+        path = path or '/'
+        url = URL(f'http://{target.address}{path}', encoded=True)
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except ConnectionRefusedError:
-            return True
-        except OSError:
-            # A time-out, too: a host that is cut off says nothing.
-            return False
-        writer.close()
-        return False
+            async with asyncio.timeout(STATUS_TIMEOUT_S):
+                async with self._unpooled.get(
+                    url, allow_redirects=False
+                ) as response:
+                    return _status(response, target)
+        except aiohttp.ClientConnectorError as error:
+            is_refused = isinstance(error.os_error, ConnectionRefusedError)
+            return TargetStatus.REFUSED if is_refused else TargetStatus.UNKNOWN
+        except aiohttp.ConnectionTimeoutError:
+            # A host that is cut off says nothing.
+            return TargetStatus.UNKNOWN
+        except _ERRORS:
+            return TargetStatus.SILENT
 
     async def close(self) -> None:
         """Close every connection."""
@@ -329,6 +340,14 @@
     )
 
 
+def _status(
+    response: aiohttp.ClientResponse, target: TargetEntry
+) -> TargetStatus:
+    named = response.headers.get(names.TARGET_ID, target.id)
+    is_own = named == target.id
+    return TargetStatus.ANSWERED if is_own else TargetStatus.OTHER
+
+
 def _is_close_delimited(response: aiohttp.ClientResponse) -> bool:
     """Return whether the body ends with the connection (RFC 9112, 6.3)."""
     if response.method == 'HEAD' or response.status in _BODILESS_STATUSES:
--- a/src/dandelioncleat/ports/direct_target.py
+++ b/src/dandelioncleat/ports/direct_target.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
+from enum import StrEnum
 from typing import NamedTuple, Protocol
 
 from dandelioncleat.core.deployment import TargetEntry
@@ -64,6 +65,21 @@
         """Yield the body; raises ``FailureError`` if it breaks off."""
 
 
+class TargetStatus(StrEnum):
+    """What is at the address of a target."""
+
+    REFUSED = 'refused'
+    """Nothing listens."""
+    ANSWERED = 'answered'
+    """The target answered, or something that does not tell its id."""
+    OTHER = 'other'
+    """Another target answered."""
+    SILENT = 'silent'
+    """A connection was accepted, and nothing answered."""
+    UNKNOWN = 'unknown'
+    """No connection could be opened, as behind a cut."""
+
+
 class DirectTargets(Protocol):
     """Sends requests to targets.
 
@@ -76,8 +92,14 @@
     ) -> AbstractAsyncContextManager[TargetAnswer]:
         """Send a request; leaving the block early stops the run."""
 
-    async def refuses_connections(self, target: TargetEntry) -> bool:
-        """Return whether nothing listens at a target's address."""
+    async def status(
+        self, target: TargetEntry, path: str | None
+    ) -> TargetStatus:
+        """Return what is at a target's address now.
+
+        :param path: where it tells that it is healthy; ``None`` to find out
+            only whether anything listens
+        """
 
     def forward(
         self, request: DirectRequest, address: str, *, remaining_s: float
--- a/tests/builders/crash_storm.py
+++ b/tests/builders/crash_storm.py
@@ -11,6 +11,7 @@
     ModelPrompt,
     PromptPart,
 )
+from dandelioncleat.ports.direct_target import TargetStatus
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore
 from tests.builders.quarantine import new_quarantine
 
@@ -82,9 +83,11 @@
             for n in range(shape.routers)
         ]
 
-    async def refuses_connections(self, entry):
+    async def status(self, entry, path):
         """Return whether a start has crashed."""
-        return all(start.entry != entry for start in self._starts)
+        if any(start.entry == entry for start in self._starts):
+            return TargetStatus.ANSWERED
+        return TargetStatus.REFUSED
 
     async def play(self):
         """Play the storm and return what happened."""
--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -19,7 +19,7 @@
     GatewaySettings,
 )
 from dandelioncleat.daemons.store_gateway import GatewaySockets, StoreGateway
-from dandelioncleat.platform.names import CACHE_EVENTS_PATH
+from dandelioncleat.platform.names import CACHE_EVENTS_PATH, TARGET_ID
 from dandelioncleat.platform.status_page import StatusPage
 from dandelioncleat.platform.store_standin import new_store_application
 from dandelioncleat.ports.telemetry import NullTelemetry
@@ -27,6 +27,7 @@
 from tests.builders.store_paths import StorePath
 
 KEY = 'k-1'
+HEALTH_PATH = '/health'
 HOST = 'api.example'
 MODEL_HEADERS = {
     'Model': 'm',
@@ -68,10 +69,10 @@
             route('/single/', 'streaming', 'llm', maxAttempts=1),
         ],
         'services': [
-            {'name': 'app', 'healthPath': '/health', 'maxConnections': 9},
+            {'name': 'app', 'healthPath': HEALTH_PATH, 'maxConnections': 9},
             {
                 'name': 'llm',
-                'healthPath': '/health',
+                'healthPath': HEALTH_PATH,
                 'maxConnections': 9,
                 'engine': {'slots': 8, 'kvCapacity': 90000, 'stride': 5},
             },
@@ -99,6 +100,7 @@
         self.bodies = []
         self.cancelled = asyncio.Event()
         self.polls = 0
+        self.status_checks = 0
         self.poll_status = 404
         self.poll_headers = {}
         self.limit_per_s = None
@@ -131,6 +133,10 @@
         }
 
     async def _handle(self, request):
+        if request.path == HEALTH_PATH:
+            # The router asks for it after a lost answer.
+            self.status_checks += 1
+            return web.Response(headers={TARGET_ID: self.name})
         if request.path == CACHE_EVENTS_PATH:
             # The router polls on its own schedule, beside the requests.
             self.polls += 1
@@ -479,12 +485,12 @@
             new_store_application(self.store_path)
         )
         await self._store_runner.setup()
-        sock = _listener()
+        sock = listener()
         self._store_address = _address(sock)
         await web.SockSite(self._store_runner, sock).start()
 
     async def _start_gateway(self):
-        sockets = GatewaySockets(_listener(), _listener())
+        sockets = GatewaySockets(listener(), listener())
         addresses = [_address(sock) for sock in sockets]
         self.gateway = StoreGateway(
             GatewaySettings(
@@ -500,7 +506,7 @@
         )
         self._gateway_task = asyncio.ensure_future(self.gateway.run())
         self._gateways = (addresses[0],)
-        self._store_address = _address(_listener())
+        self._store_address = _address(listener())
 
     async def _stop_gateway(self):
         self._gateway_task.cancel()
@@ -516,7 +522,7 @@
         await self.ready()
 
     async def _start_router(self, host='h1'):
-        sockets = Sockets(_listener(), _listener(), _listener())
+        sockets = Sockets(listener(), listener(), listener())
         addresses = [_address(sock) for sock in sockets]
         self._url = f'http://{addresses[0]}'
         self.router = DirectRouter(
@@ -631,7 +637,8 @@
     return RawAnswer(head, body, was_reset)
 
 
-def _listener():
+def listener():
+    """Return a socket that listens on loopback, at a free port."""
     return socket.create_server(('127.0.0.1', 0))
 
 
--- a/tests/builders/limited_fleet.py
+++ b/tests/builders/limited_fleet.py
@@ -45,6 +45,7 @@
 from dandelioncleat.core.keyed_record import KeyedRecord
 from dandelioncleat.core.retry_window import RetryLimits
 from dandelioncleat.platform.notices import target_notice
+from dandelioncleat.ports.direct_target import TargetStatus
 from dandelioncleat.ports.telemetry import NullTelemetry
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore
 from tests.builders.direct import RecordedReply
@@ -214,8 +215,8 @@
         await self._routers_by_host[address].serve(forwarded, reply)
         yield _Answer({}, refusal=reply.refusal)
 
-    async def refuses_connections(self, entry):
-        return False
+    async def status(self, entry, path):
+        return TargetStatus.ANSWERED
 
 
 class _Deployment:
--- a/tests/builders/quarantine.py
+++ b/tests/builders/quarantine.py
@@ -3,13 +3,12 @@
 import asyncio
 
 from dandelioncleat.adapters.virtual_time import run
-from dandelioncleat.app.direct.crash_quarantine import (
-    CrashQuarantine,
-    WatchedRun,
-)
+from dandelioncleat.app.direct.crash_quarantine import CrashQuarantine
+from dandelioncleat.app.direct.lost_runs import WatchedRun
 from dandelioncleat.app.direct.shared_crash_records import CRASHES_TOPIC
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import DirectRequest
+from dandelioncleat.ports.direct_target import TargetStatus
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore
 from tests.builders.wallets import HostClock
 
@@ -32,20 +31,44 @@
 
 
 class FakeTargets:
-    """Targets of which all refuse connections, or none does."""
+    """Targets at whose addresses the same is found.
 
-    def __init__(self, *, have_crashed=True):
-        """Set whether the targets have crashed."""
-        self.have_crashed = have_crashed
+    Nothing listens at them by default.
+    """
+
+    def __init__(self, status=TargetStatus.REFUSED):
+        """Set what is at the addresses of the targets."""
+        self.found = status
         self.probes = 0
 
-    async def refuses_connections(self, entry):
-        """Return whether the targets have crashed."""
+    async def status(self, entry, path):
+        """Return what is at the target's address."""
         self.probes += 1
-        return self.have_crashed
+        return self.found
+
+
+class FakeList:
+    """A list in which targets may have started again."""
+
+    def __init__(self):
+        """Start without a target."""
+        self.started_at_by_target = {}
+        self.crashed_starts = set()
+
+    def started_at(self, target):
+        """Return the newest start of a target."""
+        return self.started_at_by_target.get(target)
+
+    def note_crash(self, start):
+        """Keep that a start has crashed."""
+        self.crashed_starts.add(start)
+
+    def health_path(self, service):
+        """Return where targets tell that they are healthy."""
+        return '/health'
 
 
-def new_quarantine(store, targets, *, host, clock=None, count=1):
+def new_quarantine(store, targets, *, host, clock=None, count=1, listed=None):
     """Return the quarantine of a router.
 
     :param count: number of routers, of the hosts ``h0``, ``h1`` and so on
@@ -56,6 +79,7 @@
         host=host,
         clock=clock or HostClock(),
         cores_by_host=lambda: {f'h{n}': 1.0 for n in range(count)},
+        listed=listed or FakeList(),
     )
 
 
@@ -66,21 +90,50 @@
         """Start the routers."""
         self.store = MemoryKeyedStore()
         self.targets = targets
+        self.listed = FakeList()
         self.routers = [
-            new_quarantine(self.store, targets, host=f'h{n}', count=count)
+            new_quarantine(
+                self.store,
+                targets,
+                host=f'h{n}',
+                count=count,
+                listed=self.listed,
+            )
             for n in range(count)
         ]
         self._tasks = [
             asyncio.ensure_future(router.run()) for router in self.routers
         ]
 
-    async def crash(self, times, body=b'{}'):
-        """Let a request crash targets, each time at another router."""
+    async def crash(self, times, body=b'{}', *, lives=False, **options):
+        """Let a request lose answers, each time at another router.
+
+        :param lives: whether the target goes on to write its entry
+        """
+        for number in range(times):
+            router = self.routers[number % len(self.routers)]
+            lost = run_of(number, body=body)
+            router.note_lost(lost, target(number), **options)
+            await asyncio.sleep(1)
+            if lives:
+                router.note_entry(target(number))
+                await asyncio.sleep(0.1)
+
+    async def crash_and_restart(self, times, *, after_s=0.02, **options):
+        """Let a request crash targets that are listed again soon."""
         for number in range(times):
             router = self.routers[number % len(self.routers)]
-            router.note_lost(run_of(number, body=body), target(number))
+            router.note_lost(run_of(number), target(2 * number), **options)
+            await asyncio.sleep(after_s)
+            self.listed.started_at_by_target['i'] = 2 * number + 1
+            for each in self.routers:
+                each.note_entry(target(2 * number + 1))
             await asyncio.sleep(1)
 
+    async def records(self):
+        """Return how many crash records the store has."""
+        return len((await self.store.newest(CRASHES_TOPIC)).records)
+
     def refusing(self, body=b'{}'):
         """Return how many routers refuse the request."""
         again = request(99, body=body)
@@ -93,11 +146,14 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
 
-def run_with_quarantines(scenario, *, have_crashed=True, count=3):
-    """Run a scenario with some routers and return its result."""
+def run_with_quarantines(scenario, *, status=TargetStatus.REFUSED, count=3):
+    """Run a scenario with some routers and return its result.
+
+    :param status: what is at the targets' addresses after a loss
+    """
 
     async def play():
-        fleet = QuarantineFleet(count, FakeTargets(have_crashed=have_crashed))
+        fleet = QuarantineFleet(count, FakeTargets(status))
         await asyncio.sleep(1)
         try:
             return await scenario(fleet)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -56,7 +56,7 @@
             )
         print(f'seed {seed} {" ".join(plan.troubles)}: {verdict}', flush=True)
         is_broken = is_broken or max(verdict.used_by_service.values()) > 1
-        is_broken = is_broken or bool(verdict.lost)
+        is_broken = is_broken or bool(verdict.lost or verdict.not_refused)
     sys.exit(int(is_broken))
 
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -161,7 +161,9 @@
             fields['Prompt-Prefix'] = (
                 f'aa:{prompt // 2},{reply.id}:{prompt // 2}'
             )
-        lines = [f'{kind.method} {kind.prefix}{reply.id} HTTP/1.1']
+        # A caller reads the same again and again.
+        name = f'caller-{self._number}' if kind.method == 'GET' else reply.id
+        lines = [f'{kind.method} {kind.prefix}{name} HTTP/1.1']
         lines += [f'{name}: {text}' for name, text in fields.items()]
         return '\r\n'.join((*lines, '', '')).encode() + body
 
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -11,6 +11,7 @@
 
 from tests.builders.retry_judge import RetryLimit, repeats_of, worst_window
 from tests.soak.callers import Caller, End, Kind
+from tests.soak.crashes import ALLOWED_SENDS, late_sends
 from tests.soak.standins import FaultyTarget, SilentStore
 from tests.soak.troubles import PLANNED, TROUBLES, source_of
 
@@ -68,6 +69,16 @@
     lost: list
     overdue: list
     ended_by_themselves: list[str]
+    late_crashing: dict[str, int]
+
+    @property
+    def not_refused(self):
+        """Return the requests that went on to reach the targets they crash."""
+        return {
+            path: sends
+            for path, sends in self.late_crashing.items()
+            if sends > ALLOWED_SENDS
+        }
 
     def __str__(self):
         """Return the verdict on one line."""
@@ -75,7 +86,9 @@
         return (
             f'used {used} of {self.requests} requests; '
             f'{dict(self.ends)}; {dict(self.reasons)}; lost {len(self.lost)}; '
-            f'overdue {len(self.overdue)}; ended {self.ended_by_themselves}'
+            f'overdue {len(self.overdue)}; ended {self.ended_by_themselves}; '
+            f'crashing not refused {self.not_refused} '
+            f'of {len(self.late_crashing)}'
         )
 
 
@@ -90,6 +103,7 @@
             record, routers=plan.routers, gateways=plan.gateways
         )
         self.store = self.fleet.store = SilentStore(record)
+        self.key = KEY
         self.routers = self.fleet.routers
         self.targets = [
             FaultyTarget(
@@ -234,6 +248,14 @@
             if each.end is End.OVERDUE and _is_in_touch(soak, each)
         ],
         ends,
+        late_sends(
+            [
+                arrival
+                for target in soak.targets
+                for arrival in target.crashing_arrivals
+            ],
+            contact_s=CONTACT_S,
+        ),
     )
 
 
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -8,6 +8,8 @@
 from platform_store import Store
 from servers import Server
 
+from tests.soak.crashes import CRASHING_PATH, Arrival, Remnant
+
 POLL_PATH = '/dandelioncleat/kv-events'
 # Calls without an answer are held for longer than any process waits.
 HELD_S = 120.0
@@ -82,6 +84,8 @@
         """Initialise a sound target."""
         super().__init__(fleet, name, service, **options)
         self.late_s = 0.5
+        self.crash = None
+        self.crashing_arrivals = []
         self._mode = Mode.SOUND
         self._goes_on = asyncio.Event()
         self._goes_on.set()
@@ -109,6 +113,8 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         await self._goes_on.wait()
+        if request.path.startswith(CRASHING_PATH):
+            await self._crash_under(request)
         return await super()._handle(request)
 
     async def _arrive(self, request):
@@ -116,6 +122,36 @@
         await self._goes_on.wait()
         self.arrivals.append((time.monotonic(), request))
 
+    async def _crash_under(self, request):
+        """Crash, unless the target is crashing already."""
+        has_crashed = self._server.is_serving()
+        self.crashing_arrivals.append(
+            Arrival(time.monotonic(), request.path, has_crashed)
+        )
+        if has_crashed:
+            self._crash()
+        await asyncio.Event().wait()
+
+    def _crash(self):
+        """End all connections, and start again as the crash says."""
+        self.stop_beating()
+        self._server.close()
+        for connection in self._web.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+        task = asyncio.create_task(self._start_again(self.crash))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _start_again(self, crash):
+        remnant = Remnant(crash.remainder, self.address)
+        await remnant.start()
+        await asyncio.sleep(crash.absence_s)
+        remnant.close()
+        self.sequence = 0
+        self.born = int(time.time() * 1000)
+        await self.start(port=int(self.address.rpartition(':')[2]))
+
     async def _answer_by_mode(self, request, run):
         match self._mode:
             case Mode.ERROR:
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -7,6 +7,7 @@
 import random
 import signal
 
+from tests.soak.crashes import QUICK_CRASHES, SLOW_CRASHES, ask_again
 from tests.soak.standins import Mode
 
 # A planned stop does not excuse a router.
@@ -65,6 +66,23 @@
         await asyncio.sleep(source.uniform(1, 6))
 
 
+async def crash_quickly(soak, source):
+    """Crash targets under some requests; they are back at once."""
+    await _crash(soak, source, QUICK_CRASHES)
+
+
+async def crash_slowly(soak, source):
+    """Crash targets under some requests; something else may listen there."""
+    await _crash(soak, source, SLOW_CRASHES)
+
+
+async def _crash(soak, source, crashes):
+    crash = source.choice(crashes)
+    for target in soak.targets:
+        target.crash = crash
+    await ask_again(soak, source)
+
+
 async def kill_routers(soak, source):
     """Kill all routers but one, and start them again at once."""
     while True:
@@ -141,6 +159,8 @@
     'reject': fail_always,
     'still': stand_still,
     'reject-beside-still': reject_beside_still,
+    'crash-quickly': crash_quickly,
+    'crash-slowly': crash_slowly,
     'kill': kill_routers,
     'kill-one': kill_one,
     'stop': stop_routers,
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -5,9 +5,7 @@
 import testtools
 
 from dandelioncleat.adapters.system_clock import SystemClock
-from dandelioncleat.app.direct.crash_quarantine import (
-    WatchedRun,
-)
+from dandelioncleat.app.direct.lost_runs import WatchedRun
 from dandelioncleat.app.direct.shared_crash_records import CRASHES_TOPIC
 from dandelioncleat.core.crash_cause import MIN_CRASHES, find_causes
 from dandelioncleat.core.crash_records import RECORD_AGE_S, CrashRecord
@@ -16,6 +14,7 @@
     ModelPrompt,
     PromptPart,
 )
+from dandelioncleat.ports.direct_target import TargetStatus
 from dandelioncleat.standin.keyed_store import StoreFaults
 from tests.builders.direct import (
     KEY,
@@ -49,9 +48,9 @@
 class SharedQuarantineTest(testtools.TestCase):
     """A request that crashed targets at several routers is refused by all."""
 
-    def _refusing_after(self, crashes, **options):
+    def _refusing_after(self, crashes, *, lives=False, **options):
         async def scenario(fleet):
-            await fleet.crash(crashes)
+            await fleet.crash(crashes, lives=lives)
             return fleet.refusing(), fleet.refusing(b'another')
 
         return run_with_quarantines(scenario, **options)
@@ -64,7 +63,10 @@
         self.assertEqual((0, 0), self._refusing_after(crashes))
 
     def test_reset_connections_are_no_crash(self):
-        self.assertEqual((0, 0), self._refusing_after(9, have_crashed=False))
+        refusing = self._refusing_after(
+            9, lives=True, status=TargetStatus.ANSWERED
+        )
+        self.assertEqual((0, 0), refusing)
 
     def test_losses_at_one_start_count_once_and_are_probed_once(self):
         async def scenario(fleet):
@@ -140,6 +142,7 @@
         async def scenario(fleet):
             fleet.routers[0].note_lost(WatchedRun(lost), target(1))
             await asyncio.sleep(1)
+            fleet.routers[0].note_entry(target(1))
 
         with captured_lines() as lines:
             run_with_quarantines(scenario, **options)
@@ -160,7 +163,7 @@
     def test_target_that_still_listens(self):
         self.assertEqual(
             ('target did not crash', {'r-7': request(1).digest}),
-            self._line(have_crashed=False),
+            self._line(status=TargetStatus.ANSWERED),
         )
 
 
@@ -258,9 +261,11 @@
         async def scenario(fleet):
             fleet.routers[0].note_lost(run_of(1), target(1))
             await asyncio.sleep(1)
-            fleet.targets.have_crashed = False
+            fleet.targets.found = TargetStatus.ANSWERED
             fleet.routers[1].note_closed(run_of(2), target(2))
             await asyncio.sleep(1)
+            fleet.routers[1].note_entry(target(2))
+            await asyncio.sleep(1)
             return len((await fleet.store.newest(CRASHES_TOPIC)).records)
 
         self.assertEqual(0, run_with_quarantines(scenario))
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -5,7 +5,7 @@
 import testtools
 from testtools.matchers import LessThan
 
-from dandelioncleat.app.direct.crash_quarantine import WatchedRun
+from dandelioncleat.app.direct.lost_runs import WatchedRun
 from dandelioncleat.app.direct.shared_crash_records import CRASHES_TOPIC
 from dandelioncleat.core.crash_cause import find_causes
 from dandelioncleat.core.crash_records import CrashRecord
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,19 +1,15 @@
 """Short soaks of the deploy file's programs as real processes."""
 
 import asyncio
-import os
-import sys
-import tempfile
-from pathlib import Path
 
 import testtools
 
+from tests.builders.programs import built_programs
 from tests.builders.retry_judge import RetryLimit, repeats_of, worst_window
 from tests.soak.play import Plan, play
 
 import fleet as fleets  # isort: skip  (found by the package of the soak)
 
-CHECKOUT = Path(__file__).resolve().parents[1]
 LENGTH_S = 16.0
 # Requests of a soak that must end with an answer, so that it shows something.
 MIN_ANSWERED = 300
@@ -22,29 +18,17 @@
 class SoakTest(testtools.TestCase):
     """No promise is broken while processes and targets fail."""
 
-    def _play(self, *troubles, seed):
-        folder = self._programs()
-        self.patch(fleets, 'ROOT', folder)
-        path = f'{Path(sys.executable).parent}:{os.environ["PATH"]}'
-        self.patch(os, 'environ', {**os.environ, 'PATH': path})
+    def _play(self, *troubles, seed, **sizes):
+        folder = built_programs(self)
         record = fleets.Record(folder / 'record.txt')
-        plan = Plan(seed, troubles, length_s=LENGTH_S)
+        plan = Plan(seed, troubles, length_s=LENGTH_S, **sizes)
         verdict = asyncio.run(play(record, plan))
         self.assertGreater(verdict.ends['answered'], MIN_ANSWERED, verdict)
         self.assertLessEqual(max(verdict.used_by_service.values()), 1, verdict)
         self.assertEqual([], verdict.lost, verdict)
+        self.assertEqual({}, verdict.not_refused, verdict)
         self.assertEqual([], verdict.ended_by_themselves, verdict)
 
-    def _programs(self):
-        """Return a folder as of a checkout that was just built."""
-        folder = tempfile.TemporaryDirectory(prefix='soak-')
-        self.addCleanup(folder.cleanup)
-        programs = Path(folder.name)
-        (programs / 'target').mkdir()
-        (programs / 'target/deps').symlink_to(CHECKOUT / 'src')
-        (programs / 'deploy').symlink_to(CHECKOUT / 'deploy')
-        return programs
-
     def test_targets_that_stand_still_beside_others_that_reject(self):
         self._play('reject-beside-still', seed=102)
 
@@ -54,6 +38,12 @@
     def test_planned_stops_while_the_store_is_silent(self):
         self._play('stop', 'silence', 'configuration', seed=211)
 
+    def test_crashing_requests_at_targets_that_are_back_at_once(self):
+        self._play('crash-quickly', seed=502, targets=8)
+
+    def test_crashing_requests_at_addresses_where_something_listens(self):
+        self._play('crash-slowly', seed=503, targets=8)
+
 
 class WorstWindowTest(testtools.TestCase):
     """The judge counts as the users do."""
--- a/tests/test_unreadable_records.py
+++ b/tests/test_unreadable_records.py
@@ -91,7 +91,7 @@
             CRASHES_TOPIC,
             deep_row('suspect', 'i-1/0', 1.0, 1, True),
             lambda store: SharedCrashRecords(
-                store, host='h1', clock=HostClock()
+                store, host='h1', clock=HostClock(), on_crash=lambda start: None
             ),
         )
 
