Bound what a process keeps and reads of all peers together

What was reported: a faulty server sends bytes without end, the machine that called it keeps them and runs out of memory, and the requests of others end with it (processes that end by themselves, LOST).

It can happen here.

Cause: each message was bounded, all together were not, and some forms by nothing. Class: a limit on one message where the resource is the process's.

Now bodies of answers and of requests each have a pool of a twelfth of memory_mb (new setting), of which one target may fill half; what does not fit is refused with 503 as not run (no_memory) before it is read, or ends as a lost answer. A turn of the loop reads 8 KiB of a connection, and one that sends over 2,000 lines a second rests. Interim answers are bounded, a second answer or other bytes after a whole one close the connection without failing the answer (test_memory_bounds.SurplusTest), and a server discards what follows bytes that are no request. The status page and the gateways use the same servers. Polls of cache events are read up to 512 KiB, and a store that repeats a page is a failure.

Found beside it by reading, without a test that failed: a whole answer that its caller did not read until the time limit was followed by a second answer on the same connection; now the connection is broken off.

--- a/src/dandelioncleat/adapters/_http_call.py
+++ b/src/dandelioncleat/adapters/_http_call.py
@@ -55,17 +55,19 @@
         return self.body
 
 
-async def read_bounded(response: aiohttp.ClientResponse) -> bytes:
+async def read_bounded(
+    response: aiohttp.ClientResponse, max_bytes: int = MAX_REPLY_BYTES
+) -> bytes:
     """Return the body of a short reply.
 
-    :raises aiohttp.ClientPayloadError: above ``MAX_REPLY_BYTES``
+    :raises aiohttp.ClientPayloadError: above ``max_bytes``
     """
     body = bytearray()
     async for data in response.content.iter_any():
         body += data
-        if len(body) > MAX_REPLY_BYTES:
+        if len(body) > max_bytes:
             raise aiohttp.ClientPayloadError(
-                f'the body exceeds {MAX_REPLY_BYTES} bytes'
+                f'the body exceeds {max_bytes} bytes'
             )
     return bytes(body)
 
@@ -77,9 +79,13 @@
     *,
     context: FailureContext,
     timeout_s: float,
+    max_bytes: int = MAX_REPLY_BYTES,
     **options: Any,
 ) -> Reply:
-    """Make a call and read the complete response."""
+    """Make a call and read the complete response.
+
+    :param max_bytes: maximum size of its body
+    """
     if session.closed:
         raise context.failure(OSError('the HTTP session is closed'))
     try:
@@ -87,7 +93,7 @@
             async with session.request(
                 method, url, timeout=_NO_TIMEOUT, **options
             ) as response:
-                body = await read_bounded(response)
+                body = await read_bounded(response, max_bytes)
                 return Reply(response.status, response.headers, body)
     except CALL_ERRORS as error:
         raise context.failure(error) from error
--- a/src/dandelioncleat/adapters/client_session.py
+++ b/src/dandelioncleat/adapters/client_session.py
@@ -7,44 +7,98 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from dandelioncleat.adapters.read_limit import PacedProtocol
+from dandelioncleat.core.whole_number import whole_number
+
 # Interim answers (RFC 9110, 15.2) have lower statuses.
 _FIRST_FINAL_STATUS = 200
+_HEAD_END = b'\r\n\r\n'
+MAX_INTERIM_ANSWERS = 16
+# aiohttp keeps twice as much of a body that is not read.
+READ_BUFFER_BYTES = 16 * 1024
 
 
-class _StrictProtocol(ResponseHandler):
+class _StrictProtocol(PacedProtocol, ResponseHandler):
     """Fails a body that a reset cut off, and closes on unexpected bytes.
 
     aiohttp otherwise treats a body without length or chunks as complete, and
-    bytes on an idle connection as the answer to the next request.
+    bytes on an idle connection as the answer to the next request. It keeps all
+    that comes after an answer, and any number of interim answers.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         """Start without a request."""
         super().__init__(loop=loop)
         self._is_answer_due = False
+        self._interim_answers = 0
+        self._unread_length: int | None = None
 
     def set_response_params(self, **params: Any) -> None:
         """Expect an answer."""
         self._is_answer_due = True
+        self._interim_answers = 0
+        self._unread_length = None
         super().set_response_params(**params)
 
     def data_received(self, data: bytes) -> None:
         """Take bytes of an answer; close the connection if none is due."""
-        payload = self._payload
-        is_reading = payload is not None and not payload.is_eof()
-        # aiohttp resumes its parser with no data.
-        if data and not self._is_answer_due and not is_reading:
-            self.close()
+        if self._upgraded or not data:
+            # aiohttp resumes its parser with no data.
+            super().data_received(data)
             return
-        super().data_received(data)
+        self.note_lines(data)
+        while data and not self._is_closing:
+            due = self._due_bytes(data)
+            if due:
+                super().data_received(data[:due])
+            else:
+                self.close()
+            data = data[due:]
+
+    @property
+    def _is_closing(self) -> bool:
+        return self.transport is None or self.transport.is_closing()
+
+    def _due_bytes(self, data: bytes) -> int:
+        """Return how much of some bytes is of one head, or of a due body.
+
+        What follows a whole answer must not fail it.
+        """
+        if self._is_answer_due:
+            end = data.find(_HEAD_END) + len(_HEAD_END)
+            return end if end >= len(_HEAD_END) else len(data)
+        payload = self._payload
+        if payload is None or payload.is_eof():
+            return 0
+        if self._unread_length is None:
+            return len(data)
+        due = min(len(data), self._unread_length)
+        self._unread_length -= due
+        return due
 
     def feed_data(self, message: Any, size: int = 0) -> None:
         """Note whether the head that has arrived is the answer's."""
         head, _ = message
+        if not self._is_answer_due:
+            # Another answer, which belongs to no request.
+            self._close_soon()
+            return
         if head.code >= _FIRST_FINAL_STATUS:
             self._is_answer_due = False
+            length = head.headers.get('Content-Length', '')
+            self._unread_length = whole_number(length)
+        else:
+            self._interim_answers += 1
+            if self._interim_answers > MAX_INTERIM_ANSWERS:
+                self._close_soon()
+                return
         super().feed_data(message, size)
 
+    def _close_soon(self) -> None:
+        """Close the connection, which keeps what has been read of an answer."""
+        if self.transport is not None:
+            self.transport.close()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the body that is being read if the connection was reset."""
         payload = self._payload
--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -126,8 +126,10 @@
         return await _keep_error(context, state, answer)
     state.note_answer(answer.occupancy, now)
     if not answer.is_stream:
-        body = await read_body(answer, peer=state.entry.id)
+        body = await _read_body(context, state, answer)
         context.has_output = True
+        # Whatever happens while it is sent, nothing else may follow it.
+        context.sent_head = answer.head
         await reply.send_complete(CompleteResponse(answer.head, body))
         return AttemptOutcome.DELIVERED
     timer.reschedule(context.deadline)
@@ -203,13 +205,21 @@
 async def _keep_error(
     context: RunContext, state: TargetState, answer: TargetAnswer
 ) -> AttemptOutcome:
-    body = await read_body(answer, peer=state.entry.id)
+    body = await _read_body(context, state, answer)
     context.failed_answer = CompleteResponse(answer.head, body)
     state.note_error(asyncio.get_running_loop().time())
     _log_attempt(context, state, AttemptOutcome.FAILED, answer.head.status)
     return AttemptOutcome.FAILED
 
 
+async def _read_body(
+    context: RunContext, state: TargetState, answer: TargetAnswer
+) -> bytes:
+    target = state.entry.id
+    held = context.held.begin(target)
+    return await read_body(answer, peer=target, held=held)
+
+
 def _note_failure(
     context: RunContext,
     state: TargetState,
--- a/src/dandelioncleat/app/direct/forwarding.py
+++ b/src/dandelioncleat/app/direct/forwarding.py
@@ -189,7 +189,9 @@
         return answer.refusal
     context.answer_head = answer.head
     if not answer.is_stream:
-        body = await read_body(answer, peer=peer)
+        held = context.held.begin(peer)
+        body = await read_body(answer, peer=peer, held=held)
+        context.sent_head = answer.head
         await reply.send_complete(CompleteResponse(answer.head, body))
         return None
     timer.reschedule(context.deadline)
--- a/src/dandelioncleat/app/direct/run_context.py
+++ b/src/dandelioncleat/app/direct/run_context.py
@@ -12,6 +12,11 @@
     ResponseHead,
 )
 from dandelioncleat.core.event_stream import EventStreamParser
+from dandelioncleat.core.held_bytes import (
+    DEFAULT_MEMORY_MB,
+    HeldAnswers,
+    HeldBytes,
+)
 from dandelioncleat.core.stream_origin import StreamOrigin, stream_key
 
 DEFAULT_WAIT_S = 30.0
@@ -41,7 +46,8 @@
     where the caller's stream began, ``None`` before its first event.
     ``arrivals`` counts how often routers have sent the request to targets;
     ``is_counted`` says that one has counted it in its retry budget. ``retry``
-    is a retry that was taken from that and not sent yet.
+    is a retry that was taken from that and not sent yet. ``held`` is what the
+    process keeps of answers.
     """
 
     def __init__(
@@ -50,11 +56,13 @@
         admitted: Admitted,
         *,
         arrived_at: float | None = None,
+        held: HeldAnswers | None = None,
     ) -> None:
         """Initialise the deadlines of a request.
 
         :param arrived_at: when it arrived, an event loop time in seconds; now
             by default
+        :param held: bounds the bodies of answers
         """
         self.request = request
         self.admitted = admitted
@@ -84,6 +92,7 @@
         self.arrivals = request.earlier_arrivals or 0
         self.is_counted = request.earlier_arrivals is not None
         self.retry: TakenRetry | None = None
+        self.held = held or HeldAnswers(HeldBytes(DEFAULT_MEMORY_MB))
 
     def stream_key(self, first_request: str) -> str:
         """Return the key of the stream that a request of the caller began."""
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -40,6 +40,11 @@
     DirectRequest,
     RefusalReason,
 )
+from dandelioncleat.core.held_bytes import (
+    DEFAULT_MEMORY_MB,
+    HeldAnswers,
+    HeldBytes,
+)
 from dandelioncleat.core.host_holdings import TokenNeed
 from dandelioncleat.ports.direct_caller import Reply
 from dandelioncleat.ports.direct_target import DirectTargets
@@ -70,6 +75,7 @@
     origins: StreamOrigins
     limits: TargetLimits
     telemetry: Telemetry
+    answer_bytes: HeldBytes = HeldBytes(DEFAULT_MEMORY_MB)
 
 
 class StopTimes(NamedTuple):
@@ -133,7 +139,12 @@
             self._count(refusal.reason)
             await reply.refuse(refusal)
             return
-        context = RunContext(request, decision.unwrap(), arrived_at=arrived_at)
+        context = RunContext(
+            request,
+            decision.unwrap(),
+            arrived_at=arrived_at,
+            held=HeldAnswers(self._parts.answer_bytes),
+        )
         need = self._need(context)
         try:
             with self._parts.telemetry.span('direct.request'):
@@ -142,6 +153,7 @@
         except RequestEndedError:
             await end_at_stop(context, reply)
         finally:
+            context.held.release()
             self._note_end(context, need)
 
     async def _admit(
--- a/src/dandelioncleat/core/direct_request.py
+++ b/src/dandelioncleat/core/direct_request.py
@@ -83,6 +83,8 @@
     BAD_KEY = 'bad_key'
     BAD_REQUEST = 'bad_request'
     TOO_LARGE = 'too_large'
+    NO_MEMORY = 'no_memory'
+    """The process can't keep the body beside those of other requests."""
     PREPAID_SPENT = 'prepaid_spent'
     NO_TOKENS_HERE = 'no_tokens_here'
     BALANCE_UNPROVEN = 'balance_unproven'
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -45,6 +45,7 @@
 from dandelioncleat.app.router_life import RouterLife
 from dandelioncleat.core.deployment import Deployment
 from dandelioncleat.core.gateway_choice import GatewayChoice
+from dandelioncleat.core.held_bytes import HeldBytes
 from dandelioncleat.core.host_choice import HostChoice
 from dandelioncleat.core.retry_window import RetryLimits
 from dandelioncleat.daemons.direct_peers import new_peers
@@ -228,11 +229,13 @@
                 self._origins,
                 self._target_limits,
                 telemetry,
+                HeldBytes(settings.memory_mb),
             )
         )
         self._handler = CallerHandler(
             self._serving,
             limits=lambda: self._limits,
+            request_bytes=HeldBytes(settings.memory_mb),
             is_stopping=lambda: self._life.state == 'stopping',
         )
         topics = (
--- a/src/dandelioncleat/daemons/direct_settings.py
+++ b/src/dandelioncleat/daemons/direct_settings.py
@@ -9,6 +9,7 @@
 from returns.result import Result, Success
 
 from dandelioncleat.core.address import is_address
+from dandelioncleat.core.held_bytes import DEFAULT_MEMORY_MB
 
 
 class DirectListen(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -40,7 +41,7 @@
     addresses of some gateways to it, as ``ip:port``; the store lists the
     others. ``store_copy_age_s`` is the maximum age of a copy from which the
     store may be restored, in seconds. ``cores`` is the processor time that the
-    process may use, in cores.
+    process may use, in cores, ``memory_mb`` the memory, in MiB.
     """
 
     host: str
@@ -53,6 +54,7 @@
     fleet_secret: str = ''
     store_copy_age_s: float = 8.0
     cores: float = 1.0
+    memory_mb: float = DEFAULT_MEMORY_MB
 
     @property
     def stop_limit_s(self) -> float:
--- a/src/dandelioncleat/daemons/store_gateway.py
+++ b/src/dandelioncleat/daemons/store_gateway.py
@@ -7,6 +7,7 @@
 import structlog
 from aiohttp import web
 
+from dandelioncleat.adapters.bounded_server import BoundedAppRunner
 from dandelioncleat.adapters.peer_server import PeerServer, add_peer_routes
 from dandelioncleat.app.direct.gateway_handler import GatewayHandler
 from dandelioncleat.app.direct.process_directory import (
@@ -114,7 +115,7 @@
             enable_keepalive(sock)
         application = web.Application()
         add_peer_routes(application, self._peers)
-        self._runner = web.AppRunner(
+        self._runner = BoundedAppRunner(
             application, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
         )
         await self._runner.setup()
--- a/src/dandelioncleat/platform/cache_events.py
+++ b/src/dandelioncleat/platform/cache_events.py
@@ -15,6 +15,8 @@
 from dandelioncleat.ports.cache_events import CachePoll
 
 SLACK_S = 1.0
+# A target lists its newest events only, some tens of bytes each.
+MAX_EVENTS_BYTES = 512 * 1024
 OK = 200
 _MS_PER_S = 1000
 
@@ -54,6 +56,7 @@
             f'http://{target.address}{CACHE_EVENTS_PATH}',
             context=origin,
             timeout_s=wait_s + SLACK_S,
+            max_bytes=MAX_EVENTS_BYTES,
             params={'since': str(start)},
             headers={LONG_POLL_MS: str(int(wait_s * _MS_PER_S))},
         )
--- a/src/dandelioncleat/platform/caller_connection.py
+++ b/src/dandelioncleat/platform/caller_connection.py
@@ -5,12 +5,13 @@
 
 import structlog
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
+
+from dandelioncleat.adapters.bounded_server import BoundedRequestHandler
 
 _logger = structlog.get_logger(__name__)
 
 
-class CallerConnection(RequestHandler):
+class CallerConnection(BoundedRequestHandler):
     """Closes a connection whose request head takes too long to arrive.
 
     aiohttp only limits the idle time between two requests.
@@ -42,6 +43,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Receive bytes; the first ones of a head start its timer."""
+        if not data or self._has_failed:
+            # aiohttp resumes its parser with no data.
+            super().data_received(data)
+            return
         is_idle = not self._messages and self._current_request is None
         if is_idle and self._timer is None:
             self._head_began_at = asyncio.get_running_loop().time()
--- a/src/dandelioncleat/platform/caller_reply.py
+++ b/src/dandelioncleat/platform/caller_reply.py
@@ -25,6 +25,7 @@
     RefusalReason.BAD_KEY: 401,
     RefusalReason.BAD_REQUEST: 400,
     RefusalReason.TOO_LARGE: 413,
+    RefusalReason.NO_MEMORY: UNAVAILABLE,
     RefusalReason.PREPAID_SPENT: 402,
     RefusalReason.NO_TOKENS_HERE: UNAVAILABLE,
     RefusalReason.BALANCE_UNPROVEN: UNAVAILABLE,
--- a/src/dandelioncleat/platform/callers.py
+++ b/src/dandelioncleat/platform/callers.py
@@ -6,6 +6,8 @@
 import structlog
 from aiohttp import web
 from returns.pipeline import is_successful
+from returns.result import Failure as Failed
+from returns.result import Result, Success
 
 from dandelioncleat.app.direct.serving import Serving
 from dandelioncleat.core.deployment import CallerLimits
@@ -14,10 +16,15 @@
     DirectRequest,
     RefusalReason,
 )
+from dandelioncleat.core.held_bytes import HeldBytes, HeldMessage
+from dandelioncleat.platform import names
 from dandelioncleat.platform.caller_connection import CallerConnection
 from dandelioncleat.platform.caller_reply import HttpReply
 from dandelioncleat.platform.caller_request import decode_request
 
+# All callers share one part of the memory, as they have no names here.
+CALLERS = 'callers'
+NO_MEMORY_RETRY_S = 1.0
 DEFAULT_LIMITS = CallerLimits(16384, 4194304, 3, 15)
 
 _logger = structlog.get_logger(__name__)
@@ -31,27 +38,40 @@
         serving: Serving,
         *,
         limits: Callable[[], CallerLimits],
+        request_bytes: HeldBytes,
         is_stopping: Callable[[], bool],
     ) -> None:
         """Initialise with what serves requests.
 
         :param limits: returns the current limits
+        :param request_bytes: what the process may keep of requests
         :param is_stopping: returns whether connections should close
         """
         self._serving = serving
         self._limits = limits
+        self._request_bytes = request_bytes
         self._is_stopping = is_stopping
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one HTTP request."""
+        held = HeldMessage(self._request_bytes, CALLERS, is_shared=False)
+        try:
+            return await self._answer(request, held)
+        finally:
+            held.release()
+
+    async def _answer(
+        self, request: web.BaseRequest, held: HeldMessage
+    ) -> web.StreamResponse:
         arrived_at = _arrived_at(request)
         reply = HttpReply(request, is_last_answer=self._is_stopping())
-        body = await self._read(request)
-        if body is None:
+        body = await self._read(request, held)
+        if not is_successful(body):
             reply = HttpReply(request, is_last_answer=True)
-            await reply.refuse(DirectRefusal(RefusalReason.TOO_LARGE))
+            _log_unread(request, body.failure())
+            await reply.refuse(body.failure())
             return _response(reply)
-        decoded = decode_request(request, body)
+        decoded = decode_request(request, body.unwrap())
         if is_successful(decoded):
             await self._serve(decoded.unwrap(), reply, arrived_at)
             return _response(reply)
@@ -75,19 +95,41 @@
                 DirectRefusal(RefusalReason.ANSWER_LOST, has_run=True)
             )
 
-    async def _read(self, request: web.BaseRequest) -> bytes | None:
+    async def _read(
+        self, request: web.BaseRequest, held: HeldMessage
+    ) -> Result[bytes, DirectRefusal]:
+        """Read a body, or return why it is not read to its end."""
         limit = self._limits().body_bytes
         declared = request.content_length
         if declared is not None and declared > limit:
-            return None
+            return Failed(DirectRefusal(RefusalReason.TOO_LARGE))
+        if declared is not None and not held.grow_to(declared):
+            return Failed(_no_memory())
         if request.headers.get('Expect', '').lower() == '100-continue':
             await request.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
         body = bytearray()
         async for data in request.content.iter_any():
             body += data
             if len(body) > limit:
-                return None
-        return bytes(body)
+                return Failed(DirectRefusal(RefusalReason.TOO_LARGE))
+            if not held.grow_to(len(body)):
+                return Failed(_no_memory())
+        return Success(bytes(body))
+
+
+def _no_memory() -> DirectRefusal:
+    return DirectRefusal(
+        RefusalReason.NO_MEMORY, retry_after_s=NO_MEMORY_RETRY_S
+    )
+
+
+def _log_unread(request: web.BaseRequest, refusal: DirectRefusal) -> None:
+    _logger.info(
+        'request not read',
+        request=request.headers.get(names.REQUEST_ID),
+        reason=refusal.reason,
+        declared_bytes=request.content_length,
+    )
 
 
 def _arrived_at(request: web.BaseRequest) -> float:
--- a/src/dandelioncleat/platform/status_page.py
+++ b/src/dandelioncleat/platform/status_page.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from dandelioncleat.adapters.bounded_server import BoundedAppRunner
 from dandelioncleat.platform.names import METRICS_PATH, READY_PATH
 
 NOT_READY = 503
@@ -34,7 +35,7 @@
         application = web.Application()
         application.router.add_get(READY_PATH, self._show_ready)
         application.router.add_get(METRICS_PATH, self._show_metrics)
-        self._runner = web.AppRunner(
+        self._runner = BoundedAppRunner(
             application, access_log=None, shutdown_timeout=SHUTDOWN_S
         )
         await self._runner.setup()
--- a/src/dandelioncleat/platform/store.py
+++ b/src/dandelioncleat/platform/store.py
@@ -100,9 +100,13 @@
         records = [_record_of(item) for item in page.items]
         end = page.end
         while page.has_more:
+            if not page.items:
+                raise self._failure(NEWEST_PATH, 'a page without records')
             page, page_era = await self._newest_page(topic, records[-1].key)
             if page_era != era:
                 raise self._failure(NEWEST_PATH, 'restored between pages')
+            if _repeats(page, records):
+                raise self._failure(NEWEST_PATH, 'a page was repeated')
             records.extend(_record_of(item) for item in page.items)
         return KeyedPage(end, tuple(records), era)
 
@@ -242,5 +246,10 @@
         yield KeyedRecord(key, value, offset)
 
 
+def _repeats(page: _Newest, records: list[KeyedRecord]) -> bool:
+    first = page.items[0].key if page.items else None
+    return any(record.key == first for record in records)
+
+
 def _record_of(item: _Item) -> KeyedRecord:
     return KeyedRecord(item.key, item.value, item.offset)
--- a/src/dandelioncleat/platform/targets.py
+++ b/src/dandelioncleat/platform/targets.py
@@ -10,7 +10,10 @@
 import structlog
 from yarl import URL
 
-from dandelioncleat.adapters.client_session import new_connector
+from dandelioncleat.adapters.client_session import (
+    READ_BUFFER_BYTES,
+    new_connector,
+)
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import (
     FIRST_ERROR_STATUS,
@@ -250,6 +253,7 @@
         ),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
+        read_bufsize=READ_BUFFER_BYTES,
         trust_env=False,
         trace_configs=[_trace_config()],
     )
