Wait at a planned stop for the bodies that have begun to arrive

What callers saw (LOST is not broken by it, as the request was not read whole): a connection is closed without a word on which a part of a body had arrived, though the process has seconds left, and the caller can't know that its request has not run.

Cause: a request counted as open once its body was read. Now it does from its head on, and the end of the stop's time refuses it as before. The test got 503 after the stop had ended (0.3 s) and gets 200.

--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import fcntl
 import json
 import os
 import random
@@ -236,10 +237,13 @@
 
 
 def free_port():
-    """Return a port below those that the kernel gives to outgoing channels."""
+    """Return a port below those that the kernel gives to outgoing channels.
+
+    No other fleet on this machine gets it while this process lives.
+    """
     while True:
         port = random.randrange(*PORTS)
-        if port in given_ports:
+        if port in given_ports or not is_claimed(port):
             continue
         with socket.socket() as sock:
             try:
@@ -250,6 +254,19 @@
         return port
 
 
+def is_claimed(port):
+    """Claim a port among the fleets of this machine; return whether it is ours."""
+    folder = Path(tempfile.gettempdir()) / 'dandelioncleat-ports'
+    folder.mkdir(exist_ok=True)
+    claim = os.open(folder / str(port), os.O_CREAT | os.O_RDWR)
+    try:
+        fcntl.flock(claim, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        os.close(claim)
+        return False
+    return True
+
+
 def main(case, folder):
     """Run a case; exit with 1 if the rule was broken, 0 if it held, else 2."""
     record = Record(Path(folder) / 'record.txt')
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -232,7 +232,7 @@
                 HeldBytes(settings.memory_mb),
             )
         )
-        self._handler = CallerHandler(
+        self.callers = CallerHandler(
             self._serving,
             limits=lambda: self._limits,
             request_bytes=HeldBytes(settings.memory_mb),
@@ -246,7 +246,7 @@
         self._gauges = TopicGauges(
             {topic.topic: topic for topic in topics}, telemetry=telemetry
         )
-        self._server = new_caller_server(self._handler, DEFAULT_LIMITS)
+        self._server = new_caller_server(self.callers, DEFAULT_LIMITS)
         self._servers: list[web.Server] = [self._server]
         self._listener: asyncio.Server | None = None
 
@@ -334,6 +334,7 @@
         lost = ''
         try:
             async with asyncio.timeout_at(end_at):
+                await self.callers.taken.idle.wait()
                 await self._serving.open_requests.idle.wait()
         except TimeoutError:
             lost = self.losses()
@@ -384,7 +385,7 @@
         )
         if deployment.limits != self._limits:
             self._limits = deployment.limits
-            self._server = new_caller_server(self._handler, deployment.limits)
+            self._server = new_caller_server(self.callers, deployment.limits)
             self._servers.append(self._server)
 
 
--- a/src/dandelioncleat/platform/callers.py
+++ b/src/dandelioncleat/platform/callers.py
@@ -9,6 +9,7 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
+from dandelioncleat.app.direct.open_requests import OpenRequests
 from dandelioncleat.app.direct.serving import Serving
 from dandelioncleat.core.deployment import CallerLimits
 from dandelioncleat.core.direct_request import (
@@ -31,7 +32,11 @@
 
 
 class CallerHandler:
-    """Reads callers' requests and passes them to the server."""
+    """Reads callers' requests and passes them to the server.
+
+    ``taken`` are the requests whose head has arrived, also those whose body
+    has not.
+    """
 
     def __init__(
         self,
@@ -47,6 +52,7 @@
         :param request_bytes: what the process may keep of requests
         :param is_stopping: returns whether connections should close
         """
+        self.taken = OpenRequests()
         self._serving = serving
         self._limits = limits
         self._request_bytes = request_bytes
@@ -55,10 +61,12 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one HTTP request."""
         held = HeldMessage(self._request_bytes, CALLERS, is_shared=False)
-        try:
-            return await self._answer(request, held)
-        finally:
-            held.release()
+        name = request.headers.get(names.REQUEST_ID, '')
+        with self.taken.added(name):
+            try:
+                return await self._answer(request, held)
+            finally:
+                held.release()
 
     async def _answer(
         self, request: web.BaseRequest, held: HeldMessage
--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -436,6 +436,11 @@
         writer.close()
         return answer
 
+    async def connect(self):
+        """Open a connection to the router; return its streams."""
+        ip, port = self._url.removeprefix('http://').split(':')
+        return await asyncio.open_connection(ip, int(port))
+
     async def raw_answer(self, path, *, version='1.1', pause_s=0, **headers):
         """Send a request; return its answer as it is on the wire.
 
@@ -561,6 +566,20 @@
     return asyncio.run(run())
 
 
+def request_head(path, *, length):
+    """Return the head of a request as it is on the wire."""
+    sent = {
+        'Host': HOST,
+        'Request-Id': 'r-1',
+        'Deadline-Ms': '4000',
+        'Authorization': f'Bearer {KEY}',
+        'Content-Length': str(length),
+    }
+    lines = [f'POST {path} HTTP/1.1']
+    lines += [f'{name}: {text}' for name, text in sent.items()]
+    return '\r\n'.join((*lines, '', '')).encode()
+
+
 class RecordedReply:
     """A reply that keeps what was sent to the caller.
 
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -21,6 +21,7 @@
     head_only,
     never_answered,
     not_run,
+    request_head,
     route,
     run_with_fleet,
     text_answer,
@@ -476,6 +477,24 @@
 
         self.assertEqual((503, 0), run_with_fleet(scenario, document=document))
 
+    def test_request_whose_body_is_still_arriving_is_answered(self):
+        async def scenario(fleet):
+            fleet.app.answers = [text_answer('ok')]
+            reader, writer = await fleet.connect()
+            writer.write(request_head('/once/a', length=2) + b'{')
+            await fleet.wait_until(lambda: fleet.router.callers.taken.ids)
+            stop = asyncio.ensure_future(fleet.router.stop(limit_s=5))
+            await fleet.wait_until(lambda: not fleet.router.is_ready)
+            await asyncio.sleep(0.3)
+            is_over = stop.done()
+            writer.write(b'}')
+            line = await reader.readline()
+            await stop
+            writer.close()
+            return is_over, line.split()[1]
+
+        self.assertEqual((False, b'200'), run_with_fleet(scenario))
+
     def test_nothing_begins_once_the_requests_are_finished(self):
         async def scenario(fleet):
             await fleet.router.stop(limit_s=5)
