Begin the time limit for a head only while no request is under way

Cause: between two turns of the event loop a request is neither among the library's messages nor its current one. Bytes of its body that came then began the time limit of a next head.

--- a/src/dandelioncleat/platform/caller_connection.py
+++ b/src/dandelioncleat/platform/caller_connection.py
@@ -47,16 +47,28 @@
             # aiohttp resumes its parser with no data.
             super().data_received(data)
             return
-        is_idle = not self._messages and self._current_request is None
-        if is_idle and self._timer is None:
+        if self._is_idle and self._timer is None:
             self._head_began_at = asyncio.get_running_loop().time()
         super().data_received(data)
-        if self._messages or self._current_request is not None:
+        if not self._is_idle:
             self._stop_timer()
         elif self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(self._header_s, self._close_overdue)
 
+    @property
+    def _is_idle(self) -> bool:
+        """Return whether no request has arrived that is not answered.
+
+        A request is neither among the messages nor the current one for a turn
+        of the event loop, in which more of its body may arrive.
+        """
+        if self._messages or self._current_request is not None:
+            return False
+        waiter = self._waiter
+        is_waiting = waiter is not None and not waiter.done()
+        return is_waiting or not self._request_count
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop the timer of a closed connection."""
         self._stop_timer()
