--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -28,6 +28,7 @@
     parser.add_argument('--rate', type=float, default=60.0)
     parser.add_argument('--routers', type=int, default=4)
     parser.add_argument('--targets', type=int, default=4)
+    parser.add_argument('--prepaid', type=int, default=1_000_000_000)
     parser.add_argument(
         '--programs', type=Path, help='checkout whose programs are played'
     )
@@ -46,6 +47,7 @@
             targets=arguments.targets,
             length_s=arguments.length,
             rate=arguments.rate,
+            prepaid=arguments.prepaid,
         )
         record = fleets.Record(folder / f'record-{seed}.txt')
         os.environ['KEEP_LOGS'] = str(folder / f'logs-{seed}')
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -12,6 +12,12 @@
 from tests.builders.retry_judge import RetryLimit, repeats_of, worst_window
 from tests.soak.callers import Caller, End, Kind
 from tests.soak.crashes import ALLOWED_SENDS, late_sends
+from tests.soak.limits import (
+    handed_too_much_time,
+    ran_too_often,
+    sent_in_pauses,
+    tokens_used,
+)
 from tests.soak.standins import FaultyTarget, SilentStore
 from tests.soak.troubles import PLANNED, TROUBLES, source_of
 
@@ -42,6 +48,7 @@
     length_s: float = 40.0
     rate: float = 60.0
     callers: int = 6
+    prepaid: int = 1_000_000_000
 
 
 class Disruption(NamedTuple):
@@ -70,6 +77,7 @@
     overdue: list
     ended_by_themselves: list[str]
     late_crashing: dict[str, int]
+    broken_limits: dict[str, int]
 
     @property
     def not_refused(self):
@@ -88,7 +96,7 @@
             f'{dict(self.ends)}; {dict(self.reasons)}; lost {len(self.lost)}; '
             f'overdue {len(self.overdue)}; ended {self.ended_by_themselves}; '
             f'crashing not refused {self.not_refused} '
-            f'of {len(self.late_crashing)}'
+            f'of {len(self.late_crashing)}; limits {self.broken_limits}'
         )
 
 
@@ -152,7 +160,11 @@
                 services=[client.MODEL_SERVICE, client.APP_SERVICE],
                 routes=routes,
                 tenants=[
-                    {'name': 't', 'apiKeys': [KEY], 'prepaid': 1_000_000_000}
+                    {
+                        'name': 't',
+                        'apiKeys': [KEY],
+                        'prepaid': self.plan.prepaid,
+                    }
                 ],
             ),
         )
@@ -256,9 +268,36 @@
             ],
             contact_s=CONTACT_S,
         ),
+        _broken_limits(soak, sent),
     )
 
 
+def _broken_limits(soak, sent):
+    """Return how often each of the other limits was passed.
+
+    ``prepaid`` is the part of the prepaid tokens that was used.
+    """
+    sent_by_request = {each.id: each for each in sent}
+    receipts = [each for target in soak.targets for each in target.receipts]
+    pauses = [each for target in soak.targets for each in target.pauses]
+    runs = [
+        (run.id, target.name, run.events)
+        for target in soak.targets
+        for run in target.runs
+    ]
+    prompt_tokens = KINDS[-1].tokens[0]
+    return {
+        'targets': len(ran_too_often(run[:2] for run in runs)),
+        'time': len(handed_too_much_time(receipts, sent_by_request)),
+        'pauses': len(sent_in_pauses(receipts, pauses, sent_by_request)),
+        'prepaid': round(
+            tokens_used(((run[0], run[2]) for run in runs), prompt_tokens)
+            / soak.plan.prepaid,
+            3,
+        ),
+    }
+
+
 def _used(soak, service, sent, own):
     arrivals = [
         arrival
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -9,8 +9,12 @@
 from servers import Server
 
 from tests.soak.crashes import CRASHING_PATH, Arrival, Remnant
+from tests.soak.limits import Pause, Receipt
 
 POLL_PATH = '/dandelioncleat/kv-events'
+HEALTH_PATH = '/health'
+# A target that asks for a pause wants nothing for this time, in seconds.
+PAUSE_S = 2
 # Calls without an answer are held for longer than any process waits.
 HELD_S = 120.0
 
@@ -73,6 +77,8 @@
     RESET = 'reset'
     CUT = 'cut'
     LATE = 'late'
+    PAUSED = 'paused'
+    """It asks for a pause."""
     STILL = 'still'
     """It reads what has come only after it goes on."""
 
@@ -85,6 +91,8 @@
         super().__init__(fleet, name, service, **options)
         self.late_s = 0.5
         self.crash = None
+        self.receipts = []
+        self.pauses = []
         self.crashing_arrivals = []
         self._mode = Mode.SOUND
         self._goes_on = asyncio.Event()
@@ -106,9 +114,12 @@
             self._goes_on.set()
 
     async def _handle(self, request):
-        if request.path != POLL_PATH:
+        if request.path not in {POLL_PATH, HEALTH_PATH}:
             task = asyncio.create_task(
-                self._arrive(request.headers.get('Request-Id', ''))
+                self._arrive(
+                    request.headers.get('Request-Id', ''),
+                    request.headers.get('Deadline-Ms'),
+                )
             )
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -117,10 +128,13 @@
             await self._crash_under(request)
         return await super()._handle(request)
 
-    async def _arrive(self, request):
+    async def _arrive(self, request, left_ms):
         """Count an arrival, also if its sender has left by then."""
         await self._goes_on.wait()
-        self.arrivals.append((time.monotonic(), request))
+        now = time.monotonic()
+        left_s = None if left_ms is None else int(left_ms) / 1000
+        self.arrivals.append((now, request))
+        self.receipts.append(Receipt(now, request, self.name, left_s))
 
     async def _crash_under(self, request):
         """Crash, unless the target is crashing already."""
@@ -159,6 +173,9 @@
             case Mode.NOT_RUN:
                 self.runs.remove(run)
                 return self._respond(request, 503, b'', {'Not-Run': '1'})
+            case Mode.PAUSED:
+                self.runs.remove(run)
+                return self._ask_for_pause(request, run)
             case Mode.RESET:
                 return self._cut(request)
             case Mode.CUT:
@@ -168,6 +185,11 @@
                 await asyncio.sleep(self.late_s)
         return await self._answer(request, run)
 
+    def _ask_for_pause(self, request, run):
+        self.pauses.append(Pause(time.monotonic(), run.id, self.name, PAUSE_S))
+        headers = {'Not-Run': '1', 'Retry-After': str(PAUSE_S)}
+        return self._respond(request, 503, b'', headers)
+
     def _cut(self, request):
         request.transport.abort()
         return web.Response()
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -30,6 +30,14 @@
         await asyncio.sleep(source.uniform(1, 3))
 
 
+async def ask_for_pauses(soak, source):
+    """Let single targets ask for pauses, or fail, for some seconds each."""
+    while True:
+        for target in soak.targets:
+            target.mode = source.choice((Mode.PAUSED, Mode.ERROR, Mode.SOUND))
+        await asyncio.sleep(source.uniform(0.2, 3))
+
+
 async def fail_always(soak, source):
     """Let all targets fail, in ways that routers retry."""
     while True:
@@ -157,6 +165,7 @@
 TROUBLES = {
     'fail': fail_in_turn,
     'reject': fail_always,
+    'pause': ask_for_pauses,
     'still': stand_still,
     'reject-beside-still': reject_beside_still,
     'crash-quickly': crash_quickly,
