--- a/src/dandelioncleat/adapters/read_limit.py
+++ b/src/dandelioncleat/adapters/read_limit.py
@@ -10,14 +10,14 @@
 
 from aiohttp.base_protocol import BaseProtocol
 
-READ_BYTES = 8 * 1024
+READ_BYTES = 32 * 1024
 # Streams that had been held up bring some hundred events at once.
 MAX_LINES = 2_000
 LINES_PER_S = 2_000
 
 
 def limit_reads(transport: asyncio.BaseTransport | None) -> None:
-    """Let the event loop read a few KiB of a connection in one turn.
+    """Let the event loop read 32 KiB of a connection in one turn.
 
     asyncio reads up to 256 KiB otherwise, of each connection.
     """
