--- a/src/dandelioncleat/app/direct/clock_check.py
+++ b/src/dandelioncleat/app/direct/clock_check.py
@@ -8,10 +8,9 @@
 from dandelioncleat.core.clock_check import ClockAnswer, ClockEvidence
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.gateway_choice import GatewayEndpoint
-from dandelioncleat.core.holding import Moment
 from dandelioncleat.core.stable_hash import stable_hash
 from dandelioncleat.core.topic_message import AskTime, TimeTold
-from dandelioncleat.ports.clock import Clock
+from dandelioncleat.ports.clock import Clock, current_moment
 from dandelioncleat.ports.peer import Peers
 
 ASKED_HOSTS = 7
@@ -66,7 +65,7 @@
             *(self._ask(gateway.address) for gateway in asked)
         )
         answers = [answer for answer in found if answer is not None]
-        is_confirmed = self._evidence.note(answers, _moment(self._clock))
+        is_confirmed = self._evidence.note(answers, current_moment(self._clock))
         if is_confirmed != self._is_confirmed:
             self._is_confirmed = is_confirmed
             _logger.info(
@@ -78,7 +77,7 @@
         return is_confirmed
 
     async def _ask(self, address: str) -> ClockAnswer | None:
-        sent = _moment(self._clock)
+        sent = current_moment(self._clock)
         try:
             reply = await self._peers.call(
                 address, AskTime(), timeout_s=ANSWER_TIMEOUT_S
@@ -88,8 +87,4 @@
             return None
         if not isinstance(reply, TimeTold):
             return None
-        return ClockAnswer(sent, reply.wall_s, _moment(self._clock))
-
-
-def _moment(clock: Clock) -> Moment:
-    return Moment(clock.monotonic(), clock.wall())
+        return ClockAnswer(sent, reply.wall_s, current_moment(self._clock))
--- a/src/dandelioncleat/app/direct/holdings_sync.py
+++ b/src/dandelioncleat/app/direct/holdings_sync.py
@@ -16,10 +16,10 @@
 from dandelioncleat.app.event_wait import wait_at_most
 from dandelioncleat.core.decoding import UnreadableError, decode_bytes
 from dandelioncleat.core.failure import Code, FailureError, failure_error
-from dandelioncleat.core.holding import Ceiling, Moment, UsageMark
+from dandelioncleat.core.holding import Ceiling, UsageMark
 from dandelioncleat.core.host_holdings import HostHoldings
 from dandelioncleat.core.keyed_record import KeyedRecord
-from dandelioncleat.ports.clock import Clock
+from dandelioncleat.ports.clock import Clock, current_moment
 from dandelioncleat.ports.store import KeyedStore
 
 CEILINGS_TOPIC = 'ceilings'
@@ -78,7 +78,7 @@
         self._clock = clock
         # The earlier process can't have used anything since, however long the
         # store does not answer.
-        self._started_at = _moment(clock)
+        self._started_at = current_moment(clock)
         self._copy_age_s = copy_age_s
         self._on_change = on_change
         self._ceilings_due = asyncio.Event()
@@ -213,7 +213,7 @@
             await wait_at_most(self._marks_due, interval_s)
 
     async def _write_due_marks(self) -> None:
-        now = _moment(self._clock)
+        now = current_moment(self._clock)
         epoch = self._mark_writer.epoch
         marks = self._holdings.due_marks(now, epoch=epoch)
         if not marks:
@@ -288,10 +288,6 @@
         _logger.info('less presumed used', **each._asdict())
 
 
-def _moment(clock: Clock) -> Moment:
-    return Moment(clock.monotonic(), clock.wall())
-
-
 def _decode(
     record: KeyedRecord, decoder: msgspec.msgpack.Decoder[RecordT]
 ) -> RecordT | None:
--- a/src/dandelioncleat/ports/clock.py
+++ b/src/dandelioncleat/ports/clock.py
@@ -2,6 +2,8 @@
 
 from typing import Protocol
 
+from dandelioncleat.core.holding import Moment
+
 
 class Clock(Protocol):
     """Tells the time; to wait, the running event loop is used."""
@@ -11,3 +13,8 @@
 
     def wall(self) -> float:
         """Return seconds since the epoch, for display."""
+
+
+def current_moment(clock: Clock) -> Moment:
+    """Return the time on both clocks of a host."""
+    return Moment(clock.monotonic(), clock.wall())
