Let repeated SIGTERM lose no request of a planned stop

Callers saw connections closed without an answer, and streams cut in the middle, when the platform sent SIGTERM to a router more than once. The second signal of any kind forced the stop: the planned stop was cancelled and every connection closed while its request was at a target.

SIGTERM may now come any number of times. Only a second interrupt (SIGINT), as an operator at a terminal sends it, forces a stop. DirectRouter.close() ends the open requests before it closes their connections, so a forced stop, and a router whose tasks have failed, still tell callers truthfully whether their request may have run (502) or not (503).

The tests on a second signal that forces a stop are unchanged: they interrupt twice.

--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -360,6 +360,7 @@
 
     async def close(self) -> None:
         """Answer the requests that were read, and close every connection."""
+        await _end_requests(self._serving)
         if self._listener is not None:
             self._listener.close()
         for reading in self._servers:
@@ -368,9 +369,8 @@
         for server in self._servers:
             await server.shutdown(SHUTDOWN_TIMEOUT_S)
         await self._status_page.stop()
-        await self._targets.close()
-        await self._peers.close()
-        await self._session.close()
+        for client in (self._targets, self._peers, self._session):
+            await client.close()
 
     def reload(self, settings: DirectSettings) -> None:
         """Apply new settings; addresses change at the next start only."""
@@ -386,13 +386,7 @@
                 await self._serving.open_requests.idle.wait()
         except TimeoutError:
             lost = self.losses()
-        # The exit would interrupt any request that arrives from now on.
-        self._serving.begin_stop(NOTHING_ADMITTED)
-        if lost:
-            self._serving.open_requests.end_all()
-            await wait_at_most(
-                self._serving.open_requests.idle, END_ANSWERS_LIMIT_S
-            )
+        await _end_requests(self._serving)
         _logger.info('requests finished', lost=lost)
         return lost
 
@@ -439,6 +433,16 @@
             self._servers.append(self._server)
 
 
+async def _end_requests(serving: Serving) -> None:
+    """Give the open requests their last answers, and begin no other.
+
+    The exit would interrupt any request that arrives from now on.
+    """
+    serving.begin_stop(NOTHING_ADMITTED)
+    serving.open_requests.end_all()
+    await wait_at_most(serving.open_requests.idle, END_ANSWERS_LIMIT_S)
+
+
 def _share_among_routers(
     processes: ProcessDirectory, host_choice: HostChoice, retries: RetryBudget
 ) -> None:
--- a/src/dandelioncleat/daemons/supervision.py
+++ b/src/dandelioncleat/daemons/supervision.py
@@ -6,7 +6,6 @@
 
 import structlog
 
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 EXIT_LOSSES = 1
 
 _logger = structlog.get_logger(__name__)
@@ -32,24 +31,34 @@
 
 
 class StopSignals:
-    """Turns signals into events: one stops, a second forces the stop."""
+    """Turns signals into events.
+
+    SIGTERM asks for a planned stop, and may be repeated. An operator who
+    interrupts the process at a terminal may hurry it by a second interrupt.
+    """
 
     def __init__(self) -> None:
         """Start with no signal received."""
         self.stop = asyncio.Event()
         self.force_stop = asyncio.Event()
+        self._is_interrupted = False
+
+    def terminate(self) -> None:
+        """Handle SIGTERM; another one changes nothing."""
+        self.stop.set()
 
     def receive(self) -> None:
-        """Handle a stop signal."""
-        if self.stop.is_set():
+        """Handle an interrupt; a second one forces the stop."""
+        if self._is_interrupted:
             self.force_stop.set()
+        self._is_interrupted = True
         self.stop.set()
 
     def install(self) -> None:
         """Install handlers for the process's stop signals."""
         loop = asyncio.get_running_loop()
-        for number in STOP_SIGNALS:
-            loop.add_signal_handler(number, self.receive)
+        loop.add_signal_handler(signal.SIGTERM, self.terminate)
+        loop.add_signal_handler(signal.SIGINT, self.receive)
 
 
 async def supervise(
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -7,6 +7,7 @@
 import random
 import signal
 
+from tests.soak import signals
 from tests.soak.crashes import QUICK_CRASHES, SLOW_CRASHES, ask_again
 from tests.soak.standins import Mode
 
@@ -177,6 +178,9 @@
     'silence': silence_store,
     'configuration': change_configuration,
     'reload': reload_routers,
+    'signals': signals.stop_repeatedly,
+    'signals-to-all': signals.stop_all_repeatedly,
+    'signals-at-start': signals.stop_at_start,
 }
 
 
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -571,6 +571,16 @@
         self.assertIn('r-1', lost)
         self.assertEqual(502, status)
 
+    def test_forced_stop_answers_a_call_that_may_have_run(self):
+        async def scenario(fleet):
+            fleet.app.answers = [never_answered()]
+            call = asyncio.ensure_future(fleet.call('/once/a'))
+            await fleet.wait_until(lambda: fleet.app.requests)
+            await fleet.router.close()
+            return (await call)[0]
+
+        self.assertEqual(502, run_with_fleet(scenario))
+
     def test_stop_returns_tokens_to_the_budget(self):
         async def scenario(fleet):
             await fleet.call('/stream/a', **MODEL_HEADERS)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -38,6 +38,9 @@
     def test_planned_stops_while_the_store_is_silent(self):
         self._play('stop', 'silence', 'configuration', seed=211)
 
+    def test_stops_by_signals_in_series_beside_slow_requests(self):
+        self._play('signals', seed=301)
+
     def test_crashing_requests_at_targets_that_are_back_at_once(self):
         self._play('crash-quickly', seed=502, targets=8)
 
