Blame crashes on runs that nobody waits for any more

A request whose callers left after 0.1 s, or whose time was over, and which crashed its targets later, was not refused: a crash was only noted by a run that was still awaited when it came.

Each router now remembers the runs that ended without an answer while their target may go on with them, for each start of a target: a bounded number, and equal ones once. They are suspected when that start is found to have crashed within 2 s: another run breaks off, a connection is refused, a poll breaks off, another router recorded it, or a later start is listed without a leave.

A sound request whose callers leave runs beside crashes, too, and never succeeds. A target that has written an entry 2 s after such a run has outlived it, which withdraws the records of abandoned runs of that request. Crashes of abandoned runs that come together count once, as in a power loss. A whole answer that was read as its caller left counts as a success.

--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -131,6 +131,7 @@
     state.note_answer(answer.occupancy, now)
     if not answer.is_stream:
         body = await _read_body(context, state, answer)
+        context.has_whole_answer = True
         context.has_output = True
         # Whatever happens while it is sent, nothing else may follow it.
         context.sent_head = answer.head
--- a/src/dandelioncleat/app/direct/cache_watch.py
+++ b/src/dandelioncleat/app/direct/cache_watch.py
@@ -9,6 +9,7 @@
 from dandelioncleat.app.direct.target_directory import TargetDirectory
 from dandelioncleat.app.direct.target_limits import TargetLimits
 from dandelioncleat.app.direct.target_state import TargetState
+from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.ports.cache_events import CacheEventSource
 
@@ -39,6 +40,7 @@
         source: random.Random,
         is_poller: Callable[[str], bool],
         limits: TargetLimits,
+        on_broken: Callable[[TargetEntry], None] | None = None,
     ) -> None:
         """Initialise with the targets and the client of their cache events.
 
@@ -46,12 +48,15 @@
             routers of a large fleet would be more than targets answer
         :param limits: is told what the targets say about their limits
         :param source: spreads the pauses after refused polls
+        :param on_broken: called with the entry of a target that broke off a
+            poll
         """
         self._directory = directory
         self._events = events
         self._source = source
         self._is_poller = is_poller
         self._limits = limits
+        self._on_broken = on_broken
         self._tasks_by_target: dict[str, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
@@ -95,10 +100,15 @@
                     target=state.entry.id,
                     reason=str(error),
                 )
+                self._note_broken(state)
                 is_answered = False
             refusals = 0 if is_answered else refusals + 1
             await asyncio.sleep(self._pause_s(refusals))
 
+    def _note_broken(self, state: TargetState) -> None:
+        if self._on_broken is not None:
+            self._on_broken(state.entry)
+
     async def _poll_once(self, state: TargetState) -> bool:
         """Read the changes; return whether the target answered the poll."""
         cache = state.cache
--- a/src/dandelioncleat/app/direct/crash_detector.py
+++ b/src/dandelioncleat/app/direct/crash_detector.py
@@ -10,17 +10,26 @@
 - It goes on to write its entry: it lives.
 - Nothing at its address answered: it is presumed to have crashed, until it
   writes its entry.
+
+A target may also crash under runs that nobody waits for any more. Those runs
+are remembered, and suspected with those that the crash interrupts.
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 import structlog
 
+from dandelioncleat.app.direct.abandoned_runs import AbandonedRuns
 from dandelioncleat.app.direct.crash_mark import SIGN_DELAY_S
-from dandelioncleat.app.direct.lost_runs import LostRun, LostRuns, WatchedRun
-from dandelioncleat.core.crash_suspect import CrashSuspect
+from dandelioncleat.app.direct.lost_runs import (
+    AbandonedRun,
+    LostRun,
+    LostRuns,
+    WatchedRun,
+)
+from dandelioncleat.app.direct.undecided_starts import UndecidedStarts
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import DirectRequest
 from dandelioncleat.ports.direct_target import DirectTargets, TargetStatus
@@ -55,11 +64,13 @@
 
     ``on_crash`` records a crash and returns the keys of its records,
     ``on_alive`` gets runs whose target lives, and the keys of records that
-    were wrong.
+    were wrong. ``on_outlived`` gets abandoned runs that their target has
+    outlived.
     """
 
     on_crash: Callable[[LostRuns], set[str]]
     on_alive: Callable[[list[LostRun], set[str]], None]
+    on_outlived: Callable[[list[AbandonedRun]], None]
 
 
 class CrashDetector:
@@ -75,14 +86,9 @@
         self._targets = targets
         self._listed = listed
         self._listener = listener
-        self._lost_by_start: dict[str, LostRuns] = {}
-        self._starts_by_target: dict[str, str] = {}
+        self.undecided = UndecidedStarts()
         self._probes_by_start: dict[str, asyncio.Task[None]] = {}
-
-    @property
-    def is_undecided(self) -> bool:
-        """Return whether any target may have crashed."""
-        return bool(self._lost_by_start)
+        self._abandoned = AbandonedRuns()
 
     def note_lost(
         self,
@@ -99,43 +105,73 @@
         :param looks_whole: whether the answer may be whole
         :param is_leaving: whether the target was known to leave
         """
-        start = target.start
-        lost = self._lost_by_start.get(start)
-        if lost is None:
-            lost = LostRuns(target, is_leaving=is_leaving)
-            self._lost_by_start[start] = lost
-            self._starts_by_target[target.id] = start
-            loop = asyncio.get_running_loop()
-            loop.call_later(UNDECIDED_LIMIT_S, self._give_up, lost)
+        lost = self._undecided(target, is_leaving=is_leaving)
         if lost.add(LostRun(run, _now(), has_begun, looks_whole)):
             self._probe_soon(lost)
 
-    def note_entry(self, entry: TargetEntry) -> None:
-        """Note that an entry of a target was read from the list."""
-        start = self._starts_by_target.get(entry.id)
-        lost = self._lost_by_start.get(start or '')
-        if lost is None or start in self._probes_by_start:
-            return
-        if entry.start == start:
-            self._note_alive(lost)
-        elif entry.started_at > lost.target.started_at:
-            self._decide_restarted(lost)
+    def note_abandoned(
+        self,
+        run: WatchedRun,
+        target: TargetEntry,
+        *,
+        leaves: Callable[[], bool],
+    ) -> None:
+        """Remember a run that has ended while its target may go on with it.
 
-    def note_sound(self, suspects: Iterable[CrashSuspect]) -> None:
-        """Note suspects that have run to a good end."""
-        keys = [each.key for each in suspects]
-        for lost in self._lost_by_start.values():
-            lost.note_sound(keys)
+        :param leaves: returns whether the target's end is planned
+        """
+        newest = self._listed.started_at(target.id)
+        is_replaced = newest is not None and newest > target.started_at
+        if not run.is_after_crash and not is_replaced:
+            self._abandoned.add(run, target, now=_now(), leaves=leaves)
+
+    def note_doubt(self, start: str) -> None:
+        """Find out whether a start has crashed under runs nobody waits for."""
+        target = self._abandoned.target(start)
+        if target is None or self.undecided.get(start) is not None:
+            return
+        if not self._abandoned.is_leaving(start):
+            self._probe_soon(self._undecided(target, is_leaving=False))
 
-    def may_have_crashed(self, suspect: CrashSuspect) -> bool:
-        """Return whether an undecided loss may be a crash under a suspect."""
-        return any(lost.holds(suspect) for lost in self._lost_by_start.values())
+    def note_entry(self, entry: TargetEntry) -> None:
+        """Note that an entry of a target was read from the list."""
+        self._note_lost_entry(entry)
+        outlived = self._abandoned.take_survived(
+            entry.start, _now() - SIGN_DELAY_S
+        )
+        if outlived:
+            self._listener.on_outlived(outlived)
+        for earlier in self._abandoned.earlier_starts(entry):
+            if earlier.start not in self._probes_by_start:
+                is_leaving = self._abandoned.is_leaving(earlier.start)
+                self._decide_restarted(
+                    self._undecided(earlier, is_leaving=is_leaving)
+                )
 
     def close(self) -> None:
         """End the probes."""
         for probe in self._probes_by_start.values():
             probe.cancel()
 
+    def _undecided(self, target: TargetEntry, *, is_leaving: bool) -> LostRuns:
+        """Return what is known of a start that may have crashed."""
+        lost = self.undecided.get(target.start)
+        if lost is None:
+            lost = LostRuns(target, is_leaving=is_leaving, since=_now())
+            self.undecided.add(lost)
+            loop = asyncio.get_running_loop()
+            loop.call_later(UNDECIDED_LIMIT_S, self._give_up, lost)
+        return lost
+
+    def _note_lost_entry(self, entry: TargetEntry) -> None:
+        lost = self.undecided.of_target(entry.id)
+        if lost is None or lost.target.start in self._probes_by_start:
+            return
+        if entry.start == lost.target.start:
+            self._note_alive(lost)
+        elif entry.started_at > lost.target.started_at:
+            self._decide_restarted(lost)
+
     def _probe_soon(self, lost: LostRuns) -> None:
         start = lost.target.start
         if start in self._probes_by_start:
@@ -163,6 +199,7 @@
         elif is_restarted:
             self._decide_restarted(lost)
         elif status is TargetStatus.SILENT and not lost.is_leaving:
+            lost.abandoned = _suspected(self._abandoned, lost)
             _log_decision(lost, lost.runs, has_crashed=True)
             lost.recorded_keys |= self._listener.on_crash(lost)
 
@@ -174,17 +211,22 @@
             self._decide_crashed(lost)
 
     def _decide_crashed(self, lost: LostRuns) -> None:
-        self._forget(lost)
+        lost.abandoned = _suspected(self._abandoned, lost)
+        self._abandoned.forget(lost.target.start)
+        self.undecided.forget(lost)
         _log_decision(lost, lost.runs, has_crashed=True)
         self._listener.on_crash(lost)
 
     def _note_alive(self, lost: LostRuns) -> None:
         """Note that the start has written its entry."""
-        runs = lost.take_before(_now() - SIGN_DELAY_S)
-        if not runs:
+        moment = _now() - SIGN_DELAY_S
+        if lost.since >= moment:
+            return
+        runs = lost.take_before(moment)
+        if lost.runs and not runs:
             return
         if not lost.runs:
-            self._forget(lost)
+            self.undecided.forget(lost)
         _log_decision(lost, runs, has_crashed=False)
         wrong_keys = lost.recorded_keys
         lost.recorded_keys = set()
@@ -192,17 +234,21 @@
 
     def _give_up(self, lost: LostRuns) -> None:
         """Take the target of undecided losses as alive."""
-        if self._lost_by_start.get(lost.target.start) is not lost:
+        if self.undecided.get(lost.target.start) is not lost:
             return
-        self._forget(lost)
+        self.undecided.forget(lost)
+        if lost.is_leaving:
+            self._abandoned.forget(lost.target.start)
         if not lost.is_presumed:
             self._listener.on_alive(lost.runs, set())
 
-    def _forget(self, lost: LostRuns) -> None:
-        start = lost.target.start
-        self._lost_by_start.pop(start, None)
-        if self._starts_by_target.get(lost.target.id) == start:
-            self._starts_by_target.pop(lost.target.id)
+
+def _suspected(
+    abandoned: AbandonedRuns, lost: LostRuns
+) -> tuple[AbandonedRun, ...]:
+    """Return the abandoned runs that a crash may be blamed on."""
+    lost_at = [each.lost_at for each in lost.runs]
+    return abandoned.near(lost.target.start, lost_at, now=_now())
 
 
 def _now() -> float:
@@ -228,11 +274,13 @@
 ) -> None:
     log = _logger.warning if has_crashed else _logger.info
     requests = [each.run.request for each in runs[:MAX_LOGGED_REQUESTS]]
+    abandoned = lost.abandoned[:MAX_LOGGED_REQUESTS] if has_crashed else ()
     log(
         'target crashed' if has_crashed else 'target did not crash',
         target=lost.target.id,
         start=lost.target.start,
         runs=len(runs),
+        abandoned={each.request: each.digest for each in abandoned},
         begun=sum(each.has_begun for each in runs),
         was_presumed=lost.is_presumed,
         digests_by_request={each.id: each.digest for each in requests},
--- /dev/null
+++ b/src/dandelioncleat/app/direct/crash_evidence.py
@@ -0,0 +1,160 @@
+"""Records what may have crashed targets, and finds what has."""
+
+import asyncio
+
+import structlog
+
+from dandelioncleat.app.direct.lost_runs import AbandonedRun, LostRuns
+from dandelioncleat.app.direct.shared_crash_records import SharedCrashRecords
+from dandelioncleat.core.crash_cause import (
+    MIN_CRASHES,
+    CrashCause,
+    find_causes,
+)
+from dandelioncleat.core.crash_records import CrashRecord
+from dandelioncleat.core.crash_suspect import suspects_of
+from dandelioncleat.core.direct_request import DirectRequest
+from dandelioncleat.core.quarantine_trial import QuarantineTrials
+from dandelioncleat.core.recent_success import RecentSuccesses
+from dandelioncleat.ports.clock import Clock
+
+_logger = structlog.get_logger(__name__)
+
+
+class CrashEvidence:
+    """Weighs the records of all routers against what has run soundly."""
+
+    def __init__(
+        self,
+        records: SharedCrashRecords,
+        *,
+        trials: QuarantineTrials,
+        clock: Clock,
+    ) -> None:
+        """Initialise with the records.
+
+        :param trials: is told which quarantines begin and end
+        """
+        self.successes = RecentSuccesses()
+        self._outlived = RecentSuccesses()
+        self._records = records
+        self._trials = trials
+        self._clock = clock
+        self._causes_by_suspect: dict[str, CrashCause] = {}
+        self._changes_seen = 0
+
+    def causes(self) -> dict[str, CrashCause]:
+        """Return what crashes targets, by the keys of suspects."""
+        known = self._records.known
+        if known.changes != self._changes_seen:
+            self._changes_seen = known.changes
+            causes_by_suspect = find_causes(known.of_frequent(MIN_CRASHES))
+            self._note_causes(causes_by_suspect)
+            self._causes_by_suspect = causes_by_suspect
+        return self._causes_by_suspect
+
+    def add(self, lost: LostRuns) -> set[str]:
+        """Record a crash; return the keys of its records."""
+        now = self._clock.wall()
+        records = [
+            *self._of_lost_runs(lost, now),
+            *self._of_abandoned_runs(lost, now),
+        ]
+        self._records.add(records)
+        return {record.key for record in records}
+
+    def note_success(self, request: DirectRequest) -> None:
+        """Withdraw what was recorded of all that has now succeeded."""
+        suspects = suspects_of(request)
+        self.successes.note(suspects, _now())
+        keys = self._records.known.keys_of(suspects)
+        if not keys:
+            return
+        _logger.info(
+            'crash records withdrawn',
+            request=request.id,
+            digest=request.digest,
+            records=len(keys),
+        )
+        self._records.withdraw(keys)
+
+    def note_outlived(self, runs: list[AbandonedRun]) -> None:
+        """Withdraw what was recorded of runs that their target outlived.
+
+        What interrupted runs tell remains, and a quarantine is ended only by
+        runs that were sent after the last crash.
+        """
+        keys: list[str] = []
+        for run in runs:
+            self._outlived.note(run.suspects, _now())
+            keys += self._outlived_keys(run)
+        if keys:
+            _logger.info(
+                'crash records of abandoned runs withdrawn', records=len(keys)
+            )
+            self._records.withdraw(keys)
+
+    def _outlived_keys(self, run: AbandonedRun) -> list[str]:
+        sent_at = self._clock.wall() - (_now() - run.sent_at)
+        causes_by_suspect = self.causes()
+        keys: list[str] = []
+        for suspect in run.suspects:
+            cause = causes_by_suspect.get(suspect.key)
+            if cause is None or cause.last_at < sent_at:
+                keys += self._records.known.abandoned_keys_of(suspect)
+        return keys
+
+    def _note_causes(self, causes_by_suspect: dict[str, CrashCause]) -> None:
+        for begun in causes_by_suspect.keys() - self._causes_by_suspect.keys():
+            is_known = self.successes.knows(begun)
+            self._trials.begin(begun, _now(), is_known=is_known)
+            _logger.warning(
+                'quarantine begins',
+                suspect=begun,
+                crashes=causes_by_suspect[begun].crashes,
+                has_succeeded=is_known,
+            )
+        for ended in self._causes_by_suspect.keys() - causes_by_suspect.keys():
+            self._trials.end(ended)
+            _logger.info('quarantine ends', suspect=ended)
+
+    def _of_lost_runs(self, lost: LostRuns, now: float) -> list[CrashRecord]:
+        """Return records of the runs that a crash has interrupted."""
+        start = lost.target.start
+        return [
+            CrashRecord(
+                suspect.key,
+                start,
+                now,
+                suspect.depth,
+                suspect in each.run.repeated,
+            )
+            for each in lost.runs
+            for suspect in each.suspects
+            if not lost.is_sound(suspect)
+            and not self.successes.has(suspect, each.lost_at)
+        ]
+
+    def _of_abandoned_runs(
+        self, lost: LostRuns, now: float
+    ) -> list[CrashRecord]:
+        """Return records of the runs that nobody waited for any more."""
+        start = lost.target.start
+        return [
+            CrashRecord(
+                suspect.key,
+                start,
+                now,
+                suspect.depth,
+                suspect in run.repeated,
+                is_abandoned=True,
+            )
+            for run in lost.abandoned
+            for suspect in run.suspects
+            if not self.successes.has(suspect, run.ended_at)
+            and not self._outlived.has(suspect, run.ended_at)
+        ]
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/dandelioncleat/app/direct/crash_quarantine.py
+++ b/src/dandelioncleat/app/direct/crash_quarantine.py
@@ -11,19 +11,19 @@
     CrashListener,
     TargetList,
 )
-from dandelioncleat.app.direct.lost_runs import LostRun, LostRuns, WatchedRun
+from dandelioncleat.app.direct.crash_evidence import CrashEvidence
+from dandelioncleat.app.direct.lost_runs import LostRun, WatchedRun
 from dandelioncleat.app.direct.shared_crash_records import SharedCrashRecords
-from dandelioncleat.core.crash_cause import (
-    MIN_CRASHES,
-    CrashCause,
-    find_causes,
+from dandelioncleat.core.crash_cause import CrashCause
+from dandelioncleat.core.crash_records import RECORD_AGE_S
+from dandelioncleat.core.crash_suspect import (
+    CrashSuspect,
+    request_suspect,
+    suspects_of,
 )
-from dandelioncleat.core.crash_records import RECORD_AGE_S, CrashRecord
-from dandelioncleat.core.crash_suspect import CrashSuspect, suspects_of
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import DirectRequest
 from dandelioncleat.core.quarantine_trial import QuarantineTrials
-from dandelioncleat.core.recent_success import RecentSuccesses
 from dandelioncleat.ports.clock import Clock
 from dandelioncleat.ports.direct_target import DirectTargets
 from dandelioncleat.ports.store import KeyedStore
@@ -60,21 +60,26 @@
         self._cores_by_host = cores_by_host
         self._trials = QuarantineTrials(host)
         self._clock = clock
+        self._listed = listed
+        self._records = SharedCrashRecords(
+            store, host=host, clock=clock, on_crash=self._note_crash
+        )
+        self._evidence = CrashEvidence(
+            self._records, trials=self._trials, clock=clock
+        )
         self._detector = CrashDetector(
             targets,
             listed,
-            CrashListener(self._add_crash, self._note_alive),
-        )
-        self._records = SharedCrashRecords(
-            store, host=host, clock=clock, on_crash=listed.note_crash
+            CrashListener(
+                self._evidence.add,
+                self._note_alive,
+                self._evidence.note_outlived,
+            ),
         )
-        self._causes_by_suspect: dict[str, CrashCause] = {}
-        self._changes_seen = 0
-        self._successes = RecentSuccesses()
 
     def find(self, request: DirectRequest) -> Quarantine | None:
         """Return the quarantine of a request, ``None`` if it may run."""
-        causes_by_suspect = self._causes()
+        causes_by_suspect = self._evidence.causes()
         if not causes_by_suspect:
             return None
         for suspect in suspects_of(request):
@@ -138,26 +143,33 @@
             is_leaving=is_leaving,
         )
 
+    def note_abandoned(
+        self,
+        run: WatchedRun,
+        target: TargetEntry,
+        *,
+        leaves: Callable[[], bool],
+    ) -> None:
+        """Remember a run that has ended while its target may go on with it.
+
+        :param leaves: returns whether the target's end is planned
+        """
+        request = request_suspect(run.request)
+        if not self._evidence.successes.has(request, _now()):
+            self._detector.note_abandoned(run, target, leaves=leaves)
+
+    def note_unreachable(self, target: TargetEntry) -> None:
+        """Note that a target could not be reached, or broke off a poll."""
+        self._detector.note_doubt(target.start)
+
     def note_entry(self, entry: TargetEntry) -> None:
         """Note that an entry of a target was read from the list."""
         self._detector.note_entry(entry)
 
     def note_delivered(self, request: DirectRequest) -> None:
         """Withdraw what was recorded of all that has now succeeded."""
-        suspects = suspects_of(request)
-        self._successes.note(suspects, _now())
-        self._detector.note_sound(suspects)
-        if not self._records.known:
-            return
-        keys = self._records.known.keys_of(suspects)
-        if keys:
-            _logger.info(
-                'crash records withdrawn',
-                request=request.id,
-                digest=request.digest,
-                records=len(keys),
-            )
-        self._records.withdraw(keys)
+        self._detector.undecided.note_sound(suspects_of(request))
+        self._evidence.note_success(request)
 
     async def run(self) -> None:
         """Follow and write the records until cancelled."""
@@ -166,29 +178,6 @@
         finally:
             self._detector.close()
 
-    def _causes(self) -> dict[str, CrashCause]:
-        known = self._records.known
-        if known.changes != self._changes_seen:
-            self._changes_seen = known.changes
-            causes_by_suspect = find_causes(known.of_frequent(MIN_CRASHES))
-            self._note_causes(causes_by_suspect)
-            self._causes_by_suspect = causes_by_suspect
-        return self._causes_by_suspect
-
-    def _note_causes(self, causes_by_suspect: dict[str, CrashCause]) -> None:
-        for begun in causes_by_suspect.keys() - self._causes_by_suspect.keys():
-            is_known = self._successes.knows(begun)
-            self._trials.begin(begun, _now(), is_known=is_known)
-            _logger.warning(
-                'quarantine begins',
-                suspect=begun,
-                crashes=causes_by_suspect[begun].crashes,
-                has_succeeded=is_known,
-            )
-        for ended in self._causes_by_suspect.keys() - causes_by_suspect.keys():
-            self._trials.end(ended)
-            _logger.info('quarantine ends', suspect=ended)
-
     def _may_try(self, request: DirectRequest, suspect: CrashSuspect) -> bool:
         """Return whether a quarantined request may run, as a trial."""
         cores_by_host = self._cores_by_host()
@@ -209,34 +198,21 @@
         """Return the suspects under which a target may have crashed."""
         if is_after_loss:
             return frozenset(suspects_of(request))
-        if not self._records.known and not self._detector.is_undecided:
+        if not self._records.known and not self._detector.undecided:
             return frozenset()
         suspects = suspects_of(request)
         known = self._records.known
         return frozenset(
             each
             for each in suspects
-            if known.has(each) or self._detector.may_have_crashed(each)
+            if known.has(each)
+            or self._detector.undecided.may_have_crashed(each)
         )
 
-    def _add_crash(self, lost: LostRuns) -> set[str]:
-        """Record a crash; return the keys of its records."""
-        now = self._clock.wall()
-        records = [
-            CrashRecord(
-                suspect.key,
-                lost.target.start,
-                now,
-                suspect.depth,
-                suspect in each.run.repeated,
-            )
-            for each in lost.runs
-            for suspect in each.suspects
-            if not lost.is_sound(suspect)
-            and not self._successes.has(suspect, each.lost_at)
-        ]
-        self._records.add(records)
-        return {record.key for record in records}
+    def _note_crash(self, start: str) -> None:
+        """Note that any router has found a start to have crashed."""
+        self._listed.note_crash(start)
+        self._detector.note_doubt(start)
 
     def _note_alive(self, runs: list[LostRun], wrong_keys: set[str]) -> None:
         """Note that a target lives that had lost some runs."""
--- a/src/dandelioncleat/app/direct/lost_runs.py
+++ b/src/dandelioncleat/app/direct/lost_runs.py
@@ -50,8 +50,27 @@
         return (request_suspect(self.run.request),)
 
 
+class AbandonedRun(NamedTuple):
+    """A run that ended without an answer while its target may go on with it.
+
+    Times are event loop times in seconds. Of equal runs at one start
+    ``sent_at`` and ``first_ended_at`` are those of the first, ``request`` and
+    ``ended_at`` those of the last.
+    """
+
+    request: str
+    digest: str
+    suspects: tuple[CrashSuspect, ...]
+    repeated: frozenset[CrashSuspect]
+    sent_at: float
+    first_ended_at: float
+    ended_at: float
+
+
 class LostRuns:
-    """The runs that one start of a target has lost.
+    """The runs that one start of a target has lost, if any.
+
+    ``abandoned`` are those that had ended without an answer before.
 
     ``recorded_keys`` are the crash records of a target that is presumed to
     have crashed, which may still turn out to be wrong. ``silent_since`` is
@@ -59,12 +78,18 @@
     loop time in seconds.
     """
 
-    def __init__(self, target: TargetEntry, *, is_leaving: bool) -> None:
+    def __init__(
+        self, target: TargetEntry, *, is_leaving: bool, since: float
+    ) -> None:
         """Start without a run.
 
         :param is_leaving: whether the target was leaving, which also ends
             its answers
+        :param since: since when it may have crashed, an event loop time in
+            seconds
         """
+        self.since = since
+        self.abandoned: tuple[AbandonedRun, ...] = ()
         self.target = target
         self.is_leaving = is_leaving
         self.runs: list[LostRun] = []
--- a/src/dandelioncleat/app/direct/run_context.py
+++ b/src/dandelioncleat/app/direct/run_context.py
@@ -52,7 +52,8 @@
     ``earlier_may_have_run`` that one before the last may have.
     ``sent_head`` is the head of the answer that the caller was sent,
     ``has_output`` says that a part of its body was sent, too.
-    ``answer_head`` is the head of the last answer, ``None`` if there was none;
+    ``answer_head`` is the head of the last answer, ``None`` if there was none,
+    ``has_whole_answer`` says that its whole body was read before it is sent;
     ``has_lost_answer`` says that a target's answer was lost. ``origin`` is
     where the caller's stream began, ``None`` before its first event.
     ``arrivals`` counts how often routers have sent the request to targets;
@@ -90,6 +91,7 @@
         self.sent_head: ResponseHead | None = None
         self.has_output = False
         self.answer_head: ResponseHead | None = None
+        self.has_whole_answer = False
         self.has_lost_answer = False
         self.tried_targets: set[str] = set()
         self.sent_to: set[str] = set()
@@ -168,6 +170,7 @@
         self.arrivals += 1
         self.sent_at = _now()
         self.answer_head = None
+        self.has_whole_answer = False
         self.stream.unfinished_bytes = 0
         self.earlier_may_have_run = self.may_have_run
         self.may_have_run = True
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -322,15 +322,19 @@
         is_after_loss=context.has_lost_answer,
         is_after_crash=state.crash_mark.is_set,
     )
-    with parts.telemetry.span('direct.attempt', target=state.entry.id):
-        outcome = await run_attempt(
-            context,
-            state,
-            targets=parts.targets,
-            reply=reply,
-            origins=parts.origins,
-            limits=parts.limits,
-        )
+    try:
+        with parts.telemetry.span('direct.attempt', target=state.entry.id):
+            outcome = await run_attempt(
+                context,
+                state,
+                targets=parts.targets,
+                reply=reply,
+                origins=parts.origins,
+                limits=parts.limits,
+            )
+    except (asyncio.CancelledError, TimeoutError):
+        _report_abandoned(context, run, state, quarantine=quarantine)
+        raise
     _report_outcome(context, run, state, outcome=outcome, quarantine=quarantine)
     return outcome
 
@@ -397,6 +401,26 @@
     return outcome is AttemptOutcome.NOT_SENT or parts.retries.take(context)
 
 
+def _report_abandoned(
+    context: RunContext,
+    run: WatchedRun,
+    state: TargetState,
+    *,
+    quarantine: CrashQuarantine,
+) -> None:
+    """Tell the quarantine of an attempt that nobody waits for any more."""
+    if context.has_whole_answer:
+        _report_outcome(
+            context,
+            run,
+            state,
+            outcome=AttemptOutcome.DELIVERED,
+            quarantine=quarantine,
+        )
+        return
+    quarantine.note_abandoned(run, state.entry, leaves=lambda: state.is_leaving)
+
+
 def _report_outcome(
     context: RunContext,
     run: WatchedRun,
@@ -407,6 +431,8 @@
 ) -> None:
     """Tell the quarantine how an attempt ended."""
     head = context.answer_head
+    if outcome is AttemptOutcome.NOT_SENT:
+        quarantine.note_unreachable(state.entry)
     if outcome is AttemptOutcome.LOST:
         quarantine.note_lost(
             run,
--- a/src/dandelioncleat/core/crash_cause.py
+++ b/src/dandelioncleat/core/crash_cause.py
@@ -46,12 +46,14 @@
     """The crashes under one suspect that nothing else explains.
 
     ``at_by_start`` gives the time of day of each crash, in seconds.
+    ``abandoned_starts`` crashed after all runs of the suspect had ended there.
     """
 
     suspect: str
     depth: int
     at_by_start: Mapping[str, float]
     repeated_starts: frozenset[str]
+    abandoned_starts: frozenset[str] = frozenset()
 
     @property
     def starts(self) -> frozenset[str]:
@@ -72,7 +74,7 @@
     def is_conclusive(self) -> bool:
         """Return whether the suspect must be the cause."""
         if self.is_request:
-            return len(self.at_by_start) >= MIN_CRASHES
+            return self._crashes >= MIN_CRASHES
         if self._moments(self.at_by_start) < MIN_CRASHES:
             return False
         return self._moments(self.repeated_starts) >= MIN_REPEATS
@@ -86,12 +88,23 @@
                 if start not in starts
             },
             repeated_starts=self.repeated_starts - starts,
+            abandoned_starts=self.abandoned_starts - starts,
         )
 
     def cause(self) -> CrashCause:
         """Return the suspect as a cause."""
         return CrashCause(len(self.at_by_start), max(self.at_by_start.values()))
 
+    @property
+    def _crashes(self) -> int:
+        """Return the number of crashes that count against a request.
+
+        A power loss takes many targets that were given a request, so crashes
+        that come together count once if no run was under way.
+        """
+        interrupted = self.starts - self.abandoned_starts
+        return len(interrupted) + self._moments(self.abandoned_starts)
+
     def _moments(self, starts: Iterable[str]) -> int:
         """Return how many times some starts crashed, one or more together."""
         moments = 0
@@ -152,6 +165,8 @@
             max(each.depth for each in own),
             _at_by_start(own),
             frozenset(each.start for each in own if each.is_repeat),
+            frozenset(each.start for each in own if each.is_abandoned)
+            - frozenset(each.start for each in own if not each.is_abandoned),
         )
         for suspect, own in records_by_suspect.items()
     ]
--- a/src/dandelioncleat/core/crash_records.py
+++ b/src/dandelioncleat/core/crash_records.py
@@ -28,6 +28,8 @@
     :param depth: how specific the suspect is
     :param is_repeat: whether the run was sent after another target had crashed
         under the suspect
+    :param is_abandoned: whether the run had ended without an answer before the
+        crash, so that its target may have dropped it
     """
 
     suspect: str
@@ -35,12 +37,14 @@
     at: float
     depth: int
     is_repeat: bool
+    is_abandoned: bool = False
 
     @property
     def key(self) -> str:
         """Return the key of the record in the store."""
         start = xxh64_hexdigest(self.start.encode())
-        return f'{self.suspect}/{start}/{int(self.is_repeat)}'
+        kind = int(self.is_repeat) + 2 * int(self.is_abandoned)
+        return f'{self.suspect}/{start}/{kind}'
 
 
 class CrashRecords:
@@ -110,6 +114,11 @@
             for key in sorted(self._keys_by_suspect.get(suspect.key, ()))
         )
 
+    def abandoned_keys_of(self, suspect: CrashSuspect) -> list[str]:
+        """Return the keys of what abandoned runs tell about a suspect."""
+        keys = self._keys_by_suspect.get(suspect.key, ())
+        return [key for key in keys if self._records_by_key[key].is_abandoned]
+
     def expired_keys(self, now: float) -> tuple[str, ...]:
         """Return the keys of the records that are too old.
 
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -232,6 +232,7 @@
                 target, settings.host
             ),
             limits=self._target_limits,
+            on_broken=lambda entry: self._quarantine.note_unreachable(entry),
         )
         self._open_targets = OpenTargets(self._directory, self._target_limits)
         self._placement = Placement(
--- a/tests/builders/quarantine.py
+++ b/tests/builders/quarantine.py
@@ -30,6 +30,16 @@
     return TargetEntry('i', 's', '10.0.0.1:80', 'z', 8, False, started_at)
 
 
+def abandon(router, number, entry, *, is_leaving=False, prompt=None, **options):
+    """Let the caller of a run leave while its target goes on with it.
+
+    :param is_leaving: whether the target's end is planned
+    """
+    given_up = request(number, **options)._replace(prompt=prompt)
+    run_now = router.watch(given_up, is_after_loss=False)
+    router.note_abandoned(run_now, entry, leaves=lambda: is_leaving)
+
+
 class FakeTargets:
     """Targets at whose addresses the same is found.
 
@@ -125,11 +135,15 @@
             router = self.routers[number % len(self.routers)]
             router.note_lost(run_of(number), target(2 * number), **options)
             await asyncio.sleep(after_s)
-            self.listed.started_at_by_target['i'] = 2 * number + 1
-            for each in self.routers:
-                each.note_entry(target(2 * number + 1))
+            self.list_start(2 * number + 1)
             await asyncio.sleep(1)
 
+    def list_start(self, started_at):
+        """Let all routers read a later start of the target."""
+        self.listed.started_at_by_target['i'] = started_at
+        for each in self.routers:
+            each.note_entry(target(started_at))
+
     async def records(self):
         """Return how many crash records the store has."""
         return len((await self.store.newest(CRASHES_TOPIC)).records)
--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -10,6 +10,7 @@
 
 # The path of a request that crashes its targets begins so.
 CRASHING_PATH = '/read/crash-'
+CRASHING_PATHS = (CRASHING_PATH, '/post/crash-')
 CRASHING_REQUESTS = 8
 # What reaches targets later than the contact time after the third crash counts.
 COUNTED_CRASHES = 3
@@ -52,11 +53,15 @@
 
 
 class Arrival(NamedTuple):
-    """A crashing request that reached a target, at a monotonic time."""
+    """A crashing request that reached a target, at a monotonic time.
+
+    The target crashed under it after ``delay_s``, if it has.
+    """
 
     at: float
     path: str
     has_crashed: bool
+    delay_s: float = 0
 
 
 class Remnant:
@@ -111,10 +116,15 @@
             method='GET',
             body=b'',
             limit_s=CALLER_LIMIT_S,
-            name=f'crash-{next(_numbers)}',
+            name=next_name(),
         )
 
 
+def next_name():
+    """Return the id of the next crashing request."""
+    return f'crash-{next(_numbers)}'
+
+
 def late_sends(arrivals, *, contact_s):
     """Return how often each request reached targets that had to be refused.
 
@@ -128,7 +138,9 @@
 
 
 def _late_sends(arrivals, contact_s):
-    crashes = [each.at for each in arrivals if each.has_crashed]
+    crashes = sorted(
+        each.at + each.delay_s for each in arrivals if each.has_crashed
+    )
     if len(crashes) < COUNTED_CRASHES:
         return 0
     bound = crashes[COUNTED_CRASHES - 1] + contact_s
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -8,7 +8,7 @@
 from platform_store import Store
 from servers import Server
 
-from tests.soak.crashes import CRASHING_PATH, Arrival, Remnant
+from tests.soak.crashes import CRASHING_PATHS, Arrival, Remnant
 from tests.soak.limits import Pause, Receipt
 
 POLL_PATH = '/dandelioncleat/kv-events'
@@ -91,6 +91,7 @@
         super().__init__(fleet, name, service, **options)
         self.late_s = 0.5
         self.crash = None
+        self.crash_delay_s = 0
         self.receipts = []
         self.pauses = []
         self.crashing_arrivals = []
@@ -115,16 +116,14 @@
 
     async def _handle(self, request):
         if request.path not in {POLL_PATH, HEALTH_PATH}:
-            task = asyncio.create_task(
+            self._keep(
                 self._arrive(
                     request.headers.get('Request-Id', ''),
                     request.headers.get('Deadline-Ms'),
                 )
             )
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
         await self._goes_on.wait()
-        if request.path.startswith(CRASHING_PATH):
+        if request.path.startswith(CRASHING_PATHS):
             await self._crash_under(request)
         return await super()._handle(request)
 
@@ -138,13 +137,29 @@
 
     async def _crash_under(self, request):
         """Crash, unless the target is crashing already."""
+        arrival = Arrival(time.monotonic(), request.path, has_crashed=False)
+        if self.crash_delay_s:
+            # The target goes on with it, also if its sender leaves.
+            self._keep(self._crash_later(arrival, self.born))
+        else:
+            self._crash_now(arrival)
+        await asyncio.Event().wait()
+
+    async def _crash_later(self, arrival, born):
+        number = len(self.crashing_arrivals)
+        self.crashing_arrivals.append(arrival)
+        await asyncio.sleep(self.crash_delay_s)
+        if self.born == born and self._server.is_serving():
+            self.crashing_arrivals[number] = arrival._replace(
+                has_crashed=True, delay_s=time.monotonic() - arrival.at
+            )
+            self._crash()
+
+    def _crash_now(self, arrival):
         has_crashed = self._server.is_serving()
-        self.crashing_arrivals.append(
-            Arrival(time.monotonic(), request.path, has_crashed)
-        )
+        self.crashing_arrivals.append(arrival._replace(has_crashed=has_crashed))
         if has_crashed:
             self._crash()
-        await asyncio.Event().wait()
 
     def _crash(self):
         """End all connections, and start again as the crash says."""
@@ -153,7 +168,11 @@
         for connection in self._web.connections:
             if connection.transport is not None:
                 connection.transport.abort()
-        task = asyncio.create_task(self._start_again(self.crash))
+        self._keep(self._start_again(self.crash))
+
+    def _keep(self, work):
+        """Do something that goes on without whoever asked for it."""
+        task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -6,8 +6,16 @@
 import asyncio
 import random
 import signal
+from functools import partial
 
 from tests.soak.crashes import QUICK_CRASHES, SLOW_CRASHES, ask_again
+from tests.soak.late_crashes import (
+    CALLERS_LEAVE,
+    CALLERS_LEAVE_ONCE,
+    TIME_IS_OVER,
+    TIME_IS_OVER_ONCE,
+    crash_later,
+)
 from tests.soak.standins import Mode
 
 # A planned stop does not excuse a router.
@@ -170,6 +178,10 @@
     'reject-beside-still': reject_beside_still,
     'crash-quickly': crash_quickly,
     'crash-slowly': crash_slowly,
+    'crash-left': partial(crash_later, late=CALLERS_LEAVE),
+    'crash-left-once': partial(crash_later, late=CALLERS_LEAVE_ONCE),
+    'crash-over': partial(crash_later, late=TIME_IS_OVER),
+    'crash-over-once': partial(crash_later, late=TIME_IS_OVER_ONCE),
     'kill': kill_routers,
     'kill-one': kill_one,
     'stop': stop_routers,
--- /dev/null
+++ b/tests/test_abandoned_runs.py
@@ -0,0 +1,272 @@
+"""Tests of crashes under runs that nobody waits for any more."""
+
+import asyncio
+
+import testtools
+
+from dandelioncleat.app.direct.abandoned_runs import MAX_RUNS, AbandonedRuns
+from dandelioncleat.core.crash_cause import MIN_CRASHES, find_causes
+from dandelioncleat.core.crash_records import CrashRecord
+from dandelioncleat.core.crash_suspect import REQUEST_DEPTH
+from dandelioncleat.core.direct_request import ModelPrompt, PromptPart
+from dandelioncleat.ports.direct_target import TargetStatus
+from tests.builders.direct import (
+    crashed,
+    never_answered,
+    run_with_fleet,
+    text_answer,
+)
+from tests.builders.quarantine import (
+    abandon,
+    request,
+    run_of,
+    run_with_quarantines,
+    target,
+    wait_for_crash,
+)
+
+
+class RestartedTargetTest(testtools.TestCase):
+    """A target that starts again has crashed under what it was given."""
+
+    def _refusing(self, times=MIN_CRASHES, *, after_s=0.4, **options):
+        async def scenario(fleet):
+            for number in range(times):
+                router = fleet.routers[number % len(fleet.routers)]
+                abandon(router, number, target(2 * number), **options)
+                await asyncio.sleep(after_s)
+                fleet.list_start(2 * number + 1)
+                await asyncio.sleep(0.2)
+            return fleet.refusing()
+
+        return run_with_quarantines(scenario, status=TargetStatus.ANSWERED)
+
+    def test_request_is_refused_after_three_crashes(self):
+        self.assertEqual(3, self._refusing())
+
+    def test_target_that_is_back_two_seconds_later(self):
+        self.assertEqual(3, self._refusing(after_s=2))
+
+    def test_two_crashes_are_not_enough(self):
+        self.assertEqual(0, self._refusing(MIN_CRASHES - 1))
+
+    def test_restart_of_a_target_that_was_leaving_is_no_crash(self):
+        self.assertEqual(0, self._refusing(is_leaving=True))
+
+    def test_run_that_ended_long_ago(self):
+        self.assertEqual(0, self._refusing(after_s=30))
+
+    def test_prompt_part(self):
+        async def scenario(fleet):
+            for number in range(MIN_CRASHES):
+                parts = (PromptPart('bad', 60), PromptPart(f'p{number}', 40))
+                prompt = ModelPrompt('m', 100, 50, parts)
+                abandon(
+                    fleet.routers[0],
+                    number,
+                    target(2 * number),
+                    path=f'/safe/{number}',
+                    prompt=prompt,
+                )
+                await asyncio.sleep(0.4)
+                fleet.list_start(2 * number + 1)
+                await asyncio.sleep(0.2)
+            parts = (PromptPart('bad', 60), PromptPart('p9', 40))
+            again = request(9, path='/safe/9')._replace(
+                prompt=ModelPrompt('m', 100, 50, parts)
+            )
+            return sum(each.find(again) is not None for each in fleet.routers)
+
+        status = TargetStatus.ANSWERED
+        self.assertEqual(3, run_with_quarantines(scenario, status=status))
+
+
+class SignOfACrashTest(testtools.TestCase):
+    """A crash is found out before its target is back."""
+
+    def _records(self, notice, **options):
+        """Return the records of a run that was given up 0.4 s before."""
+
+        async def scenario(fleet):
+            abandon(fleet.routers[0], 1, target(1))
+            await asyncio.sleep(0.4)
+            notice(fleet)
+            await asyncio.sleep(1)
+            return await fleet.records()
+
+        return run_with_quarantines(scenario, **options)
+
+    def test_connection_that_is_refused(self):
+        records = self._records(
+            lambda fleet: fleet.routers[0].note_unreachable(target(1))
+        )
+        self.assertEqual(1, records)
+
+    def test_connection_that_broke_off_at_a_target_that_lives(self):
+        records = self._records(
+            lambda fleet: fleet.routers[0].note_unreachable(target(1)),
+            status=TargetStatus.ANSWERED,
+        )
+        self.assertEqual(0, records)
+
+    def test_run_that_breaks_off_at_the_same_time(self):
+        records = self._records(
+            lambda fleet: fleet.routers[0].note_lost(
+                run_of(2, path='/safe/b'), target(1)
+            )
+        )
+        self.assertEqual(2, records)
+
+    def test_run_that_breaks_off_at_another_router(self):
+        records = self._records(
+            lambda fleet: fleet.routers[1].note_lost(
+                run_of(2, path='/safe/b'), target(1)
+            )
+        )
+        self.assertEqual(2, records)
+
+    def test_presumed_crash_is_withdrawn(self):
+        async def scenario(fleet):
+            abandon(fleet.routers[0], 1, target(1))
+            await asyncio.sleep(0.4)
+            fleet.routers[0].note_unreachable(target(1))
+            await asyncio.sleep(0.4)
+            presumed = await fleet.records()
+            await asyncio.sleep(0.4)
+            fleet.routers[0].note_entry(target(1))
+            await asyncio.sleep(1)
+            return presumed, await fleet.records()
+
+        status = TargetStatus.SILENT
+        self.assertEqual((1, 0), run_with_quarantines(scenario, status=status))
+
+
+class SoundRequestTest(testtools.TestCase):
+    """A request whose callers leave is sound if its targets live on."""
+
+    def _refusing(self, between, *, times=9):
+        """Let a target crash beside each run, and do something between."""
+
+        async def scenario(fleet):
+            for number in range(times):
+                abandon(fleet.routers[0], number, target(2 * number))
+                await asyncio.sleep(0.4)
+                fleet.list_start(2 * number + 1)
+                await asyncio.sleep(0.2)
+                await between(fleet, 1000 + number)
+            return fleet.refusing()
+
+        return run_with_quarantines(scenario, status=TargetStatus.ANSWERED)
+
+    def test_target_that_has_outlived_the_request(self):
+        async def outlive(fleet, number):
+            other = target(1)._replace(id='other')
+            abandon(fleet.routers[1], number, other)
+            await asyncio.sleep(3)
+            fleet.routers[1].note_entry(other)
+            await asyncio.sleep(0.2)
+
+        self.assertEqual(0, self._refusing(outlive))
+
+    def test_success(self):
+        async def succeed(fleet, number):
+            fleet.routers[1].note_delivered(request(number))
+            await asyncio.sleep(0.2)
+
+        self.assertEqual(0, self._refusing(succeed))
+
+    def test_entry_that_is_too_early_proves_nothing(self):
+        async def write_entry(fleet, number):
+            other = target(number)._replace(id='other')
+            abandon(fleet.routers[1], number, other)
+            await asyncio.sleep(1)
+            fleet.routers[1].note_entry(other)
+
+        self.assertEqual(3, self._refusing(write_entry))
+
+    def test_targets_that_lost_their_power_together_count_once(self):
+        records = [
+            CrashRecord('d', f'i/{start}', 10, REQUEST_DEPTH, False, True)
+            for start in range(MIN_CRASHES)
+        ]
+        self.assertEqual({}, find_causes(records))
+
+
+class BoundTest(testtools.TestCase):
+    """Many callers that leave take a bounded memory."""
+
+    def test_runs_are_bounded(self):
+        runs = AbandonedRuns()
+        for number in range(2 * MAX_RUNS):
+            runs.add(
+                run_of(number, path=f'/safe/{number}'),
+                target(number // 100),
+                now=1,
+                leaves=lambda: False,
+            )
+        self.assertEqual(MAX_RUNS, len(runs))
+
+    def test_equal_runs_are_kept_once(self):
+        runs = AbandonedRuns()
+        for number in range(9):
+            runs.add(run_of(number), target(1), now=1, leaves=lambda: False)
+        self.assertEqual(1, len(runs))
+
+    def test_old_runs_are_dropped(self):
+        runs = AbandonedRuns()
+        for now in (0, 100):
+            path = f'/safe/{now}'
+            lost = run_of(now, path=path)
+            runs.add(lost, target(now), now=now, leaves=lambda: False)
+        self.assertEqual(1, len(runs))
+
+
+class RouterTest(testtools.TestCase):
+    """The router notes the runs that end while their target goes on."""
+
+    def _answer(self, path, give_up):
+        async def scenario(fleet):
+            for number in range(MIN_CRASHES):
+                await _list_again(fleet, number)
+                fleet.app.answers = [never_answered(), crashed(fleet.app)]
+                await give_up(fleet, path)
+                await fleet.call('/once/other')
+                await wait_for_crash(fleet, fleet.app, number + 1)
+                await fleet.app.start()
+            await _list_again(fleet, MIN_CRASHES)
+            fleet.app.answers = [text_answer('ok')]
+            again = await fleet.call(path)
+            return again[0], again[2]
+
+        return run_with_fleet(scenario)
+
+    def test_caller_has_left(self):
+        for path in ('/safe/a', '/once/a'):
+            self.assertEqual(
+                (503, b'crashes_targets'), self._answer(path, _leave)
+            )
+
+    def test_time_is_over(self):
+        self.assertEqual(
+            (503, b'crashes_targets'), self._answer('/once/a', _wait)
+        )
+
+
+async def _leave(fleet, path):
+    before = len(fleet.app.requests)
+    call = asyncio.ensure_future(fleet.call(path))
+    await fleet.wait_until(lambda: len(fleet.app.requests) > before)
+    fleet.app.cancelled.clear()
+    call.cancel()
+    await fleet.app.cancelled.wait()
+
+
+async def _wait(fleet, path):
+    await fleet.call(path, **{'Deadline-Ms': '300'})
+
+
+async def _list_again(fleet, started_at):
+    """List a later start of the target, without a leave before."""
+    entry = {**fleet.app.entry(), 'born': started_at + 1, 'sequence': 1}
+    await fleet.put('servers', fleet.app.name, entry)
+    await asyncio.sleep(0.5)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 from tests.builders.programs import built_programs
 from tests.builders.retry_judge import RetryLimit, repeats_of, worst_window
+from tests.soak.crashes import Arrival, late_sends
 from tests.soak.play import Plan, play
 
 import fleet as fleets  # isort: skip  (found by the package of the soak)
@@ -44,6 +45,9 @@
     def test_crashing_requests_at_addresses_where_something_listens(self):
         self._play('crash-slowly', seed=503, targets=8)
 
+    def test_crashes_after_callers_have_left(self):
+        self._play('crash-left', seed=611, targets=10)
+
 
 class WorstWindowTest(testtools.TestCase):
     """The judge counts as the users do."""
@@ -57,3 +61,18 @@
         sent = [number / 10 for number in range(40)]
         worst = worst_window([12.0, 13.0], sent, limit)
         self.assertEqual((12.0, 2, 12), worst[:3])
+
+
+class LateSendsTest(testtools.TestCase):
+    """The judge counts from the third crash, not from its request's arrival."""
+
+    def _late_sends(self, *, delay_s):
+        crashed = [Arrival(at, 'a', True, delay_s) for at in (1, 2, 3)]
+        later = [Arrival(at, 'a', False) for at in (5, 6.5, 7, 8)]
+        return late_sends([*later, *crashed], contact_s=3)
+
+    def test_crashes_at_once(self):
+        self.assertEqual({'a': 3}, self._late_sends(delay_s=0))
+
+    def test_crashes_after_a_delay(self):
+        self.assertEqual({'a': 2}, self._late_sends(delay_s=0.6))
