Answer callers that close their sending side after a whole request

Callers saw their connection closed without an answer, and their runs were cancelled: aiohttp closes the transport at the end of a caller's bytes, whether it has closed its connection whole or only its sending side (RFC 9112, section 9.6).

The connection is now kept while whole requests are unanswered. Writes tell the two apart, as a kernel resets what comes for a connection that is closed whole: interim answers before the answer, zeros before the size of the next chunk inside a stream. Callers of HTTP/1.0 get a 502 after 0.35 s, unless their run can't be repeated.

Ruled out: keep-alive probes, which the kernel of a caller that has left acknowledges; answering without looking, as targets would work for callers that have left.

Around planned stops, requests that were sent ahead are still dropped.

--- a/src/dandelioncleat/app/direct/hedging.py
+++ b/src/dandelioncleat/app/direct/hedging.py
@@ -216,6 +216,10 @@
         self._context = context
         self._reply = reply
 
+    def note_run(self, must_go_on: Callable[[], bool]) -> None:
+        """Note which runs go on though their caller may have left."""
+        self._reply.note_run(must_go_on)
+
     async def send_complete(self, answer: CompleteResponse) -> None:
         """Deliver a complete answer of a target."""
         await self._win()
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -151,6 +151,7 @@
             held=HeldAnswers(self._parts.answer_bytes),
         )
         need = self._need(context)
+        reply.note_run(partial(_runs_only_once, context))
         try:
             with self._parts.telemetry.span('direct.request'):
                 async with self.open_requests.until_ended():
@@ -383,6 +384,11 @@
     return DirectRefusal(RefusalReason.STOPPING, retry_after_s=STOPPING_RETRY_S)
 
 
+def _runs_only_once(context: RunContext) -> bool:
+    """Return whether a request may be running and can't be repeated."""
+    return context.may_have_run and not context.admitted.route.is_repeatable
+
+
 def _should_retry(
     context: RunContext, outcome: AttemptOutcome, parts: ServingParts
 ) -> bool:
--- a/src/dandelioncleat/platform/caller_connection.py
+++ b/src/dandelioncleat/platform/caller_connection.py
@@ -6,12 +6,14 @@
 import structlog
 from aiohttp import web
 
-from dandelioncleat.adapters.bounded_server import BoundedRequestHandler
+from dandelioncleat.platform.half_closed_connection import (
+    HalfClosedConnection,
+)
 
 _logger = structlog.get_logger(__name__)
 
 
-class CallerConnection(BoundedRequestHandler):
+class CallerConnection(HalfClosedConnection):
     """Closes a connection whose request head takes too long to arrive.
 
     aiohttp only limits the idle time between two requests.
--- a/src/dandelioncleat/platform/caller_reply.py
+++ b/src/dandelioncleat/platform/caller_reply.py
@@ -1,5 +1,8 @@
 """Writes answers to callers."""
 
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager, nullcontext
+
 from aiohttp import hdrs, web
 
 from dandelioncleat.core.direct_request import (
@@ -9,6 +12,8 @@
     ResponseHead,
 )
 from dandelioncleat.platform import names
+from dandelioncleat.platform.caller_presence import CHUNK_START
+from dandelioncleat.platform.half_closed_connection import HalfClosedConnection
 from dandelioncleat.platform.sockets import reset_connection
 
 BAD_GATEWAY = 502
@@ -64,6 +69,33 @@
         self.response: web.StreamResponse | None = None
         self._request = request
         self._is_last_answer = is_last_answer
+        self._connection: HalfClosedConnection | None = None
+        if isinstance(request.protocol, HalfClosedConnection):
+            self._connection = request.protocol
+            self._connection.note_taken(request)
+
+    def while_caller_may_read(self) -> AbstractAsyncContextManager[None]:
+        """Interrupt the work on a request whose caller may have left.
+
+        :raises CallerUnprovenError: if that was the case
+        """
+        if self._connection is None:
+            return nullcontext()
+        return self._connection.while_caller_may_read()
+
+    async def end_unproven(self) -> None:
+        """End the answer to a caller that may have left."""
+        if self.response is None:
+            await self.refuse(
+                DirectRefusal(RefusalReason.ANSWER_LOST, has_run=True)
+            )
+        else:
+            await self.abort()
+
+    def note_run(self, must_go_on: Callable[[], bool]) -> None:
+        """Note which runs go on though their caller may have left."""
+        if self._connection is not None:
+            self._connection.must_go_on = must_go_on
 
     async def send_complete(self, answer: CompleteResponse) -> None:
         """Send a complete answer of a target."""
@@ -98,9 +130,10 @@
         response = _new_stream_response(head)
         _set_headers(response, head)
         self.response = response
-        if self._is_last_answer:
-            response.force_close()
+        self._prepare_end(response)
         await response.prepare(self._request)
+        if hdrs.TRANSFER_ENCODING in response.headers:
+            self._set_probe(CHUNK_START)
 
     async def write(self, data: bytes) -> None:
         """Send the next bytes of a stream."""
@@ -108,10 +141,12 @@
 
     async def finish(self) -> None:
         """End a complete stream."""
+        self._set_probe(None)
         await self._open_stream.write_eof()
 
     async def abort(self) -> None:
         """Close the connection before the stream's end."""
+        self._set_probe(None)
         transport = self._request.transport
         if transport is None:
             return
@@ -129,11 +164,23 @@
 
     async def _send(self, response: web.Response) -> None:
         self.response = response
-        if self._is_last_answer:
-            response.force_close()
+        self._prepare_end(response)
         await response.prepare(self._request)
         await response.write_eof()
 
+    def _prepare_end(self, response: web.StreamResponse) -> None:
+        """Say in the head whether the connection ends with the answer."""
+        self._set_probe(None)
+        connection = self._connection
+        is_last = connection is not None and connection.ends_after_answer
+        if self._is_last_answer or is_last:
+            response.force_close()
+
+    def _set_probe(self, probe: bytes | None) -> None:
+        """Set what may be written to find out whether the caller is there."""
+        if self._connection is not None:
+            self._connection.presence.probe = probe
+
 
 def _new_stream_response(head: ResponseHead) -> web.StreamResponse:
     """Return a response that claims as much of its end as the head does."""
--- a/src/dandelioncleat/platform/callers.py
+++ b/src/dandelioncleat/platform/callers.py
@@ -22,6 +22,7 @@
 from dandelioncleat.platform.caller_connection import CallerConnection
 from dandelioncleat.platform.caller_reply import HttpReply
 from dandelioncleat.platform.caller_request import decode_request
+from dandelioncleat.platform.half_closed_connection import CallerUnprovenError
 
 # All callers share one part of the memory, as they have no names here.
 CALLERS = 'callers'
@@ -91,7 +92,10 @@
         self, request: DirectRequest, reply: HttpReply, arrived_at: float
     ) -> None:
         try:
-            await self._serving.serve(request, reply, arrived_at=arrived_at)
+            async with reply.while_caller_may_read():
+                await self._serving.serve(request, reply, arrived_at=arrived_at)
+        except CallerUnprovenError:
+            await reply.end_unproven()
         except ConnectionError:
             # The caller disconnected while its answer was written.
             raise
--- a/src/dandelioncleat/ports/direct_caller.py
+++ b/src/dandelioncleat/ports/direct_caller.py
@@ -1,5 +1,6 @@
 """Answers to the callers of the direct router."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 from dandelioncleat.core.direct_request import (
@@ -15,6 +16,12 @@
     The task that serves a request is cancelled if its caller disconnects.
     """
 
+    def note_run(self, must_go_on: Callable[[], bool]) -> None:
+        """Note which runs go on though their caller may have left.
+
+        :param must_go_on: returns whether the run can't be repeated
+        """
+
     async def send_complete(self, answer: CompleteResponse) -> None:
         """Deliver a complete answer of a target."""
 
--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -601,6 +601,9 @@
         self.end = None
         self.refusal = None
 
+    def note_run(self, must_go_on):
+        """Ignore which runs go on; the caller stays."""
+
     async def send_complete(self, answer):
         """Keep a complete answer."""
         self.head, self.body = answer
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -11,6 +11,7 @@
 
 from tests.builders.retry_judge import RetryLimit, repeats_of, worst_window
 from tests.soak.callers import Caller, End, Kind
+from tests.soak.closing_callers import at_work_too_long
 from tests.soak.crashes import ALLOWED_SENDS, late_sends
 from tests.soak.limits import (
     handed_too_much_time,
@@ -112,6 +113,9 @@
         )
         self.store = self.fleet.store = SilentStore(record)
         self.key = KEY
+        self.kinds = KINDS
+        self.sent = []
+        self.left = []
         self.routers = self.fleet.routers
         self.targets = [
             FaultyTarget(
@@ -224,7 +228,7 @@
         for trouble in troubles:
             with contextlib.suppress(asyncio.CancelledError):
                 await trouble
-    return [sent for caller in callers for sent in caller.sent]
+    return [*soak.sent, *(sent for each in callers for sent in each.sent)]
 
 
 def _judge(soak, sent):
@@ -285,11 +289,14 @@
         for target in soak.targets
         for run in target.runs
     ]
+    late, left = at_work_too_long(soak)
     prompt_tokens = KINDS[-1].tokens[0]
     return {
         'targets': len(ran_too_often(run[:2] for run in runs)),
         'time': len(handed_too_much_time(receipts, sent_by_request)),
         'pauses': len(sent_in_pauses(receipts, pauses, sent_by_request)),
+        'at work': len(late),
+        'left': left,
         'prepaid': round(
             tokens_used(((run[0], run[2]) for run in runs), prompt_tokens)
             / soak.plan.prepaid,
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -94,6 +94,7 @@
         self.receipts = []
         self.pauses = []
         self.crashing_arrivals = []
+        self.ended = []
         self._mode = Mode.SOUND
         self._goes_on = asyncio.Event()
         self._goes_on.set()
@@ -126,7 +127,11 @@
         await self._goes_on.wait()
         if request.path.startswith(CRASHING_PATH):
             await self._crash_under(request)
-        return await super()._handle(request)
+        try:
+            return await super()._handle(request)
+        finally:
+            name = request.headers.get('Request-Id', '')
+            self.ended.append((time.monotonic(), name))
 
     async def _arrive(self, request, left_ms):
         """Count an arrival, also if its sender has left by then."""
@@ -167,6 +172,7 @@
         await self.start(port=int(self.address.rpartition(':')[2]))
 
     async def _answer_by_mode(self, request, run):
+        await asyncio.sleep(float(request.query.get('work', 0)))
         match self._mode:
             case Mode.ERROR:
                 return self._respond(request, 500, b'failed')
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -7,6 +7,11 @@
 import random
 import signal
 
+from tests.soak.closing_callers import (
+    close_sending_sides,
+    leave,
+    send_ahead,
+)
 from tests.soak.crashes import QUICK_CRASHES, SLOW_CRASHES, ask_again
 from tests.soak.standins import Mode
 
@@ -177,6 +182,9 @@
     'silence': silence_store,
     'configuration': change_configuration,
     'reload': reload_routers,
+    'half-close': close_sending_sides,
+    'ahead': send_ahead,
+    'leave': leave,
 }
 
 
