--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -9,6 +9,11 @@
 from functools import partial
 
 from tests.soak import signals
+from tests.soak.closing_callers import (
+    close_sending_sides,
+    leave,
+    send_ahead,
+)
 from tests.soak.crashes import QUICK_CRASHES, SLOW_CRASHES, ask_again
 from tests.soak.late_crashes import (
     CALLERS_LEAVE,
@@ -193,6 +198,9 @@
     'signals': signals.stop_repeatedly,
     'signals-to-all': signals.stop_all_repeatedly,
     'signals-at-start': signals.stop_at_start,
+    'half-close': close_sending_sides,
+    'ahead': send_ahead,
+    'leave': leave,
 }
 
 
