Weigh the runs that targets outlived against the crashes beside them

Callers saw two faults of the rule before, in new forms of the soak.

A request now takes four crashes if fewer than three interrupted its runs, three outlived runs for each crash clear it, and the first trial of one that few crashes interrupted comes after 8 s.

--- a/src/dandelioncleat/app/direct/crash_evidence.py
+++ b/src/dandelioncleat/app/direct/crash_evidence.py
@@ -1,6 +1,7 @@
 """Records what may have crashed targets, and finds what has."""
 
 import asyncio
+from collections.abc import Callable
 
 import structlog
 
@@ -12,8 +13,9 @@
     find_causes,
 )
 from dandelioncleat.core.crash_records import CrashRecord
-from dandelioncleat.core.crash_suspect import suspects_of
+from dandelioncleat.core.crash_suspect import CrashSuspect, suspects_of
 from dandelioncleat.core.direct_request import DirectRequest
+from dandelioncleat.core.outlived_runs import OutlivedRuns
 from dandelioncleat.core.quarantine_trial import QuarantineTrials
 from dandelioncleat.core.recent_success import RecentSuccesses
 from dandelioncleat.ports.clock import Clock
@@ -30,13 +32,16 @@
         *,
         trials: QuarantineTrials,
         clock: Clock,
+        routers: Callable[[], int],
     ) -> None:
         """Initialise with the records.
 
         :param trials: is told which quarantines begin and end
+        :param routers: returns the number of routers
         """
         self.successes = RecentSuccesses()
-        self._outlived = RecentSuccesses()
+        self._outlived = OutlivedRuns()
+        self._routers = routers
         self._records = records
         self._trials = trials
         self._clock = clock
@@ -100,14 +105,29 @@
         keys: list[str] = []
         for suspect in run.suspects:
             cause = causes_by_suspect.get(suspect.key)
-            if cause is None or cause.last_at < sent_at:
+            is_sound = self._is_cleared(suspect)
+            if cause is not None:
+                is_sound = cause.last_at < sent_at
+            if is_sound:
                 keys += self._records.known.abandoned_keys_of(suspect)
         return keys
 
+    def _is_cleared(self, suspect: CrashSuspect) -> bool:
+        """Return whether what targets outlived clears a suspect."""
+        crashes = len(self._records.known.abandoned_keys_of(suspect))
+        return self._outlived.clear(
+            suspect, _now(), crashes=crashes, routers=self._routers()
+        )
+
     def _note_causes(self, causes_by_suspect: dict[str, CrashCause]) -> None:
         for begun in causes_by_suspect.keys() - self._causes_by_suspect.keys():
             is_known = self.successes.knows(begun)
-            self._trials.begin(begun, _now(), is_known=is_known)
+            self._trials.begin(
+                begun,
+                _now(),
+                is_known=is_known,
+                is_doubtful=self._records.known.is_doubtful(begun),
+            )
             _logger.warning(
                 'quarantine begins',
                 suspect=begun,
@@ -152,7 +172,7 @@
             for run in lost.abandoned
             for suspect in run.suspects
             if not self.successes.has(suspect, run.ended_at)
-            and not self._outlived.has(suspect, run.ended_at)
+            and not self._is_cleared(suspect)
         ]
 
 
--- a/src/dandelioncleat/app/direct/crash_quarantine.py
+++ b/src/dandelioncleat/app/direct/crash_quarantine.py
@@ -65,7 +65,10 @@
             store, host=host, clock=clock, on_crash=self._note_crash
         )
         self._evidence = CrashEvidence(
-            self._records, trials=self._trials, clock=clock
+            self._records,
+            trials=self._trials,
+            clock=clock,
+            routers=lambda: len(cores_by_host()),
         )
         self._detector = CrashDetector(
             targets,
--- a/src/dandelioncleat/core/crash_cause.py
+++ b/src/dandelioncleat/core/crash_cause.py
@@ -25,6 +25,9 @@
 
 # What runs beside a cause may lose two targets in a row to it.
 MIN_CRASHES = 3
+# A run that had ended may have been dropped, so it takes one more. Crashes that
+# come together count once, as a power loss takes many targets.
+MIN_ABANDONED_CRASHES = 4
 # A part belongs to many callers, so its crashes have to follow each other.
 MIN_REPEATS = 2
 # Targets that crash within this time crash together.
@@ -74,7 +77,11 @@
     def is_conclusive(self) -> bool:
         """Return whether the suspect must be the cause."""
         if self.is_request:
-            return self._crashes >= MIN_CRASHES
+            interrupted = len(self.starts - self.abandoned_starts)
+            abandoned = self._moments(self.abandoned_starts)
+            if interrupted >= MIN_CRASHES:
+                return True
+            return interrupted + abandoned >= MIN_ABANDONED_CRASHES
         if self._moments(self.at_by_start) < MIN_CRASHES:
             return False
         return self._moments(self.repeated_starts) >= MIN_REPEATS
@@ -95,16 +102,6 @@
         """Return the suspect as a cause."""
         return CrashCause(len(self.at_by_start), max(self.at_by_start.values()))
 
-    @property
-    def _crashes(self) -> int:
-        """Return the number of crashes that count against a request.
-
-        A power loss takes many targets that were given a request, so crashes
-        that come together count once if no run was under way.
-        """
-        interrupted = self.starts - self.abandoned_starts
-        return len(interrupted) + self._moments(self.abandoned_starts)
-
     def _moments(self, starts: Iterable[str]) -> int:
         """Return how many times some starts crashed, one or more together."""
         moments = 0
--- a/src/dandelioncleat/core/crash_records.py
+++ b/src/dandelioncleat/core/crash_records.py
@@ -14,6 +14,8 @@
 
 # After this time a crash tells nothing about the software that runs now.
 RECORD_AGE_S = 600.0
+# So many crashes that interrupted a request are hardly chance.
+SURE_CRASHES = 3
 
 
 class CrashRecord(Struct, frozen=True, array_like=True):
@@ -119,6 +121,15 @@
         keys = self._keys_by_suspect.get(suspect.key, ())
         return [key for key in keys if self._records_by_key[key].is_abandoned]
 
+    def is_doubtful(self, suspect: str) -> bool:
+        """Return whether a suspect is blamed for abandoned runs mostly."""
+        records = (
+            self._records_by_key[key]
+            for key in self._keys_by_suspect.get(suspect, ())
+        )
+        starts = {each.start for each in records if not each.is_abandoned}
+        return len(starts) < SURE_CRASHES
+
     def expired_keys(self, now: float) -> tuple[str, ...]:
         """Return the keys of the records that are too old.
 
--- a/src/dandelioncleat/core/quarantine_trial.py
+++ b/src/dandelioncleat/core/quarantine_trial.py
@@ -13,6 +13,8 @@
 KNOWN_PAUSE_S = 4.0
 # What never succeeded may be the cause, and a trial costs a target.
 UNKNOWN_PAUSE_S = 30.0
+# What was blamed for abandoned runs may have run beside the cause often.
+DOUBTFUL_PAUSE_S = 8.0
 PAUSE_FACTOR = 4
 
 
@@ -34,14 +36,23 @@
         self._host = host
         self._pauses_by_suspect: dict[str, _Pause] = {}
 
-    def begin(self, suspect: str, now: float, *, is_known: bool) -> None:
+    def begin(
+        self,
+        suspect: str,
+        now: float,
+        *,
+        is_known: bool,
+        is_doubtful: bool = False,
+    ) -> None:
         """Note that a quarantine begins.
 
         :param now: event loop time in seconds
         :param is_known: whether the suspect has succeeded before
+        :param is_doubtful: whether few of its crashes interrupted its runs
         """
         pause_s = KNOWN_PAUSE_S if is_known else UNKNOWN_PAUSE_S
-        self._pauses_by_suspect[suspect] = _Pause(pause_s, now + pause_s)
+        first_s = min(pause_s, DOUBTFUL_PAUSE_S) if is_doubtful else pause_s
+        self._pauses_by_suspect[suspect] = _Pause(pause_s, now + first_s)
 
     def end(self, suspect: str) -> None:
         """Note that a quarantine has ended."""
--- a/tests/soak/late_crashes.py
+++ b/tests/soak/late_crashes.py
@@ -36,6 +36,10 @@
 CALLERS_LEAVE_ONCE = LateCrash('POST', '/post/crash-', 0.1, 0.4)
 TIME_IS_OVER = LateCrash('GET', '/read/crash-', CALLER_LIMIT_S + 0.1, 1.2)
 TIME_IS_OVER_ONCE = LateCrash('POST', '/post/crash-', CALLER_LIMIT_S + 0.1, 1.2)
+# The answer to a sound request takes longer than its caller waits.
+TOO_QUICK = LateCrash('GET', '', 0.015, 0)
+SOUND_PATH = '/read/sound-'
+SOUND_REQUESTS = 4
 
 
 async def crash_later(soak, source, late):
@@ -50,6 +54,21 @@
             group.create_task(_ask(soak, source, path, late))
 
 
+async def crash_some_later(soak, source):
+    """Do the same where every second target drops what its sender leaves."""
+    for target in soak.targets[::2]:
+        target.drops_abandoned = True
+    await crash_later(soak, source, CALLERS_LEAVE)
+
+
+async def leave_sound(soak, source):
+    """Send sound requests whose callers all leave before the answer."""
+    async with asyncio.TaskGroup() as group:
+        for number in range(SOUND_REQUESTS):
+            path = f'{SOUND_PATH}{number}'
+            group.create_task(_ask(soak, source, path, TOO_QUICK))
+
+
 async def _ask(soak, source, path, late):
     while True:
         await asyncio.sleep(source.expovariate(1 / PAUSE_S))
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -15,6 +15,8 @@
     TIME_IS_OVER,
     TIME_IS_OVER_ONCE,
     crash_later,
+    crash_some_later,
+    leave_sound,
 )
 from tests.soak.standins import Mode
 
@@ -180,6 +182,8 @@
     'crash-slowly': crash_slowly,
     'crash-left': partial(crash_later, late=CALLERS_LEAVE),
     'crash-left-once': partial(crash_later, late=CALLERS_LEAVE_ONCE),
+    'crash-left-some': crash_some_later,
+    'leave': leave_sound,
     'crash-over': partial(crash_later, late=TIME_IS_OVER),
     'crash-over-once': partial(crash_later, late=TIME_IS_OVER_ONCE),
     'kill': kill_routers,
