--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -11,6 +11,8 @@
 # The path of a request that crashes its targets begins so.
 CRASHING_PATH = '/read/crash-'
 CRASHING_PATHS = (CRASHING_PATH, '/post/crash-')
+# A part of a prompt that crashes its targets is named so.
+CRASHING_PART = 'bad'
 CRASHING_REQUESTS = 8
 # What reaches targets later than the contact time after the third crash counts.
 COUNTED_CRASHES = 3
@@ -125,6 +127,15 @@
     return f'crash-{next(_numbers)}'
 
 
+def crashing_name(request):
+    """Return what in a request crashes its target, ``None`` if nothing does."""
+    if request.path.startswith(CRASHING_PATHS):
+        return request.path
+    parts = request.headers.get('Prompt-Prefix', '').split(',')
+    names = (part.rpartition(':')[0] for part in parts)
+    return next((x for x in names if x.startswith(CRASHING_PART)), None)
+
+
 def late_sends(arrivals, *, contact_s):
     """Return how often each request reached targets that had to be refused.
 
--- a/tests/soak/late_crashes.py
+++ b/tests/soak/late_crashes.py
@@ -7,6 +7,7 @@
 
 from tests.soak.crashes import (
     CALLER_LIMIT_S,
+    CRASHING_PART,
     CRASHING_REQUESTS,
     Crash,
     Remainder,
@@ -44,10 +45,7 @@
 
 async def crash_later(soak, source, late):
     """Send requests whose targets crash later, again and again."""
-    for target in soak.targets:
-        absence_s = source.uniform(*ABSENCE_S)
-        target.crash = Crash(Remainder.NOTHING, absence_s)
-        target.crash_delay_s = late.delay_s
+    _prepare(soak, source, late.delay_s)
     async with asyncio.TaskGroup() as group:
         for number in range(CRASHING_REQUESTS):
             path = f'{late.path}{number}'
@@ -69,17 +67,42 @@
             group.create_task(_ask(soak, source, path, TOO_QUICK))
 
 
+async def crash_parts_later(soak, source):
+    """Send different prompts with a part that crashes targets later."""
+    _prepare(soak, source, CALLERS_LEAVE.delay_s)
+    while True:
+        name = next_name()
+        prompt = {
+            'Model': 'm',
+            'Token-Count': '900,60',
+            'Prompt-Prefix': f'aa:450,{CRASHING_PART}:300,{name}:150',
+        }
+        late = CALLERS_LEAVE._replace(method='POST')
+        await _send(soak, source, f'/draft/{name}', late, **prompt)
+
+
 async def _ask(soak, source, path, late):
     while True:
-        await asyncio.sleep(source.expovariate(1 / PAUSE_S))
-        await client.send(
-            soak.record,
-            source.choice(soak.routers).front,
-            path,
-            soak.key,
-            method=late.method,
-            body=b'',
-            limit_s=late.patience_s,
-            headers={'Deadline-Ms': str(int(CALLER_LIMIT_S * 1000))},
-            name=next_name(),
-        )
+        await _send(soak, source, path, late)
+
+
+def _prepare(soak, source, delay_s):
+    for target in soak.targets:
+        absence_s = source.uniform(*ABSENCE_S)
+        target.crash = Crash(Remainder.NOTHING, absence_s)
+        target.crash_delay_s = delay_s
+
+
+async def _send(soak, source, path, late, **headers):
+    await asyncio.sleep(source.expovariate(1 / PAUSE_S))
+    await client.send(
+        soak.record,
+        source.choice(soak.routers).front,
+        path,
+        soak.key,
+        method=late.method,
+        body=b'',
+        limit_s=late.patience_s,
+        headers={'Deadline-Ms': str(int(CALLER_LIMIT_S * 1000)), **headers},
+        name=next_name(),
+    )
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -8,7 +8,7 @@
 from platform_store import Store
 from servers import Server
 
-from tests.soak.crashes import CRASHING_PATHS, Arrival, Remnant
+from tests.soak.crashes import Arrival, Remnant, crashing_name
 from tests.soak.limits import Pause, Receipt
 
 POLL_PATH = '/dandelioncleat/kv-events'
@@ -124,8 +124,9 @@
                 )
             )
         await self._goes_on.wait()
-        if request.path.startswith(CRASHING_PATHS):
-            await self._crash_under(request)
+        crashing = crashing_name(request)
+        if crashing is not None:
+            await self._crash_under(crashing)
         return await super()._handle(request)
 
     async def _arrive(self, request, left_ms):
@@ -136,9 +137,9 @@
         self.arrivals.append((now, request))
         self.receipts.append(Receipt(now, request, self.name, left_s))
 
-    async def _crash_under(self, request):
+    async def _crash_under(self, name):
         """Crash, unless the target is crashing already."""
-        arrival = Arrival(time.monotonic(), request.path, has_crashed=False)
+        arrival = Arrival(time.monotonic(), name, has_crashed=False)
         if self.drops_abandoned:
             await self._crash_later(arrival, self.born)
         elif self.crash_delay_s:
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -15,6 +15,7 @@
     TIME_IS_OVER,
     TIME_IS_OVER_ONCE,
     crash_later,
+    crash_parts_later,
     crash_some_later,
     leave_sound,
 )
@@ -183,6 +184,7 @@
     'crash-left': partial(crash_later, late=CALLERS_LEAVE),
     'crash-left-once': partial(crash_later, late=CALLERS_LEAVE_ONCE),
     'crash-left-some': crash_some_later,
+    'crash-left-part': crash_parts_later,
     'leave': leave_sound,
     'crash-over': partial(crash_later, late=TIME_IS_OVER),
     'crash-over-once': partial(crash_later, late=TIME_IS_OVER_ONCE),
