--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -8,7 +8,7 @@
 from platform_store import Store
 from servers import Server
 
-from tests.soak.crashes import CRASHING_PATHS, Arrival, Remnant
+from tests.soak.crashes import Arrival, Remnant, crashing_name
 from tests.soak.limits import Pause, Receipt
 
 POLL_PATH = '/dandelioncleat/kv-events'
@@ -92,6 +92,7 @@
         self.late_s = 0.5
         self.crash = None
         self.crash_delay_s = 0
+        self.drops_abandoned = False
         self.receipts = []
         self.pauses = []
         self.crashing_arrivals = []
@@ -124,8 +125,9 @@
                 )
             )
         await self._goes_on.wait()
-        if request.path.startswith(CRASHING_PATHS):
-            await self._crash_under(request)
+        crashing = crashing_name(request)
+        if crashing is not None:
+            await self._crash_under(crashing)
         try:
             return await super()._handle(request)
         finally:
@@ -140,10 +142,12 @@
         self.arrivals.append((now, request))
         self.receipts.append(Receipt(now, request, self.name, left_s))
 
-    async def _crash_under(self, request):
+    async def _crash_under(self, name):
         """Crash, unless the target is crashing already."""
-        arrival = Arrival(time.monotonic(), request.path, has_crashed=False)
-        if self.crash_delay_s:
+        arrival = Arrival(time.monotonic(), name, has_crashed=False)
+        if self.drops_abandoned:
+            await self._crash_later(arrival, self.born)
+        elif self.crash_delay_s:
             # The target goes on with it, also if its sender leaves.
             self._keep(self._crash_later(arrival, self.born))
         else:
