Answer the requests that were read before a connection ends

Callers that send requests before the answers to others lost those that came whole behind an answer that ends the connection: in a planned stop the first answer to a request taken since then said `Connection: close`, and what had been read behind it was dropped unanswered. The same held for answers of targets without a length, and for refusals of bodies that had come whole.

An answer now ends its connection only if no whole request waits behind it; answers without a length are sent in chunks then.

tests/test_requests_ahead.py: its three tests failed before.

--- a/src/dandelioncleat/platform/caller_reply.py
+++ b/src/dandelioncleat/platform/caller_reply.py
@@ -64,7 +64,8 @@
     ) -> None:
         """Initialise with the request.
 
-        :param is_last_answer: whether to close the connection afterwards
+        :param is_last_answer: whether to close the connection afterwards,
+            unless requests have come that are to be answered, too
         """
         self.response: web.StreamResponse | None = None
         self._request = request
@@ -127,7 +128,9 @@
 
     async def begin(self, head: ResponseHead) -> None:
         """Begin a stream."""
-        response = _new_stream_response(head)
+        response = _new_stream_response(
+            head, ends_by_close=not _has_requests_ahead(self._connection)
+        )
         _set_headers(response, head)
         self.response = response
         self._prepare_end(response)
@@ -172,8 +175,10 @@
         """Say in the head whether the connection ends with the answer."""
         self._set_probe(None)
         connection = self._connection
-        is_last = connection is not None and connection.ends_after_answer
-        if self._is_last_answer or is_last:
+        is_last = self._is_last_answer and not _has_requests_ahead(connection)
+        if connection is not None and connection.ends_after_answer:
+            is_last = True
+        if is_last:
             response.force_close()
 
     def _set_probe(self, probe: bytes | None) -> None:
@@ -182,9 +187,19 @@
             self._connection.presence.probe = probe
 
 
-def _new_stream_response(head: ResponseHead) -> web.StreamResponse:
-    """Return a response that claims as much of its end as the head does."""
-    if not head.is_close_delimited:
+def _has_requests_ahead(connection: HalfClosedConnection | None) -> bool:
+    return connection is not None and connection.has_requests_ahead
+
+
+def _new_stream_response(
+    head: ResponseHead, *, ends_by_close: bool
+) -> web.StreamResponse:
+    """Return a response that claims as much of its end as the head does.
+
+    :param ends_by_close: whether the connection may tell the end; chunks do
+        otherwise
+    """
+    if not (head.is_close_delimited and ends_by_close):
         return web.StreamResponse(status=head.status, reason=head.reason)
     response = _CloseDelimitedResponse(status=head.status, reason=head.reason)
     response.force_close()
--- a/src/dandelioncleat/platform/half_closed_connection.py
+++ b/src/dandelioncleat/platform/half_closed_connection.py
@@ -43,6 +43,11 @@
         self._serving: asyncio.Timeout | None = None
         self._answered_count = 0
 
+    @property
+    def has_requests_ahead(self) -> bool:
+        """Return whether requests have come behind the current one."""
+        return bool(self._messages)
+
     @property
     def ends_after_answer(self) -> bool:
         """Return whether no request can come after the current one."""
