Count the time of a request that was sent ahead from when it came

Callers that send requests before the answers to others got more time than they had left: the time of such a request counted from when its turn came, while its caller waits since it sent it. A target was handed the whole time of the caller again, and ran requests whose callers had left.

Each connection now keeps when the heads of the requests that wait on it began to arrive.

tests/test_requests_ahead.py: two of TimeLimitTest failed before (504 and one run expected, 200 and two runs seen); the third holds the pause between two requests out of the time.

--- a/src/dandelioncleat/platform/caller_connection.py
+++ b/src/dandelioncleat/platform/caller_connection.py
@@ -1,6 +1,7 @@
 """The connection of a caller, with the time of its requests' heads."""
 
 import asyncio
+from collections import deque
 from typing import Any
 
 import structlog
@@ -30,34 +31,49 @@
         self._header_s = header_s
         self._timer: asyncio.TimerHandle | None = None
         self._head_began_at: float | None = None
+        self._received_at = float('-inf')
+        self._head_times: deque[float] = deque()
 
     def take_head_time(self) -> float:
-        """Return when the head of the request began to arrive.
+        """Return when the head of the next request began to arrive.
 
-        An event loop time in seconds; now for a request that came while the
-        one before it was served.
+        An event loop time in seconds. It may have waited for the answers to
+        the requests ahead since then.
         """
-        began_at = self._head_began_at
-        self._head_began_at = None
-        return (
-            asyncio.get_running_loop().time() if began_at is None else began_at
-        )
+        if self._head_times:
+            return self._head_times.popleft()
+        return asyncio.get_running_loop().time()
 
     def data_received(self, data: bytes) -> None:
         """Receive bytes; the first ones of a head start its timer."""
         if not data or self._has_failed:
             # aiohttp resumes its parser with no data.
+            count = self._request_count
             super().data_received(data)
+            self._note_heads(self._request_count - count)
             return
-        if self._is_idle and self._timer is None:
-            self._head_began_at = asyncio.get_running_loop().time()
+        self._received_at = asyncio.get_running_loop().time()
+        may_begin = self._head_began_at is None and not self._is_body_due
+        if may_begin or (self._is_idle and self._timer is None):
+            self._head_began_at = self._received_at
+        count = self._request_count
         super().data_received(data)
+        self._note_heads(self._request_count - count)
         if not self._is_idle:
             self._stop_timer()
         elif self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(self._header_s, self._close_overdue)
 
+    def _note_heads(self, count: int) -> None:
+        """Note when the heads that were just read began to arrive."""
+        for _ in range(count):
+            began_at = self._head_began_at
+            if began_at is None:
+                began_at = self._received_at
+            self._head_times.append(began_at)
+            self._head_began_at = None
+
     @property
     def _is_idle(self) -> bool:
         """Return whether no request has arrived that is not answered.
--- a/src/dandelioncleat/platform/half_closed_connection.py
+++ b/src/dandelioncleat/platform/half_closed_connection.py
@@ -95,7 +95,7 @@
         if is_kept and self.presence.closed_at is None:
             _logger.info(
                 'caller closed its sending side',
-                request=self._request_id,
+                request=_id_of(self._current_request),
                 waiting=len(self._messages),
             )
             self.presence.begin()
@@ -118,23 +118,21 @@
         if exc is not None and self.presence.closed_at is not None:
             _logger.info(
                 'caller left after closing its sending side',
-                request=self._request_id,
+                request=_id_of(self._current_request),
                 after_s=round(self.presence.closed_s, 3),
             )
         super().connection_lost(exc)
 
     @property
-    def _request_id(self) -> str | None:
-        request = self._current_request
-        if request is None:
-            return None
-        return request.headers.get(names.REQUEST_ID)
+    def _is_body_due(self) -> bool:
+        """Return whether a part of the last request's body is still to come."""
+        return self._last_body is not None and not self._last_body.is_eof()
 
     @property
     def _has_whole_requests(self) -> bool:
         if self._request_count == self._answered_count:
             return False
-        return self._last_body is None or self._last_body.is_eof()
+        return not self._is_body_due
 
     def _discard_part(self) -> None:
         """Discard the last request if it waits, and its body is incomplete."""
@@ -156,11 +154,15 @@
         if self._serving is not None and not self.must_go_on():
             _logger.info(
                 'caller may have left',
-                request=self._request_id,
+                request=_id_of(self._current_request),
                 after_s=round(self.presence.closed_s, 3),
             )
             self._serving.reschedule(asyncio.get_running_loop().time())
 
 
+def _id_of(request: web.BaseRequest | None) -> str | None:
+    return None if request is None else request.headers.get(names.REQUEST_ID)
+
+
 def _ends() -> bool:
     return False
--- a/tests/test_requests_ahead.py
+++ b/tests/test_requests_ahead.py
@@ -15,6 +15,8 @@
 from tests.builders.raw_answers import read_answer, read_answers
 
 NAMES = ('r-1', 'r-2', 'r-3')
+# Time for which the request ahead runs, in seconds.
+WAIT_S = 0.6
 LONG_BODY = b'{' + b' ' * 1000 + b'}'
 
 
@@ -92,3 +94,52 @@
         document = configuration(bodyBytes=1000)
         statuses = run_with_fleet(scenario, document=document)
         self.assertEqual([413, 200], statuses)
+
+
+class TimeLimitTest(testtools.TestCase):
+    """The time of a request counts from when it came, not from its turn."""
+
+    def _sent_ahead(self, *, wait_ms):
+        """Return the status of a request that waited, and its target's time."""
+
+        async def scenario(fleet):
+            goes_on = asyncio.Event()
+            fleet.app.answers = [answered_after(goes_on, text_answer('ok'))]
+            reader, writer = await fleet.connect()
+            writer.write(request('r-1') + request('r-2', wait_ms=wait_ms))
+            loop = asyncio.get_running_loop()
+            loop.call_later(WAIT_S, goes_on.set)
+            async with asyncio.timeout(5):
+                answers = [await read_answer(reader) for _ in range(2)]
+            writer.close()
+            headers = [each.headers for each in fleet.app.requests]
+            return answers[1].status, [
+                int(each['Deadline-Ms']) for each in headers
+            ]
+
+        return run_with_fleet(scenario)
+
+    def test_target_may_work_after_the_caller_has_left(self):
+        status, (_, left_ms) = self._sent_ahead(wait_ms=4000)
+        self.assertEqual(200, status)
+        self.assertLessEqual(left_ms, 4000 - 1000 * WAIT_S)
+
+    def test_target_runs_a_request_whose_caller_has_left(self):
+        status, times_ms = self._sent_ahead(wait_ms=300)
+        self.assertEqual((504, 1), (status, len(times_ms)))
+
+    def test_pause_between_two_requests_counts(self):
+        async def scenario(fleet):
+            reader, writer = await fleet.connect()
+            first = request('r-1')
+            writer.write(first[:-1])
+            await asyncio.sleep(WAIT_S)
+            writer.write(first[-1:])
+            await read_answer(reader)
+            await asyncio.sleep(WAIT_S)
+            writer.write(request('r-2'))
+            await read_answer(reader)
+            writer.close()
+            return int(fleet.app.requests[1].headers['Deadline-Ms'])
+
+        self.assertGreater(run_with_fleet(scenario), 4000 - 1000 * WAIT_S)
