--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,8 @@
         self.assertEqual([], verdict.lost, verdict)
         self.assertEqual({}, verdict.not_refused, verdict)
         self.assertEqual([], verdict.ended_by_themselves, verdict)
+        limits = verdict.broken_limits
+        self.assertLessEqual(4 * limits['at work'], limits['left'], verdict)
 
     def test_targets_that_stand_still_beside_others_that_reject(self):
         self._play('reject-beside-still', seed=102)
@@ -44,6 +46,9 @@
     def test_crashing_requests_at_addresses_where_something_listens(self):
         self._play('crash-slowly', seed=503, targets=8)
 
+    def test_callers_that_close_their_connections_beside_planned_stops(self):
+        self._play('half-close', 'ahead', 'leave', 'stop', seed=621)
+
 
 class WorstWindowTest(testtools.TestCase):
     """The judge counts as the users do."""
