Test the bound on connections beside callers that close their sending side

A connection that owes an answer does not give way, the new one does; it counts no more once it is answered.

--- a/tests/test_half_closed_callers.py
+++ b/tests/test_half_closed_callers.py
@@ -4,10 +4,16 @@
 """
 
 import asyncio
+import socket
 import time
+from types import SimpleNamespace
 
 import testtools
+from aiohttp import web
 
+from dandelioncleat.adapters.connection_bound import ConnectionBound
+from dandelioncleat.platform.caller_server import new_caller_server
+from dandelioncleat.platform.callers import DEFAULT_LIMITS
 from tests.builders.direct import (
     MODEL_HEADERS,
     configuration,
@@ -271,3 +277,54 @@
     def test_request_that_runs_once_is_dropped_without_an_answer(self):
         answer, _ = self._answered('/once/a')
         self.assertEqual((200, b'paid'), (answer.status, answer.body))
+
+
+class BoundTest(testtools.TestCase):
+    """The bound on connections holds for those that owe an answer."""
+
+    def test_connection_gives_way_to_another_before_its_answer(self):
+        outcome = asyncio.run(_answered_beside_another())
+        # The other one is closed, and none stays open.
+        self.assertEqual(([200], b'', 0), outcome)
+
+
+async def _answered_beside_another():
+    goes_on = asyncio.Event()
+
+    async def handle(received):
+        await received.read()
+        await goes_on.wait()
+        return web.Response(text='ok')
+
+    bound = ConnectionBound('callers', most=1)
+    server = new_caller_server(
+        SimpleNamespace(handle=handle), DEFAULT_LIMITS, bound=bound
+    )
+    reader, writer = await _accepted(server)
+    writer.write(request('/a'))
+    writer.write_eof()
+    await _until(lambda: server.requests_count)
+    other, other_writer = await _accepted(server)
+    async with asyncio.timeout(5):
+        rest = await other.read()
+        goes_on.set()
+        answers = await read_answers(reader)
+    await _until(lambda: not len(bound))
+    for each in (writer, other_writer):
+        each.close()
+    await server.shutdown(0)
+    return [each.status for each in answers], rest, len(bound)
+
+
+async def _accepted(server):
+    """Return the caller's streams of a connection to a server."""
+    own, other = socket.socketpair()
+    loop = asyncio.get_running_loop()
+    await loop.connect_accepted_socket(server, own)
+    return await asyncio.open_connection(sock=other)
+
+
+async def _until(condition):
+    async with asyncio.timeout(5):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
