--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -191,7 +191,7 @@
     'crash-left-once': partial(crash_later, late=CALLERS_LEAVE_ONCE),
     'crash-left-some': crash_some_later,
     'crash-left-part': crash_parts_later,
-    'leave': leave_sound,
+    'leave-sound': leave_sound,
     'crash-over': partial(crash_later, late=TIME_IS_OVER),
     'crash-over-once': partial(crash_later, late=TIME_IS_OVER_ONCE),
     'kill': kill_routers,
