Charge prompts of callers that left if their targets went on

Callers saw: an organisation got more than it had prepaid.

Cause: a request whose caller left before the first event counted as 0 tokens, as targets cancel it. That holds only for a target that drops a request with its connection, and for output that is not on its way by then.

The router now closes only the sending side at first, which targets can't tell from a closed connection, and reads on for at most 0.25 s. A target that closes without output has dropped the request, which still costs nothing; output, a reset or a connection that stays open mean that it may have run, which costs the prompt and one event. The tokens stay reserved until that is known.

Ruled out: to charge all that leave. To judge by the time since the request was sent: it says nothing of targets that go on, and requests that wait at full targets would all be charged.

What remains: a target that closes its connection and yet works on looks like one that dropped the request.

--- a/src/dandelioncleat/adapters/client_session.py
+++ b/src/dandelioncleat/adapters/client_session.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import functools
+from contextvars import ContextVar
 from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from dandelioncleat.adapters.abandoned_answer import AbandonedAnswer
 from dandelioncleat.adapters.read_limit import PacedProtocol
 from dandelioncleat.core.whole_number import whole_number
+from dandelioncleat.ports.abandoned_run import AbandonedRun
 
 # Interim answers (RFC 9110, 15.2) have lower statuses.
 _FIRST_FINAL_STATUS = 200
@@ -16,6 +19,10 @@
 MAX_INTERIM_ANSWERS = 16
 # aiohttp keeps twice as much of a body that is not read.
 READ_BUFFER_BYTES = 16 * 1024
+# Learns how the target ends a request of this task that is given up.
+abandoned_run: ContextVar[AbandonedRun | None] = ContextVar(
+    'abandoned_run', default=None
+)
 
 
 class _StrictProtocol(PacedProtocol, ResponseHandler):
@@ -32,12 +39,16 @@
         self._is_answer_due = False
         self._interim_answers = 0
         self._unread_length: int | None = None
+        self._run: AbandonedRun | None = None
 
     def set_response_params(self, **params: Any) -> None:
         """Expect an answer."""
         self._is_answer_due = True
         self._interim_answers = 0
         self._unread_length = None
+        self._run = abandoned_run.get()
+        if self._run is not None:
+            self._run.note_sent()
         super().set_response_params(**params)
 
     def data_received(self, data: bytes) -> None:
@@ -94,6 +105,30 @@
                 return
         super().feed_data(message, size)
 
+    def close(self) -> None:
+        """Close the connection; read on if the answer has no output yet."""
+        run = self._run
+        self._run = None
+        transport = self.transport
+        if run is not None and transport is not None and self._awaits_output:
+            self._leave(transport, run)
+        super().close()
+
+    def _leave(self, transport: asyncio.Transport, run: AbandonedRun) -> None:
+        has_head = not self._is_answer_due
+        # aiohttp then has nothing to close, and keeps nothing.
+        self.connection_lost(None)
+        AbandonedAnswer(transport, run, has_head=has_head).start()
+
+    @property
+    def _awaits_output(self) -> bool:
+        if self._is_closing or self._buffer or self._tail:
+            return False
+        payload = self._payload
+        if self._is_answer_due or payload is None:
+            return self._is_answer_due
+        return not (payload.total_bytes or payload.is_eof())
+
     def _close_soon(self) -> None:
         """Close the connection, which keeps what has been read of an answer."""
         if self.transport is not None:
--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -15,6 +15,7 @@
 from dandelioncleat.core.direct_request import CompleteResponse
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.stream_origin import StreamOrigin
+from dandelioncleat.ports.abandoned_run import AbandonedRun
 from dandelioncleat.ports.direct_caller import Reply
 from dandelioncleat.ports.direct_target import (
     CONNECT_STEP,
@@ -59,6 +60,7 @@
     :param limits: is told what the target says about its limit
     :raises TimeoutError: if the answer does not arrive in time
     """
+    context.abandoned = AbandonedRun()
     target_request = _target_request(context, state)
     fetch = context.prefix_fetch
     state.begin(
@@ -263,6 +265,7 @@
         resume_after=context.resume_after,
         is_fresh=_needs_fresh_connection(context, state),
         prefix_source=None if fetch is None else fetch.address,
+        abandoned=None if context.request.prompt is None else context.abandoned,
     )
 
 
--- a/src/dandelioncleat/app/direct/ending.py
+++ b/src/dandelioncleat/app/direct/ending.py
@@ -88,11 +88,13 @@
 def _caller_left_before_run(context: RunContext) -> bool:
     """Return whether the caller left before the model produced output.
 
-    The target then cancels the request while it still reads the prompt.
+    The target has then dropped the request while it still read the prompt.
     """
     if context.outcome != CALLER_LEFT or context.has_output:
         return False
-    return not context.earlier_may_have_run
+    return not (
+        context.earlier_may_have_run or context.abandoned.may_have_begun
+    )
 
 
 def _final_refusal(
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -31,7 +31,7 @@
 from dandelioncleat.app.direct.placement import Placement
 from dandelioncleat.app.direct.resumption import resumption_refusal
 from dandelioncleat.app.direct.retry_budget import RetryBudget
-from dandelioncleat.app.direct.run_context import RunContext
+from dandelioncleat.app.direct.run_context import CALLER_LEFT, RunContext
 from dandelioncleat.app.direct.stream_origins import StreamOrigins
 from dandelioncleat.app.direct.target_limits import TargetLimits
 from dandelioncleat.app.direct.target_state import TargetState
@@ -191,8 +191,7 @@
             await self._run_attempts(context, reply)
         finally:
             if need is not None:
-                context.used_tokens = used_tokens(context, need)
-                self._parts.wallet.settle(need, context.used_tokens)
+                await _settle(context, need, self._parts.wallet)
 
     def _need(self, context: RunContext) -> TokenNeed | None:
         prompt = context.request.prompt
@@ -335,6 +334,16 @@
     return outcome
 
 
+async def _settle(context: RunContext, need: TokenNeed, wallet: Wallet) -> None:
+    """Charge what a request used, once that is known."""
+    try:
+        if context.outcome == CALLER_LEFT:
+            await context.abandoned.wait()
+    finally:
+        context.used_tokens = used_tokens(context, need)
+        wallet.settle(need, context.used_tokens)
+
+
 def _budget_refusal(reservation: ReservationOutcome) -> DirectRefusal | None:
     """Return the refusal of what no host can serve, ``None`` if one may."""
     match reservation:
--- a/src/dandelioncleat/platform/targets.py
+++ b/src/dandelioncleat/platform/targets.py
@@ -12,6 +12,7 @@
 
 from dandelioncleat.adapters.client_session import (
     READ_BUFFER_BYTES,
+    abandoned_run,
     new_connector,
 )
 from dandelioncleat.core.deployment import TargetEntry
@@ -112,7 +113,9 @@
             _headers(order),
             _Connection(),
         )
+        abandoned_run.set(order.abandoned)
         async with _open(call) as answer:
+            abandoned_run.set(None)
             self._unknown_notices.note(order.target.id, answer.head.headers)
             yield answer
 
--- a/src/dandelioncleat/ports/direct_target.py
+++ b/src/dandelioncleat/ports/direct_target.py
@@ -12,6 +12,7 @@
     ResponseHead,
 )
 from dandelioncleat.core.target_notice import TargetNotice
+from dandelioncleat.ports.abandoned_run import AbandonedRun
 
 CONNECT_STEP = 'connect'
 BODY_STEP = 'body'
@@ -27,6 +28,7 @@
     :param is_fresh: whether a new connection is required
     :param prefix_source: address ``ip:port`` of the target from which this one
         first fetches what that one has cached of the prompt
+    :param abandoned: learns how the target ends the request if it is given up
     """
 
     request: DirectRequest
@@ -37,6 +39,7 @@
     resume_after: str | None
     is_fresh: bool
     prefix_source: str | None = None
+    abandoned: AbandonedRun | None = None
 
 
 class TargetOccupancy(NamedTuple):
