Keep to pauses that answers without a request's id ask for

Callers saw: nothing of their own, but targets that had asked for a pause (503 with Retry-After) got three requests and more from one router before its end.

Cause: on a kept connection such an answer may be an earlier one, so that it was dropped as a lost answer, and with it what the target wanted.

The answer is still no answer to the request, but the notice in it is applied: whichever request it belongs to, the target wrote it.

test_an_answer_without_the_id_of_its_request_asks_for_one failed before (the next request was sent and answered 200). What remains: a status check that is answered 503 with Retry-After does not pause its target.

--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -22,6 +22,7 @@
     DirectTargets,
     TargetAnswer,
     TargetRequest,
+    UnnamedAnswerError,
 )
 
 ERROR_STATUS = 500
@@ -234,6 +235,8 @@
     *,
     is_answered: bool,
 ) -> AttemptOutcome:
+    if isinstance(error, UnnamedAnswerError):
+        state.wishes.apply(error.notice, asyncio.get_running_loop().time())
     is_unsent = error.failure.step == CONNECT_STEP and not is_answered
     outcome = AttemptOutcome.NOT_SENT if is_unsent else AttemptOutcome.LOST
     if is_unsent:
--- a/src/dandelioncleat/platform/targets.py
+++ b/src/dandelioncleat/platform/targets.py
@@ -24,7 +24,12 @@
     RefusalReason,
     ResponseHead,
 )
-from dandelioncleat.core.failure import Code, FailureError, failure_error
+from dandelioncleat.core.failure import (
+    Code,
+    Failure,
+    FailureError,
+    failure_error,
+)
 from dandelioncleat.platform import names
 from dandelioncleat.platform.caller_request import arrivals_in
 from dandelioncleat.platform.notices import UnknownNotices, target_notice
@@ -35,6 +40,7 @@
     CONNECT_STEP,
     TargetRequest,
     TargetStatus,
+    UnnamedAnswerError,
 )
 
 CONNECT_TIMEOUT_S = 0.5
@@ -227,13 +233,14 @@
         )
     # On a kept connection it may be an earlier answer, written once more.
     is_own = is_missing and not call.connection.is_kept
-    if echoed != call.request.id and not is_own:
-        raise failure_error(
-            Code.TARGET,
-            step=ANSWER_STEP,
-            peer=call.peer,
-            text=f'the answer belongs to request {echoed}',
-        )
+    if echoed == call.request.id or is_own:
+        return
+    text = f'the answer belongs to request {echoed}'
+    failure = Failure(Code.TARGET, ANSWER_STEP, call.peer, text)
+    if is_missing:
+        notice = target_notice(response.status, response.headers)
+        raise UnnamedAnswerError(failure, notice)
+    raise FailureError(failure)
 
 
 def _new_session(*, is_pooled: bool) -> aiohttp.ClientSession:
--- a/src/dandelioncleat/ports/direct_target.py
+++ b/src/dandelioncleat/ports/direct_target.py
@@ -11,6 +11,7 @@
     DirectRequest,
     ResponseHead,
 )
+from dandelioncleat.core.failure import Failure, FailureError
 from dandelioncleat.core.target_notice import TargetNotice
 from dandelioncleat.ports.abandoned_run import AbandonedRun
 
@@ -42,6 +43,18 @@
     abandoned: AbandonedRun | None = None
 
 
+class UnnamedAnswerError(FailureError):
+    """An answer that may belong to an earlier request.
+
+    What its target says about further requests holds nevertheless.
+    """
+
+    def __init__(self, failure: Failure, notice: TargetNotice) -> None:
+        """Wrap a failure and the notice in the answer."""
+        super().__init__(failure)
+        self.notice = notice
+
+
 class TargetOccupancy(NamedTuple):
     """The requests that a target runs and queues.
 
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -4,6 +4,7 @@
 import re
 
 import testtools
+from aiohttp import web
 
 from dandelioncleat.adapters.virtual_time import run
 from dandelioncleat.app.direct.target_directory import TargetDirectory
@@ -202,6 +203,16 @@
         statuses, sent = run_with_fleet(scenario)
         self.assertEqual(([200] * 5, [1, 5]), (statuses, sent))
 
+    def test_an_answer_without_the_id_of_its_request_asks_for_one(self):
+        async def scenario(fleet):
+            fleet.app.answers = [text_answer('ok'), _unnamed_pause]
+            # The second request is sent on the connection of the first.
+            for name in 'abc':
+                status, _, body = await fleet.call(f'/safe/{name}')
+            return status, body, len(fleet.app.requests)
+
+        self.assertEqual((503, b'targets_paused', 2), run_with_fleet(scenario))
+
     def test_an_ordinary_refusal_is_no_pause(self):
         async def scenario(fleet):
             fleet.app.answers = [text_answer('full', 503, **{'Not-Run': '1'})]
@@ -222,6 +233,10 @@
         self.assertEqual((503, 1, 0), run_with_fleet(scenario))
 
 
+async def _unnamed_pause(_request):
+    return web.Response(status=503, headers=PAUSE)
+
+
 async def _leaving_stream(request):
     answer = await text_answer('ok', **LEAVING)(request)
     return answer
