Fail soaks whose targets, times, pauses or prepaid tokens pass their limits

These were printed but judged by nobody. The thresholds are those of the limits: more than 3 requests on too many targets; over 20, and over a fifth, that were handed too much time; any pause in which a router sent more than two requests, if it was not disrupted meanwhile; any use above the prepaid tokens.

The judge of repeats counts as before.

New plays: callers that leave about when their streams begin, at targets that drop what they leave or go on with it; callers that leave and come back at once; pauses in answers that name no request, or beside callers that leave. Routes may have another `maxAttempts`.

--- a/review/lib/servers.py
+++ b/review/lib/servers.py
@@ -44,7 +44,7 @@
 
     async def start(self, *, beats=True, port=0):
         loop = asyncio.get_running_loop()
-        self._web = web.Server(self._handle, handler_cancellation=True)
+        self._web = self._new_web_server()
         self._server = await loop.create_server(self._web, '127.0.0.1', port)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f'127.0.0.1:{port}'
@@ -52,6 +52,9 @@
         if beats:
             self._beat = asyncio.create_task(self._keep_beating())
 
+    def _new_web_server(self):
+        return web.Server(self._handle, handler_cancellation=True)
+
     def entry(self):
         self.sequence += 1
         return {
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -29,6 +29,7 @@
     parser.add_argument('--routers', type=int, default=4)
     parser.add_argument('--targets', type=int, default=4)
     parser.add_argument('--prepaid', type=int, default=1_000_000_000)
+    parser.add_argument('--attempts', type=int, default=2)
     parser.add_argument(
         '--programs', type=Path, help='checkout whose programs are played'
     )
@@ -48,6 +49,7 @@
             length_s=arguments.length,
             rate=arguments.rate,
             prepaid=arguments.prepaid,
+            attempts=arguments.attempts,
         )
         record = fleets.Record(folder / f'record-{seed}.txt')
         os.environ['KEEP_LOGS'] = str(folder / f'logs-{seed}')
@@ -59,6 +61,7 @@
         print(f'seed {seed} {" ".join(plan.troubles)}: {verdict}', flush=True)
         is_broken = is_broken or max(verdict.used_by_service.values()) > 1
         is_broken = is_broken or bool(verdict.lost or verdict.not_refused)
+        is_broken = is_broken or bool(verdict.limits.broken)
     sys.exit(int(is_broken))
 
 
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -8,6 +8,12 @@
 import signal
 
 from tests.soak.crashes import QUICK_CRASHES, SLOW_CRASHES, ask_again
+from tests.soak.leavers import (
+    leave_and_come_back,
+    leave_targets_that_drop,
+    leave_targets_that_go_on,
+)
+from tests.soak.pauses import pause_beside_leavers, pause_without_ids
 from tests.soak.standins import Mode
 
 # A planned stop does not excuse a router.
@@ -166,10 +172,15 @@
     'fail': fail_in_turn,
     'reject': fail_always,
     'pause': ask_for_pauses,
+    'pause-without-ids': pause_without_ids,
+    'pause-leave': pause_beside_leavers,
     'still': stand_still,
     'reject-beside-still': reject_beside_still,
     'crash-quickly': crash_quickly,
     'crash-slowly': crash_slowly,
+    'leave': leave_targets_that_drop,
+    'leave-and-come-back': leave_and_come_back,
+    'leave-going-on': leave_targets_that_go_on,
     'kill': kill_routers,
     'kill-one': kill_one,
     'stop': stop_routers,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,11 +1,13 @@
 """Short soaks of the deploy file's programs as real processes."""
 
 import asyncio
+from types import SimpleNamespace
 
 import testtools
 
 from tests.builders.programs import built_programs
 from tests.builders.retry_judge import RetryLimit, repeats_of, worst_window
+from tests.soak.limits import Pause, Receipt, Used, sent_in_pauses
 from tests.soak.play import Plan, play
 
 import fleet as fleets  # isort: skip  (found by the package of the soak)
@@ -27,6 +29,7 @@
         self.assertLessEqual(max(verdict.used_by_service.values()), 1, verdict)
         self.assertEqual([], verdict.lost, verdict)
         self.assertEqual({}, verdict.not_refused, verdict)
+        self.assertEqual([], verdict.limits.broken, verdict)
         self.assertEqual([], verdict.ended_by_themselves, verdict)
 
     def test_targets_that_stand_still_beside_others_that_reject(self):
@@ -44,6 +47,9 @@
     def test_crashing_requests_at_addresses_where_something_listens(self):
         self._play('crash-slowly', seed=503, targets=8)
 
+    def test_callers_that_leave_targets_that_go_on(self):
+        self._play('leave-going-on', seed=1, prepaid=150_000)
+
 
 class WorstWindowTest(testtools.TestCase):
     """The judge counts as the users do."""
@@ -57,3 +63,43 @@
         sent = [number / 10 for number in range(40)]
         worst = worst_window([12.0, 13.0], sent, limit)
         self.assertEqual((12.0, 2, 12), worst[:3])
+
+
+class UsedLimitsTest(testtools.TestCase):
+    """The other limits are passed where the rules say so."""
+
+    def _broken(self, **used):
+        nothing = Used(targets=0, time=0, repeats=0, pauses=0, prepaid=1.0)
+        return nothing._replace(**used).broken
+
+    def test_limits_that_are_kept(self):
+        self.assertEqual([], self._broken(targets=3))
+        self.assertEqual([], self._broken(time=20, repeats=20))
+        self.assertEqual([], self._broken(time=30, repeats=150))
+
+    def test_limits_that_are_passed(self):
+        self.assertEqual(['targets'], self._broken(targets=4))
+        self.assertEqual(['time'], self._broken(time=21, repeats=104))
+        self.assertEqual(['pauses'], self._broken(pauses=1))
+        self.assertEqual(['prepaid'], self._broken(prepaid=1.001))
+
+    def _passed(self, times, *, is_excused=False):
+        """Return how many pauses are broken by arrivals from one router.
+
+        :param times: seconds after the answer that asked for two seconds
+        """
+        sent = {'r': SimpleNamespace(router='a')}
+        receipts = [Receipt(at, 'r', 'i', 1.0, at) for at in times]
+        pauses = [Pause(0.0, 'r', 'i', 2.0)]
+        return len(
+            sent_in_pauses(
+                receipts, pauses, sent, is_excused=lambda *_: is_excused
+            )
+        )
+
+    def test_two_requests_may_arrive_in_a_pause(self):
+        self.assertEqual(0, self._passed([0.1, 0.2, 0.6, 0.7, 2.1]))
+        self.assertEqual(1, self._passed([0.6, 0.7, 0.8]))
+
+    def test_a_disrupted_router_is_excused(self):
+        self.assertEqual(0, self._passed([0.6, 0.7, 0.8], is_excused=True))
