--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -127,6 +127,7 @@
         ]
         self.disruptions = []
         self.sent_beside = []
+        self.prepaid = plan.prepaid
         self._version = 0
 
     @property
@@ -182,7 +183,7 @@
                     {
                         'name': 't',
                         'apiKeys': [KEY],
-                        'prepaid': self.plan.prepaid,
+                        'prepaid': self.prepaid,
                     }
                 ],
             ),
@@ -317,6 +318,8 @@
     broken_pauses = sent_in_pauses(
         receipts, pauses, sent_by_request, is_excused=is_excused
     )
+    for pause in broken_pauses:
+        soak.record('pause not kept', **pause._asdict())
     return Used(
         targets=len(
             ran_too_often((run[:2] for run in runs), soak.plan.attempts)
@@ -330,7 +333,7 @@
                 set().union(*(target.begun for target in soak.targets)),
                 prompt_tokens,
             )
-            / soak.plan.prepaid,
+            / soak.prepaid,
             3,
         ),
     )
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -18,6 +18,8 @@
 
 # A planned stop does not excuse a router.
 PLANNED = 'stop'
+# Each raise adds this part of what was prepaid at first.
+RAISE_DIVISOR = 8
 FAILING_MODES = (
     Mode.ERROR,
     Mode.NOT_RUN,
@@ -159,6 +161,14 @@
         soak.write_configuration()
 
 
+async def raise_prepaid(soak, source):
+    """Write versions in which a little more is prepaid."""
+    while True:
+        await asyncio.sleep(source.uniform(1, 3))
+        soak.prepaid += soak.plan.prepaid // RAISE_DIVISOR
+        soak.write_configuration()
+
+
 async def reload_routers(soak, source):
     """Let routers read their settings again."""
     while True:
@@ -187,6 +197,7 @@
     'freeze': freeze_routers,
     'silence': silence_store,
     'configuration': change_configuration,
+    'raise-prepaid': raise_prepaid,
     'reload': reload_routers,
 }
 
