Wait for peers that live but read late

A caller that paused for 2.5 s or longer while it read a long answer got a reset: of 2,000,000 bytes one got 163,627 and the end of its connection. A target, or another router, that did not read a long body for as long lost its connection too. The router answered 502 at 2.85 s of 12 though the target was sound and about to read, and an idempotent request may then run elsewhere.

Cause: TCP_USER_TIMEOUT, 2.5 s on all sockets, is meant for hosts that are gone. The kernel also ends a connection by it whose receiver answers all probes and keeps its window closed.

Callers may now leave an answer unread for as long as the configuration lets them stay idle; the listening socket hands the limit to its connections. A body that may not fit into a receiver's buffers goes out on a connection without that limit; the time limit of its request ends it. Shorter bodies keep the limit, as they find out early that a host is gone.

Ruled out: keep-alive probes (they don't run while data waits to be sent), and the memory that is held for slow callers, which stays in its pool (a handler waits until its answer has left the process).

--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -70,7 +70,7 @@
     decode_evacuation,
     decode_target,
 )
-from dandelioncleat.platform.sockets import enable_keepalive
+from dandelioncleat.platform.sockets import enable_keepalive, limit_unread
 from dandelioncleat.platform.status_page import StatusPage
 from dandelioncleat.platform.store import PlatformStore, new_store_session
 from dandelioncleat.platform.targets import HttpTargets
@@ -408,6 +408,8 @@
     async def _listen(self) -> None:
         for sock in self._sockets:
             enable_keepalive(sock)
+        # Callers may be as slow in reading as in sending.
+        limit_unread(self._sockets.callers, self._limits.idle_s)
         self._listener = await start_server(
             lambda: self._server(), self._sockets.callers
         )
@@ -433,6 +435,7 @@
         )
         if deployment.limits != self._limits:
             self._limits = deployment.limits
+            limit_unread(self._sockets.callers, deployment.limits.idle_s)
             self._server = new_caller_server(
                 self.callers, deployment.limits, bound=self._caller_bound
             )
--- a/src/dandelioncleat/platform/sockets.py
+++ b/src/dandelioncleat/platform/sockets.py
@@ -1,4 +1,8 @@
-"""Socket options that detect an unresponsive peer."""
+"""Socket options that detect an unresponsive peer.
+
+A peer that lives but does not read is unresponsive for the kernel as well, once
+its buffers are full. So the time that such a peer is given is set apart.
+"""
 
 import asyncio
 import socket
@@ -9,6 +13,7 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 TCP_USER_TIMEOUT_MS = 2500
+_MS_PER_S = 1000
 # Linger is on, for 0 s.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -27,6 +32,18 @@
         sock.setsockopt(level, name, setting)
 
 
+def limit_unread(sock: socket.socket, limit_s: float) -> None:
+    """Limit how long a peer may leave unread what is sent to it.
+
+    Connections that a listening socket accepts from now on inherit the limit.
+
+    :param limit_s: in seconds, 0 for the time that the kernel gives
+    """
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(limit_s * _MS_PER_S)
+    )
+
+
 def reset_connection(transport: asyncio.Transport) -> None:
     """Reset a connection; what was not sent yet is discarded."""
     sock = transport.get_extra_info('socket')
@@ -42,3 +59,10 @@
     sock.setblocking(False)
     enable_keepalive(sock)
     return sock
+
+
+def new_patient_socket(address_info: tuple[Any, ...]) -> socket.socket:
+    """Return an outgoing socket whose peer may leave much unread."""
+    sock = new_keepalive_socket(address_info)
+    limit_unread(sock, 0)
+    return sock
--- a/src/dandelioncleat/platform/targets.py
+++ b/src/dandelioncleat/platform/targets.py
@@ -28,7 +28,10 @@
 from dandelioncleat.platform.caller_request import arrivals_in
 from dandelioncleat.platform.notices import UnknownNotices, target_notice
 from dandelioncleat.platform.occupancy import occupancy_in
-from dandelioncleat.platform.sockets import new_keepalive_socket
+from dandelioncleat.platform.sockets import (
+    new_keepalive_socket,
+    new_patient_socket,
+)
 from dandelioncleat.ports.direct_target import (
     BODY_STEP,
     CONNECT_STEP,
@@ -42,6 +45,8 @@
 STATUS_TIMEOUT_S = CONNECT_TIMEOUT_S + 0.3
 # Targets close idle connections after a timeout of their own.
 POOL_IDLE_S = 2.0
+# The buffers of any receiver hold so much of a body before it reads.
+BUFFERED_BODY_BYTES = 32 * 1024
 ANSWER_STEP = 'answer'
 MISDIRECTED = 421
 BAD_GATEWAY = 502
@@ -97,6 +102,7 @@
         """Open the sessions; requires a running event loop."""
         self._pooled = _new_session(is_pooled=True)
         self._unpooled = _new_session(is_pooled=False)
+        self._patient = _new_session(is_pooled=False, is_patient=True)
         self._unknown_notices = UnknownNotices()
 
     @asynccontextmanager
@@ -105,7 +111,7 @@
     ) -> AsyncIterator[HttpTargetAnswer]:
         """Send a request to a target and read the head of its answer."""
         call = _Call(
-            self._unpooled if order.is_fresh else self._pooled,
+            self._session(order.request, is_fresh=order.is_fresh),
             order.request,
             order.target.address,
             order.target.id,
@@ -123,7 +129,12 @@
         """Forward a request to another router."""
         headers = _forwarded_headers(request, remaining_s)
         call = _Call(
-            self._unpooled, request, address, address, headers, _Connection()
+            self._session(request, is_fresh=True),
+            request,
+            address,
+            address,
+            headers,
+            _Connection(),
         )
         async with _open(call) as answer:
             yield answer
@@ -153,6 +164,18 @@
         """Close every connection."""
         await self._pooled.close()
         await self._unpooled.close()
+        await self._patient.close()
+
+    def _session(
+        self, request: DirectRequest, *, is_fresh: bool
+    ) -> aiohttp.ClientSession:
+        """Return what sends a request.
+
+        A target that stands still does not read a long body; it lives.
+        """
+        if len(request.body) > BUFFERED_BODY_BYTES:
+            return self._patient
+        return self._unpooled if is_fresh else self._pooled
 
 
 class _Call(NamedTuple):
@@ -233,11 +256,15 @@
         )
 
 
-def _new_session(*, is_pooled: bool) -> aiohttp.ClientSession:
+def _new_session(
+    *, is_pooled: bool, is_patient: bool = False
+) -> aiohttp.ClientSession:
     connector = new_connector(
         limit=0,
         use_dns_cache=False,
-        socket_factory=new_keepalive_socket,
+        socket_factory=(
+            new_patient_socket if is_patient else new_keepalive_socket
+        ),
         **(
             {'keepalive_timeout': POOL_IDLE_S}
             if is_pooled
