Let answers that are not read yet outlive a crowd

When callers' connections reach their bound, the one that has been waiting longest for its next request is reset. A connection counts as waiting as soon as the handler of its last request is done, though up to 64 KiB of the answer may still be in the process: a caller that reads a little late lost the end of its answer as others came.

Connections without such bytes now give way first, the others after them, so that callers that never read don't keep the places. A test with a crowd of eight and a caller that reads after they have come got a cut answer without the change; one without a server shows the order.

--- a/src/dandelioncleat/adapters/bounded_server.py
+++ b/src/dandelioncleat/adapters/bounded_server.py
@@ -48,6 +48,12 @@
             return not self._messages
         return not request.content.is_eof()
 
+    @property
+    def has_unsent(self) -> bool:
+        """Return whether the peer has yet to read a part of an answer."""
+        transport = self.transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     def _note_failure(self, message: object, payload: StreamReader) -> None:
         """Discard what follows an error, and the bytes that it quotes."""
         if not isinstance(message, _ErrInfo):
--- a/src/dandelioncleat/adapters/connection_bound.py
+++ b/src/dandelioncleat/adapters/connection_bound.py
@@ -2,7 +2,8 @@
 
 Connections that do nothing, or whose requests never come to their end, would
 use up the descriptors that the process needs for others. So the one that has
-been waiting for the longest time gives way to a new one.
+been waiting for the longest time gives way to a new one; one whose last answer
+its peer has yet to read only if there is no other.
 """
 
 from typing import Protocol
@@ -22,6 +23,10 @@
     def is_waiting(self) -> bool:
         """Return whether no request has arrived whole that is not answered."""
 
+    @property
+    def has_unsent(self) -> bool:
+        """Return whether the peer has yet to read a part of an answer."""
+
     def abort(self) -> None:
         """Close the connection at once."""
 
@@ -52,8 +57,7 @@
         self._connections[connection] = None
         if len(self._connections) <= self._most:
             return
-        waiting = (each for each in self._connections if each.is_waiting)
-        longest = next(waiting, connection)
+        longest = self._longest_waiting(connection) or connection
         self.remove(longest)
         longest.abort()
         self._count()
@@ -69,6 +73,17 @@
         """Forget a connection that is closed."""
         self._connections.pop(connection, None)
 
+    def _longest_waiting(self, new: BoundConnection) -> BoundConnection | None:
+        """Return what gives way to a new connection, ``None`` if none does."""
+        longest = None
+        for each in self._connections:
+            if each is new or not each.is_waiting:
+                continue
+            if not each.has_unsent:
+                return each
+            longest = longest or each
+        return longest
+
     def _count(self) -> None:
         self.closed += 1
         if self.closed % LOGGED_EVERY == 1:
--- a/tests/test_connection_bound.py
+++ b/tests/test_connection_bound.py
@@ -1,12 +1,15 @@
 """Tests of the bound on open connections, and on queued log lines."""
 
 import asyncio
+import contextlib
 import io
 import os
 import socket
 import threading
+from types import SimpleNamespace
 
 import testtools
+from aiohttp import web
 
 from dandelioncleat.adapters.connection_bound import ConnectionBound
 from dandelioncleat.adapters.listening import new_listener, start_server
@@ -15,15 +18,18 @@
     LogWriter,
 )
 from dandelioncleat.daemons.direct_settings import parse_direct_settings
+from dandelioncleat.platform.caller_server import new_caller_server
+from dandelioncleat.platform.callers import DEFAULT_LIMITS
 from tests.builders.decisions import SETTINGS
 
 
 class Connection:
     """A connection that waits for a request, or has one under way."""
 
-    def __init__(self, *, is_waiting=True):
+    def __init__(self, *, is_waiting=True, has_unsent=False):
         """Initialise as open."""
         self.is_waiting = is_waiting
+        self.has_unsent = has_unsent
         self.is_open = True
 
     def abort(self):
@@ -54,6 +60,18 @@
         ]
         self.assertEqual([True, False, True], self._open(bound, connections))
 
+    def test_one_whose_answer_is_not_sent_yet_gives_way_after_others(self):
+        bound = ConnectionBound('callers', most=2)
+        connections = [Connection(has_unsent=True)]
+        connections += [Connection() for _ in range(2)]
+        self.assertEqual([True, False, True], self._open(bound, connections))
+
+    def test_one_whose_answer_is_not_read_gives_way_if_it_must(self):
+        bound = ConnectionBound('callers', most=2)
+        connections = [Connection(has_unsent=True) for _ in range(2)]
+        connections.append(Connection())
+        self.assertEqual([False, True, True], self._open(bound, connections))
+
     def test_a_new_one_is_closed_if_all_others_are_in_use(self):
         bound = ConnectionBound('callers', most=1)
         connections = [Connection(is_waiting=False), Connection()]
@@ -81,6 +99,7 @@
     """A connection that never sends a request."""
 
     is_waiting = True
+    has_unsent = False
 
     def __init__(self, bound):
         """Initialise with the bound on open connections."""
@@ -132,6 +151,70 @@
         return peak
 
 
+class UnreadAnswerTest(testtools.TestCase):
+    """An answer waits in the process for a caller that reads late."""
+
+    BUFFER_BYTES = 32_768
+    PIECE = b'x' * 8192
+    CROWD = 8
+
+    def test_crowd_does_not_cut_off_an_answer_that_is_not_read_yet(self):
+        answer = asyncio.run(self._received())
+        self.assertEqual(b'0\r\n\r\n', answer[-5:])
+
+    async def _received(self):
+        """Return what a caller gets that reads after a crowd has come."""
+        listener = new_listener('127.0.0.1:0')
+        callers = new_caller_server(
+            SimpleNamespace(handle=self._answer),
+            DEFAULT_LIMITS,
+            bound=ConnectionBound('callers', most=self.CROWD // 2),
+        )
+        server = await start_server(lambda: callers(), listener)
+        address = listener.getsockname()
+        self.is_answered = asyncio.Event()
+        streams = [await self._call(address)]
+        await self.is_answered.wait()
+        for _ in range(self.CROWD):
+            streams.append(await asyncio.open_connection(*address))
+        answer = await self._read(streams[0][0])
+        for _, writer in streams:
+            writer.close()
+        server.close()
+        await callers.shutdown(0.1)
+        return answer
+
+    async def _answer(self, request):
+        """Answer with more than the buffers of the connection hold."""
+        response = web.StreamResponse()
+        await response.prepare(request)
+        while not request.transport.get_write_buffer_size():
+            await response.write(self.PIECE)
+        await response.write_eof()
+        asyncio.get_running_loop().call_soon(self.is_answered.set)
+        return response
+
+    async def _call(self, address):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.BUFFER_BYTES)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, address)
+        reader, writer = await asyncio.open_connection(
+            sock=sock, limit=self.BUFFER_BYTES
+        )
+        writer.write(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+        return reader, writer
+
+    async def _read(self, reader):
+        answer = b''
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(self.BUFFER_BYTES):
+                answer += data
+                if answer.endswith(b'0\r\n\r\n'):
+                    break
+        return answer
+
+
 class SettingsTest(testtools.TestCase):
     """The bounds follow from the limits of the host."""
 
