--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -29,6 +29,8 @@
     parser.add_argument('--routers', type=int, default=4)
     parser.add_argument('--targets', type=int, default=4)
     parser.add_argument('--prepaid', type=int, default=1_000_000_000)
+    parser.add_argument('--descriptors', type=int, help='limit of each process')
+    parser.add_argument('--memory', type=int, help='limit in MiB, and settings')
     parser.add_argument(
         '--programs', type=Path, help='checkout whose programs are played'
     )
@@ -48,6 +50,8 @@
             length_s=arguments.length,
             rate=arguments.rate,
             prepaid=arguments.prepaid,
+            limits=_limits(arguments),
+            memory_mb=arguments.memory,
         )
         record = fleets.Record(folder / f'record-{seed}.txt')
         os.environ['KEEP_LOGS'] = str(folder / f'logs-{seed}')
@@ -69,6 +73,11 @@
     return await play(record, plan)
 
 
+def _limits(arguments):
+    limits = {'maxFds': arguments.descriptors, 'memoryMb': arguments.memory}
+    return {name: most for name, most in limits.items() if most is not None}
+
+
 def _fields(sent):
     fields = sent._asdict()
     kind = fields.pop('kind')
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+import re
 import time
 from enum import StrEnum
 from typing import NamedTuple
@@ -15,6 +16,9 @@
 PIECES = 6
 # Time for a caller to go on after its connection could not be opened.
 PAUSE_S = 0.1
+# Of the streams that broke off, how many are taken up again.
+RESUMED_SHARE = 0.8
+OK = 200
 
 
 class Kind(NamedTuple):
@@ -57,8 +61,20 @@
     events: int
 
 
+class Broken(NamedTuple):
+    """A stream that broke off after some events."""
+
+    kind: Kind
+    id: str
+    events: int
+
+
 class Caller:
-    """Sends requests one after the other on a kept connection."""
+    """Sends requests one after the other on a kept connection.
+
+    It takes up most streams that have broken off. ``disordered`` has the ids
+    of those that lack a piece, or have one twice.
+    """
 
     def __init__(self, router, *, number, key, kinds, pause_s, seed):
         """Initialise.
@@ -67,6 +83,8 @@
         :param pause_s: mean pause between two requests, in seconds
         """
         self.sent = []
+        self.disordered = []
+        self._broken = None
         self._router = router
         self._number = number
         self._key = key
@@ -90,7 +108,14 @@
             return
         reply = Reply(f'{next(_numbers):016x}')
         is_first, self._is_first = self._is_first, False
-        end = await self._exchange(kind, reply)
+        broken, self._broken = self._broken, None
+        if broken is not None and self._source.random() < RESUMED_SHARE:
+            kind = broken.kind
+        else:
+            broken = None
+        end = await self._exchange(kind, reply, broken)
+        if kind.tokens is not None and reply.status == OK:
+            self._note_stream(kind, reply, end, broken)
         self.sent.append(
             Sent(
                 reply.id,
@@ -107,6 +132,14 @@
             )
         )
 
+    def _note_stream(self, kind, reply, end, broken):
+        first = 0 if broken is None else broken.events
+        last = first + reply.events
+        if not is_in_order(reply.body, range(first, last)):
+            self.disordered.append(reply.id)
+        if end is End.CUT and reply.events:
+            self._broken = Broken(kind, reply.id, last)
+
     async def _connect(self):
         try:
             async with asyncio.timeout(1):
@@ -118,11 +151,11 @@
         self._is_first = True
         return True
 
-    async def _exchange(self, kind, reply):
+    async def _exchange(self, kind, reply, broken):
         reader, writer = self._streams
         try:
             async with asyncio.timeout(kind.limit_s):
-                await self._write(writer, self._request(kind, reply))
+                await self._write(writer, self._request(kind, reply, broken))
                 reply.sent_at = time.monotonic()
                 await read_answer(reader, reply)
         except TimeoutError:
@@ -145,7 +178,7 @@
                 await asyncio.sleep(self._source.expovariate(1 / PIECE_PAUSE_S))
             writer.write(data[start : start + size])
 
-    def _request(self, kind, reply):
+    def _request(self, kind, reply, broken):
         body = b'{}' * 50 if kind.method == 'POST' else b''
         fields = {
             'Host': HOST,
@@ -161,6 +194,9 @@
             fields['Prompt-Prefix'] = (
                 f'aa:{prompt // 2},{reply.id}:{prompt // 2}'
             )
+        if broken is not None:
+            fields['Last-Event-Id'] = str(broken.events - 1)
+            fields['Resumes'] = broken.id
         # A caller reads the same again and again.
         name = f'caller-{self._number}' if kind.method == 'GET' else reply.id
         lines = [f'{kind.method} {kind.prefix}{name} HTTP/1.1']
@@ -171,3 +207,9 @@
         if self._streams is not None:
             self._streams[1].close()
             self._streams = None
+
+
+def is_in_order(body, numbers):
+    """Return whether the events of a stream have these numbers."""
+    found = re.findall(rb'^id: (\d+)$', body, re.MULTILINE)
+    return found[: len(numbers)] == [b'%d' % number for number in numbers]
--- a/tests/soak/crowds.py
+++ b/tests/soak/crowds.py
@@ -210,3 +210,33 @@
     document['limits']['bodyBytes'] = BODY_BYTES
     document['limits']['headerBytes'] = HEADER_BYTES
     fleet.store.put('op', 'config', document)
+
+
+READ = head(b'/read/sound', b'Content-Length: 0', method=b'GET')
+# Callers that wait, send a part of a request, read slowly, or press.
+PASSING_CROWDS = (
+    Crowd(400, b''),
+    Crowd(400, READ[:-4], b'a: b\r\n', 0.2),
+    Crowd(200, sized(b'/post/x', 900, 100), b'x', 0.1),
+    Crowd(200, READ, READ, 0.5, reads=True),
+    Crowd(100, READ * 20),
+)
+
+
+async def come_and_go(soak, source):
+    """Let one crowd after the other come to a router for some seconds."""
+    while True:
+        await asyncio.sleep(source.uniform(0.2, 2))
+        router = source.choice(soak.routers)
+        crowd = source.choice(PASSING_CROWDS)
+        soak.record('crowd', router=router.name, number=crowd.count)
+        callers = [
+            asyncio.ensure_future(_call(router, crowd))
+            for _ in range(crowd.count)
+        ]
+        try:
+            await asyncio.sleep(source.uniform(1, 4))
+        finally:
+            for caller in callers:
+                caller.cancel()
+            await asyncio.gather(*callers, return_exceptions=True)
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -18,6 +18,8 @@
     sent_in_pauses,
     tokens_used,
 )
+from tests.soak.links import Links
+from tests.soak.machines import limit_each_start
 from tests.soak.standins import FaultyTarget, SilentStore
 from tests.soak.troubles import PLANNED, TROUBLES, source_of
 
@@ -49,6 +51,8 @@
     rate: float = 60.0
     callers: int = 6
     prepaid: int = 1_000_000_000
+    limits: dict | None = None
+    memory_mb: int | None = None
 
 
 class Disruption(NamedTuple):
@@ -108,7 +112,10 @@
         self.plan = plan
         self.record = record
         self.fleet = fleets.Fleet(
-            record, routers=plan.routers, gateways=plan.gateways
+            record,
+            routers=plan.routers,
+            gateways=plan.gateways,
+            limits=plan.limits,
         )
         self.store = self.fleet.store = SilentStore(record)
         self.key = KEY
@@ -123,7 +130,9 @@
             for service in (MODEL, APP)
             for number in range(plan.targets)
         ]
+        self.links = Links(self)
         self.disruptions = []
+        self.disordered = []
         self._version = 0
 
     @contextlib.contextmanager
@@ -184,7 +193,10 @@
     try:
         for target in soak.targets:
             await target.start()
+        if any(name.startswith('links') for name in plan.troubles):
+            await soak.links.lay()
         for process in soak.fleet.processes:
+            limit_each_start(process, plan)
             await process.start()
         for router in soak.routers:
             await router.ready()
@@ -192,6 +204,7 @@
         return _judge(soak, await _play_traffic(soak))
     finally:
         await soak.fleet.close()
+        soak.links.close()
         for target in soak.targets:
             await target.close()
 
@@ -209,7 +222,7 @@
             pause_s=pause_s,
             seed=f'{plan.seed}/{router.name}/{number}',
         )
-        for router in soak.routers
+        for router in soak.links.fronts() or soak.routers
         for number in range(plan.callers)
     ]
     troubles = [
@@ -224,12 +237,14 @@
         for trouble in troubles:
             with contextlib.suppress(asyncio.CancelledError):
                 await trouble
+    soak.disordered = [name for each in callers for name in each.disordered]
     return [sent for caller in callers for sent in caller.sent]
 
 
 def _judge(soak, sent):
     arrived = {name for each in soak.targets for _, name in each.arrivals}
     own = {each.id for each in sent}
+    broken = soak.links.broken()
     ends = [
         process.name
         for process in soak.fleet.processes
@@ -251,6 +266,7 @@
             each
             for each in sent
             if each.end is End.CUT
+            and each.id not in broken
             and (each.id in arrived or _is_late(each))
             and _is_in_touch(soak, each)
         ],
@@ -284,11 +300,13 @@
         (run.id, target.name, run.events)
         for target in soak.targets
         for run in target.runs
+        if run.id in sent_by_request
     ]
     prompt_tokens = KINDS[-1].tokens[0]
     return {
         'targets': len(ran_too_often(run[:2] for run in runs)),
         'time': len(handed_too_much_time(receipts, sent_by_request)),
+        'order': len(soak.disordered),
         'pauses': len(sent_in_pauses(receipts, pauses, sent_by_request)),
         'prepaid': round(
             tokens_used(((run[0], run[2]) for run in runs), prompt_tokens)
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -8,8 +8,16 @@
 import signal
 
 from tests.soak.crashes import QUICK_CRASHES, SLOW_CRASHES, ask_again
+from tests.soak.crowds import come_and_go
+from tests.soak.links import (
+    harm_store,
+    harm_targets,
+    slow_callers,
+)
+from tests.soak.machines import kill_all, share_processor, stop_gateways
 from tests.soak.standins import Mode
 
+PLANNED_PAUSES_S = (0.2, 2)
 # A planned stop does not excuse a router.
 PLANNED = 'stop'
 FAILING_MODES = (
@@ -117,7 +125,7 @@
 async def stop_routers(soak, source):
     """Stop one router after the other as planned, and start it again."""
     while True:
-        await asyncio.sleep(source.uniform(0.2, 2))
+        await asyncio.sleep(source.uniform(*PLANNED_PAUSES_S))
         router = source.choice(soak.routers)
         with soak.disrupted([router], PLANNED):
             await router.stop()
@@ -177,6 +185,13 @@
     'silence': silence_store,
     'configuration': change_configuration,
     'reload': reload_routers,
+    'crowds': come_and_go,
+    'processor': share_processor,
+    'kill-all': kill_all,
+    'gateways': stop_gateways,
+    'links-targets': harm_targets,
+    'links-store': harm_store,
+    'links-callers': slow_callers,
 }
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -44,6 +44,9 @@
     def test_crashing_requests_at_addresses_where_something_listens(self):
         self._play('crash-slowly', seed=503, targets=8)
 
+    def test_planned_stops_beside_links_to_targets_that_are_reset(self):
+        self._play('links-targets', 'stop', seed=1751)
+
 
 class WorstWindowTest(testtools.TestCase):
     """The judge counts as the users do."""
