--- a/tests/soak/limits.py
+++ b/tests/soak/limits.py
@@ -46,6 +46,7 @@
     ``targets`` counts requests that ran on too many targets, ``time`` those
     that were handed too much time, of ``repeats`` that were handed that or were
     sent once more late; ``pauses`` counts pauses in which too much was sent;
+    ``order`` counts streams with events that are missing or come twice;
     ``at_work`` counts runs that went on for too long after their callers had
     left, of ``left`` such callers; ``prepaid`` is the used part of the prepaid
     tokens.
@@ -55,6 +56,7 @@
     time: int
     repeats: int
     pauses: int
+    order: int
     at_work: int
     left: int
     prepaid: float
@@ -67,6 +69,7 @@
             'targets': self.targets > ALLOWED_OVER_TARGETS,
             'time': is_late and self.time > ALLOWED_LATE_SHARE * self.repeats,
             'pauses': self.pauses > 0,
+            'order': self.order > 0,
             'at work': self.at_work > ALLOWED_AT_WORK_SHARE * self.left,
             'prepaid': self.prepaid > 1,
         }
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -20,6 +20,8 @@
     sent_in_pauses,
     tokens_used,
 )
+from tests.soak.links import Links
+from tests.soak.machines import limit_each_start
 from tests.soak.standins import FaultyTarget, SilentStore
 from tests.soak.troubles import PLANNED, TROUBLES, source_of
 
@@ -52,6 +54,8 @@
     callers: int = 6
     prepaid: int = 1_000_000_000
     attempts: int = 2
+    limits: dict | None = None
+    memory_mb: int | None = None
 
 
 class Disruption(NamedTuple):
@@ -111,7 +115,10 @@
         self.plan = plan
         self.record = record
         self.fleet = fleets.Fleet(
-            record, routers=plan.routers, gateways=plan.gateways
+            record,
+            routers=plan.routers,
+            gateways=plan.gateways,
+            limits=plan.limits,
         )
         self.store = self.fleet.store = SilentStore(record)
         self.key = KEY
@@ -128,9 +135,11 @@
             for service in (MODEL, APP)
             for number in range(plan.targets)
         ]
+        self.links = Links(self)
         self.disruptions = []
         self.sent_beside = []
         self.prepaid = plan.prepaid
+        self.disordered = []
         self._version = 0
 
     @property
@@ -207,7 +216,10 @@
     try:
         for target in soak.targets:
             await target.start()
+        if any(name.startswith('links') for name in plan.troubles):
+            await soak.links.lay()
         for process in soak.fleet.processes:
+            limit_each_start(process, plan)
             await process.start()
         for router in soak.routers:
             await router.ready()
@@ -215,6 +227,7 @@
         return _judge(soak, await _play_traffic(soak))
     finally:
         await soak.fleet.close()
+        soak.links.close()
         for target in soak.targets:
             await target.close()
 
@@ -232,7 +245,7 @@
             pause_s=pause_s,
             seed=f'{plan.seed}/{router.name}/{number}',
         )
-        for router in soak.routers
+        for router in soak.links.fronts() or soak.routers
         for number in range(plan.callers)
     ]
     troubles = [
@@ -247,6 +260,7 @@
         for trouble in troubles:
             with contextlib.suppress(asyncio.CancelledError):
                 await trouble
+    soak.disordered = [name for each in callers for name in each.disordered]
     own = [sent for caller in callers for sent in caller.sent]
     return own + soak.sent_beside
 
@@ -254,6 +268,7 @@
 def _judge(soak, sent):
     arrived = {name for each in soak.targets for _, name in each.arrivals}
     own = {each.id for each in sent}
+    broken = soak.links.broken()
     ends = [
         process.name
         for process in soak.fleet.processes
@@ -275,6 +290,7 @@
             each
             for each in sent
             if each.end is End.CUT
+            and each.id not in broken
             and (each.id in arrived or _is_late(each))
             and _is_in_touch(soak, each)
         ],
@@ -326,11 +342,15 @@
         soak.record('pause not kept', **pause._asdict())
     return Used(
         targets=len(
-            ran_too_often((run[:2] for run in runs), soak.plan.attempts)
+            ran_too_often(
+                (run[:2] for run in runs if run[0] in sent_by_request),
+                soak.plan.attempts,
+            )
         ),
         time=len(too_late),
         repeats=len(repeats),
         pauses=len(broken_pauses),
+        order=len(soak.disordered),
         at_work=len(late),
         left=left,
         prepaid=round(
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -15,6 +15,7 @@
     send_ahead,
 )
 from tests.soak.crashes import QUICK_CRASHES, SLOW_CRASHES, ask_again
+from tests.soak.crowds import come_and_go
 from tests.soak.late_crashes import (
     CALLERS_LEAVE,
     CALLERS_LEAVE_ONCE,
@@ -30,9 +31,16 @@
     leave_targets_that_drop,
     leave_targets_that_go_on,
 )
+from tests.soak.links import (
+    harm_store,
+    harm_targets,
+    slow_callers,
+)
+from tests.soak.machines import kill_all, share_processor, stop_gateways
 from tests.soak.pauses import pause_beside_leavers, pause_without_ids
 from tests.soak.standins import Mode
 
+PLANNED_PAUSES_S = (0.2, 2)
 # A planned stop does not excuse a router.
 PLANNED = 'stop'
 # Each raise adds this part of what was prepaid at first.
@@ -142,7 +150,7 @@
 async def stop_routers(soak, source):
     """Stop one router after the other as planned, and start it again."""
     while True:
-        await asyncio.sleep(source.uniform(0.2, 2))
+        await asyncio.sleep(source.uniform(*PLANNED_PAUSES_S))
         router = source.choice(soak.routers)
         with soak.disrupted([router], PLANNED):
             await router.stop()
@@ -229,6 +237,13 @@
     'half-close': close_sending_sides,
     'ahead': send_ahead,
     'leave': leave,
+    'crowds': come_and_go,
+    'processor': share_processor,
+    'kill-all': kill_all,
+    'gateways': stop_gateways,
+    'links-targets': harm_targets,
+    'links-store': harm_store,
+    'links-callers': slow_callers,
 }
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -60,6 +60,9 @@
     def test_callers_that_leave_targets_that_go_on(self):
         self._play('leave-going-on', seed=1, prepaid=150_000)
 
+    def test_planned_stops_beside_links_to_targets_that_are_reset(self):
+        self._play('links-targets', 'stop', seed=1751)
+
 
 class WorstWindowTest(testtools.TestCase):
     """The judge counts as the users do."""
@@ -99,6 +102,7 @@
             time=0,
             repeats=0,
             pauses=0,
+            order=0,
             at_work=0,
             left=4,
             prepaid=1.0,
@@ -115,6 +119,7 @@
         self.assertEqual(['targets'], self._broken(targets=4))
         self.assertEqual(['time'], self._broken(time=21, repeats=104))
         self.assertEqual(['pauses'], self._broken(pauses=1))
+        self.assertEqual(['order'], self._broken(order=1))
         self.assertEqual(['at work'], self._broken(at_work=2))
         self.assertEqual(['prepaid'], self._broken(prepaid=1.001))
 
