End no answer by a chunk whose target gave it no end

An answer without a length was sent in chunks if requests had come behind it. Such an answer ends its connection again, and the requests behind it are not run.

--- a/src/dandelioncleat/platform/caller_reply.py
+++ b/src/dandelioncleat/platform/caller_reply.py
@@ -128,9 +128,7 @@
 
     async def begin(self, head: ResponseHead) -> None:
         """Begin a stream."""
-        response = _new_stream_response(
-            head, ends_by_close=not _has_requests_ahead(self._connection)
-        )
+        response = _new_stream_response(head)
         _set_headers(response, head)
         self.response = response
         self._prepare_end(response)
@@ -191,15 +189,14 @@
     return connection is not None and connection.has_requests_ahead
 
 
-def _new_stream_response(
-    head: ResponseHead, *, ends_by_close: bool
-) -> web.StreamResponse:
+def _new_stream_response(head: ResponseHead) -> web.StreamResponse:
     """Return a response that claims as much of its end as the head does.
 
-    :param ends_by_close: whether the connection may tell the end; chunks do
-        otherwise
+    A last chunk would tell the caller that an answer is whole which its target
+    may have broken off, so a close-delimited one ends its connection even if
+    requests wait behind it.
     """
-    if not (head.is_close_delimited and ends_by_close):
+    if not head.is_close_delimited:
         return web.StreamResponse(status=head.status, reason=head.reason)
     response = _CloseDelimitedResponse(status=head.status, reason=head.reason)
     response.force_close()
