Avoid a crashed target also if its crash is blamed on nothing

A target was only avoided once a crash was recorded under some request. If all that ran there had just succeeded, or was cleared, nothing was recorded, requests went on to the address, and their loss counted as another crash. A health check that is made for an abandoned run decides more often with nothing to blame.

Whoever decides that a start has crashed now avoids it in any case. `test_crash_that_is_blamed_on_nothing` failed before.

--- a/src/dandelioncleat/app/direct/crash_detector.py
+++ b/src/dandelioncleat/app/direct/crash_detector.py
@@ -201,6 +201,7 @@
         elif status is TargetStatus.SILENT and not lost.is_leaving:
             lost.abandoned = _suspected(self._abandoned, lost)
             _log_decision(lost, lost.runs, has_crashed=True)
+            self._listed.note_crash(target.start)
             lost.recorded_keys |= self._listener.on_crash(lost)
 
     def _decide_restarted(self, lost: LostRuns) -> None:
@@ -215,6 +216,7 @@
         self._abandoned.forget(lost.target.start)
         self.undecided.forget(lost)
         _log_decision(lost, lost.runs, has_crashed=True)
+        self._listed.note_crash(lost.target.start)
         self._listener.on_crash(lost)
 
     def _note_alive(self, lost: LostRuns) -> None:
--- a/tests/test_crash_detection.py
+++ b/tests/test_crash_detection.py
@@ -222,3 +222,12 @@
 
     def test_entry_that_may_be_older_proves_nothing(self):
         self.assertTrue(self._is_avoided(10.2))
+
+    def test_crash_that_is_blamed_on_nothing(self):
+        async def scenario(fleet):
+            fleet.routers[0].note_delivered(request(1))
+            fleet.routers[0].note_lost(run_of(2), target(1))
+            await asyncio.sleep(1)
+            return await fleet.records(), fleet.listed.crashed_starts
+
+        self.assertEqual((0, {'i/1'}), run_with_quarantines(scenario))
