Take an answer that waits in the buffer as a sign of its caller

A caller that has closed its sending side and reads slowly could have had its answer cut after 0.35 s: while an answer waited to be sent, nothing more was written that would show that the caller is there. The kernel, which is still sending, notices a reset by itself, so bytes in the buffer now count.

tests/test_half_closed_callers.py: SlowReaderTest failed before. Seen by reading; no run has shown it.

--- a/src/dandelioncleat/platform/caller_presence.py
+++ b/src/dandelioncleat/platform/caller_presence.py
@@ -99,11 +99,13 @@
             self._chunk_starts = 0
             return True
         transport = self._transport()
-        if self.probe is None or transport is None:
+        if transport is None:
             return False
         if transport.get_write_buffer_size():
             # The kernel is still writing, and notices a reset.
             return True
+        if self.probe is None:
+            return False
         if self.probe == CHUNK_START:
             if self._chunk_starts == MAX_CHUNK_STARTS:
                 return False
--- a/tests/test_half_closed_callers.py
+++ b/tests/test_half_closed_callers.py
@@ -12,6 +12,10 @@
 from aiohttp import web
 
 from dandelioncleat.adapters.connection_bound import ConnectionBound
+from dandelioncleat.platform.caller_presence import (
+    FIRST_PAUSES_S,
+    CallerPresence,
+)
 from dandelioncleat.platform.caller_server import new_caller_server
 from dandelioncleat.platform.callers import DEFAULT_LIMITS
 from tests.builders.direct import (
@@ -174,6 +178,41 @@
         self.assertLess(stop_s, 1)
 
 
+class SlowReaderTest(testtools.TestCase):
+    """Bytes that wait in the connection's buffer tell, too."""
+
+    def _is_unproven(self, size):
+        """Return whether a caller may have left beside an unsent answer.
+
+        :param size: bytes of the answer that the kernel did not take yet
+        """
+
+        async def scenario():
+            ended = asyncio.Event()
+            presence = CallerPresence(
+                transport=lambda: SimpleNamespace(
+                    get_write_buffer_size=lambda: size
+                ),
+                output=lambda: None,
+                on_unproven=ended.set,
+            )
+            presence.begin()
+            try:
+                async with asyncio.timeout(2 * sum(FIRST_PAUSES_S)):
+                    await ended.wait()
+            except TimeoutError:
+                pass
+            presence.stop()
+            return ended.is_set()
+
+        return asyncio.run(scenario())
+
+    def test_answer_is_cut_that_its_caller_reads_slowly(self):
+        self.assertEqual(
+            (False, True), (self._is_unproven(1), self._is_unproven(0))
+        )
+
+
 class StreamTest(testtools.TestCase):
     """What is written to see whether a caller is there changes no stream."""
 
