Let a planned stop wait for answers that are not read yet

A request counts as open until its answer is handed to the connection, of which up to 64 KiB may still wait in the process for a caller that reads late. A planned stop whose requests were all done went on to its exit, and what waited was lost with the process.

The stop now also waits, within its limit, until no caller's connection has bytes that have not left the process.

--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -10,6 +10,7 @@
 import structlog
 from aiohttp import web
 
+from dandelioncleat.adapters.bounded_server import BoundedRequestHandler
 from dandelioncleat.adapters.connection_bound import ConnectionBound
 from dandelioncleat.adapters.listening import start_server
 from dandelioncleat.adapters.system_clock import SystemClock
@@ -88,6 +89,8 @@
 LAST_ANSWERS_S = 0.05
 # Time to answer the requests that outlast a planned stop.
 END_ANSWERS_LIMIT_S = 0.1
+# A stop looks this often whether callers have read their answers.
+UNSENT_CHECK_S = 0.02
 
 _logger = structlog.get_logger(__name__)
 
@@ -384,6 +387,7 @@
             async with asyncio.timeout_at(end_at):
                 await self.callers.taken.idle.wait()
                 await self._serving.open_requests.idle.wait()
+                await _all_sent(self._servers)
         except TimeoutError:
             lost = self.losses()
         # The exit would interrupt any request that arrives from now on.
@@ -442,6 +446,22 @@
             self._servers.append(self._server)
 
 
+async def _all_sent(servers: Iterable[web.Server]) -> None:
+    """Wait until all answers have left the process.
+
+    The end of one may still be here when its request is not open any more.
+    """
+    unsent = True
+    while unsent:
+        unsent = any(
+            connection.has_unsent
+            for server in servers
+            for connection in server.connections
+            if isinstance(connection, BoundedRequestHandler)
+        )
+        await asyncio.sleep(UNSENT_CHECK_S if unsent else 0)
+
+
 def _share_among_routers(
     processes: ProcessDirectory, host_choice: HostChoice, retries: RetryBudget
 ) -> None:
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -11,7 +11,8 @@
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.platform.targets import HttpTargets
 from dandelioncleat.ports.direct_target import TargetRequest
-from tests.builders.direct import KEY, run_with_fleet, text_answer
+from tests.builders import direct
+from tests.builders.direct import KEY, listener, run_with_fleet, text_answer
 
 # Longer than an unresponsive host is given, and shorter than a caller waits.
 PAUSE_S = 3.2
@@ -19,6 +20,11 @@
 # More than the buffers of a connection hold.
 LONG = 2_000_000
 BUFFER_BYTES = 32_768
+REQUEST = (
+    b'POST /safe/a HTTP/1.1\r\nHost: api.example\r\n'
+    b'Request-Id: r-1\r\nAuthorization: Bearer %s\r\n'
+    b'Content-Length: 2\r\nConnection: close\r\n\r\n{}' % KEY.encode()
+)
 
 
 class CallerTest(testtools.TestCase):
@@ -28,21 +34,50 @@
         async def scenario(fleet):
             fleet.app.answers = [text_answer('x' * LONG)]
             reader, writer = await _connect(fleet)
-            writer.write(
-                b'POST /safe/a HTTP/1.1\r\nHost: api.example\r\n'
-                b'Request-Id: r-1\r\nAuthorization: Bearer %s\r\n'
-                b'Content-Length: 2\r\nConnection: close\r\n\r\n{}'
-                % KEY.encode()
-            )
+            writer.write(REQUEST)
             answer = await reader.read(BUFFER_BYTES)
             await asyncio.sleep(PAUSE_S)
             with contextlib.suppress(OSError):
                 while data := await reader.read(BUFFER_BYTES):
                     answer += data
             writer.close()
-            return answer.partition(b'\r\n\r\n')[2]
+            return len(_body(answer))
+
+        self.assertEqual(LONG, run_with_fleet(scenario))
+
+
+class StopTest(testtools.TestCase):
+    """A planned stop waits for an answer that has not left the process."""
+
+    # More than the small buffers of the connection hold, and less than what
+    # the process keeps of an answer without waiting for its caller.
+    LENGTH = 150_000
+    SEND_BUFFER_BYTES = 4096
+    PAUSE_S = 0.5
+
+    def test_answer_that_is_read_during_a_stop_is_whole(self):
+        self.patch(direct, 'listener', self._listener)
+
+        async def scenario(fleet):
+            fleet.app.answers = [text_answer('x' * self.LENGTH)]
+            reader, writer = await _connect(fleet)
+            writer.write(REQUEST)
+            await asyncio.sleep(self.PAUSE_S)
+            stopping = asyncio.create_task(fleet.router.stop(limit_s=5))
+            await asyncio.sleep(self.PAUSE_S)
+            is_waiting = not stopping.done()
+            answer = await reader.read()
+            writer.close()
+            return is_waiting, len(_body(answer)), await stopping
 
-        self.assertEqual(LONG, len(run_with_fleet(scenario)))
+        self.assertEqual((True, self.LENGTH, ''), run_with_fleet(scenario))
+
+    def _listener(self):
+        sock = listener()
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, self.SEND_BUFFER_BYTES
+        )
+        return sock
 
 
 class TargetTest(testtools.TestCase):
@@ -107,6 +142,10 @@
     writer.close()
 
 
+def _body(answer):
+    return answer.partition(b'\r\n\r\n')[2]
+
+
 async def _connect(fleet):
     """Open a connection to the router whose buffers hold little."""
     sock = socket.socket()
