Play slow targets and versions that take things away in the soak

Trouble `versions` writes versions of the configuration that drop or move routes, services, keys and organisations, change prepaid tokens, limits, timeouts, attempts and engines, each followed by the whole one. Trouble `slow` lets targets work for up to 0.45 s, and be silent inside of streams for up to 3 s; `signals` uses it, too.

--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -169,37 +169,41 @@
                 for router in routers
             )
 
-    def write_configuration(self):
-        """Write the next version of the configuration."""
+    def write_configuration(self, change=None):
+        """Write the next version of the configuration.
+
+        :param change: called with its document; changes nothing by default
+        """
         self._version += 1
-        routes = [
-            client.route(
-                kind.prefix,
-                _route_type(kind),
-                kind.service,
-                timeoutMs=int(kind.limit_s * 1000),
-                sloMs=int(kind.limit_s * 200),
-                resumable=kind.tokens is not None,
-                maxAttempts=self.plan.attempts,
-            )
-            for kind in KINDS
-        ]
-        self.store.put(
-            'op',
-            'config',
-            client.configuration(
-                self._version,
-                services=[client.MODEL_SERVICE, client.APP_SERVICE],
-                routes=routes,
-                tenants=[
-                    {
-                        'name': 't',
-                        'apiKeys': [KEY],
-                        'prepaid': self.prepaid,
-                    }
-                ],
-            ),
+        document = _configuration(
+            self._version, prepaid=self.prepaid, attempts=self.plan.attempts
         )
+        if change is not None:
+            change(document)
+        self.store.put('op', 'config', document)
+
+
+def _configuration(version, *, prepaid, attempts):
+    routes = [
+        client.route(
+            kind.prefix,
+            _route_type(kind),
+            kind.service,
+            timeoutMs=int(kind.limit_s * 1000),
+            sloMs=int(kind.limit_s * 200),
+            resumable=kind.tokens is not None,
+            maxAttempts=attempts,
+        )
+        for kind in KINDS
+    ]
+    # A version that is changed leaves the others as they are.
+    services = [dict(client.MODEL_SERVICE), dict(client.APP_SERVICE)]
+    return client.configuration(
+        version,
+        services=services,
+        routes=routes,
+        tenants=[{'name': 't', 'apiKeys': [KEY], 'prepaid': prepaid}],
+    )
 
 
 def _route_type(kind):
--- a/tests/soak/signals.py
+++ b/tests/soak/signals.py
@@ -2,17 +2,9 @@
 
 import asyncio
 import signal
-from functools import partial
 
-from aiohttp import web
+from tests.soak.slowness import answer_slowly
 
-# Work of a target on a request, in seconds.
-WORK_S = (0.05, 0.45)
-EVENTS = 8
-EVENT_PAUSE_S = 0.1
-# A target says nothing for this time inside some of its streams, in seconds.
-SILENCE_S = (0.5, 3.0)
-SILENT_SHARE = 0.3
 GRACE_S = 8.0
 # Signals of one stop, with the pauses between them in seconds.
 SIGNALS_OF_A_STOP = (1, 5)
@@ -25,7 +17,7 @@
 
     Their settings file is missing or unreadable meanwhile, at times.
     """
-    _answer_slowly(soak.targets, source)
+    answer_slowly(soak.targets, source)
     while True:
         await asyncio.sleep(source.uniform(0.2, 1.5))
         router = source.choice(soak.routers)
@@ -36,7 +28,7 @@
 
 async def stop_all_repeatedly(soak, source, *, planned='stop'):
     """Stop all routers and gateways at once by signals in series."""
-    _answer_slowly(soak.targets, source)
+    answer_slowly(soak.targets, source)
     while True:
         await asyncio.sleep(source.uniform(2, 4))
         chosen = list(soak.fleet.processes)
@@ -58,41 +50,6 @@
             await _start([router])
 
 
-def _answer_slowly(targets, source):
-    for target in targets:
-        target.answer = partial(_answer, target, source)
-
-
-async def _answer(target, source, request, run):
-    await asyncio.sleep(source.uniform(*WORK_S))
-    if 'Token-Count' not in request.headers:
-        run.is_complete = True
-        return target._respond(request, 200, b'x' * 800)
-    return await _stream(target, source, request, run)
-
-
-async def _stream(target, source, request, run):
-    """Write a stream that is silent for a while at one of its events."""
-    first = int(request.headers.get('Last-Event-Id', -1)) + 1
-    silent_at = source.randrange(EVENTS)
-    silence_s = 0
-    if source.random() < SILENT_SHARE:
-        silence_s = source.uniform(*SILENCE_S)
-    response = web.StreamResponse(
-        headers=target._headers(request, {'Content-Type': 'text/event-stream'})
-    )
-    await response.prepare(request)
-    for number in range(first, EVENTS):
-        if number == silent_at:
-            await asyncio.sleep(silence_s)
-        await response.write(b'id: %d\ndata: event\n\n' % number)
-        run.events += 1
-        await asyncio.sleep(EVENT_PAUSE_S)
-    await response.write_eof()
-    run.is_complete = True
-    return response
-
-
 async def _stop(processes, source, *, folder):
     """Send a series of signals to each process, and wait for its end."""
     await asyncio.gather(
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -8,7 +8,7 @@
 import signal
 from functools import partial
 
-from tests.soak import signals
+from tests.soak import signals, slowness, versions
 from tests.soak.closing_callers import (
     close_sending_sides,
     leave,
@@ -244,6 +244,8 @@
     'links-targets': harm_targets,
     'links-store': harm_store,
     'links-callers': slow_callers,
+    'slow': slowness.be_slow,
+    'versions': versions.take_away,
 }
 
 
