Ignore signals once a process has stopped

A signal that came while the interpreter of a stopped process exits ended it with -15 or -1 in place of 0, as the event loop restores the default handlers: a supervisor reads that as a process that ended by itself. The new test fails without the change, as the handlers are the default ones then.

--- a/src/dandelioncleat/daemons/direct_process.py
+++ b/src/dandelioncleat/daemons/direct_process.py
@@ -115,4 +115,9 @@
         return await supervise(daemon, signals, limit_s=settings.stop_limit_s)
     finally:
         watching.cancel()
-        writer.close(limit_s=LOG_CLOSE_S)
+        _end(signals, writer)
+
+
+def _end(signals: StopSignals, writer: LogWriter) -> None:
+    signals.ignore()
+    writer.close(limit_s=LOG_CLOSE_S)
--- a/src/dandelioncleat/daemons/supervision.py
+++ b/src/dandelioncleat/daemons/supervision.py
@@ -7,6 +7,8 @@
 import structlog
 
 EXIT_LOSSES = 1
+# Daemons on the platform also handle SIGHUP.
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 _logger = structlog.get_logger(__name__)
 
@@ -60,6 +62,17 @@
         loop.add_signal_handler(signal.SIGTERM, self.terminate)
         loop.add_signal_handler(signal.SIGINT, self.receive)
 
+    def ignore(self) -> None:
+        """Ignore signals from now on, as the process has stopped.
+
+        One that came while the interpreter exits would end it as if it had been
+        killed.
+        """
+        loop = asyncio.get_running_loop()
+        for number in HANDLED_SIGNALS:
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
+
 
 async def supervise(
     daemon: Daemon,
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -6,7 +6,11 @@
 
 import testtools
 
-from dandelioncleat.daemons.supervision import StopSignals, supervise
+from dandelioncleat.daemons.supervision import (
+    HANDLED_SIGNALS,
+    StopSignals,
+    supervise,
+)
 
 LIMIT_S = 10
 # Turns of the event loop in which a signal has taken effect.
@@ -88,3 +92,21 @@
         self.assertEqual(1, code)
         self.assertTrue(daemon.was_cut)
         self.assertTrue(daemon.is_closed)
+
+
+class EndOfProcessTest(testtools.TestCase):
+    """A signal after the stop does not count as the cause of the exit."""
+
+    def test_signal_after_the_stop_kills_the_process(self):
+        for number in HANDLED_SIGNALS:
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+
+        async def stop_and_be_told_again():
+            signals = StopSignals()
+            signals.install()
+            signals.ignore()
+
+        asyncio.run(stop_and_be_told_again())
+        for number in HANDLED_SIGNALS:
+            os.kill(os.getpid(), number)
+            self.assertEqual(signal.SIG_IGN, signal.getsignal(number))
