Keep to pauses that targets ask for as their callers leave

Callers saw: nothing of their own, but a target that had asked for a pause got three requests and more from one router before its end.

Cause: the answer that asks for a pause was on its way, or in a buffer, when the request was given up, so that nobody read its notice.

The notice is now applied as the head arrives, and heads are still read for up to 0.25 s after any request was given up, not only after one with a prompt.

--- a/src/dandelioncleat/adapters/abandoned_answer.py
+++ b/src/dandelioncleat/adapters/abandoned_answer.py
@@ -7,6 +7,9 @@
 
 import asyncio
 
+from multidict import CIMultiDict
+
+from dandelioncleat.core.whole_number import whole_number
 from dandelioncleat.ports.abandoned_run import AbandonedRun
 
 # A target that drops a request closes within a round trip. One that goes on
@@ -14,6 +17,7 @@
 READ_S = 0.25
 # Heads are not larger; what comes after that is output.
 MAX_HEAD_BYTES = 16 * 1024
+STATUS_DIGITS = 3
 _HEAD_END = b'\r\n\r\n'
 _INTERIM = b'1'
 
@@ -26,16 +30,16 @@
         transport: asyncio.Transport,
         run: AbandonedRun,
         *,
-        has_head: bool,
+        head: bytes | None,
     ) -> None:
         """Initialise; ``start`` takes the connection over.
 
-        :param has_head: whether the head of the answer has been read
+        :param head: what has arrived of the head, ``None`` if all of it has
         """
         self._transport = transport
         self._run = run
-        self._has_head = has_head
-        self._head = b''
+        self._has_head = head is None
+        self._head = head or b''
         self._timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
@@ -80,9 +84,20 @@
             self._head = rest
             if not _is_interim(head):
                 self._has_head = True
+                self._note_head(head)
                 return rest
         return b''
 
+    def _note_head(self, head: bytes) -> None:
+        status_line, *lines = head.decode('latin-1').split('\r\n')
+        _, _, rest = status_line.partition(' ')
+        status = whole_number(rest[:STATUS_DIGITS])
+        if status is None:
+            return
+        fields = (line.partition(':') for line in lines)
+        headers = CIMultiDict((name, text.strip()) for name, _, text in fields)
+        self._run.note_head(status, headers)
+
 
 def _is_interim(head: bytes) -> bool:
     _, _, status = head.partition(b' ')
--- a/src/dandelioncleat/adapters/client_session.py
+++ b/src/dandelioncleat/adapters/client_session.py
@@ -40,12 +40,15 @@
         self._interim_answers = 0
         self._unread_length: int | None = None
         self._run: AbandonedRun | None = None
+        # What has arrived of the heads of a due answer.
+        self._head = b''
 
     def set_response_params(self, **params: Any) -> None:
         """Expect an answer."""
         self._is_answer_due = True
         self._interim_answers = 0
         self._unread_length = None
+        self._head = b''
         self._run = abandoned_run.get()
         if self._run is not None:
             self._run.note_sent()
@@ -60,6 +63,8 @@
         self.note_lines(data)
         while data and not self._is_closing:
             due = self._due_bytes(data)
+            if due and self._is_answer_due and self._run is not None:
+                self._head += data[:due]
             if due:
                 super().data_received(data[:due])
             else:
@@ -96,6 +101,9 @@
             return
         if head.code >= _FIRST_FINAL_STATUS:
             self._is_answer_due = False
+            self._head = b''
+            if self._run is not None:
+                self._run.note_head(head.code, head.headers)
             length = head.headers.get('Content-Length', '')
             self._unread_length = whole_number(length)
         else:
@@ -115,10 +123,10 @@
         super().close()
 
     def _leave(self, transport: asyncio.Transport, run: AbandonedRun) -> None:
-        has_head = not self._is_answer_due
+        head = self._head if self._is_answer_due else None
         # aiohttp then has nothing to close, and keeps nothing.
         self.connection_lost(None)
-        AbandonedAnswer(transport, run, has_head=has_head).start()
+        AbandonedAnswer(transport, run, head=head).start()
 
     @property
     def _awaits_output(self) -> bool:
--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from enum import StrEnum
+from functools import partial
 
 import structlog
 
@@ -15,6 +16,7 @@
 from dandelioncleat.core.direct_request import CompleteResponse
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.stream_origin import StreamOrigin
+from dandelioncleat.core.target_notice import TargetNotice
 from dandelioncleat.ports.abandoned_run import AbandonedRun
 from dandelioncleat.ports.direct_caller import Reply
 from dandelioncleat.ports.direct_target import (
@@ -61,7 +63,7 @@
     :param limits: is told what the target says about its limit
     :raises TimeoutError: if the answer does not arrive in time
     """
-    context.abandoned = AbandonedRun()
+    context.abandoned = AbandonedRun(partial(_note_wishes, state))
     target_request = _target_request(context, state)
     fetch = context.prefix_fetch
     state.begin(
@@ -95,6 +97,11 @@
         state.end(context.request.id)
 
 
+def _note_wishes(state: TargetState, notice: TargetNotice) -> None:
+    """Apply what an answer says, whether or not anybody waits for it."""
+    state.wishes.apply(notice, asyncio.get_running_loop().time())
+
+
 def _note_notice(
     context: RunContext,
     state: TargetState,
@@ -103,7 +110,7 @@
 ) -> None:
     """Apply what an answer says about further requests."""
     context.answer_head = answer.head
-    state.wishes.apply(answer.notice, asyncio.get_running_loop().time())
+    _note_wishes(state, answer.notice)
     limits.note_answer(
         state.entry,
         answer.notice,
@@ -236,7 +243,7 @@
     is_answered: bool,
 ) -> AttemptOutcome:
     if isinstance(error, UnnamedAnswerError):
-        state.wishes.apply(error.notice, asyncio.get_running_loop().time())
+        _note_wishes(state, error.notice)
     is_unsent = error.failure.step == CONNECT_STEP and not is_answered
     outcome = AttemptOutcome.NOT_SENT if is_unsent else AttemptOutcome.LOST
     if is_unsent:
@@ -268,7 +275,7 @@
         resume_after=context.resume_after,
         is_fresh=_needs_fresh_connection(context, state),
         prefix_source=None if fetch is None else fetch.address,
-        abandoned=None if context.request.prompt is None else context.abandoned,
+        abandoned=context.abandoned,
     )
 
 
--- a/src/dandelioncleat/platform/targets.py
+++ b/src/dandelioncleat/platform/targets.py
@@ -35,6 +35,7 @@
 from dandelioncleat.platform.notices import UnknownNotices, target_notice
 from dandelioncleat.platform.occupancy import occupancy_in
 from dandelioncleat.platform.sockets import new_keepalive_socket
+from dandelioncleat.ports.abandoned_run import AbandonedRun
 from dandelioncleat.ports.direct_target import (
     BODY_STEP,
     CONNECT_STEP,
@@ -111,6 +112,8 @@
         self, order: TargetRequest
     ) -> AsyncIterator[HttpTargetAnswer]:
         """Send a request to a target and read the head of its answer."""
+        if order.abandoned is not None:
+            order.abandoned.decode = target_notice
         call = _Call(
             self._unpooled if order.is_fresh else self._pooled,
             order.request,
@@ -118,10 +121,9 @@
             order.target.id,
             _headers(order),
             _Connection(),
+            order.abandoned,
         )
-        abandoned_run.set(order.abandoned)
         async with _open(call) as answer:
-            abandoned_run.set(None)
             self._unknown_notices.note(order.target.id, answer.head.headers)
             yield answer
 
@@ -173,6 +175,7 @@
     peer: str
     headers: list[tuple[str, str]]
     connection: '_Connection'
+    abandoned: AbandonedRun | None = None
 
 
 class _Connection:
@@ -198,6 +201,7 @@
 
 async def _send(call: _Call) -> aiohttp.ClientResponse:
     request = call.request
+    abandoned_run.set(call.abandoned)
     try:
         return await call.session.request(
             request.method,
@@ -215,6 +219,9 @@
         raise _failure(CONNECT_STEP, call.peer, error) from error
     except _ERRORS as error:
         raise _failure(ANSWER_STEP, call.peer, error) from error
+    finally:
+        # Tasks that are started from here on are no part of the request.
+        abandoned_run.set(None)
 
 
 def _check_echo(response: aiohttp.ClientResponse, call: _Call) -> None:
--- a/tests/test_abandoned_answers.py
+++ b/tests/test_abandoned_answers.py
@@ -18,6 +18,10 @@
 )
 EVENT = b'9\r\nid: 0\n\n\r\n'
 REFUSAL = b'HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n'
+PAUSE = (
+    b'HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nretry-after: 2.5\r\n'
+    b'Request-Id: r-1\r\nContent-Length: 0\r\n\r\n'
+)
 REQUEST = DirectRequest(
     id='r-1',
     host='api.example',
@@ -35,6 +39,10 @@
 class AbandonedRunTest(testtools.TestCase):
     """What a target writes and closes tells whether its run has begun."""
 
+    def setUp(self):
+        super().setUp()
+        self.notices = []
+
     def _abandon(self, *, before=b'', after=b'', closes=True):
         """Give a request up; return whether its run may have begun, and when.
 
@@ -56,7 +64,7 @@
             server = await asyncio.start_server(serve, '127.0.0.1', 0)
             port = server.sockets[0].getsockname()[1]
             targets = HttpTargets()
-            run = AbandonedRun()
+            run = AbandonedRun(self.notices.append)
             call = asyncio.create_task(_send(targets, port, run))
             await arrived.wait()
             # What was written before has been read by then.
@@ -91,6 +99,12 @@
     def test_a_refusal_on_its_way_is_no_output(self):
         self.assertFalse(self._abandon(after=REFUSAL)[0])
 
+    def test_a_refusal_on_its_way_asks_for_its_pause(self):
+        for before in (b'', PAUSE[:20], PAUSE):
+            self.notices = []
+            self._abandon(before=before, after=PAUSE[len(before) :])
+            self.assertEqual([2.5], [each.pause_s for each in self.notices])
+
     def test_a_target_that_goes_on_may_have_begun(self):
         has_begun, passed_s = self._abandon(closes=False)
         self.assertTrue(has_begun)
