--- a/src/dandelioncleat/adapters/abandoned_answer.py
+++ b/src/dandelioncleat/adapters/abandoned_answer.py
@@ -10,7 +10,7 @@
 from multidict import CIMultiDict
 
 from dandelioncleat.core.whole_number import whole_number
-from dandelioncleat.ports.abandoned_run import AbandonedRun
+from dandelioncleat.ports.answer_watch import AnswerWatch
 
 # A target that drops a request closes within a round trip. One that goes on
 # with it finds the connection closed well within half a second.
@@ -28,7 +28,7 @@
     def __init__(
         self,
         transport: asyncio.Transport,
-        run: AbandonedRun,
+        run: AnswerWatch,
         *,
         head: bytes | None,
     ) -> None:
--- a/src/dandelioncleat/adapters/client_session.py
+++ b/src/dandelioncleat/adapters/client_session.py
@@ -9,9 +9,10 @@
 from aiohttp.client_proto import ResponseHandler
 
 from dandelioncleat.adapters.abandoned_answer import AbandonedAnswer
+from dandelioncleat.adapters.connection_reset import reset_connection
 from dandelioncleat.adapters.read_limit import PacedProtocol
 from dandelioncleat.core.whole_number import whole_number
-from dandelioncleat.ports.abandoned_run import AbandonedRun
+from dandelioncleat.ports.answer_watch import AnswerWatch
 
 # Interim answers (RFC 9110, 15.2) have lower statuses.
 _FIRST_FINAL_STATUS = 200
@@ -20,8 +21,8 @@
 # aiohttp keeps twice as much of a body that is not read.
 READ_BUFFER_BYTES = 16 * 1024
 # Learns how the target ends a request of this task that is given up.
-abandoned_run: ContextVar[AbandonedRun | None] = ContextVar(
-    'abandoned_run', default=None
+answer_watch: ContextVar[AnswerWatch | None] = ContextVar(
+    'answer_watch', default=None
 )
 
 
@@ -33,13 +34,20 @@
     that comes after an answer, and any number of interim answers.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Start without a request."""
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, *, is_reset_unread: bool = False
+    ) -> None:
+        """Start without a request.
+
+        :param is_reset_unread: whether to reset the connection if it is closed
+            before its answer has ended
+        """
         super().__init__(loop=loop)
+        self._is_reset_unread = is_reset_unread
         self._is_answer_due = False
         self._interim_answers = 0
         self._unread_length: int | None = None
-        self._run: AbandonedRun | None = None
+        self._run: AnswerWatch | None = None
         # What has arrived of the heads of a due answer.
         self._head = b''
 
@@ -49,7 +57,7 @@
         self._interim_answers = 0
         self._unread_length = None
         self._head = b''
-        self._run = abandoned_run.get()
+        self._run = answer_watch.get()
         if self._run is not None:
             self._run.note_sent()
         super().set_response_params(**params)
@@ -114,20 +122,33 @@
         super().feed_data(message, size)
 
     def close(self) -> None:
-        """Close the connection; read on if the answer has no output yet."""
+        """Close the connection; read on if the answer has no output yet.
+
+        What a peer has not read yet of a long request is dropped: it must not
+        get the rest when it reads again.
+        """
         run = self._run
         self._run = None
         transport = self.transport
-        if run is not None and transport is not None and self._awaits_output:
+        if transport is None:
+            return
+        if self._is_reset_unread and self._is_unfinished:
+            reset_connection(transport)
+        elif run is not None and self._awaits_output:
             self._leave(transport, run)
         super().close()
 
-    def _leave(self, transport: asyncio.Transport, run: AbandonedRun) -> None:
+    def _leave(self, transport: asyncio.Transport, run: AnswerWatch) -> None:
         head = self._head if self._is_answer_due else None
         # aiohttp then has nothing to close, and keeps nothing.
         self.connection_lost(None)
         AbandonedAnswer(transport, run, head=head).start()
 
+    @property
+    def _is_unfinished(self) -> bool:
+        payload = self._payload
+        return self._is_answer_due or not (payload is None or payload.is_eof())
+
     @property
     def _awaits_output(self) -> bool:
         if self._is_closing or self._buffer or self._tail:
@@ -152,17 +173,21 @@
         super().connection_lost(exc)
 
 
-def new_connector(**options: Any) -> aiohttp.TCPConnector:
+def new_connector(
+    *, is_reset_unread: bool = False, **options: Any
+) -> aiohttp.TCPConnector:
     """Return a connector whose connections follow the protocol strictly.
 
     Needs a running event loop.
 
+    :param is_reset_unread: whether a connection is reset if it is closed before
+        its answer has ended, so that the peer gets nothing more of its request
     :param options: those of ``aiohttp.TCPConnector``
     """
     connector = aiohttp.TCPConnector(**options)
     loop = asyncio.get_running_loop()
     connector._factory = functools.partial(  # type: ignore[assignment]
-        _StrictProtocol, loop=loop
+        _StrictProtocol, loop=loop, is_reset_unread=is_reset_unread
     )
     return connector
 
--- a/src/dandelioncleat/app/direct/attempt.py
+++ b/src/dandelioncleat/app/direct/attempt.py
@@ -17,7 +17,7 @@
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.stream_origin import StreamOrigin
 from dandelioncleat.core.target_notice import TargetNotice
-from dandelioncleat.ports.abandoned_run import AbandonedRun
+from dandelioncleat.ports.answer_watch import AnswerWatch
 from dandelioncleat.ports.direct_caller import Reply
 from dandelioncleat.ports.direct_target import (
     CONNECT_STEP,
@@ -63,7 +63,7 @@
     :param limits: is told what the target says about its limit
     :raises TimeoutError: if the answer does not arrive in time
     """
-    context.abandoned = AbandonedRun(partial(_note_wishes, state))
+    context.answer_watch = AnswerWatch(partial(_note_wishes, state))
     target_request = _target_request(context, state)
     fetch = context.prefix_fetch
     state.begin(
@@ -276,7 +276,7 @@
         resume_after=context.resume_after,
         is_fresh=_needs_fresh_connection(context, state),
         prefix_source=None if fetch is None else fetch.address,
-        abandoned=context.abandoned,
+        answer_watch=context.answer_watch,
     )
 
 
--- a/src/dandelioncleat/app/direct/ending.py
+++ b/src/dandelioncleat/app/direct/ending.py
@@ -93,7 +93,7 @@
     if context.outcome != CALLER_LEFT or context.has_output:
         return False
     return not (
-        context.earlier_may_have_run or context.abandoned.may_have_begun
+        context.earlier_may_have_run or context.answer_watch.may_have_begun
     )
 
 
--- a/src/dandelioncleat/app/direct/open_requests.py
+++ b/src/dandelioncleat/app/direct/open_requests.py
@@ -57,5 +57,5 @@
     def end_all(self) -> None:
         """End the work on all open requests."""
         now = asyncio.get_running_loop().time()
-        for timer in self._timers:
-            timer.reschedule(now)
+        while self._timers:
+            self._timers.pop().reschedule(now)
--- a/src/dandelioncleat/app/direct/run_context.py
+++ b/src/dandelioncleat/app/direct/run_context.py
@@ -19,7 +19,7 @@
     HeldBytes,
 )
 from dandelioncleat.core.stream_origin import StreamOrigin, stream_key
-from dandelioncleat.ports.abandoned_run import AbandonedRun
+from dandelioncleat.ports.answer_watch import AnswerWatch
 
 DEFAULT_WAIT_S = 30.0
 # An answer is sent this much before its caller stops waiting for it, or a tenth
@@ -61,7 +61,7 @@
     ``is_counted`` says that one has counted it in its retry budget. ``retry``
     is a retry that was taken from that and not sent yet. ``held`` is what the
     process keeps of answers. ``prefix_fetch`` is what the chosen target
-    fetches of the prompt. ``abandoned`` tells how the last target ended a
+    fetches of the prompt. ``answer_watch`` tells how the last target ended a
     request that was given up.
     """
 
@@ -109,7 +109,7 @@
         self.is_counted = request.earlier_arrivals is not None
         self.retry: TakenRetry | None = None
         self.prefix_fetch: PrefixFetch | None = None
-        self.abandoned = AbandonedRun()
+        self.answer_watch = AnswerWatch()
         self.held = held or HeldAnswers(HeldBytes(DEFAULT_MEMORY_MB))
 
     def stream_key(self, first_request: str) -> str:
--- a/src/dandelioncleat/app/direct/serving.py
+++ b/src/dandelioncleat/app/direct/serving.py
@@ -10,8 +10,7 @@
 from returns.result import Result
 
 from dandelioncleat.app.direct.admission import Admission, Admitted
-from dandelioncleat.app.direct.attempt import AttemptOutcome, run_attempt
-from dandelioncleat.app.direct.crash_quarantine import CrashQuarantine
+from dandelioncleat.app.direct.attempt import AttemptOutcome
 from dandelioncleat.app.direct.ending import (
     STOPPING_RETRY_S,
     end_at_stop,
@@ -19,68 +18,42 @@
     refuse,
     used_tokens,
 )
-from dandelioncleat.app.direct.forwarding import Forwarding
 from dandelioncleat.app.direct.hedging import Hedging, HedgingParts
 from dandelioncleat.app.direct.hopeless import hopeless_refusal
-from dandelioncleat.app.direct.lost_runs import WatchedRun
 from dandelioncleat.app.direct.open_requests import (
     OpenRequests,
     RequestEndedError,
 )
-from dandelioncleat.app.direct.open_targets import OpenTargets
-from dandelioncleat.app.direct.placement import Placement
 from dandelioncleat.app.direct.resumption import resumption_refusal
-from dandelioncleat.app.direct.retry_budget import RetryBudget
 from dandelioncleat.app.direct.run_context import CALLER_LEFT, RunContext
-from dandelioncleat.app.direct.stream_origins import StreamOrigins
-from dandelioncleat.app.direct.target_limits import TargetLimits
-from dandelioncleat.app.direct.target_state import TargetState
+from dandelioncleat.app.direct.serving_parts import ServingParts
+from dandelioncleat.app.direct.token_refusals import (
+    budget_refusal,
+    need_of,
+    tokens_retry_s,
+)
 from dandelioncleat.app.direct.topic_age import rounded_age_s
-from dandelioncleat.app.direct.wallet import ReservationOutcome, Wallet
+from dandelioncleat.app.direct.wallet import ReservationOutcome
+from dandelioncleat.app.direct.watched_attempt import run_watched
+from dandelioncleat.core.deployment import CallKind
 from dandelioncleat.core.direct_request import (
     DirectRefusal,
     DirectRequest,
     RefusalReason,
 )
 from dandelioncleat.core.held_bytes import (
-    DEFAULT_MEMORY_MB,
     HeldAnswers,
-    HeldBytes,
 )
 from dandelioncleat.core.host_holdings import TokenNeed
 from dandelioncleat.ports.direct_caller import Reply
-from dandelioncleat.ports.direct_target import DirectTargets
-from dandelioncleat.ports.telemetry import Telemetry
 
 TOKEN_WAIT_SHARE = 0.5
 # A slow store confirms a mark within two round trips.
 MAX_TOKEN_WAIT_S = 0.5
-TOKENS_RETRY_S = 0.3
-# Only a top-up, or open requests that use less than they reserve, add to what
-# is left.
-UNPROVEN_RETRY_S = 10.0
 
 _logger = structlog.get_logger(__name__)
 
 
-class ServingParts(NamedTuple):
-    """What requests need to be served."""
-
-    admission: Admission
-    wallet: Wallet
-    placement: Placement
-    open_targets: OpenTargets
-    retries: RetryBudget
-    targets: DirectTargets
-    forwarding: Forwarding
-    quarantine: CrashQuarantine
-    origins: StreamOrigins
-    limits: TargetLimits
-    telemetry: Telemetry
-    answer_bytes: HeldBytes = HeldBytes(DEFAULT_MEMORY_MB)
-    hedge_share: float = 0
-
-
 class StopTimes(NamedTuple):
     """Limits of a planned stop, as event loop times in seconds.
 
@@ -150,7 +123,7 @@
             arrived_at=arrived_at,
             held=HeldAnswers(self._parts.answer_bytes),
         )
-        need = self._need(context)
+        need = need_of(context, self._parts.wallet)
         reply.note_run(partial(_runs_only_once, context))
         try:
             with self._parts.telemetry.span('direct.request'):
@@ -192,17 +165,21 @@
             await self._run_attempts(context, reply)
         finally:
             if need is not None:
-                await _settle(context, need, self._parts.wallet)
+                await self._settle(context, need)
 
-    def _need(self, context: RunContext) -> TokenNeed | None:
-        prompt = context.request.prompt
-        organisation = context.admitted.organisation
-        if prompt is None or organisation is None:
-            return None
-        if not self._parts.wallet.is_prepaid(organisation.name):
-            return None
-        request = context.request.id
-        return TokenNeed(request, organisation.name, prompt.max_total_tokens)
+    async def _settle(self, context: RunContext, need: TokenNeed) -> None:
+        """Charge what a request used, once that is known.
+
+        A request that a stop ends is charged at most at once, as its last
+        answer must still be sent.
+        """
+        is_ended = self._stop is NOTHING_ADMITTED
+        try:
+            if context.outcome == CALLER_LEFT and not is_ended:
+                await context.answer_watch.wait()
+        finally:
+            context.used_tokens = used_tokens(context, need)
+            self._parts.wallet.settle(need, context.used_tokens)
 
     async def _reserve(
         self, context: RunContext, need: TokenNeed
@@ -218,7 +195,7 @@
         reservation: ReservationOutcome,
         reply: Reply,
     ) -> None:
-        refusal = _budget_refusal(reservation)
+        refusal = budget_refusal(reservation)
         if refusal is None:
             refusal = await self._parts.forwarding.forward(context, need, reply)
         if refusal is None:
@@ -226,7 +203,7 @@
             return
         if not refusal.has_run:
             refusal = await self._parts.admission.confirmed(refusal)
-            retry_s = _tokens_retry_s(need, refusal, self._parts.wallet)
+            retry_s = tokens_retry_s(need, refusal, self._parts.wallet)
             refusal = DirectRefusal(refusal.reason, retry_after_s=retry_s)
         await refuse(context, refusal, reply)
 
@@ -272,7 +249,7 @@
                 return AttemptOutcome.NOT_SENT
         self._parts.placement.log_choice(context, choice)
         return await self.hedging.run(
-            context, state, reply, attempt=partial(_run_watched, self._parts)
+            context, state, reply, attempt=partial(run_watched, self._parts)
         )
 
     def _note_end(self, context: RunContext, need: TokenNeed | None) -> None:
@@ -309,72 +286,6 @@
         self._parts.telemetry.count('direct.requests', outcome=str(outcome))
 
 
-async def _run_watched(
-    parts: ServingParts,
-    context: RunContext,
-    state: TargetState,
-    reply: Reply,
-) -> AttemptOutcome:
-    """Run an attempt, and tell the quarantine how it ended."""
-    quarantine = parts.quarantine
-    run = quarantine.watch(
-        context.request,
-        is_after_loss=context.has_lost_answer,
-        is_after_crash=state.crash_mark.is_set,
-    )
-    try:
-        with parts.telemetry.span('direct.attempt', target=state.entry.id):
-            outcome = await run_attempt(
-                context,
-                state,
-                targets=parts.targets,
-                reply=reply,
-                origins=parts.origins,
-                limits=parts.limits,
-            )
-    except (asyncio.CancelledError, TimeoutError):
-        _report_abandoned(context, run, state, quarantine=quarantine)
-        raise
-    _report_outcome(context, run, state, outcome=outcome, quarantine=quarantine)
-    return outcome
-
-
-async def _settle(context: RunContext, need: TokenNeed, wallet: Wallet) -> None:
-    """Charge what a request used, once that is known."""
-    try:
-        if context.outcome == CALLER_LEFT:
-            await context.abandoned.wait()
-    finally:
-        context.used_tokens = used_tokens(context, need)
-        wallet.settle(need, context.used_tokens)
-
-
-def _budget_refusal(reservation: ReservationOutcome) -> DirectRefusal | None:
-    """Return the refusal of what no host can serve, ``None`` if one may."""
-    match reservation:
-        case ReservationOutcome.EXHAUSTED:
-            return DirectRefusal(RefusalReason.PREPAID_SPENT)
-        case ReservationOutcome.UNPROVEN:
-            return DirectRefusal(RefusalReason.BALANCE_UNPROVEN)
-        case _:
-            return None
-
-
-def _tokens_retry_s(
-    need: TokenNeed, refusal: DirectRefusal, wallet: Wallet
-) -> float | None:
-    """Return when a request without tokens may come back, in seconds."""
-    match refusal.reason:
-        case RefusalReason.PREPAID_SPENT:
-            return None
-        case RefusalReason.CONFIGURATION_UNCONFIRMED:
-            return refusal.retry_after_s
-        case RefusalReason.BALANCE_UNPROVEN:
-            return UNPROVEN_RETRY_S
-        case _:
-            return max(TOKENS_RETRY_S, wallet.room_in_s(need) or 0)
-
-
 async def _early_refusal(
     context: RunContext, parts: ServingParts, stop: StopTimes | None
 ) -> DirectRefusal | None:
@@ -398,8 +309,14 @@
 
 
 def _runs_only_once(context: RunContext) -> bool:
-    """Return whether a request may be running and can't be repeated."""
-    return context.may_have_run and not context.admitted.route.is_repeatable
+    """Return whether a call may be running and can't be repeated.
+
+    A stream works on for as long as its caller waits, so one whose caller may
+    have left does not count.
+    """
+    route = context.admitted.route
+    is_stream = route.kind is CallKind.STREAM
+    return context.may_have_run and not (route.is_repeatable or is_stream)
 
 
 def _should_retry(
@@ -416,56 +333,6 @@
     return outcome is AttemptOutcome.NOT_SENT or parts.retries.take(context)
 
 
-def _report_abandoned(
-    context: RunContext,
-    run: WatchedRun,
-    state: TargetState,
-    *,
-    quarantine: CrashQuarantine,
-) -> None:
-    """Tell the quarantine of an attempt that nobody waits for any more."""
-    if context.has_whole_answer:
-        _report_outcome(
-            context,
-            run,
-            state,
-            outcome=AttemptOutcome.DELIVERED,
-            quarantine=quarantine,
-        )
-        return
-    quarantine.note_abandoned(run, state.entry, leaves=lambda: state.is_leaving)
-
-
-def _report_outcome(
-    context: RunContext,
-    run: WatchedRun,
-    state: TargetState,
-    *,
-    outcome: AttemptOutcome,
-    quarantine: CrashQuarantine,
-) -> None:
-    """Tell the quarantine how an attempt ended."""
-    head = context.answer_head
-    if outcome is AttemptOutcome.NOT_SENT:
-        quarantine.note_unreachable(state.entry)
-    if outcome is AttemptOutcome.LOST:
-        quarantine.note_lost(
-            run,
-            state.entry,
-            has_begun=head is not None,
-            is_leaving=state.is_leaving,
-        )
-    if outcome is not AttemptOutcome.DELIVERED or head is None:
-        return
-    if head.is_error:
-        # The target may have refused the request before it ran.
-        return
-    if head.is_close_delimited:
-        quarantine.note_closed(run, state.entry, is_leaving=state.is_leaving)
-    else:
-        quarantine.note_delivered(run.request)
-
-
 def _log_not_admitted(
     request: DirectRequest, refusal: DirectRefusal, admission: Admission
 ) -> None:
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -36,9 +36,9 @@
 from dandelioncleat.app.direct.serving import (
     NOTHING_ADMITTED,
     Serving,
-    ServingParts,
     StopTimes,
 )
+from dandelioncleat.app.direct.serving_parts import ServingParts
 from dandelioncleat.app.direct.stream_origins import StreamOrigins
 from dandelioncleat.app.direct.target_directory import TargetDirectory
 from dandelioncleat.app.direct.target_limits import TargetLimits
@@ -52,7 +52,7 @@
 from dandelioncleat.app.event_wait import wait_at_most
 from dandelioncleat.app.router_life import RouterLife
 from dandelioncleat.core.clock_check import ClockEvidence
-from dandelioncleat.core.deployment import Deployment
+from dandelioncleat.core.deployment import CallerLimits, Deployment
 from dandelioncleat.core.gateway_choice import GatewayChoice
 from dandelioncleat.core.held_bytes import HeldBytes
 from dandelioncleat.core.host_choice import HostChoice
@@ -71,7 +71,11 @@
     decode_evacuation,
     decode_target,
 )
-from dandelioncleat.platform.sockets import enable_keepalive, limit_unread
+from dandelioncleat.platform.sockets import (
+    USER_TIMEOUT_S,
+    enable_keepalive,
+    limit_unread,
+)
 from dandelioncleat.platform.status_page import StatusPage
 from dandelioncleat.platform.store import PlatformStore, new_store_session
 from dandelioncleat.platform.targets import HttpTargets
@@ -407,8 +411,7 @@
     async def _listen(self) -> None:
         for sock in self._sockets:
             enable_keepalive(sock)
-        # Callers may be as slow in reading as in sending.
-        limit_unread(self._sockets.callers, self._limits.idle_s)
+        _limit_unread(self._sockets.callers, self._limits)
         self._listener = await start_server(
             lambda: self._server(), self._sockets.callers
         )
@@ -434,13 +437,18 @@
         )
         if deployment.limits != self._limits:
             self._limits = deployment.limits
-            limit_unread(self._sockets.callers, deployment.limits.idle_s)
+            _limit_unread(self._sockets.callers, deployment.limits)
             self._server = new_caller_server(
                 self.callers, deployment.limits, bound=self._caller_bound
             )
             self._servers.append(self._server)
 
 
+def _limit_unread(callers: socket.socket, limits: CallerLimits) -> None:
+    """Let callers be as slow in reading as in sending."""
+    limit_unread(callers, max(limits.idle_s, USER_TIMEOUT_S))
+
+
 async def _end_requests(serving: Serving) -> None:
     """Give the open requests their last answers, and begin no other.
 
--- a/src/dandelioncleat/platform/caller_presence.py
+++ b/src/dandelioncleat/platform/caller_presence.py
@@ -70,6 +70,20 @@
         self._last_output = self._output()
         self._schedule()
 
+    def begin_answer(self, probe: bytes | None) -> None:
+        """Look anew for the caller of the next answer.
+
+        :param probe: the bytes that may be written before it
+        """
+        self.probe = probe
+        if self.closed_at is None:
+            return
+        self.stop()
+        self._ticks = 0
+        self._writes = 0
+        self._last_output = self._output()
+        self._schedule()
+
     def stop(self) -> None:
         """Look no more."""
         if self._timer is not None:
@@ -77,11 +91,15 @@
             self._timer = None
 
     def _schedule(self) -> None:
-        pause_s = PAUSE_S
-        if self._ticks < len(FIRST_PAUSES_S):
-            pause_s = FIRST_PAUSES_S[self._ticks]
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(pause_s, self._look)
+        self._timer = loop.call_later(self._pause_s, self._look)
+
+    @property
+    def _pause_s(self) -> float:
+        """Return the time until the next look, in seconds."""
+        if self._ticks < len(FIRST_PAUSES_S):
+            return FIRST_PAUSES_S[self._ticks]
+        return PAUSE_S
 
     def _look(self) -> None:
         self._ticks += 1
--- a/src/dandelioncleat/platform/caller_reply.py
+++ b/src/dandelioncleat/platform/caller_reply.py
@@ -5,6 +5,7 @@
 
 from aiohttp import hdrs, web
 
+from dandelioncleat.adapters.connection_reset import reset_connection
 from dandelioncleat.core.direct_request import (
     CompleteResponse,
     DirectRefusal,
@@ -14,7 +15,6 @@
 from dandelioncleat.platform import names
 from dandelioncleat.platform.caller_presence import CHUNK_START
 from dandelioncleat.platform.half_closed_connection import HalfClosedConnection
-from dandelioncleat.platform.sockets import reset_connection
 
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
--- a/src/dandelioncleat/platform/half_closed_connection.py
+++ b/src/dandelioncleat/platform/half_closed_connection.py
@@ -76,8 +76,8 @@
 
     def note_taken(self, request: web.BaseRequest) -> None:
         """Note that a request is being answered."""
-        if request.version >= HttpVersion11:
-            self.presence.probe = INTERIM_ANSWER
+        is_new = request.version >= HttpVersion11
+        self.presence.begin_answer(INTERIM_ANSWER if is_new else None)
 
     def data_received(self, data: bytes) -> None:
         """Receive bytes of requests."""
--- a/src/dandelioncleat/platform/sockets.py
+++ b/src/dandelioncleat/platform/sockets.py
@@ -4,18 +4,14 @@
 its buffers are full. So the time that such a peer is given is set apart.
 """
 
-import asyncio
 import socket
-import struct
 from typing import Any
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-TCP_USER_TIMEOUT_MS = 2500
+USER_TIMEOUT_S = 2.5
 _MS_PER_S = 1000
-# Linger is on, for 0 s.
-_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 def enable_keepalive(sock: socket.socket) -> None:
@@ -25,7 +21,11 @@
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
+        (
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            int(USER_TIMEOUT_S * _MS_PER_S),
+        ),
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     )
     for level, name, setting in options:
@@ -44,14 +44,6 @@
     )
 
 
-def reset_connection(transport: asyncio.Transport) -> None:
-    """Reset a connection; what was not sent yet is discarded."""
-    sock = transport.get_extra_info('socket')
-    if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-    transport.abort()
-
-
 def new_keepalive_socket(address_info: tuple[Any, ...]) -> socket.socket:
     """Return a non-blocking socket for an outgoing connection."""
     family, kind, protocol, *_ = address_info
--- a/src/dandelioncleat/platform/targets.py
+++ b/src/dandelioncleat/platform/targets.py
@@ -12,7 +12,7 @@
 
 from dandelioncleat.adapters.client_session import (
     READ_BUFFER_BYTES,
-    abandoned_run,
+    answer_watch,
     new_connector,
 )
 from dandelioncleat.core.deployment import TargetEntry
@@ -38,7 +38,7 @@
     new_keepalive_socket,
     new_patient_socket,
 )
-from dandelioncleat.ports.abandoned_run import AbandonedRun
+from dandelioncleat.ports.answer_watch import AnswerWatch
 from dandelioncleat.ports.direct_target import (
     BODY_STEP,
     CONNECT_STEP,
@@ -118,8 +118,8 @@
         self, order: TargetRequest
     ) -> AsyncIterator[HttpTargetAnswer]:
         """Send a request to a target and read the head of its answer."""
-        if order.abandoned is not None:
-            order.abandoned.decode = target_notice
+        if order.answer_watch is not None:
+            order.answer_watch.decode = target_notice
         call = _Call(
             self._session(order.request, is_fresh=order.is_fresh),
             order.request,
@@ -127,7 +127,7 @@
             order.target.id,
             _headers(order),
             _Connection(),
-            order.abandoned,
+            order.answer_watch,
         )
         async with _open(call) as answer:
             self._unknown_notices.note(order.target.id, answer.head.headers)
@@ -198,7 +198,7 @@
     peer: str
     headers: list[tuple[str, str]]
     connection: '_Connection'
-    abandoned: AbandonedRun | None = None
+    answer_watch: AnswerWatch | None = None
 
 
 class _Connection:
@@ -224,7 +224,7 @@
 
 async def _send(call: _Call) -> aiohttp.ClientResponse:
     request = call.request
-    abandoned_run.set(call.abandoned)
+    answer_watch.set(call.answer_watch)
     try:
         return await call.session.request(
             request.method,
@@ -244,7 +244,7 @@
         raise _failure(ANSWER_STEP, call.peer, error) from error
     finally:
         # Tasks that are started from here on are no part of the request.
-        abandoned_run.set(None)
+        answer_watch.set(None)
 
 
 def _check_echo(response: aiohttp.ClientResponse, call: _Call) -> None:
@@ -277,6 +277,7 @@
     *, is_pooled: bool, is_patient: bool = False
 ) -> aiohttp.ClientSession:
     connector = new_connector(
+        is_reset_unread=is_patient,
         limit=0,
         use_dns_cache=False,
         socket_factory=(
--- a/src/dandelioncleat/ports/abandoned_run.py
+++ b/src/dandelioncleat/ports/answer_watch.py
@@ -1,4 +1,4 @@
-"""What a target did with a request whose answer nobody waits for any more."""
+"""Watches what a target does with a request that may be given up."""
 
 import asyncio
 from collections.abc import Callable, Mapping
@@ -8,7 +8,7 @@
 DecodeNotice = Callable[[int, Mapping[str, str]], TargetNotice]
 
 
-class AbandonedRun:
+class AnswerWatch:
     """Tells whether the run of a request may have begun.
 
     ``may_have_begun`` is an upper bound: a request that was sent has begun
--- a/src/dandelioncleat/ports/direct_target.py
+++ b/src/dandelioncleat/ports/direct_target.py
@@ -13,7 +13,7 @@
 )
 from dandelioncleat.core.failure import Failure, FailureError
 from dandelioncleat.core.target_notice import TargetNotice
-from dandelioncleat.ports.abandoned_run import AbandonedRun
+from dandelioncleat.ports.answer_watch import AnswerWatch
 
 CONNECT_STEP = 'connect'
 BODY_STEP = 'body'
@@ -29,7 +29,8 @@
     :param is_fresh: whether a new connection is required
     :param prefix_source: address ``ip:port`` of the target from which this one
         first fetches what that one has cached of the prompt
-    :param abandoned: learns how the target ends the request if it is given up
+    :param answer_watch: learns how the target ends a request that is given
+        up
     """
 
     request: DirectRequest
@@ -40,7 +41,7 @@
     resume_after: str | None
     is_fresh: bool
     prefix_source: str | None = None
-    abandoned: AbandonedRun | None = None
+    answer_watch: AnswerWatch | None = None
 
 
 class UnnamedAnswerError(FailureError):
--- a/tests/builders/limited_fleet.py
+++ b/tests/builders/limited_fleet.py
@@ -17,7 +17,8 @@
     ProcessRole,
 )
 from dandelioncleat.app.direct.retry_budget import RetryBudget
-from dandelioncleat.app.direct.serving import Serving, ServingParts
+from dandelioncleat.app.direct.serving import Serving
+from dandelioncleat.app.direct.serving_parts import ServingParts
 from dandelioncleat.app.direct.stream_origins import StreamOrigins
 from dandelioncleat.app.direct.target_directory import TargetDirectory
 from dandelioncleat.app.direct.target_limits import TargetLimits
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -122,7 +122,6 @@
         )
         self.store = self.fleet.store = SilentStore(record)
         self.key = KEY
-        self.kinds = KINDS
         self.left = []
         self.routers = self.fleet.routers
         self.targets = [
--- a/tests/test_abandoned_answers.py
+++ b/tests/test_abandoned_answers.py
@@ -8,10 +8,12 @@
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import DirectRequest
 from dandelioncleat.platform.targets import HttpTargets
-from dandelioncleat.ports.abandoned_run import AbandonedRun
+from dandelioncleat.ports.answer_watch import AnswerWatch
 from dandelioncleat.ports.direct_target import TargetRequest
 from tests.builders.direct import MODEL_HEADERS, configuration, run_with_fleet
 
+# The least time of a planned stop that leaves some for open requests, in s.
+STOP_LIMIT_S = 1.5
 HEAD = (
     b'HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n'
     b'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -64,7 +66,7 @@
             server = await asyncio.start_server(serve, '127.0.0.1', 0)
             port = server.sockets[0].getsockname()[1]
             targets = HttpTargets()
-            run = AbandonedRun(self.notices.append)
+            run = AnswerWatch(self.notices.append)
             call = asyncio.create_task(_send(targets, port, run))
             await arrived.wait()
             # What was written before has been read by then.
@@ -129,6 +131,24 @@
         self.assertEqual(402, run_with_fleet(scenario, document=document))
 
 
+class PlannedStopTest(testtools.TestCase):
+    """A request that a stop ends is answered before its use is known."""
+
+    def test_stop_ends_without_an_answer(self):
+        async def scenario(fleet):
+            fleet.llm.answers = [_go_on]
+            answer = asyncio.create_task(
+                fleet.call('/stream/a', **MODEL_HEADERS)
+            )
+            await fleet.wait_until(lambda: fleet.llm.requests)
+            await fleet.router.stop(limit_s=STOP_LIMIT_S)
+            await fleet.router.close()
+            return (await answer)[0]
+
+        document = configuration(prepaid=1000)
+        self.assertEqual(502, run_with_fleet(scenario, document=document))
+
+
 class _Deaf(asyncio.Protocol):
     def eof_received(self):
         return True
@@ -148,7 +168,7 @@
         urgency=None,
         resume_after=None,
         is_fresh=False,
-        abandoned=run,
+        answer_watch=run,
     )
     async with targets.send(order):
         await asyncio.Event().wait()
--- a/tests/test_half_closed_callers.py
+++ b/tests/test_half_closed_callers.py
@@ -317,6 +317,52 @@
         answer, _ = self._answered('/once/a')
         self.assertEqual((200, b'paid'), (answer.status, answer.body))
 
+    def test_request_behind_a_dropped_one_is_refused_unsent(self):
+        async def scenario(fleet):
+            goes_on = asyncio.Event()
+            fleet.app.answers = [
+                answered_after(goes_on, text_answer('late')),
+                text_answer('paid'),
+            ]
+            first = request('/safe/a', version='1.0')
+            first = first.replace(
+                b'1.0\r\n', b'1.0\r\nConnection: keep-alive\r\n'
+            )
+            data = first + request('/safe/b', name='r-2')
+            reader, writer = await half_closed(fleet, data)
+            async with asyncio.timeout(5):
+                answers = [await read_answer(reader) for _ in range(2)]
+            writer.close()
+            return [each.status for each in answers]
+
+        self.assertEqual([502, 200], run_with_fleet(scenario))
+
+
+class UnprobedStreamTest(testtools.TestCase):
+    """Nothing can be written inside a stream that ends with its connection."""
+
+    def test_target_works_on_for_a_caller_that_has_left(self):
+        async def scenario(fleet):
+            fleet.llm.answers = [_begun_without_a_length]
+            return await seconds_at_work(
+                fleet,
+                fleet.llm,
+                request('/single/a', fields=STREAM_FIELDS),
+                until=b'data: x',
+            )
+
+        self.assertLess(run_with_fleet(scenario), LEFT_LIMIT_S)
+
+
+async def _begun_without_a_length(received):
+    name = received.headers['Request-Id']
+    received.transport.write(
+        b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+        b'Server-Stamp: s\r\nRequest-Id: %s\r\n\r\n' % name.encode()
+    )
+    received.transport.write(event_bytes(0, 0))
+    await asyncio.Event().wait()
+
 
 class BoundTest(testtools.TestCase):
     """The bound on connections holds for those that owe an answer."""
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -108,6 +108,52 @@
         self.assertTrue(self._is_answered(_forward))
 
 
+class GivenUpTest(testtools.TestCase):
+    """A long body that was given up does not arrive whole any more."""
+
+    def test_target_reads_a_request_that_was_given_up(self):
+        async def scenario():
+            arrived = asyncio.Event()
+            ended = asyncio.Event()
+            bodies = []
+
+            async def read_late(reader, writer):
+                await reader.readuntil(b'\r\n\r\n')
+                arrived.set()
+                await ended.wait()
+                with contextlib.suppress(OSError):
+                    while data := await reader.read(BUFFER_BYTES):
+                        bodies.append(data)
+                writer.close()
+                done.set()
+
+            done = asyncio.Event()
+            server = await asyncio.start_server(
+                read_late, '127.0.0.1', 0, limit=BUFFER_BYTES
+            )
+            ip, port = server.sockets[0].getsockname()
+            targets = HttpTargets()
+            sending = asyncio.create_task(
+                _enter(_send_to_target(targets, f'{ip}:{port}'))
+            )
+            await arrived.wait()
+            sending.cancel()
+            await asyncio.wait([sending])
+            ended.set()
+            async with asyncio.timeout(LIMIT_S):
+                await done.wait()
+            await targets.close()
+            server.close()
+            return sum(map(len, bodies))
+
+        self.assertLess(asyncio.run(scenario()), LONG)
+
+
+async def _enter(sending):
+    async with sending:
+        """Wait for the head of the answer only."""
+
+
 def _send_to_target(targets, address):
     target = TargetEntry('i', 's', address, 'z', 8, False, 1)
     order = TargetRequest(
