--- a/tests/soak/closing_callers.py
+++ b/tests/soak/closing_callers.py
@@ -62,7 +62,7 @@
         reader, writer = self._streams
         for kind, reply in zip(kinds, replies, strict=True):
             work_s = self._source.uniform(0, kind.limit_s / 8)
-            writer.write(_working(self._request(kind, reply), work_s))
+            writer.write(_working(self._request(kind, reply, None), work_s))
         if closes:
             writer.write_eof()
         is_open = True
@@ -77,10 +77,10 @@
             return
         kind = self._source.choice(self._kinds)
         reply = Reply(f'{self._source.getrandbits(64):016x}')
-        data = _working(self._request(kind, reply), LONG_S)
+        data = _working(self._request(kind, reply, None), LONG_S)
         if kind.tokens is not None:
             tokens = '{},{}'.format(*kind.tokens).encode()
-            data = self._request(kind, reply)
+            data = self._request(kind, reply, None)
             data = data.replace(tokens, LONG_TOKENS.encode(), 1)
         self._streams[1].write(data)
         await asyncio.sleep(self._source.uniform(0.05, 0.4))
--- a/tests/soak/leavers.py
+++ b/tests/soak/leavers.py
@@ -37,10 +37,10 @@
         await super()._send(kind)
         self._close()
 
-    async def _exchange(self, kind, reply):
+    async def _exchange(self, kind, reply, broken):
         try:
             async with asyncio.timeout(self._patience_s):
-                return await super()._exchange(kind, reply)
+                return await super()._exchange(kind, reply, broken)
         except TimeoutError:
             return End.LEFT
 
