Note how a request of the soak ended in one place

Callers that close their connections built the same record as the others. No check changes; the plays of closing and of leaving callers in test_soak.py pass, and the linters.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -120,20 +120,22 @@
         end = await self._exchange(kind, reply, broken)
         if kind.tokens is not None and reply.status == OK:
             self._note_stream(kind, reply, end, broken)
-        self.sent.append(
-            Sent(
-                reply.id,
-                kind,
-                self._router.name,
-                self._number,
-                reply.sent_at,
-                time.monotonic(),
-                end,
-                reply.status,
-                reply.headers.get('dandelioncleat-refusal'),
-                is_first,
-                reply.events,
-            )
+        self.sent.append(self._ended(kind, reply, end, is_first=is_first))
+
+    def _ended(self, kind, reply, end, *, is_first):
+        """Return how a request ended."""
+        return Sent(
+            reply.id,
+            kind,
+            self._router.name,
+            self._number,
+            reply.sent_at,
+            time.monotonic(),
+            end,
+            reply.status,
+            reply.headers.get('dandelioncleat-refusal'),
+            is_first,
+            reply.events,
         )
 
     def _note_stream(self, kind, reply, end, broken):
--- a/tests/soak/closing_callers.py
+++ b/tests/soak/closing_callers.py
@@ -11,7 +11,7 @@
 from client import Reply
 
 from tests.builders.raw_answers import read_answer
-from tests.soak.callers import Caller, End, Sent
+from tests.soak.callers import Caller, End
 
 WORKERS = 6
 MAX_AHEAD = 3
@@ -66,7 +66,8 @@
         is_open = not closes or _ends_sending(writer)
         for kind, reply in zip(kinds, replies, strict=True):
             end, is_open = await self._read(reader, kind, reply, is_open)
-            self._soak.sent_beside.append(self._sent(kind, reply, end))
+            ended = self._ended(kind, reply, end, is_first=True)
+            self._soak.sent_beside.append(ended)
         self._close()
 
     async def leave(self):
@@ -104,21 +105,6 @@
         closes = 'close' in reply.headers.get('connection', '').lower()
         return End.ANSWERED, not closes
 
-    def _sent(self, kind, reply, end):
-        return Sent(
-            reply.id,
-            kind,
-            self._router.name,
-            self._number,
-            reply.sent_at,
-            time.monotonic(),
-            end,
-            reply.status,
-            reply.headers.get('dandelioncleat-refusal'),
-            True,
-            reply.events,
-        )
-
 
 def _ends_sending(writer):
     """Close the sending side; return whether the connection is still open.
