Show routers that never start again after a drill of the store

Marks that are written again after a drill carry the epoch from before, while the store has the next one. A successor begins with that epoch at sequence number 0, and the store's rejection ends its process at each start.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,111 +1,154 @@
-"""A router is stopped as planned while a request that it forwarded runs."""
+"""A drill of the store, then the final fault: no router starts again.
+
+The store comes back from a copy that is some seconds old, so it has forgotten
+the last usage marks of the routers. Later all processes are killed.
+"""
 
 import asyncio
 import signal
 import sys
+import time
 from pathlib import Path
 
 import deployment as d
 
 FOLDER = Path(__file__).resolve().parent
-PREPAID = 2_000_000
-# A new host raises its ceilings only after some seconds.
+PREPAID = 60_000
+ROUTERS = 2
 SETTLE_S = 10
-# Steady traffic from before the stop until the platform, which asks once a
-# second and wants two misses, sends no new channels any more.
-BEFORE_S = 2.0
-AFTER_S = 2.0
-GAP_S = 0.1
-WAIT_MS = 6000
-EVENTS = 10
-PROMISES = {408, 421, 429, 503}
-# Three of five servers lose the answers of three in ten requests that they run.
-SERVERS = 5
-FAULTY = 3
-LOST = (0, 3, 6)
-
-
-class Answers:
-    """Streams events; a faulty server loses some of its answers."""
-
-    def __init__(self, *, loses):
-        self.loses = loses
-        self.count = 0
-
-    async def __call__(self, server, request, writer):
-        server.note_run(request)
-        number = self.count % 10
-        self.count += 1
-        if self.loses and number in LOST:
-            name = request.headers.get('request-id')
-            server.fleet.record(f'server {server.name}: loses answer to {name}')
-            await asyncio.sleep(60)
-        lines = ['HTTP/1.1 200 OK', 'Content-Type: text/event-stream',
-                 'Transfer-Encoding: chunked']
-        lines += [f'{name}: {text}'
-                  for name, text in server.head(request).items()]
-        writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n')
-        for number in range(1, EVENTS + 1):
-            event = f'id: {number}\ndata: {"x" * 40}\n\n'.encode()
-            writer.write(b'%x\r\n%s\r\n' % (len(event), event))
-            await writer.drain()
-            await asyncio.sleep(0.02)
-        writer.write(b'0\r\n\r\n')
-        await writer.drain()
-        return True
+TOKENS_PER_EVENT = 5
+# Prompts and answers of ever smaller requests, which spend all of a budget.
+SIZES = ((900, 100), (90, 10), (10, 5))
+COPY_AGE_S = 5.0
+AWAY_S = 1.0
+QUIET_S = 6.0
+RECOVER_S = 12.0
+RESTART_DELAY_S = 0.5
+PLAIN = 20
+# Bounds the restarts.
+MOST_STARTS = 40
+
+
+async def stream(server, request, writer):
+    server.note_run(request)
+    lines = ['HTTP/1.1 200 OK', 'Content-Type: text/event-stream',
+             'Transfer-Encoding: chunked']
+    lines += [f'{name}: {text}' for name, text in server.head(request).items()]
+    writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n')
+    tokens_out = int(request.headers['token-count'].partition(',')[2])
+    for number in range(1, tokens_out // TOKENS_PER_EVENT + 1):
+        event = f'id: {number}\ndata: xxxxx\n\n'.encode()
+        writer.write(b'%x\r\n%s\r\n' % (len(event), event))
+    writer.write(b'0\r\n\r\n')
+    await writer.drain()
+    return True
+
+
+class Platform:
+    """Starts a process again a moment after it has ended."""
+
+    def __init__(self, programs):
+        self.programs = programs
+        self.exits = []
+
+    async def run(self):
+        while len(self.exits) < MOST_STARTS:
+            await asyncio.sleep(0.05)
+            for program in self.programs:
+                code = program.process.poll()
+                if code is None:
+                    continue
+                self.exits.append((program.name, code))
+                program.fleet.record(f'{program.name}: ended with {code}')
+                await asyncio.sleep(RESTART_DELAY_S)
+                program.start()
+
+
+async def served(fleet, routers):
+    """Return how many of some plain requests are served, in turn."""
+    count = 0
+    for number in range(PLAIN):
+        router = routers[number % len(routers)]
+        answer = await fleet.client.ask(
+            router.address, '/read/1', method='GET', wait_ms=2000
+        )
+        count += answer.status == 200
+        await asyncio.sleep(0.05)
+    fleet.record(f'{count} of {PLAIN} plain requests served')
+    return count
+
+
+async def spend(fleet, routers, size):
+    """Send requests of one size until each router says that all is spent."""
+    served_tokens = 0
+    spent = set()
+    for number in range(200):
+        router = routers[number % ROUTERS]
+        answer = await fleet.client.ask(
+            router.address, '/draft/1', body=b'{}',
+            headers=d.prompt_headers(*size, f'{number:08x}'),
+        )
+        if answer.status == 200:
+            served_tokens += sum(size)
+        elif answer.status == 402:
+            spent.add(router.name)
+        if len(spent) == ROUTERS:
+            break
+    fleet.record(f'{served_tokens} tokens spent by requests of {sum(size)}; '
+                 f'spent at {sorted(spent)}')
 
 
 async def play(fleet, is_troubled):
-    servers = [
-        await d.Server(
-            fleet, f'llm-{number}', 'llm', f'127.0.3.{number}',
-            answer=Answers(loses=is_troubled and number <= FAULTY),
-        ).start()
-        for number in range(1, SERVERS + 1)
-    ]
+    await d.Server(fleet, 'llm-1', 'llm', '127.0.3.1', answer=stream).start()
+    await d.Server(fleet, 'app-1', 'billing', '127.0.3.2').start()
     await fleet.configure(**d.document(
-        [d.route('letra', 'llm', 'streaming', timeout_ms=WAIT_MS)],
-        [d.model_service('llm')],
+        [d.route('draft', 'llm', 'streaming', timeout_ms=5000),
+         d.route('read', 'billing', 'idempotent', timeout_ms=2000)],
+        [d.model_service('llm'), d.plain_service('billing')],
         prepaid=PREPAID,
     ))
     await fleet.start_store()
     gateway = (await fleet.machine('gateway', 1)).start()
     routers = [
         (await fleet.machine('router', number, gateways=[gateway])).start()
-        for number in (1, 2)
+        for number in range(1, ROUTERS + 1)
     ]
     for router in routers:
         await router.until_ready()
     await asyncio.sleep(SETTLE_S)
-    stopped = routers[0]
-    asks = {}
-    before = int(BEFORE_S / GAP_S)
-    for number in range(before + int(AFTER_S / GAP_S)):
-        if is_troubled and number == before:
-            stopped.signal(signal.SIGTERM)
-        name = fleet.client.new_id()
-        asks[name] = asyncio.create_task(fleet.client.ask(
-            stopped.address, '/letra/1', body=b'{}', wait_ms=WAIT_MS,
-            name=name, headers=d.prompt_headers(2890, 85, f'{number:08x}'),
-        ))
-        await asyncio.sleep(GAP_S)
-    await asyncio.gather(*asks.values())
+    if await served(fleet, routers) < PLAIN:
+        raise d.CannotRunError('a request failed before any disruption')
+    for size in SIZES:
+        await spend(fleet, routers, size)
+    await asyncio.sleep(2.0)
     if is_troubled:
-        await stopped.ended()
-    ran = {run[0] for server in servers for run in server.runs}
-    broken = 0
-    for name, ask in asks.items():
-        answer = ask.result()
-        if answer.status in PROMISES and name in ran:
-            broken += 1
-            fleet.record(f'{name} was answered {answer.status} and has run')
-    for line in stopped.log_lines('"request ended"'):
-        fleet.record(f'{stopped.name} logs {line}')
-    if not is_troubled and any(
-        ask.result().status != 200 for ask in asks.values()
-    ):
-        raise d.CannotRunError('a request failed without a disruption')
-    return broken > 0
+        links = [each.link for each in (gateway, *routers)]
+        for link in links:
+            link.set_mode('reset')
+        fleet.record('store away')
+        await asyncio.sleep(AWAY_S)
+        fleet.memory_store.restore(COPY_AGE_S)
+        for link in links:
+            link.set_mode('pass')
+        fleet.record(f'store back from a copy {COPY_AGE_S} s old, '
+                     f'era {fleet.memory_store.era}')
+    await asyncio.sleep(QUIET_S)
+    if await served(fleet, routers) < PLAIN:
+        raise d.CannotRunError('a request failed before the final fault')
+    platform = Platform(routers)
+    watching = asyncio.create_task(platform.run())
+    for router in routers:
+        router.signal(signal.SIGKILL)
+    fleet.record('all processes of routers killed')
+    await asyncio.sleep(RECOVER_S)
+    count = await served(fleet, routers)
+    watching.cancel()
+    own = [each for each in platform.exits if each[1] != -signal.SIGKILL]
+    fleet.record(f'processes that ended by themselves: {len(own)}')
+    for router in routers:
+        for line in router.log_lines('SequenceError')[:2]:
+            fleet.record(f'{router.name} logs {line}')
+    return count < PLAIN / 4
 
 
 sys.exit(d.run_case(FOLDER, play))
