--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,6 +1,13 @@
 #!/bin/sh
-set -eu
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+set -u
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-cd "$root"
-PYTHONPATH="$root/target/deps:$root/review/standins-2" PYTHONDONTWRITEBYTECODE=1 exec python3 "$here/case.py"
+cd "$root" || exit 2
+PYTHONPATH="$root/target/deps:$root/review/standins-2" \
+    PYTHONDONTWRITEBYTECODE=1 python3 "$here/case.py"
+case $? in
+    0) exit 0 ;;
+    10) exit 1 ;;
+    *) exit 2 ;;
+esac
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -26,6 +26,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 HEARTBEAT_S = 1.2
 GRACE_S = 8
+# Tells a broken rule from an error of the interpreter; run.sh exits with 1.
+BROKEN = 10
 MODEL = 'm'
 KEY = 'key-of-tenant-one'
 TENANT = 'tenant-one'
@@ -625,7 +627,7 @@
 
 
 def run_case(folder, play):
-    """Run a case; exit with 1 if the rule was broken, 0 if it held, else 2.
+    """Run a case; return BROKEN if the rule was broken, 0 if it held, else 2.
 
     ``play(fleet, is_troubled)`` returns whether the rule was broken.
     """
@@ -656,4 +658,4 @@
         return 2
     record('the rule was broken' if is_broken else 'the rule held')
     print('broken' if is_broken else 'held')
-    return 1 if is_broken else 0
+    return BROKEN if is_broken else 0
