--- a/review/7/case.py
+++ b/review/7/case.py
@@ -23,6 +23,8 @@
 AWAY_S = 1.0
 QUIET_S = 6.0
 RECOVER_S = 12.0
+# The machines are back by this time after the kill.
+BACK_S = 1.5
 RESTART_DELAY_S = 0.5
 PLAIN = 20
 # Bounds the restarts.
@@ -140,7 +142,7 @@
     for router in routers:
         router.signal(signal.SIGKILL)
     fleet.record('all processes of routers killed')
-    await asyncio.sleep(RECOVER_S)
+    await asyncio.sleep(RECOVER_S + BACK_S)
     count = await served(fleet, routers)
     watching.cancel()
     own = [each for each in platform.exits if each[1] != -signal.SIGKILL]
