--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 root=$(cd "$(dirname "$0")/.." && pwd)
 cd "$root"
 [ -d target/deps/dandelioncleat ] || sh deploy/build.sh
-for file in review/standins-2/*.py review/6/*.py review/7/*.py review/8/*.py \
+for file in review/lib-2/*.py review/6/*.py review/7/*.py review/8/*.py \
     review/9/*.py review/10/*.py; do
     [ ! -f "$file" ] || python3 - "$file" <<'CHECK'
 import sys
@@ -15,5 +15,5 @@
     compile(source.read(), name, 'exec')
 CHECK
 done
-PYTHONPATH="$root/target/deps:$root/review/standins-2" \
+PYTHONPATH="$root/target/deps:$root/review/lib-2" \
     PYTHONDONTWRITEBYTECODE=1 python3 -c 'import deployment'
