Start after a drill of the store whatever epoch it knows

Marks that were written again after the restore carried the epoch in which they were made. The next start took the highest epoch of the marks plus one, which the store had already, at sequence number 0, and treated only FencedError as a reason for a higher epoch. Ruled out: lost marks alone (a start in an empty store works).

--- a/src/dandelioncleat/app/direct/holdings_sync.py
+++ b/src/dandelioncleat/app/direct/holdings_sync.py
@@ -222,13 +222,13 @@
         for mark in marks:
             accounts_by_budget[mark.budget].sent = mark
         self._unanswered_since = now.monotonic
-        appended = await self._mark_writer.write(marks)
+        written = await self._mark_writer.write(marks)
         passed_s = self._clock.monotonic() - self._unanswered_since
         self._holdings.round_trip.note(passed_s)
         self._unanswered_since = None
-        self._holdings.records.begin_era(appended.era)
-        for mark in marks:
-            if appended.era != mark.era:
+        self._holdings.records.begin_era(written.era)
+        for mark in written.marks:
+            if written.era != mark.era:
                 # The store was restored: the next marks are of its new era.
                 continue
             accounts_by_budget[mark.budget].confirm_mark(mark)
--- a/tests/builders/wallets.py
+++ b/tests/builders/wallets.py
@@ -77,9 +77,13 @@
         await self.wallet.opened.wait()
 
     async def kill(self):
-        """Cancel the process at once and cut it off from the store."""
+        """Cancel the process at once and cut it off from the store.
+
+        :raises Exception: if the process had ended by itself
+        """
         self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
         self.client.is_cut_off = True
 
     async def stop(self, *, limit_s):
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -9,6 +9,8 @@
 from dandelioncleat.adapters.virtual_time import run
 from dandelioncleat.app.direct.deployment_watch import DeploymentWatch
 from dandelioncleat.app.direct.held_entries import RESTORED_HOLD_S
+from dandelioncleat.app.direct.holdings_sync import MARKS_TOPIC
+from dandelioncleat.app.direct.mark_writer import MarkWriter
 from dandelioncleat.app.direct.process_directory import (
     PROCESSES_TOPIC,
     ProcessAnnouncement,
@@ -18,11 +20,13 @@
 )
 from dandelioncleat.app.direct.target_directory import TargetDirectory
 from dandelioncleat.app.direct.topic_follower import TopicFollower
-from dandelioncleat.core.holding import Ceiling, Moment
+from dandelioncleat.core.failure import Code, failure_error
+from dandelioncleat.core.holding import Ceiling, Moment, UsageMark
 from dandelioncleat.core.host_choice import HostChoice
 from dandelioncleat.core.host_holdings import HostHoldings
 from dandelioncleat.core.host_standing import PRESUME_AFTER_S
 from dandelioncleat.platform.documents import decode_deployment
+from dandelioncleat.ports.store import Producer
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore, StoreFaults
 from tests.builders.direct import configuration
 from tests.builders.gateways import GatewayNetwork
@@ -338,6 +342,90 @@
         self.assertEqual(0, self._presumed_used(0))
 
 
+class MarkEpochTest(testtools.TestCase):
+    """The store knows a higher epoch of a host than any mark has."""
+
+    def test_a_host_whose_budgets_are_spent_starts_again(self):
+        # Marks that were written again after a restore carried the epoch from
+        # before, and each later start ended with a SequenceError.
+        async def scenario():
+            hosts, store = await new_hosts(1, {'o': 6000})
+            await _spend_all(hosts)
+            await asyncio.sleep(2)
+            store.restore(5)
+            await asyncio.sleep(PRESUME_AFTER_S)
+            await hosts[0].kill()
+            hosts[0].start()
+            async with asyncio.timeout(3):
+                await hosts[0].ready()
+            await end(hosts)
+
+        run(scenario())
+
+    def test_marks_that_are_written_again_have_the_new_epoch(self):
+        async def scenario():
+            store = MemoryKeyedStore()
+            writer = _new_mark_writer(store)
+            await writer.fence(0)
+            await asyncio.sleep(1)
+            await writer.write((_mark(100),))
+            store.restore(0.5)
+            written = await writer.write((_mark(200),))
+            return written.marks[0].epoch, writer.epoch, await _stored(store)
+
+        told, epoch, stored = run(scenario())
+        self.assertEqual((2, 2), (told, epoch))
+        self.assertEqual((2, 200), (stored.epoch, stored.used))
+
+    def test_an_unanswered_fence_makes_no_mark_a_repeat(self):
+        # The store dropped the next marks as a repeat of the empty append, and
+        # they counted as confirmed.
+        async def scenario():
+            store = _UnansweredStore()
+            writer = _new_mark_writer(store)
+            await writer.fence(0)
+            await asyncio.sleep(1)
+            await writer.write((_mark(100),))
+            store.restore(0.5)
+            store.unanswered_fences = 1
+            await writer.write((_mark(200),))
+            return await _stored(store)
+
+        self.assertEqual(200, run(scenario()).used)
+
+    def test_a_late_mark_of_a_dead_process_of_the_same_epoch_fails(self):
+        async def scenario():
+            store = MemoryKeyedStore()
+            dead = _new_mark_writer(store)
+            await dead.fence(0)
+            store.faults = StoreFaults(late_share=1, late_s=1)
+            writing = asyncio.ensure_future(dead.write((_mark(100),)))
+            await asyncio.sleep(0.05)
+            writing.cancel()
+            store.faults = StoreFaults()
+            writer = _new_mark_writer(store)
+            await writer.fence(0)
+            await asyncio.sleep(2)
+            await writer.write((_mark(200),))
+            return await _stored(store)
+
+        self.assertEqual(200, run(scenario()).used)
+
+    def test_marks_are_written_after_a_late_fence_of_a_dead_process(self):
+        # The next append ended the process with a FencedError.
+        async def scenario():
+            store = MemoryKeyedStore()
+            writer = _new_mark_writer(store)
+            await writer.fence(0)
+            dead = Producer('h0', 7, 5)
+            await store.append(MARKS_TOPIC, (), producer=dead)
+            await writer.write((_mark(200),))
+            return await _stored(store)
+
+        stored = run(scenario())
+        self.assertEqual((8, 200), (stored.epoch, stored.used))
+
+
 class RandomRestoresTest(testtools.TestCase):
     """Random orders of faults and restores never pass the budget."""
 
@@ -353,6 +441,34 @@
         self._check(range(100, 145), gateways=2)
 
 
+class _UnansweredStore(MemoryKeyedStore):
+    """A store that begins some epochs without an answer."""
+
+    unanswered_fences = 0
+
+    async def append(self, topic, records, *, at=None, producer=None):
+        """Append records; lose the answer of an empty append."""
+        answer = await super().append(topic, records, at=at, producer=producer)
+        if not records and self.unanswered_fences:
+            self.unanswered_fences -= 1
+            raise failure_error(Code.LOG, step='a', peer='s', text='no answer')
+        return answer
+
+
+def _new_mark_writer(store):
+    return MarkWriter(store, MARKS_TOPIC, host='h0')
+
+
+def _mark(used):
+    return UsageMark('o', 'h0', used, 0, float(0), Moment(0, 0), 0.0, 0, 0)
+
+
+async def _stored(store):
+    """Return the only mark in the store."""
+    (record,) = (await store.newest(MARKS_TOPIC)).records
+    return msgspec.msgpack.decode(record.value, type=UsageMark)
+
+
 async def _spend_all(hosts, size=1000, pause_s=0.02, tries=4000):
     """Spend in turn until no host gets tokens any more."""
     refusals = 0
