Say of a forwarded request that it may have run when a stop ends it

Callers believe that promise and send the request again, so it ran twice.

The stop asks RunContext.may_have_run, which only an attempt of this process set. A forwarded request begins none here. Ruled out: the other router's own refusals, which come through with their statuses.

The context now notes a forward before it is sent, and takes that back after a refusal that says "not run" or a connection that was not opened. Two of the four tests of StoppedForwardTest failed before; the others keep true refusals.

The same class: a hedged request's second context was merged only after an orderly end, so that a stop could say "not run" while the second run went on, or begin a second answer. It is merged whatever ends the request; both tests of EndedRaceTest failed before.

--- a/src/dandelioncleat/app/direct/forwarding.py
+++ b/src/dandelioncleat/app/direct/forwarding.py
@@ -155,6 +155,7 @@
             entry.address,
             remaining_s=context.remaining_s,
         )
+        _begin_forward(context)
         try:
             async with asyncio.timeout_at(context.answer_by) as timer:
                 async with forwarded as answer:
@@ -166,6 +167,7 @@
         except FailureError as error:
             if error.failure.step == CONNECT_STEP:
                 self._backoff.note_failure(entry.host, _now())
+                context.note_not_run()
                 return DirectRefusal(RefusalReason.NO_TOKENS_HERE)
             _logger.info(
                 'forwarded answer lost',
@@ -177,6 +179,13 @@
             return await _end_broken(context, reply, RefusalReason.ANSWER_LOST)
 
 
+def _begin_forward(context: RunContext) -> None:
+    """Note that the targets of another router may run a request from now on."""
+    context.answer_head = None
+    context.earlier_may_have_run = context.may_have_run
+    context.may_have_run = True
+
+
 def _forwarded_request(
     context: RunContext, version: int | None
 ) -> DirectRequest:
@@ -206,6 +215,8 @@
     peer: str,
 ) -> DirectRefusal | None:
     if answer.refusal is not None:
+        if not answer.refusal.has_run:
+            context.note_not_run()
         return answer.refusal
     context.answer_head = answer.head
     if not answer.is_stream:
--- a/src/dandelioncleat/app/direct/hedging.py
+++ b/src/dandelioncleat/app/direct/hedging.py
@@ -81,6 +81,8 @@
             outcome = await race.outcome()
         finally:
             await race.stop()
+            # What ends the request, such as a stop, must know of both runs.
+            race.merge_into(context)
         self._note_end(context, policy, race, outcome)
         return outcome
 
@@ -140,7 +142,6 @@
         if twin is None:
             return
         has_won = winner is twin
-        _merge(context, twin, has_won=has_won)
         result = 'won' if has_won else 'lost'
         self._parts.telemetry.count('direct.hedges', outcome=result)
         _logger.info(
@@ -201,6 +202,11 @@
         # Both have failed; an error of the first one is told to the caller.
         return self._runs[0].result()
 
+    def merge_into(self, context: RunContext) -> None:
+        """Note in a request's context what its second run has done."""
+        if self.hedge is not None:
+            _merge(context, self.hedge, has_won=self.winner is self.hedge)
+
     async def stop(self) -> None:
         """Stop the attempts that still run."""
         for run in self._runs:
--- a/src/dandelioncleat/app/direct/run_context.py
+++ b/src/dandelioncleat/app/direct/run_context.py
@@ -49,8 +49,9 @@
     ``sent_at`` is when the last attempt was sent, an event loop time;
     ``sent_to`` has the targets of all attempts, ``tried_targets`` those that
     may have run it.
-    ``may_have_run`` says that any attempt may have run,
-    ``earlier_may_have_run`` that one before the last may have.
+    ``may_have_run`` says that any attempt may have run, here or where the
+    request was forwarded, ``earlier_may_have_run`` that one before the last
+    may have.
     ``sent_head`` is the head of the answer that the caller was sent,
     ``has_output`` says that a part of its body was sent, too.
     ``answer_head`` is the head of the last answer, ``None`` if there was none,
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -8,16 +8,18 @@
 
 from dandelioncleat.adapters.virtual_time import run
 from dandelioncleat.app.direct.admission import Admission
+from dandelioncleat.app.direct.ending import end_at_stop
 from dandelioncleat.app.direct.forwarding import Forwarding
 from dandelioncleat.app.direct.process_directory import (
     ProcessEntry,
     ProcessRole,
 )
-from dandelioncleat.core.direct_request import (
-    DirectRefusal,
-    DirectRequest,
-    RefusalReason,
-)
+from dandelioncleat.core.deployment import CallKind
+from dandelioncleat.core.direct_request import DirectRefusal, RefusalReason
+from dandelioncleat.core.failure import Code, failure_error
+from dandelioncleat.ports.direct_target import BODY_STEP, CONNECT_STEP
+from tests.builders.contexts import new_context
+from tests.builders.direct import RecordedReply
 from tests.builders.logs import captured_lines
 
 PEER = ProcessEntry(ProcessRole.ROUTER, 'h2', 'z', '10.0.0.2:80')
@@ -36,18 +38,6 @@
     )
 
 
-def _context():
-    """Return the context of a request that waits for a second."""
-    return SimpleNamespace(
-        request=DirectRequest('r', 'POST', 'h', '/a', (), b''),
-        is_counted=False,
-        arrivals=0,
-        elapsed_s=0,
-        remaining_s=1,
-        answer_by=_now() + 1,
-    )
-
-
 class ForwardingTest(testtools.TestCase):
     """A router that forwards a request catches up with a newer version."""
 
@@ -63,7 +53,7 @@
             deployment = SimpleNamespace(current=SimpleNamespace(version=1))
             peer = _Peer(refusals, deployment if comes_meanwhile else None)
             forwarding = _forwarding(deployment, peer, newest=newest)
-            refusal = await forwarding.forward(_context(), None, None)
+            refusal = await forwarding.forward(new_context(), None, None)
             return peer.versions, refusal.reason
 
         with captured_lines():
@@ -75,11 +65,11 @@
             peer = _Peer([RefusalReason.CONFIGURATION_BEHIND] * 9, None)
             forwarding = _forwarding(deployment, peer, newest=1)
             for _ in range(20):
-                await forwarding.forward(_context(), None, None)
+                await forwarding.forward(new_context(), None, None)
                 await asyncio.sleep(0.01)
             soon = len(peer.versions)
             await asyncio.sleep(0.5)
-            await forwarding.forward(_context(), None, None)
+            await forwarding.forward(new_context(), None, None)
             return soon, len(peer.versions)
 
         with captured_lines():
@@ -109,6 +99,71 @@
         self.assertEqual(([1], reason), self._forward(reason))
 
 
+class StoppedForwardTest(testtools.TestCase):
+    """A stop says of a forwarded request that it may have run.
+
+    The other router sends it to a target long before anything comes back.
+    """
+
+    def _refusal(self, peer, *, after_s=0.5):
+        """Return how a stop ends a request that is forwarded by then."""
+
+        async def scenario():
+            deployment = SimpleNamespace(current=SimpleNamespace(version=1))
+            forwarding = _forwarding(deployment, peer, newest=1)
+            context = new_context(kind=CallKind.ONCE)
+            reply = RecordedReply()
+            forward = asyncio.ensure_future(
+                forwarding.forward(context, None, reply)
+            )
+            await asyncio.sleep(after_s)
+            forward.cancel()
+            await asyncio.gather(forward, return_exceptions=True)
+            await end_at_stop(context, reply)
+            return reply.refusal
+
+        with captured_lines():
+            return run(scenario())
+
+    def test_request_that_waits_for_its_answer_may_have_run(self):
+        refusal = self._refusal(_SilentPeer())
+        self.assertTrue(refusal.has_run)
+        self.assertIsNone(refusal.retry_after_s)
+
+    def test_request_whose_answer_was_lost_may_have_run(self):
+        refusal = self._refusal(_SilentPeer(fails_at=BODY_STEP))
+        self.assertTrue(refusal.has_run)
+
+    def test_request_that_was_refused_has_not_run(self):
+        refusal = self._refusal(_Peer([RefusalReason.STOPPING], None))
+        self.assertFalse(refusal.has_run)
+
+    def test_request_that_reached_no_router_has_not_run(self):
+        refusal = self._refusal(_SilentPeer(fails_at=CONNECT_STEP))
+        self.assertFalse(refusal.has_run)
+
+
+class _SilentPeer:
+    """A router that does not answer what is forwarded to it."""
+
+    def __init__(self, *, fails_at=None):
+        """Initialise.
+
+        :param fails_at: the step at which a request fails after a moment
+        """
+        self._fails_at = fails_at
+
+    @asynccontextmanager
+    async def forward(self, request, address, *, remaining_s):
+        """Answer nothing; fail if that was asked for."""
+        if self._fails_at is None:
+            await asyncio.Event().wait()
+        raise failure_error(
+            Code.TARGET, step=self._fails_at, peer=address, text='lost'
+        )
+        yield
+
+
 class _Topic:
     """A topic that has a newest version."""
 
@@ -139,7 +194,3 @@
         if self._deployment is not None:
             self._deployment.current = SimpleNamespace(version=2)
         yield SimpleNamespace(refusal=DirectRefusal(self._reasons.pop(0)))
-
-
-def _now():
-    return asyncio.get_running_loop().time()
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -6,23 +6,13 @@
 import testtools
 
 from dandelioncleat.adapters.virtual_time import run
-from dandelioncleat.app.direct.admission import Admitted
 from dandelioncleat.app.direct.attempt import AttemptOutcome
 from dandelioncleat.app.direct.hedging import Hedging, HedgingParts
-from dandelioncleat.app.direct.run_context import RunContext
-from dandelioncleat.core.deployment import (
-    CallKind,
-    Route,
-    Service,
-    WeightedService,
-)
-from dandelioncleat.core.direct_request import (
-    CompleteResponse,
-    DirectRequest,
-    ResponseHead,
-)
+from dandelioncleat.core.deployment import CallKind
+from dandelioncleat.core.direct_request import CompleteResponse, ResponseHead
 from dandelioncleat.core.hedge_policy import MIN_TIMES, HedgePolicy
 from dandelioncleat.ports.telemetry import NullTelemetry
+from tests.builders.contexts import new_context
 from tests.builders.direct import RecordedReply
 from tests.builders.limited_fleet import run_limited_fleet
 from tests.builders.logs import captured_lines
@@ -90,11 +80,14 @@
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
+        if outcome is AttemptOutcome.NOT_RUN:
+            context.note_not_run()
+            return outcome
         context.tried_targets.add(state.entry.id)
         if outcome is AttemptOutcome.DELIVERED:
-            await reply.send_complete(answer(body))
             context.sent_head = answer(body).head
             context.has_output = True
+            await reply.send_complete(answer(body))
         elif outcome is AttemptOutcome.FAILED:
             context.failed_answer = answer(body)
         return outcome
@@ -104,25 +97,6 @@
     return SimpleNamespace(entry=SimpleNamespace(id=name))
 
 
-def _context(**changes):
-    fields = {
-        'name': 'r',
-        'host': 'h',
-        'prefix': '/',
-        'kind': CallKind.IDEMPOTENT,
-        'shares': (WeightedService('s', 1),),
-        'timeout_s': 5,
-        'objective_s': 0.2,
-        'priority': 0,
-        'attempts': 2,
-        'is_public': True,
-        'is_resumable': False,
-    }
-    route = Route(**{**fields, **changes})
-    request = DirectRequest('q', 'GET', 'h', '/a', (), b'', wait_s=5)
-    return RunContext(request, Admitted(1, route, Service('s', '/', 9), None))
-
-
 class HedgedAttemptTest(testtools.TestCase):
     """The first whole answer is the caller's, and the other run is stopped."""
 
@@ -132,7 +106,7 @@
         async def scenario():
             attempts = _Scripted(*scripts)
             reply = RecordedReply()
-            context = _context(**route)
+            context = new_context(**route)
             hedging = _hedging(is_idle=is_idle, may_retry=may_retry)
             outcome = await hedging.run(
                 context, _state('a'), reply, attempt=attempts
@@ -217,7 +191,10 @@
             )
             serving = asyncio.ensure_future(
                 _hedging().run(
-                    _context(), _state('a'), RecordedReply(), attempt=attempts
+                    new_context(),
+                    _state('a'),
+                    RecordedReply(),
+                    attempt=attempts,
                 )
             )
             await asyncio.sleep(1)
@@ -229,6 +206,57 @@
             self.assertEqual((2, 2), run(scenario()))
 
 
+class _SlowReply(RecordedReply):
+    """The reply to a caller that reads slowly."""
+
+    async def send_complete(self, answer):
+        """Take long to send a complete answer."""
+        await asyncio.sleep(9)
+
+
+class EndedRaceTest(testtools.TestCase):
+    """A stop that ends both runs is told of what the second one has done."""
+
+    def _context_at_end(self, *scripts, after_s, reply=None):
+        """Return a request's context after both runs were stopped."""
+
+        async def scenario():
+            context = new_context()
+            serving = asyncio.ensure_future(
+                _hedging().run(
+                    context,
+                    _state('a'),
+                    reply or RecordedReply(),
+                    attempt=_Scripted(*scripts),
+                )
+            )
+            await asyncio.sleep(after_s)
+            serving.cancel()
+            await asyncio.gather(serving, return_exceptions=True)
+            return context
+
+        with captured_lines():
+            return run(scenario())
+
+    def test_a_request_whose_second_run_is_under_way_may_have_run(self):
+        context = self._context_at_end(
+            (0.3, AttemptOutcome.NOT_RUN, b''),
+            (4, AttemptOutcome.DELIVERED, b'b'),
+            after_s=1,
+        )
+        self.assertTrue(context.may_have_run)
+        self.assertEqual({'a', 'b'}, context.sent_to)
+
+    def test_an_answer_of_the_second_run_is_not_answered_again(self):
+        context = self._context_at_end(
+            (4, AttemptOutcome.DELIVERED, b'a'),
+            (0.1, AttemptOutcome.DELIVERED, b'b'),
+            after_s=1,
+            reply=_SlowReply(),
+        )
+        self.assertTrue(context.has_sent_head)
+
+
 def _hedging(*, is_idle=True, may_retry=True):
     """Return hedging that has seen many quick answers."""
     placement = SimpleNamespace(
