Reset answers without a length when a router's process ends

The kernel closes the connections of a killed process, and in this form a close is the end of the answer. Chunks were ruled out: their last one would claim that the target's answer is whole, which the router can't know.

The connection is now reset by whoever closes it until the target's answer has ended in order and the kernel has all of it. The same code answers other routers, which take the reset for what it is.

--- a/src/dandelioncleat/platform/caller_reply.py
+++ b/src/dandelioncleat/platform/caller_reply.py
@@ -14,6 +14,12 @@
 )
 from dandelioncleat.platform import names
 from dandelioncleat.platform.caller_presence import CHUNK_START
+from dandelioncleat.platform.close_delimited import (
+    CloseDelimitedResponse,
+    begin_close_delimited,
+    end_close_delimited,
+    is_close_delimited,
+)
 from dandelioncleat.platform.half_closed_connection import HalfClosedConnection
 
 BAD_GATEWAY = 502
@@ -49,13 +55,6 @@
 }
 
 
-class _CloseDelimitedResponse(web.StreamResponse):
-    """A response without length or chunks; its connection is closed."""
-
-    # Lets aiohttp add no chunks.
-    _length_check = False
-
-
 class HttpReply:
     """Implements the ``Reply`` port for one HTTP request."""
 
@@ -135,6 +134,8 @@
         await response.prepare(self._request)
         if hdrs.TRANSFER_ENCODING in response.headers:
             self._set_probe(CHUNK_START)
+        if is_close_delimited(response):
+            begin_close_delimited(self._request)
 
     async def write(self, data: bytes) -> None:
         """Send the next bytes of a stream."""
@@ -144,6 +145,8 @@
         """End a complete stream."""
         self._set_probe(None)
         await self._open_stream.write_eof()
+        if is_close_delimited(self._open_stream):
+            await end_close_delimited(self._request)
 
     async def abort(self) -> None:
         """Close the connection before the stream's end."""
@@ -198,7 +201,7 @@
     """
     if not head.is_close_delimited:
         return web.StreamResponse(status=head.status, reason=head.reason)
-    response = _CloseDelimitedResponse(status=head.status, reason=head.reason)
+    response = CloseDelimitedResponse(status=head.status, reason=head.reason)
     response.force_close()
     return response
 
--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -473,7 +473,7 @@
         writer.write(f'POST {path} HTTP/{version}\r\n'.encode())
         await asyncio.sleep(pause_s)
         writer.write(head.encode() + b'{}')
-        answer = await _read_to_end(reader)
+        answer = await read_to_end(reader)
         writer.close()
         return answer
 
@@ -659,8 +659,12 @@
         return b'chunked' in head or b'content-length' in head
 
 
-async def _read_to_end(reader):
-    data = b''
+async def read_to_end(reader, begun=b''):
+    """Read the rest of an answer, and how its connection ends.
+
+    :param begun: what was read of the answer before
+    """
+    data = begun
     was_reset = False
     try:
         async with asyncio.timeout(10):
--- a/tests/test_close_delimited_answers.py
+++ b/tests/test_close_delimited_answers.py
@@ -30,7 +30,13 @@
     run_with_fleet,
     whole_frame,
 )
+from tests.builders.killed_router import (
+    FIRST_PARTS,
+    LAST_PART,
+    answer_of_router,
+)
 from tests.builders.logs import captured_lines
+from tests.builders.programs import built_programs
 from tests.builders.store_paths import FreshTopic
 
 INSIDE_EVENT = event_bytes(0, 2) + b'id: 3\nda'
@@ -80,6 +86,35 @@
         self.assertEqual(event_bytes(0, 5), body)
 
 
+class KilledRouterTest(testtools.TestCase):
+    """The end of a router's process is not the end of an answer.
+
+    The kernel closes the connections of a process that is killed: a caller
+    took what it had of an answer without a length for the whole.
+    """
+
+    def _answer(self, **options):
+        built_programs(self)
+        return asyncio.run(answer_of_router(**options))
+
+    def test_part_of_an_answer_does_not_look_complete(self):
+        for is_chunked, version in ((False, '1.1'), (True, '1.0')):
+            answer = self._answer(
+                is_chunked=is_chunked, version=version, is_killed=True
+            )
+            self.assertTrue(answer.body.startswith(FIRST_PARTS), answer)
+            self.assertFalse(answer.claims_an_end, answer.head)
+            self.assertTrue(answer.was_reset, answer)
+
+    def test_whole_answer_ends_with_its_connection(self):
+        for is_chunked, version in ((False, '1.1'), (True, '1.0')):
+            answer = self._answer(
+                is_chunked=is_chunked, version=version, is_killed=False
+            )
+            self.assertEqual(FIRST_PARTS + LAST_PART, answer.body)
+            self.assertFalse(answer.was_reset, answer)
+
+
 class UnknownEndTest(testtools.TestCase):
     """No hop claims that an answer is whole if its target did not."""
 
