Use no prepaid token before a usage mark is confirmed

A host may use the lower of what its confirmed mark and the mark on its way permit. Without a confirmed one the mark on its way alone permitted requests, also after a restart, where the successor would have read the mark of the process before. Ruled out: what the successor presumes without a mark is right if nothing may be used before one is stored.

Now nothing may be used before the process has a confirmed mark of its own.

--- a/src/dandelioncleat/core/host_account.py
+++ b/src/dandelioncleat/core/host_account.py
@@ -41,7 +41,9 @@
     """Limits a host's use of one budget by its ceiling and its marks.
 
     An unconfirmed mark applies in addition to the newest confirmed one, as
-    the next process may read either.
+    the next process may read either. Until this process has a confirmed mark
+    the next one may find none, or that of an earlier process, so nothing may
+    be used.
     """
 
     def __init__(self, *, ceiling: int, used: int, unproven: int = 0) -> None:
@@ -86,12 +88,14 @@
 
     def headroom(self, now: float) -> float:
         """Return the tokens that the marks permit at a time."""
+        if self.confirmed is None:
+            return float(0)
         limits = [
             mark.limit_after(now - mark.at.monotonic)
             for mark in (self.confirmed, self.sent)
             if mark is not None
         ]
-        return min(limits) - self.total if limits else float(0)
+        return min(limits) - self.total
 
     def may_reserve(self, tokens: int, now: float) -> bool:
         """Return whether a request of this size may start now."""
--- a/tests/test_wallet.py
+++ b/tests/test_wallet.py
@@ -6,6 +6,7 @@
 import testtools
 
 from dandelioncleat.adapters.virtual_time import run
+from dandelioncleat.app.direct.holdings_sync import MARKS_TOPIC
 from dandelioncleat.core.holding import (
     CLOCK_ERROR_S,
     Moment,
@@ -16,7 +17,9 @@
 from dandelioncleat.standin.keyed_store import MemoryKeyedStore, StoreFaults
 from tests.builders.gateways import GatewayNetwork
 from tests.builders.wallets import (
+    COPY_AGE_S,
     WALL_START,
+    WalletHost,
     end,
     new_fleet,
     new_hosts,
@@ -107,6 +110,53 @@
         self.assertLessEqual(spent, 100_000)
 
 
+class UnconfirmedMarkTest(testtools.TestCase):
+    """No token is used before a mark of the process is in the store.
+
+    Its successor presumes nothing used without a mark, or what the mark of an
+    earlier process says, and so used the same tokens again.
+    """
+
+    def _spent(self, *, has_earlier_mark):
+        async def scenario():
+            store = MemoryKeyedStore()
+            if has_earlier_mark:
+                hosts, _ = await new_hosts(1, PAID, store)
+                await hosts[0].spend('o', 1000)
+                await asyncio.sleep(1)
+                await hosts[0].kill()
+            else:
+                hosts = [WalletHost(store, 'h0', PAID)]
+            hosts[0].start()
+            await hosts[0].ready()
+            # The partition of the marks is down, the others are not.
+            store.faults = StoreFaults(
+                late_share=1, late_s=9999, late_topic=MARKS_TOPIC
+            )
+            await asyncio.sleep(COPY_AGE_S + 2)
+            for _ in range(10):
+                await hosts[0].spend('o', 500)
+            unconfirmed = hosts[0].spent
+            await hosts[0].kill()
+            store.faults = StoreFaults()
+            hosts[0].start()
+            await hosts[0].ready()
+            await asyncio.sleep(2)
+            await _spend_all(hosts)
+            await end(hosts)
+            return unconfirmed, hosts[0].spent
+
+        return run(scenario())
+
+    def test_a_new_host(self):
+        self.assertEqual((0, 100_000), self._spent(has_earlier_mark=False))
+
+    def test_a_host_that_was_restarted(self):
+        unconfirmed, spent = self._spent(has_earlier_mark=True)
+        self.assertEqual(1000, unconfirmed)
+        self.assertLessEqual(spent, 100_000)
+
+
 class GatewayTest(testtools.TestCase):
     """All hosts are cut off from the store, but the gateways are not."""
 
