Blame prompt parts for crashes before a byte of the answer has arrived

A lost run blamed the parts of its prompt only if its answer had begun to arrive. What a process has written as it ends may not arrive, and so such a crash blamed the whole request, of which no two are alike, and the parts of the sound answers that it interrupted. In the users' record the key of the part that they name is in neither quarantine.

All lost runs now blame their parts; a suspect whose answers had not begun needs one crash more. What has succeeded before at a router explains no crash that something else explains, as a first part has the crashes of all bad parts behind it. Several causes explain parts of each other's crashes, so seven crashes of a part that never succeeded are enough.

--- a/src/dandelioncleat/app/direct/crash_evidence.py
+++ b/src/dandelioncleat/app/direct/crash_evidence.py
@@ -53,7 +53,9 @@
         known = self._records.known
         if known.changes != self._changes_seen:
             self._changes_seen = known.changes
-            causes_by_suspect = find_causes(known.of_frequent(MIN_CRASHES))
+            causes_by_suspect = find_causes(
+                known.of_frequent(MIN_CRASHES), is_known=self.successes.knows
+            )
             self._note_causes(causes_by_suspect)
             self._causes_by_suspect = causes_by_suspect
         return self._causes_by_suspect
@@ -148,6 +150,7 @@
                 now,
                 suspect.depth,
                 suspect in each.run.repeated,
+                is_waiting=not each.has_begun,
             )
             for each in lost.runs
             for suspect in each.suspects
--- a/src/dandelioncleat/app/direct/lost_runs.py
+++ b/src/dandelioncleat/app/direct/lost_runs.py
@@ -3,11 +3,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from dandelioncleat.core.crash_suspect import (
-    CrashSuspect,
-    request_suspect,
-    suspects_of,
-)
+from dandelioncleat.core.crash_suspect import CrashSuspect, suspects_of
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import DirectRequest
 
@@ -31,7 +27,8 @@
     """A run that a crash of its target may have ended.
 
     ``lost_at`` is an event loop time in seconds. ``has_begun`` says that the
-    answer had begun, ``looks_whole`` that it may be whole.
+    answer had begun to arrive, ``looks_whole`` that it may be whole. What a
+    target has written as it crashes may not arrive.
     """
 
     run: WatchedRun
@@ -41,13 +38,8 @@
 
     @property
     def suspects(self) -> tuple[CrashSuspect, ...]:
-        """Return what may have caused a crash.
-
-        A part crashes its target as the answer begins, and not before.
-        """
-        if self.has_begun:
-            return suspects_of(self.run.request)
-        return (request_suspect(self.run.request),)
+        """Return what may have caused a crash."""
+        return suspects_of(self.run.request)
 
 
 class AbandonedRun(NamedTuple):
--- a/src/dandelioncleat/core/crash_cause.py
+++ b/src/dandelioncleat/core/crash_cause.py
@@ -7,6 +7,11 @@
 A success withdraws the records of all that it holds, so a cause keeps its
 records and popular parts lose theirs at once. Between two successes:
 
+- What a target has written as it crashes may be lost on the way, so parts are
+  suspects whether or not a byte of the answer has arrived. It takes one more
+  crash then, as the target may not have begun to run the request.
+- What has succeeded before is hardly the cause: it is blamed only for what
+  nothing else explains.
 - Crashes that come together, as in a power loss, blame nothing: of the crashes
   under a part some must be of runs that were sent after an earlier one.
 - A cause explains its crashes. They don't count against what ran beside it,
@@ -17,7 +22,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from dandelioncleat.core.crash_records import CrashRecord
@@ -28,6 +33,11 @@
 # A run that had ended may have been dropped, so it takes one more. Crashes that
 # come together count once, as a power loss takes many targets.
 MIN_ABANDONED_CRASHES = 4
+# A run that waited may not have begun at its target, so that takes one more,
+# too.
+MIN_WAITING_CRASHES = 4
+# Several causes at the same time explain parts of what each has done.
+CERTAIN_CRASHES = 7
 # A part belongs to many callers, so its crashes have to follow each other.
 MIN_REPEATS = 2
 # Targets that crash within this time crash together.
@@ -49,7 +59,9 @@
     """The crashes under one suspect that nothing else explains.
 
     ``at_by_start`` gives the time of day of each crash, in seconds.
-    ``abandoned_starts`` crashed after all runs of the suspect had ended there.
+    ``abandoned_starts`` crashed after all runs of the suspect had ended there,
+    ``waiting_starts`` before any byte of their answers had arrived.
+    ``is_known`` says that the suspect has succeeded before.
     """
 
     suspect: str
@@ -57,6 +69,8 @@
     at_by_start: Mapping[str, float]
     repeated_starts: frozenset[str]
     abandoned_starts: frozenset[str] = frozenset()
+    waiting_starts: frozenset[str] = frozenset()
+    is_known: bool = False
 
     @property
     def starts(self) -> frozenset[str]:
@@ -64,9 +78,14 @@
         return frozenset(self.at_by_start)
 
     @property
-    def weight(self) -> tuple[int, int]:
-        """Return the number of crashes, and how specific the suspect is."""
-        return self._moments(self.at_by_start), self.depth
+    def weight(self) -> tuple[bool, int, int]:
+        """Return how likely the suspect is the cause.
+
+        What has never succeeded comes first, then the number of crashes
+        counts, then how specific the suspect is.
+        """
+        moments = self._moments(self.at_by_start)
+        return not self.is_known, moments, self.depth
 
     @property
     def is_request(self) -> bool:
@@ -82,10 +101,20 @@
             if interrupted >= MIN_CRASHES:
                 return True
             return interrupted + abandoned >= MIN_ABANDONED_CRASHES
-        if self._moments(self.at_by_start) < MIN_CRASHES:
+        begun = self._moments(self.starts - self.waiting_starts)
+        least = MIN_CRASHES if begun >= MIN_CRASHES else MIN_WAITING_CRASHES
+        if self._moments(self.at_by_start) < least:
             return False
         return self._moments(self.repeated_starts) >= MIN_REPEATS
 
+    @property
+    def is_certain(self) -> bool:
+        """Return whether a part must be a cause, whatever others explain."""
+        if self.is_request or self.is_known:
+            return False
+        moments = self._moments(self.at_by_start)
+        return moments >= CERTAIN_CRASHES and self.is_conclusive
+
     def without(self, starts: frozenset[str]) -> '_Evidence':
         """Return what is left if something else explains some crashes."""
         return self._replace(
@@ -96,6 +125,7 @@
             },
             repeated_starts=self.repeated_starts - starts,
             abandoned_starts=self.abandoned_starts - starts,
+            waiting_starts=self.waiting_starts - starts,
         )
 
     def cause(self) -> CrashCause:
@@ -113,13 +143,23 @@
         return moments
 
 
-def find_causes(records: Iterable[CrashRecord]) -> dict[str, CrashCause]:
+def find_causes(
+    records: Iterable[CrashRecord],
+    *,
+    is_known: Callable[[str], bool] = lambda _suspect: False,
+) -> dict[str, CrashCause]:
     """Return the causes of crashes by the keys of their suspects.
 
-    The suspects with most crashes are causes, of these the most specific; the
-    crashes that they explain are left out for all others.
+    Of the suspects that never succeeded those with most crashes are causes, of
+    these the most specific; the crashes that they explain are left out for all
+    others. What has succeeded before is blamed for the rest alone.
+
+    :param is_known: returns whether a suspect has succeeded before
     """
-    evidence = _evidence(records)
+    evidence = [
+        each._replace(is_known=is_known(each.suspect))
+        for each in _evidence(records)
+    ]
     causes_by_suspect: dict[str, CrashCause] = {}
     left = evidence
     explained_by_parts: frozenset[str] = frozenset()
@@ -134,6 +174,8 @@
         own = each.without(explained_by_parts)
         if own.is_request and own.is_conclusive:
             causes_by_suspect.setdefault(own.suspect, own.cause())
+        if each.is_certain:
+            causes_by_suspect.setdefault(each.suspect, each.cause())
     return causes_by_suspect
 
 
@@ -164,6 +206,8 @@
             frozenset(each.start for each in own if each.is_repeat),
             frozenset(each.start for each in own if each.is_abandoned)
             - frozenset(each.start for each in own if not each.is_abandoned),
+            frozenset(each.start for each in own if each.is_waiting)
+            - frozenset(each.start for each in own if not each.is_waiting),
         )
         for suspect, own in records_by_suspect.items()
     ]
--- a/src/dandelioncleat/core/crash_records.py
+++ b/src/dandelioncleat/core/crash_records.py
@@ -32,6 +32,8 @@
         under the suspect
     :param is_abandoned: whether the run had ended without an answer before the
         crash, so that its target may have dropped it
+    :param is_waiting: whether no byte of its answer had arrived, so that its
+        target may not have begun to run it
     """
 
     suspect: str
@@ -40,12 +42,14 @@
     depth: int
     is_repeat: bool
     is_abandoned: bool = False
+    is_waiting: bool = False
 
     @property
     def key(self) -> str:
         """Return the key of the record in the store."""
         start = xxh64_hexdigest(self.start.encode())
         kind = int(self.is_repeat) + 2 * int(self.is_abandoned)
+        kind += 4 * int(self.is_waiting)
         return f'{self.suspect}/{start}/{kind}'
 
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -66,6 +66,7 @@
         is_broken = is_broken or max(verdict.used_by_service.values()) > 1
         is_broken = is_broken or bool(verdict.lost or verdict.not_refused)
         is_broken = is_broken or bool(verdict.limits.broken)
+        is_broken = is_broken or verdict.sound.is_broken
     sys.exit(int(is_broken))
 
 
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -15,6 +15,7 @@
     send_ahead,
 )
 from tests.soak.crashes import QUICK_CRASHES, SLOW_CRASHES, ask_again
+from tests.soak.crashing_parts import PartCrash, PartEnd, crash_under_parts
 from tests.soak.crowds import come_and_go
 from tests.soak.late_crashes import (
     CALLERS_LEAVE,
@@ -217,6 +218,22 @@
     'crash-left-once': partial(crash_later, late=CALLERS_LEAVE_ONCE),
     'crash-left-some': crash_some_later,
     'crash-left-part': crash_parts_later,
+    **{
+        f'part-{end.value}': partial(crash_under_parts, crash=PartCrash(end))
+        for end in PartEnd
+    },
+    **{
+        f'part-{end.value}-reset': partial(
+            crash_under_parts, crash=PartCrash(end, is_reset=True)
+        )
+        for end in PartEnd
+    },
+    'parts-nothing': partial(
+        crash_under_parts, crash=PartCrash(PartEnd.NOTHING, bad_parts=2)
+    ),
+    'parts-between': partial(
+        crash_under_parts, crash=PartCrash(PartEnd.BETWEEN, bad_parts=2)
+    ),
     'leave-sound': leave_sound,
     'crash-over': partial(crash_later, late=TIME_IS_OVER),
     'crash-over-once': partial(crash_later, late=TIME_IS_OVER_ONCE),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,6 +31,7 @@
         self.assertEqual([], verdict.lost, verdict)
         self.assertEqual({}, verdict.not_refused, verdict)
         self.assertEqual([], verdict.limits.broken, verdict)
+        self.assertFalse(verdict.sound.is_broken, verdict)
         self.assertEqual([], verdict.ended_by_themselves, verdict)
 
     def test_targets_that_stand_still_beside_others_that_reject(self):
@@ -54,6 +55,9 @@
     def test_crashes_after_callers_have_left(self):
         self._play('crash-left', seed=611, targets=10)
 
+    def test_parts_that_crash_targets_before_a_byte_of_the_answer(self):
+        self._play('parts-nothing', seed=700, targets=10)
+
     def test_callers_that_close_their_connections_beside_planned_stops(self):
         self._play('half-close', 'ahead', 'leave', 'stop', seed=621)
 
