Take a whole answer for a success once its target has outlived it

With several bad parts at the same time one of them, once refused, freed the others: it had the most crashes, and explained theirs.

A whole answer now counts 0.15 s later, unless its target may have crashed by then; a crash within that time is recorded against what the answer held. A part that is a cause remains one beside others, unless one behind it in the prompts explains its crashes.

Tried and not kept: 0.3 s (more sound prompts refused as a fleet starts), and a success at once for what has succeeded before (a bad part that was missed once is then never refused).

WholeAnswerStormTest and test_one_bad_part_does_not_free_another fail on the code before.

--- a/src/dandelioncleat/app/direct/crash_detector.py
+++ b/src/dandelioncleat/app/direct/crash_detector.py
@@ -23,6 +23,7 @@
 
 from dandelioncleat.app.direct.abandoned_runs import AbandonedRuns
 from dandelioncleat.app.direct.crash_mark import SIGN_DELAY_S
+from dandelioncleat.app.direct.delivered_runs import DeliveredRuns
 from dandelioncleat.app.direct.lost_runs import (
     AbandonedRun,
     LostRun,
@@ -63,18 +64,22 @@
     """What is called as it is found out what happened.
 
     ``on_crash`` records a crash and returns the keys of its records,
-    ``on_alive`` gets runs whose target lives, and the keys of records that
-    were wrong. ``on_outlived`` gets abandoned runs that their target has
-    outlived.
+    ``on_alive`` gets the keys of records that were wrong, as the target lives.
+    ``on_outlived`` gets abandoned runs that their target has outlived,
+    ``on_sound`` a request that has succeeded.
     """
 
     on_crash: Callable[[LostRuns], set[str]]
-    on_alive: Callable[[list[LostRun], set[str]], None]
+    on_alive: Callable[[set[str]], None]
     on_outlived: Callable[[list[AbandonedRun]], None]
+    on_sound: Callable[[DirectRequest], None]
 
 
 class CrashDetector:
-    """Decides for each start of a target that has lost answers."""
+    """Decides for each start of a target that has lost answers.
+
+    ``delivered`` takes whole answers.
+    """
 
     def __init__(
         self,
@@ -89,6 +94,9 @@
         self.undecided = UndecidedStarts()
         self._probes_by_start: dict[str, asyncio.Task[None]] = {}
         self._abandoned = AbandonedRuns()
+        self.delivered = DeliveredRuns(
+            self.undecided, on_sound=listener.on_sound
+        )
 
     def note_lost(
         self,
@@ -127,7 +135,7 @@
 
     def note_doubt(self, start: str) -> None:
         """Find out whether a start has crashed under runs nobody waits for."""
-        target = self._abandoned.target(start)
+        target = self._abandoned.target(start) or self.delivered.target(start)
         if target is None or self.undecided.get(start) is not None:
             return
         if not self._abandoned.is_leaving(start):
@@ -199,7 +207,9 @@
         elif is_restarted:
             self._decide_restarted(lost)
         elif status is TargetStatus.SILENT and not lost.is_leaving:
-            lost.abandoned = _suspected(self._abandoned, lost)
+            lost.abandoned = _ended_before(
+                lost, self._abandoned, self.delivered
+            )
             _log_decision(lost, lost.runs, has_crashed=True)
             self._listed.note_crash(target.start)
             lost.recorded_keys |= self._listener.on_crash(lost)
@@ -212,7 +222,7 @@
             self._decide_crashed(lost)
 
     def _decide_crashed(self, lost: LostRuns) -> None:
-        lost.abandoned = _suspected(self._abandoned, lost)
+        lost.abandoned = _ended_before(lost, self._abandoned, self.delivered)
         self._abandoned.forget(lost.target.start)
         self.undecided.forget(lost)
         _log_decision(lost, lost.runs, has_crashed=True)
@@ -232,7 +242,10 @@
         _log_decision(lost, runs, has_crashed=False)
         wrong_keys = lost.recorded_keys
         lost.recorded_keys = set()
-        self._listener.on_alive(runs, wrong_keys)
+        self._listener.on_alive(wrong_keys)
+        _note_sound(self.delivered, runs)
+        if not lost.runs:
+            self.delivered.note_alive(lost)
 
     def _give_up(self, lost: LostRuns) -> None:
         """Take the target of undecided losses as alive."""
@@ -242,15 +255,24 @@
         if lost.is_leaving:
             self._abandoned.forget(lost.target.start)
         if not lost.is_presumed:
-            self._listener.on_alive(lost.runs, set())
+            _note_sound(self.delivered, lost.runs)
+            self.delivered.note_alive(lost)
 
 
-def _suspected(
-    abandoned: AbandonedRuns, lost: LostRuns
+def _ended_before(
+    lost: LostRuns, abandoned: AbandonedRuns, delivered: DeliveredRuns
 ) -> tuple[AbandonedRun, ...]:
-    """Return the abandoned runs that a crash may be blamed on."""
+    """Return the runs that had ended and that a crash may be blamed on."""
     lost_at = [each.lost_at for each in lost.runs]
-    return abandoned.near(lost.target.start, lost_at, now=_now())
+    near = abandoned.near(lost.target.start, lost_at, now=_now())
+    return (*near, *delivered.note_crash(lost))
+
+
+def _note_sound(delivered: DeliveredRuns, runs: list[LostRun]) -> None:
+    """Take the answers that look whole of a target that lives for sound."""
+    for each in runs:
+        if each.looks_whole:
+            delivered.note_sound(each.run.request)
 
 
 def _now() -> float:
--- a/src/dandelioncleat/app/direct/crash_evidence.py
+++ b/src/dandelioncleat/app/direct/crash_evidence.py
@@ -54,7 +54,9 @@
         if known.changes != self._changes_seen:
             self._changes_seen = known.changes
             causes_by_suspect = find_causes(
-                known.of_frequent(MIN_CRASHES), is_known=self.successes.knows
+                known.of_frequent(MIN_CRASHES),
+                is_known=self.successes.knows,
+                earlier=self._causes_by_suspect,
             )
             self._note_causes(causes_by_suspect)
             self._causes_by_suspect = causes_by_suspect
--- a/src/dandelioncleat/app/direct/crash_quarantine.py
+++ b/src/dandelioncleat/app/direct/crash_quarantine.py
@@ -12,7 +12,7 @@
     TargetList,
 )
 from dandelioncleat.app.direct.crash_evidence import CrashEvidence
-from dandelioncleat.app.direct.lost_runs import LostRun, WatchedRun
+from dandelioncleat.app.direct.lost_runs import WatchedRun
 from dandelioncleat.app.direct.shared_crash_records import SharedCrashRecords
 from dandelioncleat.core.crash_cause import CrashCause
 from dandelioncleat.core.crash_records import RECORD_AGE_S
@@ -75,8 +75,9 @@
             listed,
             CrashListener(
                 self._evidence.add,
-                self._note_alive,
+                self._records.withdraw,
                 self._evidence.note_outlived,
+                self._evidence.note_success,
             ),
         )
 
@@ -169,10 +170,9 @@
         """Note that an entry of a target was read from the list."""
         self._detector.note_entry(entry)
 
-    def note_delivered(self, request: DirectRequest) -> None:
-        """Withdraw what was recorded of all that has now succeeded."""
-        self._detector.undecided.note_sound(suspects_of(request))
-        self._evidence.note_success(request)
+    def note_delivered(self, run: WatchedRun, target: TargetEntry) -> None:
+        """Note a whole answer; it is a success if its target outlives it."""
+        self._detector.delivered.add(run, target)
 
     async def run(self) -> None:
         """Follow and write the records until cancelled."""
@@ -217,13 +217,6 @@
         self._listed.note_crash(start)
         self._detector.note_doubt(start)
 
-    def _note_alive(self, runs: list[LostRun], wrong_keys: set[str]) -> None:
-        """Note that a target lives that had lost some runs."""
-        self._records.withdraw(wrong_keys)
-        for each in runs:
-            if each.looks_whole:
-                self.note_delivered(each.run.request)
-
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/dandelioncleat/app/direct/delivered_runs.py
@@ -0,0 +1,104 @@
+"""Takes whole answers for successes once their targets have outlived them.
+
+A target may crash under a request just after it has sent the whole answer.
+"""
+
+import asyncio
+from collections import OrderedDict, defaultdict
+from collections.abc import Callable
+
+from dandelioncleat.app.direct.lost_runs import (
+    AbandonedRun,
+    DeliveredRun,
+    LostRuns,
+    WatchedRun,
+)
+from dandelioncleat.app.direct.undecided_starts import UndecidedStarts
+from dandelioncleat.core.crash_suspect import suspects_of
+from dandelioncleat.core.deployment import TargetEntry
+from dandelioncleat.core.direct_request import DirectRequest
+
+# A crash later than this after a whole answer is not blamed on it.
+OUTLIVED_S = 0.15
+MAX_CRASHED_STARTS = 1000
+
+
+class DeliveredRuns:
+    """Keeps the latest whole answers of each start of a target."""
+
+    def __init__(
+        self,
+        undecided: UndecidedStarts,
+        *,
+        on_sound: Callable[[DirectRequest], None],
+    ) -> None:
+        """Start without an answer.
+
+        :param undecided: the starts that may have crashed
+        :param on_sound: called with each request that has succeeded
+        """
+        self._undecided = undecided
+        self._on_sound = on_sound
+        self._targets_by_start: dict[str, TargetEntry] = {}
+        self._runs_by_start: defaultdict[str, list[DeliveredRun]] = defaultdict(
+            list
+        )
+        self._crashed_starts: OrderedDict[str, None] = OrderedDict()
+
+    def add(self, run: WatchedRun, target: TargetEntry) -> None:
+        """Add a whole answer that has just come."""
+        loop = asyncio.get_running_loop()
+        delivered = DeliveredRun(run, loop.time())
+        self._targets_by_start[target.start] = target
+        self._runs_by_start[target.start].append(delivered)
+        loop.call_later(
+            OUTLIVED_S, self._note_outlived, delivered, target.start
+        )
+
+    def target(self, start: str) -> TargetEntry | None:
+        """Return the entry of a start with such answers, else ``None``."""
+        return self._targets_by_start.get(start)
+
+    def note_crash(self, lost: LostRuns) -> tuple[AbandonedRun, ...]:
+        """Return the whole answers that a crashed start has not outlived."""
+        start = lost.target.start
+        self._crashed_starts[start] = None
+        while len(self._crashed_starts) > MAX_CRASHED_STARTS:
+            self._crashed_starts.popitem(last=False)
+        crashed_at = min(
+            (each.lost_at for each in lost.runs), default=lost.since
+        )
+        latest = self._runs_by_start.get(start, [])
+        return tuple(
+            each.as_ended()
+            for each in (*lost.delivered, *latest)
+            if crashed_at - OUTLIVED_S <= each.at <= crashed_at
+        )
+
+    def note_alive(self, lost: LostRuns) -> None:
+        """Take the whole answers of a start that lives for successes."""
+        self._crashed_starts.pop(lost.target.start, None)
+        for each in lost.delivered:
+            self.note_sound(each.run.request)
+        lost.delivered = []
+
+    def note_sound(self, request: DirectRequest) -> None:
+        """Take a request for sound."""
+        self._undecided.note_sound(suspects_of(request))
+        self._on_sound(request)
+
+    def _note_outlived(self, delivered: DeliveredRun, start: str) -> None:
+        """Decide about a whole answer, unless its target may have crashed."""
+        self._discard(delivered, start)
+        lost = self._undecided.get(start)
+        if lost is not None:
+            lost.delivered.append(delivered)
+        elif start not in self._crashed_starts:
+            self.note_sound(delivered.run.request)
+
+    def _discard(self, delivered: DeliveredRun, start: str) -> None:
+        runs = self._runs_by_start[start]
+        runs.remove(delivered)
+        if not runs:
+            self._runs_by_start.pop(start)
+            self._targets_by_start.pop(start)
--- a/src/dandelioncleat/app/direct/lost_runs.py
+++ b/src/dandelioncleat/app/direct/lost_runs.py
@@ -59,10 +59,32 @@
     ended_at: float
 
 
+class DeliveredRun(NamedTuple):
+    """A run and when its whole answer came, an event loop time in seconds."""
+
+    run: WatchedRun
+    at: float
+
+    def as_ended(self) -> AbandonedRun:
+        """Return the run as one that had ended before a crash."""
+        request = self.run.request
+        return AbandonedRun(
+            request.id,
+            request.digest,
+            suspects_of(request),
+            self.run.repeated,
+            sent_at=self.run.sent_at,
+            first_ended_at=self.at,
+            ended_at=self.at,
+        )
+
+
 class LostRuns:
     """The runs that one start of a target has lost, if any.
 
-    ``abandoned`` are those that had ended without an answer before.
+    ``abandoned`` are those that had ended without an answer before, or with
+    one that the target has not outlived; ``delivered`` are whole answers of
+    which that is not known.
 
     ``recorded_keys`` are the crash records of a target that is presumed to
     have crashed, which may still turn out to be wrong. ``silent_since`` is
@@ -82,6 +104,7 @@
         """
         self.since = since
         self.abandoned: tuple[AbandonedRun, ...] = ()
+        self.delivered: list[DeliveredRun] = []
         self.target = target
         self.is_leaving = is_leaving
         self.runs: list[LostRun] = []
--- a/src/dandelioncleat/app/direct/watched_attempt.py
+++ b/src/dandelioncleat/app/direct/watched_attempt.py
@@ -91,4 +91,4 @@
     if head.is_close_delimited:
         quarantine.note_closed(run, state.entry, is_leaving=state.is_leaving)
     else:
-        quarantine.note_delivered(run.request)
+        quarantine.note_delivered(run, state.entry)
--- a/src/dandelioncleat/core/crash_cause.py
+++ b/src/dandelioncleat/core/crash_cause.py
@@ -22,7 +22,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from dandelioncleat.core.crash_records import CrashRecord
@@ -146,7 +146,8 @@
 def find_causes(
     records: Iterable[CrashRecord],
     *,
-    is_known: Callable[[str], bool] = lambda _suspect: False,
+    is_known: Callable[[str], bool] | None = None,
+    earlier: Collection[str] = (),
 ) -> dict[str, CrashCause]:
     """Return the causes of crashes by the keys of their suspects.
 
@@ -154,17 +155,22 @@
     these the most specific; the crashes that they explain are left out for all
     others. What has succeeded before is blamed for the rest alone.
 
-    :param is_known: returns whether a suspect has succeeded before
+    :param is_known: returns whether a suspect has succeeded before; none has
+        by default
+    :param earlier: suspects that have been causes until now; of several such
+        parts the one with most crashes must not free the others
     """
     evidence = [
-        each._replace(is_known=is_known(each.suspect))
+        each._replace(is_known=is_known is not None and is_known(each.suspect))
         for each in _evidence(records)
     ]
     causes_by_suspect: dict[str, CrashCause] = {}
+    found: list[_Evidence] = []
     left = evidence
     explained_by_parts: frozenset[str] = frozenset()
     worst = _worst(left)
     while worst:
+        found += worst
         causes_by_suspect.update((each.suspect, each.cause()) for each in worst)
         explained_by_parts |= _starts(worst, of_requests=False)
         explained = _starts(worst, of_requests=True) | explained_by_parts
@@ -176,9 +182,27 @@
             causes_by_suspect.setdefault(own.suspect, own.cause())
         if each.is_certain:
             causes_by_suspect.setdefault(each.suspect, each.cause())
+        if each.suspect in earlier and _remains(each, found):
+            causes_by_suspect.setdefault(each.suspect, each.cause())
     return causes_by_suspect
 
 
+def _remains(evidence: _Evidence, causes: list[_Evidence]) -> bool:
+    """Return whether a part is still a cause beside others.
+
+    Only a more specific part can free it, as a part behind it does.
+    """
+    if evidence.is_request or evidence.is_known:
+        return False
+    deeper = [
+        each
+        for each in causes
+        if each.depth > evidence.depth and not each.is_request
+    ]
+    explained = _starts(deeper, of_requests=False)
+    return evidence.without(explained).is_conclusive
+
+
 def _starts(evidence: list[_Evidence], *, of_requests: bool) -> frozenset[str]:
     """Return the starts that crashed under requests, or under parts."""
     starts = (
--- a/tests/builders/crash_storm.py
+++ b/tests/builders/crash_storm.py
@@ -23,6 +23,8 @@
 # The users count what is sent later than the contact time after this crash.
 COUNTED_CRASHES = 5
 CONTACT_S = 3
+# A target that crashes after a whole answer does so this much later.
+WHOLE_LEAD_S = 0.02
 
 
 class StormShape(NamedTuple):
@@ -32,6 +34,7 @@
     ``crash_share`` of the targets crash at ``crash_at`` for another cause.
     ``is_first_bad`` makes the bad part the first one of its prompts.
     ``is_silent`` lets no byte of an answer with the bad part leave its target.
+    ``is_whole`` lets the whole answer leave it before it crashes.
     ``bad_parts`` are behind the same first part.
     """
 
@@ -46,6 +49,7 @@
     crash_share: float = 1
     is_first_bad: bool = False
     is_silent: bool = False
+    is_whole: bool = False
     bad_parts: int = 1
     duration_s: float = 20
 
@@ -176,7 +180,7 @@
             has_begun = await self._wait(start)
             if has_begun and not start.crashed.is_set():
                 if await self._answer(start, bad_part):
-                    router.note_delivered(request)
+                    router.note_delivered(run_of, start.entry)
                     return
                 has_begun = not (is_bad and self._shape.is_silent)
             router.note_lost(run_of, start.entry, has_begun=has_begun)
@@ -190,14 +194,23 @@
         """Return whether an answer was whole."""
         if bad_part is not None:
             await _is_set_within(start.crashed, 0.08)
-            if not start.crashed.is_set():
-                self._crashes_at[bad_part].append(_now())
-                self._crashes += 1
-                self._crash(start)
+            if self._shape.is_whole and not start.crashed.is_set():
+                loop = asyncio.get_running_loop()
+                loop.call_later(
+                    WHOLE_LEAD_S, self._crash_under, start, bad_part
+                )
+                return True
+            self._crash_under(start, bad_part)
             return False
         answer_s = self._source.uniform(0.3, 3)
         return not await _is_set_within(start.crashed, answer_s)
 
+    def _crash_under(self, start, bad_part):
+        if not start.crashed.is_set():
+            self._crashes_at[bad_part].append(_now())
+            self._crashes += 1
+            self._crash(start)
+
     async def _crash_some(self, at):
         await asyncio.sleep(at)
         count = round(self._shape.crash_share * len(self._starts))
--- a/tests/test_abandoned_runs.py
+++ b/tests/test_abandoned_runs.py
@@ -5,6 +5,7 @@
 import testtools
 
 from dandelioncleat.app.direct.abandoned_runs import MAX_RUNS, AbandonedRuns
+from dandelioncleat.app.direct.delivered_runs import OUTLIVED_S
 from dandelioncleat.core.crash_cause import (
     MIN_ABANDONED_CRASHES,
     MIN_CRASHES,
@@ -176,8 +177,8 @@
 
     def test_success(self):
         async def succeed(fleet, number):
-            fleet.routers[1].note_delivered(request(number))
-            await asyncio.sleep(0.2)
+            fleet.routers[1].note_delivered(run_of(number), target(99))
+            await asyncio.sleep(OUTLIVED_S + 0.2)
 
         self.assertEqual(0, self._refusing(succeed))
 
--- a/tests/test_crash_detection.py
+++ b/tests/test_crash_detection.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from dandelioncleat.app.direct.delivered_runs import OUTLIVED_S
 from dandelioncleat.app.direct.target_state import TargetState
 from dandelioncleat.core.crash_cause import MIN_CRASHES, find_causes
 from dandelioncleat.core.crash_records import CrashRecord
@@ -48,7 +49,8 @@
         async def scenario(fleet):
             fleet.routers[0].note_lost(run_of(1), target(1))
             await asyncio.sleep(0.1)
-            fleet.routers[0].note_delivered(request(2))
+            fleet.routers[0].note_delivered(run_of(2), target(99))
+            await asyncio.sleep(OUTLIVED_S)
             fleet.routers[0].note_entry(target(2))
             await asyncio.sleep(1)
             return await fleet.records()
@@ -58,7 +60,7 @@
 
     def test_request_that_had_just_succeeded_is_not_recorded(self):
         async def scenario(fleet):
-            fleet.routers[0].note_delivered(request(1))
+            fleet.routers[0].note_delivered(run_of(1), target(99))
             await asyncio.sleep(1)
             fleet.routers[0].note_lost(run_of(2), target(1))
             await asyncio.sleep(1)
@@ -225,7 +227,8 @@
 
     def test_crash_that_is_blamed_on_nothing(self):
         async def scenario(fleet):
-            fleet.routers[0].note_delivered(request(1))
+            fleet.routers[0].note_delivered(run_of(1), target(99))
+            await asyncio.sleep(OUTLIVED_S)
             fleet.routers[0].note_lost(run_of(2), target(1))
             await asyncio.sleep(1)
             return await fleet.records(), fleet.listed.crashed_starts
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -5,6 +5,7 @@
 import testtools
 
 from dandelioncleat.adapters.system_clock import SystemClock
+from dandelioncleat.app.direct.delivered_runs import OUTLIVED_S
 from dandelioncleat.app.direct.lost_runs import WatchedRun
 from dandelioncleat.app.direct.shared_crash_records import CRASHES_TOPIC
 from dandelioncleat.core.crash_cause import MIN_CRASHES, find_causes
@@ -115,7 +116,7 @@
     def test_a_success_withdraws_the_records_everywhere(self):
         async def scenario(fleet):
             await fleet.crash(MIN_CRASHES - 1)
-            fleet.routers[2].note_delivered(request(5))
+            fleet.routers[2].note_delivered(run_of(5), target(99))
             await asyncio.sleep(1)
             left = (await fleet.store.newest(CRASHES_TOPIC)).records
             await fleet.crash(MIN_CRASHES - 1)
@@ -215,6 +216,7 @@
             fleet.app.answers = [text_answer('no', status)]
             with captured_lines() as lines:
                 await fleet.call('/once/a')
+                await asyncio.sleep(2 * OUTLIVED_S)
             return [
                 line['records']
                 for line in lines
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -140,6 +140,29 @@
         super()._check(is_silent=True, **shape)
 
 
+class WholeAnswerStormTest(testtools.TestCase):
+    """A target crashes just after it has sent a whole answer.
+
+    Each such answer counted as a success, which withdrew all records of the
+    part.
+    """
+
+    def _check(self, **shape):
+        for seed in range(4):
+            report = play_storm(seed, is_whole=True, **shape)
+            self.assertThat(report.late, LessThan(ALLOWED_LATE + 1))
+            self.assertThat(2 * report.refused, LessThan(report.sound))
+
+    def test_one_bad_part(self):
+        self._check()
+
+    def test_rare_bad_prompts(self):
+        self._check(bad_rate=0.5, duration_s=40)
+
+    def test_many_targets(self):
+        self._check(targets=24, sound_rate=80, bad_rate=8, routers=8)
+
+
 class WrongQuarantineTest(testtools.TestCase):
     """A quarantine that blames the wrong part ends by a trial."""
 
@@ -193,9 +216,10 @@
 class CauseTest(testtools.TestCase):
     """Crashes blame their cause and nothing that ran beside it."""
 
-    def _causes(self, *crashes, is_waiting=False, known=()):
+    def _causes(self, *crashes, is_waiting=False, known=(), earlier=()):
         """Return the causes of crashes, given as (suspects, is_repeat).
 
+        :param earlier: suspects that have been causes until now
         :param is_waiting: whether no byte of an answer had arrived
         :param known: suspects that have succeeded before
         """
@@ -211,7 +235,10 @@
             for at, (suspects, is_repeat) in enumerate(crashes)
             for depth, suspect in enumerate(suspects)
         ]
-        return set(find_causes(records, is_known=set(known).__contains__))
+        causes = find_causes(
+            records, is_known=set(known).__contains__, earlier=earlier
+        )
+        return set(causes)
 
     def test_more_specific_part_of_two_with_equal_crashes(self):
         crash = ('first', 'bad')
@@ -252,6 +279,18 @@
         crashes = [(('bad',), True)] * 8 + [(('worse', 'bad'), True)] * 7
         self.assertEqual({'bad', 'worse'}, self._causes(*crashes))
 
+    def test_one_bad_part_does_not_free_another(self):
+        crashes = [(('a', 'bad'), True)] * 4
+        both = [(('a', 'bad'), True), (('a', 'worse'), True)] * 4
+        self.assertEqual({'bad'}, self._causes(*crashes))
+        causes = self._causes(*both, *both, earlier=['bad'], known=['a'])
+        self.assertEqual({'bad', 'worse'}, causes)
+
+    def test_part_behind_it_frees_a_first_part(self):
+        crash = ('first', 'bad')
+        causes = self._causes(*[(crash, True)] * 4, earlier=['first'])
+        self.assertEqual({'bad'}, causes)
+
     def test_crashes_that_no_run_followed_blame_no_part(self):
         crash = (('first', 'bad'), False)
         self.assertEqual(set(), self._causes(*[crash] * 9))
