Fail answers whose number is no status of HTTP

The library's parser accepts any three digits, and nothing asked whether they are a status.

The connection now fails such an answer; the outcome of its request is unknown: 502, or another attempt where that is allowed. 101 counts, as nothing here asks for another protocol.

--- a/src/dandelioncleat/adapters/client_session.py
+++ b/src/dandelioncleat/adapters/client_session.py
@@ -16,6 +16,10 @@
 
 # Interim answers (RFC 9110, 15.2) have lower statuses.
 _FIRST_FINAL_STATUS = 200
+_FIRST_STATUS = 100
+_LAST_STATUS = 599
+# Nothing here asks for another protocol, so no peer may switch to one.
+_SWITCHING_PROTOCOLS = 101
 _HEAD_END = b'\r\n\r\n'
 MAX_INTERIM_ANSWERS = 16
 # aiohttp keeps twice as much of a body that is not read.
@@ -31,7 +35,8 @@
 
     aiohttp otherwise treats a body without length or chunks as complete, and
     bytes on an idle connection as the answer to the next request. It keeps all
-    that comes after an answer, and any number of interim answers.
+    that comes after an answer, any number of interim answers, and numbers that
+    are no status.
     """
 
     def __init__(
@@ -107,6 +112,12 @@
             # Another answer, which belongs to no request.
             self._close_soon()
             return
+        if not _is_status(head.code):
+            self.set_exception(
+                aiohttp.ClientConnectionError(f'{head.code} is no status')
+            )
+            self._close_soon()
+            return
         if head.code >= _FIRST_FINAL_STATUS:
             self._is_answer_due = False
             self._head = b''
@@ -165,12 +176,22 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the body that is being read if the connection was reset."""
+        if exc is not None:
+            self._fail_body(exc)
+        super().connection_lost(exc)
+
+    def _fail_body(self, error: BaseException) -> None:
         payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
+        if payload is not None and not payload.is_eof():
             payload.set_exception(
-                aiohttp.ClientPayloadError(f'connection lost: {exc}')
+                aiohttp.ClientPayloadError(f'connection lost: {error}')
             )
-        super().connection_lost(exc)
+
+
+def _is_status(code: int) -> bool:
+    """Return whether a number is a status that an answer may have."""
+    is_known = _FIRST_STATUS <= code <= _LAST_STATUS
+    return is_known and code != _SWITCHING_PROTOCOLS
 
 
 def new_connector(
