Take an early answer without a length for whole only after its request

A target that answered a long upload without a length, ended the answer in order and closed with the upload unread had cut it: the reset comes as the next piece of the upload arrives. Resets, lengths and chunks were held before.

If an answer ends while its peer has not acknowledged the whole request, the connection is now kept until it has, or is reset. A target that reads on after its early answer is served as before.

--- a/src/dandelioncleat/adapters/client_session.py
+++ b/src/dandelioncleat/adapters/client_session.py
@@ -11,6 +11,7 @@
 from dandelioncleat.adapters.abandoned_answer import AbandonedAnswer
 from dandelioncleat.adapters.connection_reset import reset_connection
 from dandelioncleat.adapters.read_limit import PacedProtocol
+from dandelioncleat.adapters.upload_end import UploadEnd
 from dandelioncleat.core.whole_number import whole_number
 from dandelioncleat.ports.answer_watch import AnswerWatch
 
@@ -132,6 +133,22 @@
                 return
         super().feed_data(message, size)
 
+    def eof_received(self) -> bool | None:  # type: ignore[override]
+        """End the answer; one without a length only after the whole request.
+
+        The peer may have closed the connection with the rest of a long request
+        unread, and so have cut its answer.
+        """
+        super().eof_received()
+        payload, transport = self._payload, self.transport
+        if payload is None or payload.is_eof() or transport is None:
+            return None
+        upload = UploadEnd(transport, on_cut=self._fail_body)
+        if not upload.is_due:
+            return None
+        upload.check()
+        return True
+
     def close(self) -> None:
         """Close the connection; read on if the answer has no output yet.
 
