Pass request bodies on as their callers have sent them

The library's server decodes bodies by default, and the header is relayed. The client side had that default switched off.

The callers' connections now leave bodies as they are.

--- a/src/dandelioncleat/platform/caller_server.py
+++ b/src/dandelioncleat/platform/caller_server.py
@@ -29,6 +29,8 @@
             'max_line_size': limits.header_bytes,
             'max_field_size': limits.header_bytes,
             'access_log': None,
+            # Targets get the bytes that the caller has sent.
+            'auto_decompress': False,
         }
 
     def __call__(self) -> RequestHandler:
--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -110,7 +110,9 @@
     async def start(self):
         """Listen on loopback."""
         loop = asyncio.get_running_loop()
-        server = web.Server(self._handle, handler_cancellation=True)
+        server = web.Server(
+            self._handle, handler_cancellation=True, auto_decompress=False
+        )
         self._server = await loop.create_server(server, '127.0.0.1', 0)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f'127.0.0.1:{port}'
