Apply the leave of a target that a forwarded answer tells

What an answer says of its target was applied where the request was sent only, and nothing in the answer names the target.

Routers now tell each other which start of a target has answered, in a header that reaches no caller, and give a start nothing more whose leave they pass on; its next start is used.

ForwardedAnswerTest.test_router failed before; LeavingTargetTest.test_target_that_leaves_is_not_used fails without the call that applies the leave.

--- a/src/dandelioncleat/app/direct/forwarding.py
+++ b/src/dandelioncleat/app/direct/forwarding.py
@@ -18,6 +18,7 @@
 )
 from dandelioncleat.app.direct.run_context import RunContext
 from dandelioncleat.app.direct.stream_relay import relay_stream
+from dandelioncleat.app.direct.target_directory import TargetDirectory
 from dandelioncleat.app.direct.topic_age import rounded_age_s
 from dandelioncleat.app.direct.wallet import Wallet
 from dandelioncleat.core.direct_request import (
@@ -29,6 +30,7 @@
 from dandelioncleat.core.failure import FailureError
 from dandelioncleat.core.host_holdings import TokenNeed
 from dandelioncleat.core.peer_backoff import PeerBackoff
+from dandelioncleat.core.target_notice import TargetNotice
 from dandelioncleat.ports.direct_caller import Reply
 from dandelioncleat.ports.direct_target import (
     CONNECT_STEP,
@@ -63,12 +65,17 @@
         admission: Admission,
         wallet: Wallet,
         targets: DirectTargets,
+        directory: TargetDirectory,
     ) -> None:
-        """Initialise with the known processes and a client to call them."""
+        """Initialise with the known processes and a client to call them.
+
+        :param directory: is told which targets leave
+        """
         self._processes = processes
         self._admission = admission
         self._wallet = wallet
         self._targets = targets
+        self._directory = directory
         self._avoid_until_by_host: dict[str, float] = {}
         self._backoff = PeerBackoff()
 
@@ -159,6 +166,7 @@
         try:
             async with asyncio.timeout_at(context.answer_by) as timer:
                 async with forwarded as answer:
+                    _note_leaving(answer, self._directory)
                     return await _relay_answer(
                         context, answer, reply, timer=timer, peer=entry.host
                     )
@@ -206,6 +214,18 @@
         context.arrivals = refusal.arrivals
 
 
+def _note_leaving(answer: TargetAnswer, directory: TargetDirectory) -> None:
+    """Note that the target leaves to which the other router has sent."""
+    if answer.refusal is not None or not answer.notice.is_leaving:
+        return
+    start = answer.head.target_start
+    if start is None:
+        return
+    state = directory.state(start.rpartition('/')[0])
+    if state is not None and state.entry.start == start:
+        state.wishes.apply(TargetNotice(is_leaving=True), _now())
+
+
 async def _relay_answer(
     context: RunContext,
     answer: TargetAnswer,
--- a/src/dandelioncleat/core/direct_request.py
+++ b/src/dandelioncleat/core/direct_request.py
@@ -121,13 +121,15 @@
     """The status and headers of a target's response.
 
     ``is_close_delimited`` means that the body has neither a length nor chunks
-    and ends with the connection.
+    and ends with the connection. ``target_start`` is the start of the target
+    that answered, ``None`` if a router did not tell.
     """
 
     status: int
     reason: str
     headers: Headers
     is_close_delimited: bool = False
+    target_start: str | None = None
 
     @property
     def is_error(self) -> bool:
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -272,6 +272,7 @@
                     admission=self._admission,
                     wallet=self._wallet,
                     targets=self._targets,
+                    directory=self._directory,
                 ),
                 self._quarantine,
                 self._origins,
--- a/src/dandelioncleat/platform/caller_reply.py
+++ b/src/dandelioncleat/platform/caller_reply.py
@@ -109,7 +109,7 @@
             reason=answer.head.reason,
             body=answer.body,
         )
-        _set_headers(response, answer.head)
+        _set_headers(response, answer.head, self._request)
         await self._send(response)
 
     async def refuse(self, refusal: DirectRefusal) -> None:
@@ -128,7 +128,7 @@
     async def begin(self, head: ResponseHead) -> None:
         """Begin a stream."""
         response = _new_stream_response(head)
-        _set_headers(response, head)
+        _set_headers(response, head, self._request)
         self.response = response
         self._prepare_end(response)
         await response.prepare(self._request)
@@ -206,7 +206,13 @@
     return response
 
 
-def _set_headers(response: web.StreamResponse, head: ResponseHead) -> None:
+def _set_headers(
+    response: web.StreamResponse, head: ResponseHead, request: web.BaseRequest
+) -> None:
+    """Set those of a head; another router is also told who answered."""
     response.headers.clear()
     for name, text in head.headers:
         response.headers.add(name, text)
+    is_forwarded = names.FORWARDED in request.headers
+    if is_forwarded and head.target_start is not None:
+        response.headers[names.TARGET_START] = head.target_start
--- a/src/dandelioncleat/platform/names.py
+++ b/src/dandelioncleat/platform/names.py
@@ -33,12 +33,14 @@
 )
 
 # Between routers: marks a forwarded request, gives the sender's version of the
-# configuration and a refusal's reason, and tells in requests and refusals how
-# often the request has been sent to targets.
+# configuration and a refusal's reason, tells in requests and refusals how
+# often the request has been sent to targets, and in answers which start of a
+# target has answered.
 FORWARDED: Final = 'Dandelioncleat-Forwarded'
 SENDER_VERSION: Final = 'Dandelioncleat-Version'
 ARRIVALS: Final = 'Dandelioncleat-Arrivals'
 REFUSAL: Final = 'Dandelioncleat-Refusal'
+TARGET_START: Final = 'Dandelioncleat-Target'
 
 # Not relayed from callers: the router reads or sets these itself.
 RESERVED_HEADERS: Final = frozenset(
--- a/src/dandelioncleat/platform/targets.py
+++ b/src/dandelioncleat/platform/targets.py
@@ -59,6 +59,7 @@
 MISDIRECTED = 421
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
+_DROPPED_HEADERS = names.HOP_BY_HOP_HEADERS | {names.TARGET_START.lower()}
 _BODILESS_STATUSES = frozenset((204, 304))
 _MS_PER_S = 1000
 _AUTOMATIC_HEADERS = (
@@ -76,14 +77,25 @@
 class HttpTargetAnswer:
     """The answer of a target; its head was read, its body was not."""
 
-    def __init__(self, response: aiohttp.ClientResponse, *, peer: str) -> None:
-        """Initialise from the response of a target or router."""
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        *,
+        peer: str,
+        target_start: str | None,
+    ) -> None:
+        """Initialise from the response of a target or router.
+
+        :param target_start: start of the target, ``None`` for a router, which
+            tells it
+        """
         headers = response.headers
         self.head = ResponseHead(
             response.status,
             response.reason or '',
             _end_to_end_headers(response.raw_headers),
             _is_close_delimited(response),
+            target_start or headers.get(names.TARGET_START),
         )
         self.is_misdirected = response.status == MISDIRECTED
         self.has_run = names.NOT_RUN not in headers and not self.is_misdirected
@@ -128,6 +140,7 @@
             _headers(order),
             _Connection(),
             order.answer_watch,
+            order.target.start,
         )
         async with _open(call) as answer:
             self._unknown_notices.note(order.target.id, answer.head.headers)
@@ -199,6 +212,7 @@
     headers: list[tuple[str, str]]
     connection: '_Connection'
     answer_watch: AnswerWatch | None = None
+    target_start: str | None = None
 
 
 class _Connection:
@@ -213,7 +227,9 @@
     is_complete = False
     try:
         _check_echo(response, call)
-        yield HttpTargetAnswer(response, peer=call.peer)
+        yield HttpTargetAnswer(
+            response, peer=call.peer, target_start=call.target_start
+        )
         is_complete = response.content.at_eof()
     finally:
         if is_complete:
@@ -385,7 +401,7 @@
     return tuple(
         (name, text)
         for name, text in headers
-        if name.lower() not in names.HOP_BY_HOP_HEADERS
+        if name.lower() not in _DROPPED_HEADERS
     )
 
 
--- a/tests/builders/contexts.py
+++ b/tests/builders/contexts.py
@@ -26,13 +26,14 @@
 }
 
 
-def new_context(*, wait_s=5, **route):
+def new_context(*, wait_s=5, headers=(), **route):
     """Return the context of a request that arrives now.
 
     :param wait_s: time that its caller waits, in seconds
+    :param headers: names and texts of its headers
     :param route: fields of its route that differ
     """
-    request = DirectRequest('q', 'GET', 'h', '/a', (), b'', wait_s=wait_s)
+    request = DirectRequest('q', 'GET', 'h', '/a', headers, b'', wait_s=wait_s)
     admitted = Admitted(
         1, Route(**{**_ROUTE, **route}), Service(SERVICE, '/', 9), None
     )
--- a/tests/builders/limited_fleet.py
+++ b/tests/builders/limited_fleet.py
@@ -414,7 +414,7 @@
         count = self.shape.holders
         return _Wallet(host, self._hosts[-count:]) if count else _Unlimited()
 
-    def _forwarding(self, host, targets):
+    def _forwarding(self, host, targets, directory):
         entries_by_host = {
             each: ProcessEntry(ProcessRole.ROUTER, each, 'z', each)
             for each in self._hosts
@@ -426,6 +426,7 @@
             admission=self._admission(),
             wallet=self._wallet(host),
             targets=targets,
+            directory=directory,
         )
 
     def _new_router(self, host):
@@ -469,7 +470,7 @@
                 open_targets,
                 retries,
                 targets,
-                self._forwarding(host, targets),
+                self._forwarding(host, targets, directory),
                 new_quarantine(self.store, targets, host=host),
                 StreamOrigins(store, host=host, clock=HostClock()),
                 limits,
--- a/tests/test_close_delimited_answers.py
+++ b/tests/test_close_delimited_answers.py
@@ -208,6 +208,7 @@
         admission=Admission(SimpleNamespace(current=current), FreshTopic()),
         wallet=SimpleNamespace(hosts_with_tokens=lambda need: ['h2']),
         targets=targets,
+        directory=SimpleNamespace(state=lambda target: None),
     )
     try:
         await forwarding.forward(context, TokenNeed('r-1', 'o', 150), reply)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -14,27 +14,32 @@
     ProcessEntry,
     ProcessRole,
 )
-from dandelioncleat.core.deployment import CallKind
+from dandelioncleat.app.direct.target_state import TargetState
+from dandelioncleat.core.deployment import CallKind, TargetEntry
 from dandelioncleat.core.direct_request import DirectRefusal, RefusalReason
 from dandelioncleat.core.failure import Code, failure_error
+from dandelioncleat.platform.targets import HttpTargets
 from dandelioncleat.ports.direct_target import BODY_STEP, CONNECT_STEP
 from tests.builders.contexts import new_context
-from tests.builders.direct import RecordedReply
+from tests.builders.direct import RecordedReply, run_with_fleet
 from tests.builders.logs import captured_lines
+from tests.builders.raw_targets import RawAnswer, RawTarget
 
 PEER = ProcessEntry(ProcessRole.ROUTER, 'h2', 'z', '10.0.0.2:80')
 
 
-def _forwarding(deployment, peer, *, newest):
+def _forwarding(deployment, peer, *, newest, directory=None):
     """Return what forwards to one other router.
 
     :param newest: the version that this router finds in the store
+    :param directory: the targets that this router knows, none by default
     """
     return Forwarding(
         SimpleNamespace(other_routers_by_host={'h2': PEER}),
         admission=Admission(deployment, _Topic(deployment, newest)),
         wallet=SimpleNamespace(hosts_with_tokens=lambda need: ['h2']),
         targets=peer,
+        directory=directory or SimpleNamespace(state=lambda target: None),
     )
 
 
@@ -143,6 +148,106 @@
         self.assertFalse(refusal.has_run)
 
 
+class LeavingTargetTest(testtools.TestCase):
+    """A forwarded answer says that its target leaves.
+
+    This router passed it on, and sent that target a request of its own later.
+    """
+
+    def _is_available(self, *, start='i-app/1', **headers):
+        """Return whether the target is used after a forwarded answer.
+
+        :param start: the start that is listed
+        """
+        entry = TargetEntry(
+            'i-app', 's', '10.0.0.1:80', 'z', 8, False, int(start[-1])
+        )
+        state = TargetState(entry, kv_tokens=0)
+        directory = SimpleNamespace(state={'i-app': state}.get)
+
+        async def scenario():
+            data = (
+                b'HTTP/1.1 200 OK\r\nRequest-Id: q\r\nContent-Length: 2\r\n'
+                + b''.join(
+                    f'{name.replace("_", "-")}: {text}\r\n'.encode()
+                    for name, text in headers.items()
+                )
+                + b'\r\nok'
+            )
+            deployment = SimpleNamespace(current=SimpleNamespace(version=1))
+            targets = HttpTargets()
+            reply = RecordedReply()
+            async with RawTarget(RawAnswer(data)) as address:
+                forwarding = _forwarding(
+                    deployment,
+                    _PeerAt(targets, address),
+                    newest=1,
+                    directory=directory,
+                )
+                context = new_context(headers=(('Request-Id', 'q'),))
+                await forwarding.forward(context, None, reply)
+            await targets.close()
+            return reply.head.headers
+
+        with captured_lines():
+            passed_on = dict(asyncio.run(scenario()))
+        self.assertNotIn('Dandelioncleat-Target', passed_on)
+        return state.accepts_new
+
+    def test_target_that_leaves_is_not_used(self):
+        answer = {'Server_Leaving': '1', 'Dandelioncleat_Target': 'i-app/1'}
+        self.assertFalse(self._is_available(**answer))
+
+    def test_target_that_stays_is_used(self):
+        answer = {'Dandelioncleat_Target': 'i-app/1'}
+        self.assertTrue(self._is_available(**answer))
+
+    def test_next_start_of_a_target_that_leaves_is_used(self):
+        answer = {'Server_Leaving': '1', 'Dandelioncleat_Target': 'i-app/1'}
+        self.assertTrue(self._is_available(start='i-app/2', **answer))
+
+    def test_router_of_the_version_before_tells_no_target(self):
+        self.assertTrue(self._is_available(Server_Leaving='1'))
+
+
+class _PeerAt:
+    """A router at another address than its entry says."""
+
+    def __init__(self, targets, address):
+        """Initialise with a client and the address."""
+        self._targets = targets
+        self._address = address
+
+    def forward(self, request, address, *, remaining_s):
+        """Forward a request to the address."""
+        return self._targets.forward(
+            request, self._address, remaining_s=remaining_s
+        )
+
+
+class ForwardedAnswerTest(testtools.TestCase):
+    """Another router is told which start of a target has answered."""
+
+    def _told(self, **headers):
+        async def scenario(fleet):
+            answer = await fleet.call('/safe/a', **headers)
+            return answer[1].get('Dandelioncleat-Target')
+
+        return run_with_fleet(scenario)
+
+    def test_router(self):
+        told = self._told(
+            **{
+                'Dandelioncleat-Forwarded': '1',
+                'Dandelioncleat-Version': '1',
+            }
+        )
+        self.assertEqual('i-app/0', told)
+
+    def test_caller(self):
+        self.assertIsNone(self._told())
+
+
 class _SilentPeer:
     """A router that does not answer what is forwarded to it."""
 
