Leave runs that targets dropped out of what is known of their requests

A run that a target had dropped counted as one that it had outlived, and three of those for each crash clear a request.

What a target does with its connection within 0.25 s was known to the charge for the prompt, and now also tells the quarantine: a dropped run speaks neither for nor against its request, unless the connection closed within 0.1 s of a crash, as a crash closes it, too. As only runs are left that targets went on with, three crashes are enough, as of interrupted runs.

--- a/src/dandelioncleat/app/direct/abandoned_runs.py
+++ b/src/dandelioncleat/app/direct/abandoned_runs.py
@@ -12,12 +12,16 @@
 from dandelioncleat.app.direct.lost_runs import AbandonedRun, WatchedRun
 from dandelioncleat.core.crash_suspect import suspects_of
 from dandelioncleat.core.deployment import TargetEntry
+from dandelioncleat.ports.answer_watch import AnswerWatch
 
 # A crash later than this after a run was given up is not blamed on it.
 WORK_S = 2.0
 # A crash is found out within this time, from the next entry of its target.
 MAX_AGE_S = 10.0
 MAX_RUNS = 1000
+# A target that drops a run closes its connection as a crash does. What it has
+# dropped this much before a crash has not caused it.
+DROP_LEAD_S = 0.1
 
 
 class _Start(NamedTuple):
@@ -52,11 +56,13 @@
         *,
         now: float,
         leaves: Callable[[], bool],
+        watch: AnswerWatch | None = None,
     ) -> None:
         """Add a run that ends now.
 
         :param now: event loop time in seconds
         :param leaves: returns whether the target's end is planned
+        :param watch: tells whether the target drops the run
         """
         starts = self._starts_by_target[target.id]
         start = starts.setdefault(target.start, _Start(target, leaves, set()))
@@ -64,6 +70,8 @@
         start.digests.add(digest)
         key = (target.start, digest)
         known = self._runs.pop(key, None)
+        if known is not None and known.dropped_at is not None:
+            known = None
         self._runs[key] = AbandonedRun(
             run.request.id,
             digest,
@@ -72,6 +80,7 @@
             sent_at=run.sent_at if known is None else known.sent_at,
             first_ended_at=now if known is None else known.first_ended_at,
             ended_at=now,
+            watch=watch,
         )
         self._drop_oldest(now)
 
@@ -116,11 +125,14 @@
             for run in runs
             if run.ended_at >= min(moments) - WORK_S
             and run.sent_at <= max(moments)
+            and not _was_dropped(run, min(moments) - DROP_LEAD_S)
         )
 
     def take_survived(self, start: str, moment: float) -> list[AbandonedRun]:
         """Return what a start has outlived, and drop the runs that have ended.
 
+        A run that it has dropped says nothing about the request.
+
         :param moment: when the start was alive, an event loop time in seconds
         """
         found = self._start(start)
@@ -131,7 +143,8 @@
             run = self._runs[start, digest]
             if run.first_ended_at >= moment - WORK_S:
                 continue
-            survived.append(run)
+            if run.dropped_at is None:
+                survived.append(run)
             if run.ended_at < moment - WORK_S:
                 self._drop(start, digest)
             else:
@@ -168,3 +181,8 @@
             starts.pop(start)
         if not starts:
             self._starts_by_target.pop(target)
+
+
+def _was_dropped(run: AbandonedRun, moment: float) -> bool:
+    """Return whether a target had dropped a run before a moment."""
+    return run.dropped_at is not None and run.dropped_at < moment
--- a/src/dandelioncleat/app/direct/crash_detector.py
+++ b/src/dandelioncleat/app/direct/crash_detector.py
@@ -33,6 +33,7 @@
 from dandelioncleat.app.direct.undecided_starts import UndecidedStarts
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import DirectRequest
+from dandelioncleat.ports.answer_watch import AnswerWatch
 from dandelioncleat.ports.direct_target import DirectTargets, TargetStatus
 
 # The runs that one crash interrupts are reported within this time.
@@ -123,15 +124,19 @@
         target: TargetEntry,
         *,
         leaves: Callable[[], bool],
+        watch: AnswerWatch | None = None,
     ) -> None:
         """Remember a run that has ended while its target may go on with it.
 
         :param leaves: returns whether the target's end is planned
+        :param watch: tells whether the target drops the run
         """
         newest = self._listed.started_at(target.id)
         is_replaced = newest is not None and newest > target.started_at
         if not run.is_after_crash and not is_replaced:
-            self._abandoned.add(run, target, now=_now(), leaves=leaves)
+            self._abandoned.add(
+                run, target, now=_now(), leaves=leaves, watch=watch
+            )
 
     def note_doubt(self, start: str) -> None:
         """Find out whether a start has crashed under runs nobody waits for."""
--- a/src/dandelioncleat/app/direct/crash_quarantine.py
+++ b/src/dandelioncleat/app/direct/crash_quarantine.py
@@ -24,6 +24,7 @@
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import DirectRequest
 from dandelioncleat.core.quarantine_trial import QuarantineTrials
+from dandelioncleat.ports.answer_watch import AnswerWatch
 from dandelioncleat.ports.clock import Clock
 from dandelioncleat.ports.direct_target import DirectTargets
 from dandelioncleat.ports.store import KeyedStore
@@ -153,14 +154,18 @@
         target: TargetEntry,
         *,
         leaves: Callable[[], bool],
+        watch: AnswerWatch | None = None,
     ) -> None:
         """Remember a run that has ended while its target may go on with it.
 
         :param leaves: returns whether the target's end is planned
+        :param watch: tells whether the target drops the run
         """
         request = request_suspect(run.request)
         if not self._evidence.successes.has(request, _now()):
-            self._detector.note_abandoned(run, target, leaves=leaves)
+            self._detector.note_abandoned(
+                run, target, leaves=leaves, watch=watch
+            )
 
     def note_unreachable(self, target: TargetEntry) -> None:
         """Note that a target could not be reached, or broke off a poll."""
--- a/src/dandelioncleat/app/direct/lost_runs.py
+++ b/src/dandelioncleat/app/direct/lost_runs.py
@@ -6,6 +6,7 @@
 from dandelioncleat.core.crash_suspect import CrashSuspect, suspects_of
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import DirectRequest
+from dandelioncleat.ports.answer_watch import AnswerWatch
 
 
 class WatchedRun(NamedTuple):
@@ -46,8 +47,9 @@
     """A run that ended without an answer while its target may go on with it.
 
     Times are event loop times in seconds. Of equal runs at one start
-    ``sent_at`` and ``first_ended_at`` are those of the first, ``request`` and
-    ``ended_at`` those of the last.
+    ``sent_at`` and ``first_ended_at`` are those of the first, ``request``,
+    ``ended_at`` and ``watch`` those of the last. ``watch`` tells whether the
+    target has dropped the run.
     """
 
     request: str
@@ -57,6 +59,12 @@
     sent_at: float
     first_ended_at: float
     ended_at: float
+    watch: AnswerWatch | None = None
+
+    @property
+    def dropped_at(self) -> float | None:
+        """Return when the target dropped the run, ``None`` if it has not."""
+        return None if self.watch is None else self.watch.dropped_at
 
 
 class DeliveredRun(NamedTuple):
--- a/src/dandelioncleat/app/direct/watched_attempt.py
+++ b/src/dandelioncleat/app/direct/watched_attempt.py
@@ -61,7 +61,12 @@
             quarantine=quarantine,
         )
         return
-    quarantine.note_abandoned(run, state.entry, leaves=lambda: state.is_leaving)
+    quarantine.note_abandoned(
+        run,
+        state.entry,
+        leaves=lambda: state.is_leaving,
+        watch=context.answer_watch,
+    )
 
 
 def _report_outcome(
--- a/src/dandelioncleat/core/crash_cause.py
+++ b/src/dandelioncleat/core/crash_cause.py
@@ -30,11 +30,8 @@
 
 # What runs beside a cause may lose two targets in a row to it.
 MIN_CRASHES = 3
-# A run that had ended may have been dropped, so it takes one more. Crashes that
-# come together count once, as a power loss takes many targets.
-MIN_ABANDONED_CRASHES = 4
-# A run that waited may not have begun at its target, so that takes one more,
-# too.
+# A part whose runs waited may not have begun at the target, so it takes one
+# more.
 MIN_WAITING_CRASHES = 4
 # Several causes at the same time explain parts of what each has done.
 CERTAIN_CRASHES = 7
@@ -98,9 +95,9 @@
         if self.is_request:
             interrupted = len(self.starts - self.abandoned_starts)
             abandoned = self._moments(self.abandoned_starts)
-            if interrupted >= MIN_CRASHES:
-                return True
-            return interrupted + abandoned >= MIN_ABANDONED_CRASHES
+            # Those of runs that had ended count once if they come together, as
+            # a power loss takes many targets.
+            return interrupted + abandoned >= MIN_CRASHES
         begun = self._moments(self.starts - self.waiting_starts)
         least = MIN_CRASHES if begun >= MIN_CRASHES else MIN_WAITING_CRASHES
         if self._moments(self.at_by_start) < least:
--- a/src/dandelioncleat/ports/answer_watch.py
+++ b/src/dandelioncleat/ports/answer_watch.py
@@ -12,8 +12,8 @@
     """Tells whether the run of a request may have begun.
 
     ``may_have_begun`` is an upper bound: a request that was sent has begun
-    until its target shows that it dropped it. ``decode`` reads the notice in
-    the head of an answer.
+    until its target shows that it dropped it, at ``dropped_at``, an event loop
+    time in seconds. ``decode`` reads the notice in the head of an answer.
     """
 
     def __init__(
@@ -25,6 +25,7 @@
             requests, also if nobody waits for the answer any more
         """
         self.may_have_begun = False
+        self.dropped_at: float | None = None
         self.decode: DecodeNotice | None = None
         self._on_notice = on_notice
         self._is_known = asyncio.Event()
@@ -50,6 +51,7 @@
         """
         if is_dropped:
             self.may_have_begun = False
+            self.dropped_at = asyncio.get_running_loop().time()
         self._is_known.set()
 
     async def wait(self) -> None:
--- a/tests/test_abandoned_runs.py
+++ b/tests/test_abandoned_runs.py
@@ -7,7 +7,6 @@
 from dandelioncleat.app.direct.abandoned_runs import MAX_RUNS, AbandonedRuns
 from dandelioncleat.app.direct.delivered_runs import OUTLIVED_S
 from dandelioncleat.core.crash_cause import (
-    MIN_ABANDONED_CRASHES,
     MIN_CRASHES,
     find_causes,
 )
@@ -16,6 +15,7 @@
 from dandelioncleat.core.direct_request import ModelPrompt, PromptPart
 from dandelioncleat.core.outlived_runs import OutlivedRuns
 from dandelioncleat.core.quarantine_trial import QuarantineTrials
+from dandelioncleat.ports.answer_watch import AnswerWatch
 from dandelioncleat.ports.direct_target import TargetStatus
 from tests.builders.direct import (
     crashed,
@@ -36,7 +36,7 @@
 class RestartedTargetTest(testtools.TestCase):
     """A target that starts again has crashed under what it was given."""
 
-    def _refusing(self, times=MIN_ABANDONED_CRASHES, *, after_s=0.4, **options):
+    def _refusing(self, times=MIN_CRASHES, *, after_s=0.4, **options):
         async def scenario(fleet):
             for number in range(times):
                 router = fleet.routers[number % len(fleet.routers)]
@@ -55,7 +55,7 @@
         self.assertEqual(3, self._refusing(after_s=2))
 
     def test_three_crashes_are_not_enough(self):
-        self.assertEqual(0, self._refusing(MIN_ABANDONED_CRASHES - 1))
+        self.assertEqual(0, self._refusing(MIN_CRASHES - 1))
 
     def test_restart_of_a_target_that_was_leaving_is_no_crash(self):
         self.assertEqual(0, self._refusing(is_leaving=True))
@@ -194,7 +194,7 @@
     def test_targets_that_lost_their_power_together_count_once(self):
         records = [
             CrashRecord('d', f'i/{start}', 10, REQUEST_DEPTH, False, True)
-            for start in range(MIN_ABANDONED_CRASHES)
+            for start in range(MIN_CRASHES)
         ]
         self.assertEqual({}, find_causes(records))
 
@@ -222,6 +222,45 @@
         self.assertFalse(self._is_cleared(9, crashes=2, age_s=11))
 
 
+class DroppedRunTest(testtools.TestCase):
+    """A run that its target dropped says nothing about its request.
+
+    Where some targets drop such runs, those that they had outlived spoke for
+    requests that crashed the others.
+    """
+
+    def _runs(self, *, dropped_at):
+        """Return the runs of one that ended at 1 s."""
+        watch = AnswerWatch()
+        watch.dropped_at = dropped_at
+        runs = AbandonedRuns()
+        runs.add(run_of(1), target(1), now=1, leaves=lambda: False, watch=watch)
+        return runs
+
+    def _survived(self, *, dropped_at):
+        runs = self._runs(dropped_at=dropped_at)
+        return len(runs.take_survived(target(1).start, 5)), len(runs)
+
+    def _suspected(self, *, dropped_at, lost_at):
+        runs = self._runs(dropped_at=dropped_at)
+        return len(runs.near(target(1).start, lost_at, now=2))
+
+    def test_target_that_went_on_has_outlived_it(self):
+        self.assertEqual((1, 0), self._survived(dropped_at=None))
+
+    def test_target_that_dropped_it_has_not(self):
+        self.assertEqual((0, 0), self._survived(dropped_at=1.1))
+
+    def test_it_is_not_blamed_for_a_later_crash(self):
+        suspected = self._suspected(dropped_at=1.1, lost_at=[1.5])
+        self.assertEqual(0, suspected)
+        self.assertEqual(1, self._suspected(dropped_at=None, lost_at=[1.5]))
+
+    def test_connection_that_closes_in_a_crash_drops_nothing(self):
+        self.assertEqual(1, self._suspected(dropped_at=1.5, lost_at=[1.5]))
+        self.assertEqual(1, self._suspected(dropped_at=1.5, lost_at=[]))
+
+
 class TrialTest(testtools.TestCase):
     """A request that is blamed for abandoned runs is tried soon."""
 
@@ -277,14 +316,14 @@
 
     def _answer(self, path, give_up):
         async def scenario(fleet):
-            for number in range(MIN_ABANDONED_CRASHES):
+            for number in range(MIN_CRASHES):
                 await _list_again(fleet, number)
                 fleet.app.answers = [never_answered(), crashed(fleet.app)]
                 await give_up(fleet, path)
                 await fleet.call(f'/once/other-{number}')
                 await wait_for_crash(fleet, fleet.app, number + 1)
                 await fleet.app.start()
-            await _list_again(fleet, MIN_ABANDONED_CRASHES)
+            await _list_again(fleet, MIN_CRASHES)
             fleet.app.answers = [text_answer('ok')]
             again = await fleet.call(path)
             return again[0], again[2]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -55,6 +55,9 @@
     def test_crashes_after_callers_have_left(self):
         self._play('crash-left', seed=611, targets=10)
 
+    def test_crashes_of_targets_of_which_some_drop_what_callers_leave(self):
+        self._play('crash-left-some', seed=621, targets=10)
+
     def test_parts_that_crash_targets_before_a_byte_of_the_answer(self):
         self._play('parts-nothing', seed=700, targets=10)
 
