Keep no bodies of delivered requests while their targets outlive them

What is kept is now the run without its body, as of abandoned runs. DeliveredBodyTest failed before.

--- a/src/dandelioncleat/app/direct/crash_detector.py
+++ b/src/dandelioncleat/app/direct/crash_detector.py
@@ -29,6 +29,7 @@
     LostRun,
     LostRuns,
     WatchedRun,
+    ended_run,
 )
 from dandelioncleat.app.direct.undecided_starts import UndecidedStarts
 from dandelioncleat.core.deployment import TargetEntry
@@ -67,13 +68,13 @@
     ``on_crash`` records a crash and returns the keys of its records,
     ``on_alive`` gets the keys of records that were wrong, as the target lives.
     ``on_outlived`` gets abandoned runs that their target has outlived,
-    ``on_sound`` a request that has succeeded.
+    ``on_sound`` a run that has succeeded.
     """
 
     on_crash: Callable[[LostRuns], set[str]]
     on_alive: Callable[[set[str]], None]
     on_outlived: Callable[[list[AbandonedRun]], None]
-    on_sound: Callable[[DirectRequest], None]
+    on_sound: Callable[[AbandonedRun], None]
 
 
 class CrashDetector:
@@ -277,7 +278,7 @@
     """Take the answers that look whole of a target that lives for sound."""
     for each in runs:
         if each.looks_whole:
-            delivered.note_sound(each.run.request)
+            delivered.note_sound(ended_run(each.run, each.lost_at))
 
 
 def _now() -> float:
--- a/src/dandelioncleat/app/direct/crash_evidence.py
+++ b/src/dandelioncleat/app/direct/crash_evidence.py
@@ -13,8 +13,7 @@
     find_causes,
 )
 from dandelioncleat.core.crash_records import CrashRecord
-from dandelioncleat.core.crash_suspect import CrashSuspect, suspects_of
-from dandelioncleat.core.direct_request import DirectRequest
+from dandelioncleat.core.crash_suspect import CrashSuspect
 from dandelioncleat.core.outlived_runs import OutlivedRuns
 from dandelioncleat.core.quarantine_trial import QuarantineTrials
 from dandelioncleat.core.recent_success import RecentSuccesses
@@ -72,17 +71,16 @@
         self._records.add(records)
         return {record.key for record in records}
 
-    def note_success(self, request: DirectRequest) -> None:
+    def note_success(self, run: AbandonedRun) -> None:
         """Withdraw what was recorded of all that has now succeeded."""
-        suspects = suspects_of(request)
-        self.successes.note(suspects, _now())
-        keys = self._records.known.keys_of(suspects)
+        self.successes.note(run.suspects, _now())
+        keys = self._records.known.keys_of(run.suspects)
         if not keys:
             return
         _logger.info(
             'crash records withdrawn',
-            request=request.id,
-            digest=request.digest,
+            request=run.request,
+            digest=run.digest,
             records=len(keys),
         )
         self._records.withdraw(keys)
--- a/src/dandelioncleat/app/direct/delivered_runs.py
+++ b/src/dandelioncleat/app/direct/delivered_runs.py
@@ -9,14 +9,12 @@
 
 from dandelioncleat.app.direct.lost_runs import (
     AbandonedRun,
-    DeliveredRun,
     LostRuns,
     WatchedRun,
+    ended_run,
 )
 from dandelioncleat.app.direct.undecided_starts import UndecidedStarts
-from dandelioncleat.core.crash_suspect import suspects_of
 from dandelioncleat.core.deployment import TargetEntry
-from dandelioncleat.core.direct_request import DirectRequest
 
 # A crash later than this after a whole answer is not blamed on it.
 OUTLIVED_S = 0.15
@@ -24,23 +22,26 @@
 
 
 class DeliveredRuns:
-    """Keeps the latest whole answers of each start of a target."""
+    """Keeps the latest whole answers of each start of a target.
+
+    The bodies of their requests are not kept.
+    """
 
     def __init__(
         self,
         undecided: UndecidedStarts,
         *,
-        on_sound: Callable[[DirectRequest], None],
+        on_sound: Callable[[AbandonedRun], None],
     ) -> None:
         """Start without an answer.
 
         :param undecided: the starts that may have crashed
-        :param on_sound: called with each request that has succeeded
+        :param on_sound: called with each run that has succeeded
         """
         self._undecided = undecided
         self._on_sound = on_sound
         self._targets_by_start: dict[str, TargetEntry] = {}
-        self._runs_by_start: defaultdict[str, list[DeliveredRun]] = defaultdict(
+        self._runs_by_start: defaultdict[str, list[AbandonedRun]] = defaultdict(
             list
         )
         self._crashed_starts: OrderedDict[str, None] = OrderedDict()
@@ -48,7 +49,7 @@
     def add(self, run: WatchedRun, target: TargetEntry) -> None:
         """Add a whole answer that has just come."""
         loop = asyncio.get_running_loop()
-        delivered = DeliveredRun(run, loop.time())
+        delivered = ended_run(run, loop.time())
         self._targets_by_start[target.start] = target
         self._runs_by_start[target.start].append(delivered)
         loop.call_later(
@@ -70,33 +71,33 @@
         )
         latest = self._runs_by_start.get(start, [])
         return tuple(
-            each.as_ended()
+            each
             for each in (*lost.delivered, *latest)
-            if crashed_at - OUTLIVED_S <= each.at <= crashed_at
+            if crashed_at - OUTLIVED_S <= each.ended_at <= crashed_at
         )
 
     def note_alive(self, lost: LostRuns) -> None:
         """Take the whole answers of a start that lives for successes."""
         self._crashed_starts.pop(lost.target.start, None)
         for each in lost.delivered:
-            self.note_sound(each.run.request)
+            self.note_sound(each)
         lost.delivered = []
 
-    def note_sound(self, request: DirectRequest) -> None:
-        """Take a request for sound."""
-        self._undecided.note_sound(suspects_of(request))
-        self._on_sound(request)
+    def note_sound(self, run: AbandonedRun) -> None:
+        """Take a run for a success."""
+        self._undecided.note_sound(run.suspects)
+        self._on_sound(run)
 
-    def _note_outlived(self, delivered: DeliveredRun, start: str) -> None:
+    def _note_outlived(self, delivered: AbandonedRun, start: str) -> None:
         """Decide about a whole answer, unless its target may have crashed."""
         self._discard(delivered, start)
         lost = self._undecided.get(start)
         if lost is not None:
             lost.delivered.append(delivered)
         elif start not in self._crashed_starts:
-            self.note_sound(delivered.run.request)
+            self.note_sound(delivered)
 
-    def _discard(self, delivered: DeliveredRun, start: str) -> None:
+    def _discard(self, delivered: AbandonedRun, start: str) -> None:
         runs = self._runs_by_start[start]
         runs.remove(delivered)
         if not runs:
--- a/src/dandelioncleat/app/direct/lost_runs.py
+++ b/src/dandelioncleat/app/direct/lost_runs.py
@@ -44,7 +44,7 @@
 
 
 class AbandonedRun(NamedTuple):
-    """A run that ended without an answer while its target may go on with it.
+    """A run that has ended while its target may go on with it, or crash.
 
     Times are event loop times in seconds. Of equal runs at one start
     ``sent_at`` and ``first_ended_at`` are those of the first, ``request``,
@@ -67,24 +67,21 @@
         return None if self.watch is None else self.watch.dropped_at
 
 
-class DeliveredRun(NamedTuple):
-    """A run and when its whole answer came, an event loop time in seconds."""
+def ended_run(run: WatchedRun, ended_at: float) -> AbandonedRun:
+    """Return what is kept of a run that has ended, without its body.
 
-    run: WatchedRun
-    at: float
-
-    def as_ended(self) -> AbandonedRun:
-        """Return the run as one that had ended before a crash."""
-        request = self.run.request
-        return AbandonedRun(
-            request.id,
-            request.digest,
-            suspects_of(request),
-            self.run.repeated,
-            sent_at=self.run.sent_at,
-            first_ended_at=self.at,
-            ended_at=self.at,
-        )
+    :param ended_at: an event loop time in seconds
+    """
+    request = run.request
+    return AbandonedRun(
+        request.id,
+        request.digest,
+        suspects_of(request),
+        run.repeated,
+        sent_at=run.sent_at,
+        first_ended_at=ended_at,
+        ended_at=ended_at,
+    )
 
 
 class LostRuns:
@@ -112,7 +109,7 @@
         """
         self.since = since
         self.abandoned: tuple[AbandonedRun, ...] = ()
-        self.delivered: list[DeliveredRun] = []
+        self.delivered: list[AbandonedRun] = []
         self.target = target
         self.is_leaving = is_leaving
         self.runs: list[LostRun] = []
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -1,6 +1,7 @@
 """Tests of requests that crash the targets that run them."""
 
 import asyncio
+import sys
 
 import testtools
 
@@ -315,3 +316,19 @@
         )[0] != 503:
             await asyncio.sleep(0.01)
     task.cancel()
+
+
+class DeliveredBodyTest(testtools.TestCase):
+    """A body is not kept while its target has yet to outlive the answer.
+
+    Beside a crowd with large bodies a router needed 10 MB more.
+    """
+
+    def test_body_is_forgotten_at_once(self):
+        async def scenario(fleet):
+            body = bytes(1000)
+            references = sys.getrefcount(body)
+            fleet.routers[0].note_delivered(run_of(1, body=body), target(1))
+            return sys.getrefcount(body) - references
+
+        self.assertEqual(0, run_with_quarantines(scenario))
