Simplify what the review's fixes wrote twice

No behaviour changes. Abandoned runs are built by ended_run, as delivered ones are; the latest whole answers of a start and its target are one record in place of two tables with equal keys; the starts of which all records are of one sort are found by one function; the parts' threshold is one condition; a parameter of MarkWriter that nobody passed is gone.

--- a/src/dandelioncleat/app/direct/abandoned_runs.py
+++ b/src/dandelioncleat/app/direct/abandoned_runs.py
@@ -9,8 +9,11 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from dandelioncleat.app.direct.lost_runs import AbandonedRun, WatchedRun
-from dandelioncleat.core.crash_suspect import suspects_of
+from dandelioncleat.app.direct.lost_runs import (
+    AbandonedRun,
+    WatchedRun,
+    ended_run,
+)
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.ports.answer_watch import AnswerWatch
 
@@ -69,19 +72,13 @@
         digest = run.request.digest
         start.digests.add(digest)
         key = (target.start, digest)
+        ended = ended_run(run, now)._replace(watch=watch)
         known = self._runs.pop(key, None)
-        if known is not None and known.dropped_at is not None:
-            known = None
-        self._runs[key] = AbandonedRun(
-            run.request.id,
-            digest,
-            suspects_of(run.request),
-            run.repeated,
-            sent_at=run.sent_at if known is None else known.sent_at,
-            first_ended_at=now if known is None else known.first_ended_at,
-            ended_at=now,
-            watch=watch,
-        )
+        if known is not None and known.dropped_at is None:
+            ended = ended._replace(
+                sent_at=known.sent_at, first_ended_at=known.first_ended_at
+            )
+        self._runs[key] = ended
         self._drop_oldest(now)
 
     def target(self, start: str) -> TargetEntry | None:
--- a/src/dandelioncleat/app/direct/delivered_runs.py
+++ b/src/dandelioncleat/app/direct/delivered_runs.py
@@ -4,8 +4,9 @@
 """
 
 import asyncio
-from collections import OrderedDict, defaultdict
+from collections import OrderedDict
 from collections.abc import Callable
+from typing import NamedTuple
 
 from dandelioncleat.app.direct.lost_runs import (
     AbandonedRun,
@@ -21,6 +22,13 @@
 MAX_CRASHED_STARTS = 1000
 
 
+class _Latest(NamedTuple):
+    """The whole answers that a start of a target has yet to outlive."""
+
+    target: TargetEntry
+    runs: list[AbandonedRun]
+
+
 class DeliveredRuns:
     """Keeps the latest whole answers of each start of a target.
 
@@ -40,25 +48,25 @@
         """
         self._undecided = undecided
         self._on_sound = on_sound
-        self._targets_by_start: dict[str, TargetEntry] = {}
-        self._runs_by_start: defaultdict[str, list[AbandonedRun]] = defaultdict(
-            list
-        )
+        self._latest_by_start: dict[str, _Latest] = {}
         self._crashed_starts: OrderedDict[str, None] = OrderedDict()
 
     def add(self, run: WatchedRun, target: TargetEntry) -> None:
         """Add a whole answer that has just come."""
         loop = asyncio.get_running_loop()
         delivered = ended_run(run, loop.time())
-        self._targets_by_start[target.start] = target
-        self._runs_by_start[target.start].append(delivered)
+        latest = self._latest_by_start.setdefault(
+            target.start, _Latest(target, [])
+        )
+        latest.runs.append(delivered)
         loop.call_later(
             OUTLIVED_S, self._note_outlived, delivered, target.start
         )
 
     def target(self, start: str) -> TargetEntry | None:
         """Return the entry of a start with such answers, else ``None``."""
-        return self._targets_by_start.get(start)
+        latest = self._latest_by_start.get(start)
+        return None if latest is None else latest.target
 
     def note_crash(self, lost: LostRuns) -> tuple[AbandonedRun, ...]:
         """Return the whole answers that a crashed start has not outlived."""
@@ -69,10 +77,10 @@
         crashed_at = min(
             (each.lost_at for each in lost.runs), default=lost.since
         )
-        latest = self._runs_by_start.get(start, [])
+        latest = self._latest_by_start.get(start, _Latest(lost.target, []))
         return tuple(
             each
-            for each in (*lost.delivered, *latest)
+            for each in (*lost.delivered, *latest.runs)
             if crashed_at - OUTLIVED_S <= each.ended_at <= crashed_at
         )
 
@@ -90,16 +98,12 @@
 
     def _note_outlived(self, delivered: AbandonedRun, start: str) -> None:
         """Decide about a whole answer, unless its target may have crashed."""
-        self._discard(delivered, start)
+        latest = self._latest_by_start[start]
+        latest.runs.remove(delivered)
+        if not latest.runs:
+            self._latest_by_start.pop(start)
         lost = self._undecided.get(start)
         if lost is not None:
             lost.delivered.append(delivered)
         elif start not in self._crashed_starts:
             self.note_sound(delivered)
-
-    def _discard(self, delivered: AbandonedRun, start: str) -> None:
-        runs = self._runs_by_start[start]
-        runs.remove(delivered)
-        if not runs:
-            self._runs_by_start.pop(start)
-            self._targets_by_start.pop(start)
--- a/src/dandelioncleat/app/direct/mark_writer.py
+++ b/src/dandelioncleat/app/direct/mark_writer.py
@@ -39,23 +39,13 @@
     The epoch fences off late appends of earlier processes of the host.
     """
 
-    def __init__(
-        self,
-        store: KeyedStore,
-        topic: str,
-        *,
-        host: str,
-        generator: random.Random | None = None,
-    ) -> None:
-        """Initialise with the store and the topic of the marks.
-
-        :param generator: draws the first sequence number of each epoch
-        """
+    def __init__(self, store: KeyedStore, topic: str, *, host: str) -> None:
+        """Initialise with the store and the topic of the marks."""
         self.epoch = 0
         self._store = store
         self._topic = topic
         self._host = host
-        self._generator = generator or random.Random()
+        self._generator = random.Random()
         self._sequence = 0
 
     async def fence(self, after_epoch: int) -> None:
--- a/src/dandelioncleat/core/crash_cause.py
+++ b/src/dandelioncleat/core/crash_cause.py
@@ -99,8 +99,8 @@
             # a power loss takes many targets.
             return interrupted + abandoned >= MIN_CRASHES
         begun = self._moments(self.starts - self.waiting_starts)
-        least = MIN_CRASHES if begun >= MIN_CRASHES else MIN_WAITING_CRASHES
-        if self._moments(self.at_by_start) < least:
+        moments = self._moments(self.at_by_start)
+        if begun < MIN_CRASHES and moments < MIN_WAITING_CRASHES:
             return False
         return self._moments(self.repeated_starts) >= MIN_REPEATS
 
@@ -225,15 +225,21 @@
             max(each.depth for each in own),
             _at_by_start(own),
             frozenset(each.start for each in own if each.is_repeat),
-            frozenset(each.start for each in own if each.is_abandoned)
-            - frozenset(each.start for each in own if not each.is_abandoned),
-            frozenset(each.start for each in own if each.is_waiting)
-            - frozenset(each.start for each in own if not each.is_waiting),
+            _starts_of_all(own, lambda each: each.is_abandoned),
+            _starts_of_all(own, lambda each: each.is_waiting),
         )
         for suspect, own in records_by_suspect.items()
     ]
 
 
+def _starts_of_all(
+    records: list[CrashRecord], is_such: Callable[[CrashRecord], bool]
+) -> frozenset[str]:
+    """Return the starts of which all records are of one sort."""
+    others = {each.start for each in records if not is_such(each)}
+    return frozenset(each.start for each in records) - others
+
+
 def _at_by_start(records: list[CrashRecord]) -> dict[str, float]:
     at_by_start: dict[str, float] = {}
     for record in records:
