--- a/tests/builders/crash_storm.py
+++ b/tests/builders/crash_storm.py
@@ -87,7 +87,6 @@
         self._started = 0
         self._starts = [self._new_start() for _ in range(shape.targets)]
         self._crashes_at = defaultdict(list)
-        self._crashes = 0
         self._bad_sends_at = defaultdict(list)
         self._refused = 0
         self._sound = 0
@@ -122,7 +121,8 @@
 
     def _report(self):
         late = max(map(self._late_sends, self._bad_sends_at), default=0)
-        return StormReport(self._crashes, late, self._refused, self._sound)
+        crashes = sum(map(len, self._crashes_at.values()))
+        return StormReport(crashes, late, self._refused, self._sound)
 
     def _late_sends(self, part):
         crashes_at = self._crashes_at[part]
@@ -208,7 +208,6 @@
     def _crash_under(self, start, bad_part):
         if not start.crashed.is_set():
             self._crashes_at[bad_part].append(_now())
-            self._crashes += 1
             self._crash(start)
 
     async def _crash_some(self, at):
--- a/tests/builders/direct.py
+++ b/tests/builders/direct.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import socket
-import struct
 from typing import NamedTuple
 
 import aiohttp
 import msgspec
 from aiohttp import web
 
+from dandelioncleat.adapters.connection_reset import reset_on_close
 from dandelioncleat.daemons.direct_router import DirectRouter, Sockets
 from dandelioncleat.daemons.direct_settings import (
     DirectListen,
@@ -269,9 +269,7 @@
         head = '\r\n'.join(('HTTP/1.1 200 OK', *lines, '', ''))
         request.transport.write(head.encode() + body)
         if reset:
-            request.transport.get_extra_info('socket').setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-            )
+            reset_on_close(request.transport, is_on=True)
         request.transport.close()
         return web.Response()
 
--- a/tests/builders/killed_router.py
+++ b/tests/builders/killed_router.py
@@ -23,17 +23,16 @@
 class OpenEndedTarget:
     """The answers of a target that wait for an event before their last part."""
 
-    def __init__(self, *, is_chunked, content_type):
+    def __init__(self, *, is_chunked):
         """Initialise with the form of the answers."""
         self.may_end = asyncio.Event()
         self._is_chunked = is_chunked
-        self._content_type = content_type
 
     async def __call__(self, request, run):
         """Answer a request."""
         response = web.StreamResponse(
             headers={
-                'Content-Type': self._content_type,
+                'Content-Type': 'text/event-stream',
                 'Request-Id': run.id,
                 'Server-Stamp': f'stamp.{run.id}',
             }
@@ -50,13 +49,7 @@
         return response
 
 
-async def answer_of_router(
-    *,
-    is_chunked,
-    version,
-    is_killed,
-    content_type='text/event-stream',
-):
+async def answer_of_router(*, is_chunked, version, is_killed):
     """Return the answer to a caller, as it is on the wire.
 
     :param is_chunked: whether the target sends chunks, or neither these nor a
@@ -68,9 +61,7 @@
         record = fleets.Record(Path(folder) / 'record.txt')
         fleet = fleets.Fleet(record, routers=1, gateways=1)
         target = Server(fleet, 'app-1', SERVICE, is_model=False)
-        target.answer = OpenEndedTarget(
-            is_chunked=is_chunked, content_type=content_type
-        )
+        target.answer = OpenEndedTarget(is_chunked=is_chunked)
         try:
             await fleet.store.start()
             _configure(fleet)
--- a/tests/builders/raw_targets.py
+++ b/tests/builders/raw_targets.py
@@ -1,10 +1,9 @@
 """Builders of targets that write bytes of their own."""
 
 import asyncio
-import socket
-import struct
 from typing import NamedTuple
 
+from dandelioncleat.adapters.connection_reset import reset_connection
 from dandelioncleat.core.deployment import TargetEntry
 from dandelioncleat.core.direct_request import DirectRequest
 from dandelioncleat.core.failure import FailureError
@@ -18,7 +17,7 @@
 CLOSE_LAG_S = 0.1
 
 
-class RawAnswer(NamedTuple):
+class ScriptedAnswer(NamedTuple):
     """What a target writes, and how it ends its connection.
 
     :param is_early: whether it answers before it reads the request's body
@@ -63,10 +62,7 @@
         await writer.drain()
         if self._answer.is_reset:
             await asyncio.sleep(CLOSE_LAG_S)
-            sock = writer.get_extra_info('socket')
-            linger = struct.pack('ii', 1, 0)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
+            reset_connection(writer.transport)
             return
         writer.write_eof()
         if self._answer.reads_on:
--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -159,10 +159,15 @@
     return COUNTED_CRASHES
 
 
-def _late_sends(arrivals, contact_s, counted):
-    crashes = sorted(
+def crash_times(arrivals):
+    """Return when targets crashed under some arrivals, in order."""
+    return sorted(
         each.at + each.delay_s for each in arrivals if each.has_crashed
     )
+
+
+def _late_sends(arrivals, contact_s, counted):
+    crashes = crash_times(arrivals)
     if len(crashes) < counted:
         return 0
     bound = crashes[counted - 1] + contact_s
--- a/tests/soak/crashing_parts.py
+++ b/tests/soak/crashing_parts.py
@@ -16,6 +16,7 @@
     CRASHING_PART,
     Crash,
     Remainder,
+    crash_times,
     next_name,
 )
 
@@ -70,7 +71,6 @@
 
     id: str
     sent_at: float
-    status: int | None
     reason: str | None
 
 
@@ -170,9 +170,7 @@
     )
     if first == 0 and not second.startswith(CRASHING_PART):
         reason = reply.headers.get('dandelioncleat-refusal')
-        soak.sound_prompts.append(
-            SoundPrompt(name, sent_at, reply.status, reason)
-        )
+        soak.sound_prompts.append(SoundPrompt(name, sent_at, reason))
 
 
 def sound_share(soak, *, contact_s):
@@ -182,9 +180,7 @@
         for target in soak.model_targets
         for arrival in target.crashing_arrivals
     ]
-    crashes = sorted(
-        each.at + each.delay_s for each in arrivals if each.has_crashed
-    )
+    crashes = crash_times(arrivals)
     if not crashes:
         return SoundShare(0, 0, 0, 0, 0)
     counted = crashes[:COUNTED_PART_CRASHES][-1]
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -204,17 +204,18 @@
             request.transport.write(part_answer(request, self.part_crash.end))
         if self.part_crash.end is PartEnd.WHOLE:
             await asyncio.sleep(WHOLE_LEAD_S)
-        if self.born == born and self._server.is_serving():
-            self.crashing_arrivals[number] = arrival._replace(
-                has_crashed=True, delay_s=time.monotonic() - arrival.at
-            )
-            self._crash()
+        self._crash_if_up(number, born)
 
     async def _crash_later(self, arrival, born):
         number = len(self.crashing_arrivals)
         self.crashing_arrivals.append(arrival)
         await asyncio.sleep(self.crash_delay_s)
+        self._crash_if_up(number, born)
+
+    def _crash_if_up(self, number, born):
+        """Crash under an arrival, unless the target has crashed since."""
         if self.born == born and self._server.is_serving():
+            arrival = self.crashing_arrivals[number]
             self.crashing_arrivals[number] = arrival._replace(
                 has_crashed=True, delay_s=time.monotonic() - arrival.at
             )
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -8,7 +8,7 @@
 from tests.builders.raw_targets import (
     BODY,
     SHORT_BODY,
-    RawAnswer,
+    ScriptedAnswer,
     outcome_of,
 )
 
@@ -49,7 +49,7 @@
                 data = head(start, version=version, kind=kind) + part
                 outcome = asyncio.run(
                     outcome_of(
-                        RawAnswer(data, **options),
+                        ScriptedAnswer(data, **options),
                         body=body,
                         is_forwarded=is_forwarded,
                     )
@@ -80,7 +80,8 @@
     """An answer that ends in order after the whole request is whole."""
 
     def _received(self, data, **options):
-        return asyncio.run(outcome_of(RawAnswer(data, **options), body=BODY))
+        answer = ScriptedAnswer(data, **options)
+        return asyncio.run(outcome_of(answer, body=BODY))
 
     def test_answer_without_a_length(self):
         outcome = self._received(head() + PART)
@@ -102,7 +103,7 @@
         for status in NO_STATUSES:
             for framing in (b'Content-Length: 0\r\n', b''):
                 for is_forwarded in (False, True):
-                    answer = RawAnswer(head(framing, status=status))
+                    answer = ScriptedAnswer(head(framing, status=status))
                     outcome = asyncio.run(
                         outcome_of(answer, is_forwarded=is_forwarded)
                     )
@@ -111,7 +112,7 @@
     def test_statuses(self):
         for status in (200, 204, 299, 302, 404, 418, 500, 599):
             data = head(b'Content-Length: 0\r\n', status=b'%d S' % status)
-            outcome = asyncio.run(outcome_of(RawAnswer(data)))
+            outcome = asyncio.run(outcome_of(ScriptedAnswer(data)))
             self.assertEqual((status, b''), outcome)
 
     def test_caller_gets_a_failure(self):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -23,7 +23,7 @@
 from tests.builders.contexts import new_context
 from tests.builders.direct import RecordedReply, run_with_fleet
 from tests.builders.logs import captured_lines
-from tests.builders.raw_targets import RawAnswer, RawTarget
+from tests.builders.raw_targets import RawTarget, ScriptedAnswer
 
 PEER = ProcessEntry(ProcessRole.ROUTER, 'h2', 'z', '10.0.0.2:80')
 
@@ -177,7 +177,7 @@
             deployment = SimpleNamespace(current=SimpleNamespace(version=1))
             targets = HttpTargets()
             reply = RecordedReply()
-            async with RawTarget(RawAnswer(data)) as address:
+            async with RawTarget(ScriptedAnswer(data)) as address:
                 forwarding = _forwarding(
                     deployment,
                     _PeerAt(targets, address),
