Play on after a soak's own callers stood still

What stopped the process there is not shown: nothing noted it.

Change: a thread watches the callers' event loop. The verdict lists each stall, whether the whole process had no processor, and else where the loop stood. Callers play the time that they stood still once more, so that as much is played and judged as the plan says; no check or bound changes.

The test of the callers' second run fails without the change: there was one run.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Short soaks of the deploy file's programs as real processes."""
 
 import asyncio
+import time
 from types import SimpleNamespace
 
 import testtools
@@ -9,7 +10,8 @@
 from tests.builders.retry_judge import RetryLimit, repeats_of, worst_window
 from tests.soak.crashes import Arrival, late_sends
 from tests.soak.limits import Pause, Receipt, Used, sent_in_pauses
-from tests.soak.play import Plan, play
+from tests.soak.play import Plan, play, run_callers
+from tests.soak.stalls import STALL_S, StallWatch
 
 import fleet as fleets  # isort: skip  (found by the package of the soak)
 
@@ -150,3 +152,39 @@
 
     def test_a_disrupted_router_is_excused(self):
         self.assertEqual(0, self._passed([0.6, 0.7, 0.8], is_excused=True))
+
+
+class StallTest(testtools.TestCase):
+    """Callers that stood still do not end a soak that shows nothing."""
+
+    def _play(self, *blocked_s):
+        """Return for how long callers are let run, in seconds, and the stalls.
+
+        :param blocked_s: how long each run of the callers blocks the loop
+        """
+        lengths_s = []
+        blocks_s = iter(blocked_s)
+        block = time.sleep
+
+        async def run(until):
+            lengths_s.append(until - time.monotonic())
+            await asyncio.sleep(0)
+            block(next(blocks_s))
+
+        async def play_watched():
+            async with StallWatch() as watch:
+                await run_callers([SimpleNamespace(run=run)], 1.0, watch)
+                return watch.stalls
+
+        return lengths_s, asyncio.run(play_watched())
+
+    def test_callers_make_up_for_the_time_in_which_they_stood_still(self):
+        lengths_s, stalls = self._play(2 * STALL_S, 0)
+        self.assertEqual(2, len(lengths_s))
+        self.assertGreater(lengths_s[1], 2 * STALL_S - 0.1)
+        self.assertIn('test_soak.py', stalls[0].where)
+        self.assertFalse(stalls[0].is_whole)
+
+    def test_callers_that_never_stand_still_run_once(self):
+        lengths_s, stalls = self._play(0)
+        self.assertEqual((1, []), (len(lengths_s), stalls))
