Blame a closed run for a crash soon after its target closed the connection

A closed connection was taken for a dropped run, but only most targets drop a run then; some go on with it.

A crash within 0.5 s of the close is now blamed on the run. So that a sound request whose callers always leave is not blamed for what crashes beside it, closed runs that targets outlive speak against blaming others of their kind, three for each crash, from three at a router on. They clear nothing of what is known, which cleared requests that crash every second target.

test_it_is_not_blamed_for_a_later_crash took a close for a drop, which is the fault: it asks for no blame 0.4 s after the close. It now asks for blame until 0.5 s, and for none after it.

--- a/src/dandelioncleat/app/direct/abandoned_runs.py
+++ b/src/dandelioncleat/app/direct/abandoned_runs.py
@@ -22,9 +22,9 @@
 # A crash is found out within this time, from the next entry of its target.
 MAX_AGE_S = 10.0
 MAX_RUNS = 1000
-# A target that drops a run closes its connection as a crash does. What it has
-# dropped this much before a crash has not caused it.
-DROP_LEAD_S = 0.1
+# Most targets drop a run as they close its connection, but some go on with it.
+# A crash later than this after the close is not blamed on the run.
+CLOSED_WORK_S = 0.5
 
 
 class _Start(NamedTuple):
@@ -65,7 +65,7 @@
 
         :param now: event loop time in seconds
         :param leaves: returns whether the target's end is planned
-        :param watch: tells whether the target drops the run
+        :param watch: tells whether the target closes the run's connection
         """
         starts = self._starts_by_target[target.id]
         start = starts.setdefault(target.start, _Start(target, leaves, set()))
@@ -74,7 +74,7 @@
         key = (target.start, digest)
         ended = ended_run(run, now)._replace(watch=watch)
         known = self._runs.pop(key, None)
-        if known is not None and known.dropped_at is None:
+        if known is not None and known.closed_at is None:
             ended = ended._replace(
                 sent_at=known.sent_at, first_ended_at=known.first_ended_at
             )
@@ -122,14 +122,12 @@
             for run in runs
             if run.ended_at >= min(moments) - WORK_S
             and run.sent_at <= max(moments)
-            and not _was_dropped(run, min(moments) - DROP_LEAD_S)
+            and not _was_closed(run, min(moments) - CLOSED_WORK_S)
         )
 
     def take_survived(self, start: str, moment: float) -> list[AbandonedRun]:
         """Return what a start has outlived, and drop the runs that have ended.
 
-        A run that it has dropped says nothing about the request.
-
         :param moment: when the start was alive, an event loop time in seconds
         """
         found = self._start(start)
@@ -140,8 +138,7 @@
             run = self._runs[start, digest]
             if run.first_ended_at >= moment - WORK_S:
                 continue
-            if run.dropped_at is None:
-                survived.append(run)
+            survived.append(run)
             if run.ended_at < moment - WORK_S:
                 self._drop(start, digest)
             else:
@@ -180,6 +177,6 @@
             self._starts_by_target.pop(target)
 
 
-def _was_dropped(run: AbandonedRun, moment: float) -> bool:
-    """Return whether a target had dropped a run before a moment."""
-    return run.dropped_at is not None and run.dropped_at < moment
+def _was_closed(run: AbandonedRun, moment: float) -> bool:
+    """Return whether a target had closed a run's connection by a moment."""
+    return run.closed_at is not None and run.closed_at < moment
--- a/src/dandelioncleat/app/direct/crash_evidence.py
+++ b/src/dandelioncleat/app/direct/crash_evidence.py
@@ -19,6 +19,10 @@
 from dandelioncleat.core.recent_success import RecentSuccesses
 from dandelioncleat.ports.clock import Clock
 
+# Runs whose connections their targets closed tell little one by one, since most
+# targets drop them and some go on.
+MIN_CLOSED_RUNS = 3
+
 _logger = structlog.get_logger(__name__)
 
 
@@ -40,6 +44,7 @@
         """
         self.successes = RecentSuccesses()
         self._outlived = OutlivedRuns()
+        self._outlived_closed = OutlivedRuns(least=MIN_CLOSED_RUNS)
         self._routers = routers
         self._records = records
         self._trials = trials
@@ -89,12 +94,17 @@
         """Withdraw what was recorded of runs that their target outlived.
 
         What interrupted runs tell remains, and a quarantine is ended only by
-        runs that were sent after the last crash.
+        runs that were sent after the last crash. A run whose connection the
+        target closed may have been dropped, so it withdraws nothing; it only
+        speaks against blaming others of its kind.
         """
         keys: list[str] = []
         for run in runs:
-            self._outlived.note(run.suspects, _now())
-            keys += self._outlived_keys(run)
+            if run.closed_at is None:
+                self._outlived.note(run.suspects, _now())
+                keys += self._outlived_keys(run)
+            else:
+                self._outlived_closed.note(run.suspects, _now())
         if keys:
             _logger.info(
                 'crash records of abandoned runs withdrawn', records=len(keys)
@@ -107,20 +117,30 @@
         keys: list[str] = []
         for suspect in run.suspects:
             cause = causes_by_suspect.get(suspect.key)
-            is_sound = self._is_cleared(suspect)
+            is_sound = self._is_cleared(suspect, self._outlived)
             if cause is not None:
                 is_sound = cause.last_at < sent_at
             if is_sound:
                 keys += self._records.known.abandoned_keys_of(suspect)
         return keys
 
-    def _is_cleared(self, suspect: CrashSuspect) -> bool:
+    def _is_cleared(
+        self, suspect: CrashSuspect, outlived: OutlivedRuns
+    ) -> bool:
         """Return whether what targets outlived clears a suspect."""
         crashes = len(self._records.known.abandoned_keys_of(suspect))
-        return self._outlived.clear(
+        return outlived.clear(
             suspect, _now(), crashes=crashes, routers=self._routers()
         )
 
+    def _is_cleared_by_closed(
+        self, run: AbandonedRun, suspect: CrashSuspect
+    ) -> bool:
+        """Return whether a closed run is cleared by others of its kind."""
+        return run.closed_at is not None and self._is_cleared(
+            suspect, self._outlived_closed
+        )
+
     def _note_causes(self, causes_by_suspect: dict[str, CrashCause]) -> None:
         for begun in causes_by_suspect.keys() - self._causes_by_suspect.keys():
             is_known = self.successes.knows(begun)
@@ -175,7 +195,8 @@
             for run in lost.abandoned
             for suspect in run.suspects
             if not self.successes.has(suspect, run.ended_at)
-            and not self._is_cleared(suspect)
+            and not self._is_cleared(suspect, self._outlived)
+            and not self._is_cleared_by_closed(run, suspect)
         ]
 
 
--- a/src/dandelioncleat/app/direct/lost_runs.py
+++ b/src/dandelioncleat/app/direct/lost_runs.py
@@ -49,7 +49,7 @@
     Times are event loop times in seconds. Of equal runs at one start
     ``sent_at`` and ``first_ended_at`` are those of the first, ``request``,
     ``ended_at`` and ``watch`` those of the last. ``watch`` tells whether the
-    target has dropped the run.
+    target has closed the connection, as one does that drops the run.
     """
 
     request: str
@@ -62,8 +62,8 @@
     watch: AnswerWatch | None = None
 
     @property
-    def dropped_at(self) -> float | None:
-        """Return when the target dropped the run, ``None`` if it has not."""
+    def closed_at(self) -> float | None:
+        """Return when the target closed the connection without an output."""
         return None if self.watch is None else self.watch.dropped_at
 
 
--- a/src/dandelioncleat/core/outlived_runs.py
+++ b/src/dandelioncleat/core/outlived_runs.py
@@ -20,8 +20,12 @@
 class OutlivedRuns:
     """Keeps when runs of each suspect were outlived, for a bounded number."""
 
-    def __init__(self) -> None:
-        """Start without a run."""
+    def __init__(self, *, least: int = 1) -> None:
+        """Start without a run.
+
+        :param least: fewer runs of this router never clear a suspect
+        """
+        self._least = least
         self._times_by_suspect: OrderedDict[str, deque[float]] = OrderedDict()
 
     def note(self, suspects: Iterable[CrashSuspect], now: float) -> None:
@@ -49,4 +53,6 @@
         """
         times = self._times_by_suspect.get(suspect.key, ())
         recent = sum(now - at < OUTLIVED_AGE_S for at in times)
+        if recent < self._least:
+            return False
         return recent * max(1, routers) >= RUNS_PER_CRASH * (crashes + 1)
--- a/tests/builders/quarantine.py
+++ b/tests/builders/quarantine.py
@@ -30,14 +30,26 @@
     return TargetEntry('i', 's', '10.0.0.1:80', 'z', 8, False, started_at)
 
 
-def abandon(router, number, entry, *, is_leaving=False, prompt=None, **options):
+def abandon(
+    router,
+    number,
+    entry,
+    *,
+    is_leaving=False,
+    prompt=None,
+    watch=None,
+    **options,
+):
     """Let the caller of a run leave while its target goes on with it.
 
     :param is_leaving: whether the target's end is planned
+    :param watch: tells whether the target closes the connection
     """
     given_up = request(number, **options)._replace(prompt=prompt)
     run_now = router.watch(given_up, is_after_loss=False)
-    router.note_abandoned(run_now, entry, leaves=lambda: is_leaving)
+    router.note_abandoned(
+        run_now, entry, leaves=lambda: is_leaving, watch=watch
+    )
 
 
 class FakeTargets:
--- a/tests/test_abandoned_runs.py
+++ b/tests/test_abandoned_runs.py
@@ -222,43 +222,90 @@
         self.assertFalse(self._is_cleared(9, crashes=2, age_s=11))
 
 
-class DroppedRunTest(testtools.TestCase):
-    """A run that its target dropped says nothing about its request.
+class ClosedRunTest(testtools.TestCase):
+    """A target that closes the connection of a run may still go on with it.
 
-    Where some targets drop such runs, those that they had outlived spoke for
-    requests that crashed the others.
+    Most drop it. A request that crashed the others was neither blamed where
+    another run broke off, nor was a sound one cleared by those that dropped it.
     """
 
-    def _runs(self, *, dropped_at):
+    def _runs(self, *, closed_at):
         """Return the runs of one that ended at 1 s."""
-        watch = AnswerWatch()
-        watch.dropped_at = dropped_at
         runs = AbandonedRuns()
-        runs.add(run_of(1), target(1), now=1, leaves=lambda: False, watch=watch)
+        runs.add(
+            run_of(1),
+            target(1),
+            now=1,
+            leaves=lambda: False,
+            watch=_closed(closed_at),
+        )
         return runs
 
-    def _survived(self, *, dropped_at):
-        runs = self._runs(dropped_at=dropped_at)
-        return len(runs.take_survived(target(1).start, 5)), len(runs)
-
-    def _suspected(self, *, dropped_at, lost_at):
-        runs = self._runs(dropped_at=dropped_at)
+    def _suspected(self, *, closed_at, lost_at):
+        runs = self._runs(closed_at=closed_at)
         return len(runs.near(target(1).start, lost_at, now=2))
 
-    def test_target_that_went_on_has_outlived_it(self):
-        self.assertEqual((1, 0), self._survived(dropped_at=None))
+    def test_target_has_outlived_it(self):
+        for closed_at in (None, 1.1):
+            runs = self._runs(closed_at=closed_at)
+            self.assertEqual(1, len(runs.take_survived(target(1).start, 5)))
+            self.assertEqual(0, len(runs))
 
-    def test_target_that_dropped_it_has_not(self):
-        self.assertEqual((0, 0), self._survived(dropped_at=1.1))
+    def test_it_is_blamed_for_a_crash_soon_after(self):
+        self.assertEqual(1, self._suspected(closed_at=1.1, lost_at=[1.5]))
 
     def test_it_is_not_blamed_for_a_later_crash(self):
-        suspected = self._suspected(dropped_at=1.1, lost_at=[1.5])
-        self.assertEqual(0, suspected)
-        self.assertEqual(1, self._suspected(dropped_at=None, lost_at=[1.5]))
+        self.assertEqual(0, self._suspected(closed_at=1.1, lost_at=[1.7]))
+        self.assertEqual(1, self._suspected(closed_at=None, lost_at=[1.7]))
 
     def test_connection_that_closes_in_a_crash_drops_nothing(self):
-        self.assertEqual(1, self._suspected(dropped_at=1.5, lost_at=[1.5]))
-        self.assertEqual(1, self._suspected(dropped_at=1.5, lost_at=[]))
+        self.assertEqual(1, self._suspected(closed_at=1.5, lost_at=[1.5]))
+        self.assertEqual(1, self._suspected(closed_at=1.5, lost_at=[]))
+
+    def _refusing(self, *, outlived_each):
+        """Let targets crash soon after they closed a run's connection.
+
+        :param outlived_each: runs whose connections other targets closed, for
+            each crash and at the same router
+        """
+
+        async def scenario(fleet):
+            for number in range(MIN_CRASHES):
+                router = fleet.routers[number % len(fleet.routers)]
+                await _outlive_closed(router, outlived_each)
+                watch = _closed(asyncio.get_running_loop().time())
+                abandon(router, number, target(2 * number), watch=watch)
+                await asyncio.sleep(0.4)
+                fleet.list_start(2 * number + 1)
+                await asyncio.sleep(0.2)
+            return fleet.refusing()
+
+        return run_with_quarantines(scenario, status=TargetStatus.ANSWERED)
+
+    def test_request_is_refused_though_some_targets_drop_it(self):
+        self.assertEqual(3, self._refusing(outlived_each=0))
+        self.assertEqual(3, self._refusing(outlived_each=1))
+
+    def test_sound_request_that_nearly_all_targets_outlive(self):
+        self.assertEqual(0, self._refusing(outlived_each=3))
+
+
+def _closed(closed_at):
+    """Return the watch of a run whose connection its target closed."""
+    watch = AnswerWatch()
+    watch.dropped_at = closed_at
+    return watch
+
+
+async def _outlive_closed(router, count):
+    """Let targets live on after they closed the connections of runs."""
+    others = [target(1)._replace(id=f'other-{each}') for each in range(count)]
+    for other in others:
+        watch = _closed(asyncio.get_running_loop().time())
+        abandon(router, 1, other, watch=watch)
+    await asyncio.sleep(3)
+    for other in others:
+        router.note_entry(other)
 
 
 class TrialTest(testtools.TestCase):
