Name runs that have ended as what they are

AbandonedRun also stood for runs whose whole answers their targets have yet to outlive. It is now EndedRun; no behaviour changes. The tests of quarantines, detection and abandoned runs pass.

--- a/src/dandelioncleat/app/direct/abandoned_runs.py
+++ b/src/dandelioncleat/app/direct/abandoned_runs.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from dandelioncleat.app.direct.lost_runs import (
-    AbandonedRun,
+    EndedRun,
     WatchedRun,
     ended_run,
 )
@@ -43,7 +43,7 @@
 
     def __init__(self) -> None:
         """Start without a run."""
-        self._runs: OrderedDict[tuple[str, str], AbandonedRun] = OrderedDict()
+        self._runs: OrderedDict[tuple[str, str], EndedRun] = OrderedDict()
         self._starts_by_target: defaultdict[str, dict[str, _Start]] = (
             defaultdict(dict)
         )
@@ -102,7 +102,7 @@
 
     def near(
         self, start: str, lost_at: Iterable[float], *, now: float
-    ) -> tuple[AbandonedRun, ...]:
+    ) -> tuple[EndedRun, ...]:
         """Return the runs that may have crashed a start.
 
         :param lost_at: when other runs there broke off, event loop times in
@@ -125,7 +125,7 @@
             and not _was_closed(run, min(moments) - CLOSED_WORK_S)
         )
 
-    def take_survived(self, start: str, moment: float) -> list[AbandonedRun]:
+    def take_survived(self, start: str, moment: float) -> list[EndedRun]:
         """Return what a start has outlived, and drop the runs that have ended.
 
         :param moment: when the start was alive, an event loop time in seconds
@@ -133,7 +133,7 @@
         found = self._start(start)
         if found is None:
             return []
-        survived: list[AbandonedRun] = []
+        survived: list[EndedRun] = []
         for digest in tuple(found.digests):
             run = self._runs[start, digest]
             if run.first_ended_at >= moment - WORK_S:
@@ -177,6 +177,6 @@
             self._starts_by_target.pop(target)
 
 
-def _was_closed(run: AbandonedRun, moment: float) -> bool:
+def _was_closed(run: EndedRun, moment: float) -> bool:
     """Return whether a target had closed a run's connection by a moment."""
     return run.closed_at is not None and run.closed_at < moment
--- a/src/dandelioncleat/app/direct/crash_detector.py
+++ b/src/dandelioncleat/app/direct/crash_detector.py
@@ -25,7 +25,7 @@
 from dandelioncleat.app.direct.crash_mark import SIGN_DELAY_S
 from dandelioncleat.app.direct.delivered_runs import DeliveredRuns
 from dandelioncleat.app.direct.lost_runs import (
-    AbandonedRun,
+    EndedRun,
     LostRun,
     LostRuns,
     WatchedRun,
@@ -73,8 +73,8 @@
 
     on_crash: Callable[[LostRuns], set[str]]
     on_alive: Callable[[set[str]], None]
-    on_outlived: Callable[[list[AbandonedRun]], None]
-    on_sound: Callable[[AbandonedRun], None]
+    on_outlived: Callable[[list[EndedRun]], None]
+    on_sound: Callable[[EndedRun], None]
 
 
 class CrashDetector:
@@ -267,7 +267,7 @@
 
 def _ended_before(
     lost: LostRuns, abandoned: AbandonedRuns, delivered: DeliveredRuns
-) -> tuple[AbandonedRun, ...]:
+) -> tuple[EndedRun, ...]:
     """Return the runs that had ended and that a crash may be blamed on."""
     lost_at = [each.lost_at for each in lost.runs]
     near = abandoned.near(lost.target.start, lost_at, now=_now())
--- a/src/dandelioncleat/app/direct/crash_evidence.py
+++ b/src/dandelioncleat/app/direct/crash_evidence.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from dandelioncleat.app.direct.lost_runs import AbandonedRun, LostRuns
+from dandelioncleat.app.direct.lost_runs import EndedRun, LostRuns
 from dandelioncleat.app.direct.shared_crash_records import SharedCrashRecords
 from dandelioncleat.core.crash_cause import (
     MIN_CRASHES,
@@ -76,7 +76,7 @@
         self._records.add(records)
         return {record.key for record in records}
 
-    def note_success(self, run: AbandonedRun) -> None:
+    def note_success(self, run: EndedRun) -> None:
         """Withdraw what was recorded of all that has now succeeded."""
         self.successes.note(run.suspects, _now())
         keys = self._records.known.keys_of(run.suspects)
@@ -90,7 +90,7 @@
         )
         self._records.withdraw(keys)
 
-    def note_outlived(self, runs: list[AbandonedRun]) -> None:
+    def note_outlived(self, runs: list[EndedRun]) -> None:
         """Withdraw what was recorded of runs that their target outlived.
 
         What interrupted runs tell remains, and a quarantine is ended only by
@@ -111,7 +111,7 @@
             )
             self._records.withdraw(keys)
 
-    def _outlived_keys(self, run: AbandonedRun) -> list[str]:
+    def _outlived_keys(self, run: EndedRun) -> list[str]:
         sent_at = self._clock.wall() - (_now() - run.sent_at)
         causes_by_suspect = self.causes()
         keys: list[str] = []
@@ -134,7 +134,7 @@
         )
 
     def _is_cleared_by_closed(
-        self, run: AbandonedRun, suspect: CrashSuspect
+        self, run: EndedRun, suspect: CrashSuspect
     ) -> bool:
         """Return whether a closed run is cleared by others of its kind."""
         return run.closed_at is not None and self._is_cleared(
--- a/src/dandelioncleat/app/direct/delivered_runs.py
+++ b/src/dandelioncleat/app/direct/delivered_runs.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from dandelioncleat.app.direct.lost_runs import (
-    AbandonedRun,
+    EndedRun,
     LostRuns,
     WatchedRun,
     ended_run,
@@ -26,7 +26,7 @@
     """The whole answers that a start of a target has yet to outlive."""
 
     target: TargetEntry
-    runs: list[AbandonedRun]
+    runs: list[EndedRun]
 
 
 class DeliveredRuns:
@@ -39,7 +39,7 @@
         self,
         undecided: UndecidedStarts,
         *,
-        on_sound: Callable[[AbandonedRun], None],
+        on_sound: Callable[[EndedRun], None],
     ) -> None:
         """Start without an answer.
 
@@ -68,7 +68,7 @@
         latest = self._latest_by_start.get(start)
         return None if latest is None else latest.target
 
-    def note_crash(self, lost: LostRuns) -> tuple[AbandonedRun, ...]:
+    def note_crash(self, lost: LostRuns) -> tuple[EndedRun, ...]:
         """Return the whole answers that a crashed start has not outlived."""
         start = lost.target.start
         self._crashed_starts[start] = None
@@ -91,12 +91,12 @@
             self.note_sound(each)
         lost.delivered = []
 
-    def note_sound(self, run: AbandonedRun) -> None:
+    def note_sound(self, run: EndedRun) -> None:
         """Take a run for a success."""
         self._undecided.note_sound(run.suspects)
         self._on_sound(run)
 
-    def _note_outlived(self, delivered: AbandonedRun, start: str) -> None:
+    def _note_outlived(self, delivered: EndedRun, start: str) -> None:
         """Decide about a whole answer, unless its target may have crashed."""
         latest = self._latest_by_start[start]
         latest.runs.remove(delivered)
--- a/src/dandelioncleat/app/direct/lost_runs.py
+++ b/src/dandelioncleat/app/direct/lost_runs.py
@@ -43,7 +43,7 @@
         return suspects_of(self.run.request)
 
 
-class AbandonedRun(NamedTuple):
+class EndedRun(NamedTuple):
     """A run that has ended while its target may go on with it, or crash.
 
     Times are event loop times in seconds. Of equal runs at one start
@@ -67,13 +67,13 @@
         return None if self.watch is None else self.watch.dropped_at
 
 
-def ended_run(run: WatchedRun, ended_at: float) -> AbandonedRun:
+def ended_run(run: WatchedRun, ended_at: float) -> EndedRun:
     """Return what is kept of a run that has ended, without its body.
 
     :param ended_at: an event loop time in seconds
     """
     request = run.request
-    return AbandonedRun(
+    return EndedRun(
         request.id,
         request.digest,
         suspects_of(request),
@@ -108,8 +108,8 @@
             seconds
         """
         self.since = since
-        self.abandoned: tuple[AbandonedRun, ...] = ()
-        self.delivered: list[AbandonedRun] = []
+        self.abandoned: tuple[EndedRun, ...] = ()
+        self.delivered: list[EndedRun] = []
         self.target = target
         self.is_leaving = is_leaving
         self.runs: list[LostRun] = []
