--- a/src/dandelioncleat/app/direct/abandoned_runs.py
+++ b/src/dandelioncleat/app/direct/abandoned_runs.py
@@ -106,7 +106,7 @@
         """Return the runs that may have crashed a start.
 
         :param lost_at: when other runs there broke off, event loop times in
-            seconds
+            seconds; without any the time of the crash is not known
         :param now: event loop time in seconds
         """
         found = self._start(start)
