Test that outlived closed runs clear nothing that is known

test_target_that_dropped_it_has_not asked that a run whose connection its target closed is not outlived. Such runs are outlived now and speak against blaming others of their kind, so what that test guarded is asked of the records: nine such runs leave the record of a crash, nine runs that their targets kept withdraw it.

--- a/tests/test_abandoned_runs.py
+++ b/tests/test_abandoned_runs.py
@@ -272,7 +272,7 @@
         async def scenario(fleet):
             for number in range(MIN_CRASHES):
                 router = fleet.routers[number % len(fleet.routers)]
-                await _outlive_closed(router, outlived_each)
+                await _outlive(router, outlived_each)
                 watch = _closed(asyncio.get_running_loop().time())
                 abandon(router, number, target(2 * number), watch=watch)
                 await asyncio.sleep(0.4)
@@ -289,6 +289,25 @@
     def test_sound_request_that_nearly_all_targets_outlive(self):
         self.assertEqual(0, self._refusing(outlived_each=3))
 
+    def _records(self, *, is_closed):
+        """Return the records of a crash, and after others outlived runs."""
+
+        async def scenario(fleet):
+            abandon(fleet.routers[0], 1, target(0))
+            await asyncio.sleep(0.4)
+            fleet.list_start(1)
+            await asyncio.sleep(1)
+            before = await fleet.records()
+            await _outlive(fleet.routers[0], 9, is_closed=is_closed)
+            await asyncio.sleep(1)
+            return before, await fleet.records()
+
+        return run_with_quarantines(scenario, status=TargetStatus.ANSWERED)
+
+    def test_outlived_it_clears_nothing_that_is_known(self):
+        self.assertEqual((1, 1), self._records(is_closed=True))
+        self.assertEqual((1, 0), self._records(is_closed=False))
+
 
 def _closed(closed_at):
     """Return the watch of a run whose connection its target closed."""
@@ -297,12 +316,12 @@
     return watch
 
 
-async def _outlive_closed(router, count):
-    """Let targets live on after they closed the connections of runs."""
+async def _outlive(router, count, *, is_closed=True):
+    """Let targets live on after they closed the connections of runs, or not."""
     others = [target(1)._replace(id=f'other-{each}') for each in range(count)]
+    closed_at = asyncio.get_running_loop().time() if is_closed else None
     for other in others:
-        watch = _closed(asyncio.get_running_loop().time())
-        abandon(router, 1, other, watch=watch)
+        abandon(router, 1, other, watch=_closed(closed_at))
     await asyncio.sleep(3)
     for other in others:
         router.note_entry(other)
