Look up the state of a target's start in one place

Forwarding found the state of the start that another router named just as the list does for crashes: by the target's id, and then by comparing the start. Both call state_of_start now. The storms of parts that tests play with and without whole answers share their check; seeds, shapes and bounds are as before. No behaviour changes.

--- a/src/dandelioncleat/app/direct/forwarding.py
+++ b/src/dandelioncleat/app/direct/forwarding.py
@@ -18,7 +18,10 @@
 )
 from dandelioncleat.app.direct.run_context import RunContext
 from dandelioncleat.app.direct.stream_relay import relay_stream
-from dandelioncleat.app.direct.target_directory import TargetDirectory
+from dandelioncleat.app.direct.target_directory import (
+    TargetDirectory,
+    state_of_start,
+)
 from dandelioncleat.app.direct.topic_age import rounded_age_s
 from dandelioncleat.app.direct.wallet import Wallet
 from dandelioncleat.core.direct_request import (
@@ -221,8 +224,8 @@
     start = answer.head.target_start
     if start is None:
         return
-    state = directory.state(start.rpartition('/')[0])
-    if state is not None and state.entry.start == start:
+    state = state_of_start(directory, start)
+    if state is not None:
         state.wishes.apply(TargetNotice(is_leaving=True), _now())
 
 
--- a/src/dandelioncleat/app/direct/listed_targets.py
+++ b/src/dandelioncleat/app/direct/listed_targets.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
-from dandelioncleat.app.direct.target_directory import TargetDirectory
+from dandelioncleat.app.direct.target_directory import (
+    TargetDirectory,
+    state_of_start,
+)
 
 
 class ListedTargets:
@@ -24,6 +27,6 @@
 
     def note_crash(self, start: str) -> None:
         """Avoid a start of a target that has crashed, as any router found."""
-        state = self._directory.state(start.rpartition('/')[0])
-        if state is not None and state.entry.start == start:
+        state = state_of_start(self._directory, start)
+        if state is not None:
             state.crash_mark.note_crash(asyncio.get_running_loop().time())
--- a/src/dandelioncleat/app/direct/target_directory.py
+++ b/src/dandelioncleat/app/direct/target_directory.py
@@ -202,6 +202,15 @@
         self._removed.add(state)
 
 
+def state_of_start(
+    directory: TargetDirectory, start: str
+) -> TargetState | None:
+    """Return the state of a start of a target, ``None`` if it is not listed."""
+    state = directory.state(start.rpartition('/')[0])
+    is_listed = state is not None and state.entry.start == start
+    return state if is_listed else None
+
+
 def _kv_tokens(
     services_by_name: Mapping[str, Service], entry: TargetEntry
 ) -> int:
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -92,14 +92,19 @@
     return answer.head.split()[1]
 
 
+def _check_storms(case, seeds, **shape):
+    """Check that both the bad part and the sound prompts get their due."""
+    for seed in seeds:
+        report = play_storm(seed, **shape)
+        case.assertThat(report.late, LessThan(ALLOWED_LATE + 1))
+        case.assertThat(2 * report.refused, LessThan(report.sound))
+
+
 class StormTest(testtools.TestCase):
     """Prompts with a bad part come at all routers among sound ones."""
 
     def _check(self, **shape):
-        for seed in range(6):
-            report = play_storm(seed, **shape)
-            self.assertThat(report.late, LessThan(ALLOWED_LATE + 1))
-            self.assertThat(2 * report.refused, LessThan(report.sound))
+        _check_storms(self, range(6), **shape)
 
     def test_bad_part_behind_one_that_sound_prompts_share(self):
         self._check()
@@ -148,10 +153,7 @@
     """
 
     def _check(self, **shape):
-        for seed in range(4):
-            report = play_storm(seed, is_whole=True, **shape)
-            self.assertThat(report.late, LessThan(ALLOWED_LATE + 1))
-            self.assertThat(2 * report.refused, LessThan(report.sound))
+        _check_storms(self, range(4), is_whole=True, **shape)
 
     def test_one_bad_part(self):
         self._check()
