--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-CROWDS = tests/test_crowds.py
+CROWDS = $(wildcard tests/test_crowds*.py)
 
 .PHONY: setup demo test test-some lint format lock
 
@@ -20,8 +20,8 @@
 
 # The crowds measure the memory of a process, so each plays alone.
 test: setup
-	$(BIN)/python -m pytest -n 6 --dist worksteal --ignore=$(CROWDS) $(PYTEST_ARGS)
-	$(BIN)/python -m pytest -n 0 $(CROWDS)
+	$(BIN)/python -m pytest -n 6 --dist worksteal $(addprefix --ignore=,$(CROWDS)) $(PYTEST_ARGS)
+	$(BIN)/python -m pytest -n 0 $(CROWDS) $(PYTEST_ARGS)
 
 test-some: setup
 	$(BIN)/python -m pytest -n 0 $(PYTEST_ARGS)
