Bound heads in sum, and the requests that wait, over all connections of a process

Callers of a crowd made a process hold hundreds of MiB, past the memory of its machine. aiohttp bounds each line of a head and the number of fields, so one head may have 128 fields of 16 KiB, kept as bytes and as text; it parses 32 requests ahead of the one under way, each with such a head and with up to 128 KiB of its body. The bounds were for each connection alone, and counted lines, not bytes.

Now the fields of a head have headerBytes together (16 KiB at other addresses), refused with 431 as soon as they have passed it; 4 requests wait parsed behind the one under way, the rest waits as bytes; and what heads and unread bodies take is an estimate that all connections of the process hold of one pool (a twelfth of its memory, at most a sixth of what is beyond 64 MiB). A request for which nothing is left is answered 503 before anything has seen it, so that it has not run and never will. Gateways get memory_mb and max_fds from the platform, and a bound on their connections.

A caller inside the limits meets none of this: test_connection_memory.py sends the largest head, target and body, and a hundred requests ahead with the largest heads. Counter connections.refused by reason, connections.closed by reason.

--- a/src/dandelioncleat/adapters/bounded_server.py
+++ b/src/dandelioncleat/adapters/bounded_server.py
@@ -3,27 +3,16 @@
 import asyncio
 from typing import Any
 
-import structlog
-from aiohttp import StreamReader, web
-from aiohttp.http_exceptions import BadHttpMessage
-from aiohttp.web_protocol import RequestHandler, _ErrInfo
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
 
+from dandelioncleat.adapters.bounded_requests import BoundedRequests
 from dandelioncleat.adapters.connection_bound import ConnectionBound
-from dandelioncleat.adapters.read_limit import PacedProtocol
+from dandelioncleat.adapters.connection_memory import ConnectionMemory
 
-FAILED = 500
-# Bounds what is logged of bytes that are no request, in characters.
-MAX_REASON_LENGTH = 120
 
-_logger = structlog.get_logger(__name__)
-
-
-class BoundedRequestHandler(PacedProtocol, RequestHandler):
-    """Discards all that follows bytes that are no request.
-
-    aiohttp would keep an error for each piece of them until it has closed the
-    connection.
-    """
+class BoundedRequestHandler(BoundedRequests):
+    """Closes a connection that takes what the process needs for others."""
 
     def __init__(
         self,
@@ -37,7 +26,6 @@
         :param bound: limits the connections that are open
         """
         super().__init__(server, **options)
-        self._has_failed = False
         self._bound = bound
 
     @property
@@ -54,39 +42,6 @@
         transport = self.transport
         return transport is not None and transport.get_write_buffer_size() > 0
 
-    def _note_failure(self, message: object, payload: StreamReader) -> None:
-        """Discard what follows an error, and the bytes that it quotes."""
-        if not isinstance(message, _ErrInfo):
-            return
-        self._has_failed = True
-        reason = message.message[:MAX_REASON_LENGTH]
-        short = _ErrInfo(
-            status=message.status, exc=BadHttpMessage(reason), message=reason
-        )
-        self._messages[-1] = (short, payload)
-
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Answer what is no request, or could not be handled.
-
-        aiohttp would log and send back all that the peer has sent.
-        """
-        _logger.info(
-            'request cannot be read' if status < FAILED else 'request failed',
-            peer=request.remote,
-            status=status,
-            reason=(message or repr(exc))[:MAX_REASON_LENGTH],
-            exc_info=exc if status >= FAILED else None,
-        )
-        response = web.Response(status=status)
-        response.force_close()
-        return response
-
     def abort(self) -> None:
         """Close the connection at once."""
         if self.transport is not None:
@@ -113,27 +68,22 @@
             self._bound.note_answered(self)
         return finished
 
-    def data_received(self, data: bytes) -> None:
-        """Receive bytes of requests."""
-        if self._has_failed:
-            return
-        if data:
-            self.note_lines(data)
-        super().data_received(data)
-        if self._messages:
-            self._note_failure(*self._messages[-1])
-
 
 class BoundedServer(web.Server):
     """Creates connections that keep little of what a faulty peer sends."""
 
     bound: ConnectionBound | None = None
+    memory: ConnectionMemory | None = None
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
         loop = asyncio.get_running_loop()
         return BoundedRequestHandler(
-            self, bound=self.bound, loop=loop, **self._kwargs
+            self,
+            bound=self.bound,
+            memory=self.memory,
+            loop=loop,
+            **self._kwargs,
         )
 
 
@@ -144,14 +94,17 @@
         self,
         application: web.Application,
         *,
+        memory: ConnectionMemory,
         bound: ConnectionBound | None = None,
         **options: Any,
     ) -> None:
         """Initialise with the application.
 
+        :param memory: what all connections of the process may hold
         :param bound: limits the connections that are open
         """
         super().__init__(application, **options)
+        self._memory = memory
         self._bound = bound
 
     async def _make_server(self) -> web.Server:
@@ -163,4 +116,5 @@
             **server._kwargs,
         )
         bounded.bound = self._bound
+        bounded.memory = self._memory
         return bounded
--- a/src/dandelioncleat/adapters/connection_bound.py
+++ b/src/dandelioncleat/adapters/connection_bound.py
@@ -10,6 +10,8 @@
 
 import structlog
 
+from dandelioncleat.ports.telemetry import NullTelemetry, Telemetry
+
 # A crowd may open many connections a second.
 LOGGED_EVERY = 100
 
@@ -34,13 +36,16 @@
 class ConnectionBound:
     """Keeps the open connections of an address, the longest waiting first."""
 
-    def __init__(self, name: str, *, most: int) -> None:
+    def __init__(
+        self, name: str, *, most: int, telemetry: Telemetry | None = None
+    ) -> None:
         """Start without a connection.
 
         :param name: of the address, for log lines
         :param most: number of connections that are kept open
         """
         self.closed = 0
+        self._telemetry = telemetry or NullTelemetry()
         self._name = name
         self._most = max(1, most)
         self._connections: dict[BoundConnection, None] = {}
@@ -86,6 +91,7 @@
 
     def _count(self) -> None:
         self.closed += 1
+        self._telemetry.count('connections.closed', reason='too_many')
         if self.closed % LOGGED_EVERY == 1:
             _logger.warning(
                 'connections closed for others',
--- a/src/dandelioncleat/core/held_bytes.py
+++ b/src/dandelioncleat/core/held_bytes.py
@@ -20,14 +20,22 @@
 _BYTES_PER_MB = 1024 * 1024
 
 
+def pool_bytes(memory_mb: float) -> int:
+    """Return the size of one pool of a process.
+
+    :param memory_mb: memory of the process, in MiB
+    """
+    spare_mb = SPARE_SHARE * (memory_mb - PROCESS_MB)
+    pool_mb = max(MIN_POOL_MB, min(POOL_SHARE * memory_mb, spare_mb))
+    return int(pool_mb * _BYTES_PER_MB)
+
+
 class HeldBytes:
     """A pool of bytes that the messages of all peers share."""
 
     def __init__(self, memory_mb: float) -> None:
         """Initialise with the memory of the process, in MiB."""
-        spare_mb = SPARE_SHARE * (memory_mb - PROCESS_MB)
-        pool_mb = max(MIN_POOL_MB, min(POOL_SHARE * memory_mb, spare_mb))
-        self._most = int(pool_mb * _BYTES_PER_MB)
+        self._most = pool_bytes(memory_mb)
         self._held = 0
         self._held_by_peer: Counter[str] = Counter()
 
@@ -87,11 +95,16 @@
         self._taken += wanted
         return True
 
+    def shrink_to(self, size: int) -> None:
+        """Give back what a message of some size does not need."""
+        surplus = self._taken - max(0, size - FREE_BYTES)
+        if surplus > 0:
+            self._pool.give_back(self._peer, surplus)
+            self._taken -= surplus
+
     def release(self) -> None:
         """Give everything back."""
-        if self._taken:
-            self._pool.give_back(self._peer, self._taken)
-            self._taken = 0
+        self.shrink_to(0)
 
 
 class HeldAnswers:
--- a/src/dandelioncleat/daemons/direct_router.py
+++ b/src/dandelioncleat/daemons/direct_router.py
@@ -12,6 +12,7 @@
 
 from dandelioncleat.adapters.bounded_server import BoundedRequestHandler
 from dandelioncleat.adapters.connection_bound import ConnectionBound
+from dandelioncleat.adapters.connection_memory import new_connection_memory
 from dandelioncleat.adapters.listening import start_server
 from dandelioncleat.adapters.system_clock import SystemClock
 from dandelioncleat.app.direct.admission import Admission
@@ -296,12 +297,17 @@
         self._gauges = TopicGauges(
             {topic.topic: topic for topic in topics}, telemetry=telemetry
         )
+        self._memory = new_connection_memory(settings.memory_mb, telemetry)
         self._caller_bound = ConnectionBound(
-            'callers', most=settings.caller_connections
+            'callers', most=settings.caller_connections, telemetry=telemetry
         )
-        self._server = new_caller_server(
-            self.callers, DEFAULT_LIMITS, bound=self._caller_bound
+        self._new_caller_server = partial(
+            new_caller_server,
+            self.callers,
+            bound=self._caller_bound,
+            memory=self._memory,
         )
+        self._server = self._new_caller_server(DEFAULT_LIMITS)
         self._servers: list[web.Server] = [self._server]
         self._listener: asyncio.Server | None = None
 
@@ -418,6 +424,7 @@
         )
         await self._status_page.start(
             (self._sockets.ready, self._sockets.metrics),
+            memory=self._memory,
             is_ready=lambda: self.is_ready,
         )
 
@@ -439,9 +446,7 @@
         if deployment.limits != self._limits:
             self._limits = deployment.limits
             _limit_unread(self._sockets.callers, deployment.limits)
-            self._server = new_caller_server(
-                self.callers, deployment.limits, bound=self._caller_bound
-            )
+            self._server = self._new_caller_server(deployment.limits)
             self._servers.append(self._server)
 
 
--- a/src/dandelioncleat/daemons/direct_settings.py
+++ b/src/dandelioncleat/daemons/direct_settings.py
@@ -11,16 +11,15 @@
 
 from dandelioncleat.core.address import is_address
 from dandelioncleat.core.held_bytes import DEFAULT_MEMORY_MB
+from dandelioncleat.daemons.process_limits import (
+    DEFAULT_MAX_FDS,
+    FILE_DESCRIPTORS,
+    connection_limit,
+)
 
 # Traffic that a router's core handles: a prompt of some 10 kB comes in and goes
 # out again, and its answer, too.
 LINK_MBPS_PER_CORE = 30.0
-# Descriptors that are kept for files.
-FILE_DESCRIPTORS = 200
-# The rest of the descriptors is for targets, the store and other routers.
-CALLERS_SHARE = 0.5
-# A connection keeps up to 128 KiB of what it has read and not passed on.
-CONNECTIONS_PER_MB = 4
 
 
 class DirectListen(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -79,7 +78,7 @@
     processors: float = 1.0
     link_mbps: float = inf
     memory_mb: float = DEFAULT_MEMORY_MB
-    max_fds: int = 4096
+    max_fds: int = DEFAULT_MAX_FDS
     hedging: DirectHedging = DirectHedging()
 
     @property
@@ -96,9 +95,7 @@
     @property
     def caller_connections(self) -> int:
         """Return how many connections callers may keep open together."""
-        by_descriptors = CALLERS_SHARE * (self.max_fds - FILE_DESCRIPTORS)
-        by_memory = CONNECTIONS_PER_MB * self.memory_mb
-        return max(1, int(min(by_descriptors, by_memory)))
+        return connection_limit(max_fds=self.max_fds, memory_mb=self.memory_mb)
 
 
 class GatewayListen(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -109,7 +106,11 @@
 
 
 class GatewaySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """The settings of a gateway to the platform's store."""
+    """The settings of a gateway to the platform's store.
+
+    ``memory_mb`` is the memory that the process may use, in MiB, ``max_fds``
+    how many descriptors it may have.
+    """
 
     host: str
     data_centre: str
@@ -117,12 +118,19 @@
     listen: GatewayListen
     stop: DirectStop
     fleet_secret: str = ''
+    memory_mb: float = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_MAX_FDS
 
     @property
     def stop_limit_s(self) -> float:
         """Return the time that a planned stop may take, in seconds."""
         return self.stop.limit_s
 
+    @property
+    def router_connections(self) -> int:
+        """Return how many connections routers may keep open together."""
+        return connection_limit(max_fds=self.max_fds, memory_mb=self.memory_mb)
+
 
 SettingsT = TypeVar('SettingsT', DirectSettings, GatewaySettings)
 
@@ -192,8 +200,7 @@
     )
     if not 0 <= settings.hedging.share <= 1:
         defects.append('hedging.share: must be between 0 and 1')
-    if settings.max_fds <= FILE_DESCRIPTORS:
-        defects.append(f'max_fds: must be more than {FILE_DESCRIPTORS}')
+    defects.extend(_descriptor_defects(settings.max_fds))
     if settings.store_copy_age_s < 0:
         defects.append('store_copy_age_s: must not be negative')
     if settings.retries.window_s <= 0:
@@ -211,7 +218,16 @@
             'listen.metrics': settings.listen.metrics,
         }
     )
-    return [*defects, *_stop_defects(settings.stop)]
+    defects.extend(_stop_defects(settings.stop))
+    if not settings.memory_mb > 0:
+        defects.append('memory_mb: must be a positive number')
+    return [*defects, *_descriptor_defects(settings.max_fds)]
+
+
+def _descriptor_defects(max_fds: int) -> list[str]:
+    if max_fds > FILE_DESCRIPTORS:
+        return []
+    return [f'max_fds: must be more than {FILE_DESCRIPTORS}']
 
 
 def _address_defects(addresses_by_name: Mapping[str, str]) -> list[str]:
--- a/src/dandelioncleat/daemons/store_gateway.py
+++ b/src/dandelioncleat/daemons/store_gateway.py
@@ -8,6 +8,8 @@
 from aiohttp import web
 
 from dandelioncleat.adapters.bounded_server import BoundedAppRunner
+from dandelioncleat.adapters.connection_bound import ConnectionBound
+from dandelioncleat.adapters.connection_memory import new_connection_memory
 from dandelioncleat.adapters.listening import start_site
 from dandelioncleat.adapters.peer_server import PeerServer, add_peer_routes
 from dandelioncleat.adapters.system_clock import SystemClock
@@ -87,6 +89,10 @@
             version=int,
             on_version=_ignore_version,
         )
+        self._memory = new_connection_memory(settings.memory_mb, telemetry)
+        self._router_bound = ConnectionBound(
+            'routers', most=settings.router_connections, telemetry=telemetry
+        )
         self._runner: web.AppRunner | None = None
 
     async def run(self) -> None:
@@ -123,12 +129,18 @@
         application = web.Application()
         add_peer_routes(application, self._peers)
         self._runner = BoundedAppRunner(
-            application, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+            application,
+            memory=self._memory,
+            bound=self._router_bound,
+            access_log=None,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         await self._runner.setup()
         await start_site(self._runner, self._sockets.routers)
         await self._status_page.start(
-            (self._sockets.metrics,), is_ready=lambda: True
+            (self._sockets.metrics,),
+            memory=self._memory,
+            is_ready=lambda: True,
         )
 
     def _renew_if_restored(self, change: TopicChange) -> None:
--- a/src/dandelioncleat/platform/caller_server.py
+++ b/src/dandelioncleat/platform/caller_server.py
@@ -7,6 +7,7 @@
 from aiohttp.web_protocol import RequestHandler
 
 from dandelioncleat.adapters.connection_bound import ConnectionBound
+from dandelioncleat.adapters.connection_memory import ConnectionMemory
 from dandelioncleat.core.deployment import CallerLimits
 from dandelioncleat.platform.caller_connection import CallerConnection
 from dandelioncleat.platform.callers import CallerHandler
@@ -20,14 +21,15 @@
         handler: CallerHandler,
         limits: CallerLimits,
         bound: ConnectionBound | None,
+        memory: ConnectionMemory | None,
     ) -> None:
         super().__init__(handler.handle, handler_cancellation=True)
         self._options: dict[str, Any] = {
             'bound': bound,
+            'memory': memory,
             'header_s': limits.header_s,
             'keepalive_timeout': limits.idle_s,
-            'max_line_size': limits.header_bytes,
-            'max_field_size': limits.header_bytes,
+            'head_bytes': limits.header_bytes,
             'access_log': None,
             # Targets get the bytes that the caller has sent.
             'auto_decompress': False,
@@ -44,12 +46,14 @@
     limits: CallerLimits,
     *,
     bound: ConnectionBound | None = None,
+    memory: ConnectionMemory | None = None,
 ) -> web.Server:
     """Return a server for callers; requires a running event loop.
 
     :param bound: limits the connections of all callers
+    :param memory: what all connections of the process may hold
     """
-    return _CallerServer(handler, limits, bound)
+    return _CallerServer(handler, limits, bound, memory)
 
 
 def stop_reading(server: web.Server) -> None:
--- a/src/dandelioncleat/platform/half_closed_connection.py
+++ b/src/dandelioncleat/platform/half_closed_connection.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import structlog
-from aiohttp import HttpVersion11, StreamReader, web
+from aiohttp import HttpVersion11, web
 
 from dandelioncleat.adapters.bounded_server import BoundedRequestHandler
 from dandelioncleat.platform import names
@@ -39,15 +39,9 @@
             output=self._output,
             on_unproven=self._end_serving,
         )
-        self._last_body: StreamReader | None = None
         self._serving: asyncio.Timeout | None = None
         self._answered_count = 0
 
-    @property
-    def has_requests_ahead(self) -> bool:
-        """Return whether requests have come behind the current one."""
-        return bool(self._messages)
-
     @property
     def ends_after_answer(self) -> bool:
         """Return whether no request can come after the current one."""
@@ -79,12 +73,6 @@
         is_new = request.version >= HttpVersion11
         self.presence.begin_answer(INTERIM_ANSWER if is_new else None)
 
-    def data_received(self, data: bytes) -> None:
-        """Receive bytes of requests."""
-        super().data_received(data)
-        if self._messages:
-            self._last_body = self._messages[-1][1]
-
     def eof_received(self) -> bool:  # type: ignore[override]
         """Keep the connection while requests that came whole are unanswered.
 
@@ -123,11 +111,6 @@
             )
         super().connection_lost(exc)
 
-    @property
-    def _is_body_due(self) -> bool:
-        """Return whether a part of the last request's body is still to come."""
-        return self._last_body is not None and not self._last_body.is_eof()
-
     @property
     def _has_whole_requests(self) -> bool:
         if self._request_count == self._answered_count:
@@ -138,7 +121,7 @@
         """Discard the last request if it waits, and its body is incomplete."""
         if not self._messages or self._messages[-1][1].is_eof():
             return
-        self._messages.pop()
+        self.discard_last()
         self._answered_count += 1
         # Those before it have come whole.
         self._last_body = None
--- a/src/dandelioncleat/platform/status_page.py
+++ b/src/dandelioncleat/platform/status_page.py
@@ -7,6 +7,7 @@
 
 from dandelioncleat.adapters.bounded_server import BoundedAppRunner
 from dandelioncleat.adapters.connection_bound import ConnectionBound
+from dandelioncleat.adapters.connection_memory import ConnectionMemory
 from dandelioncleat.adapters.listening import start_site
 from dandelioncleat.platform.names import METRICS_PATH, READY_PATH
 
@@ -32,16 +33,23 @@
         self,
         sockets: Iterable[socket.socket],
         *,
+        memory: ConnectionMemory,
         is_ready: Callable[[], bool],
     ) -> None:
-        """Serve both pages at each address."""
+        """Serve both pages at each address.
+
+        :param memory: what all connections of the process may hold
+        """
         self._is_ready = is_ready
         application = web.Application()
         application.router.add_get(READY_PATH, self._show_ready)
         application.router.add_get(METRICS_PATH, self._show_metrics)
         self._runner = BoundedAppRunner(
             application,
-            bound=ConnectionBound('status', most=MAX_CONNECTIONS),
+            memory=memory,
+            bound=ConnectionBound(
+                'status', most=MAX_CONNECTIONS, telemetry=memory.telemetry
+            ),
             access_log=None,
             shutdown_timeout=SHUTDOWN_S,
         )
