Bound the unread answers of all connections together

An answer that its caller does not read waits in the buffer of its connection: 64 KiB and one answer of any size, as aiohttp hands a whole body to the transport, which copies it. Nothing bounded the sum over connections, 38 MiB of 600 connections without a large answer among them.

A connection now holds 16 KiB unread without a part of a pool of the process; what is beyond counts in the pool, and the connection that has been unread for the longest time is closed if the pool is full. One that is read, even slowly, goes to the end of that order. Bodies over 32 KiB are written in pieces, each after its caller has read most of what came before, so the pool of answers bounds them once and not twice.

--- a/src/dandelioncleat/adapters/bounded_server.py
+++ b/src/dandelioncleat/adapters/bounded_server.py
@@ -9,6 +9,7 @@
 from dandelioncleat.adapters.bounded_requests import BoundedRequests
 from dandelioncleat.adapters.connection_bound import ConnectionBound
 from dandelioncleat.adapters.connection_memory import ConnectionMemory
+from dandelioncleat.adapters.unread_answers import FREE_UNREAD_BYTES
 
 
 class BoundedRequestHandler(BoundedRequests):
@@ -50,6 +51,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take a new connection, if there may be one more."""
         super().connection_made(transport)
+        if self.transport is not None:
+            self.transport.set_write_buffer_limits(high=FREE_UNREAD_BYTES)
         if self._bound is not None:
             self._bound.add(self)
 
@@ -57,8 +60,21 @@
         """Forget a connection that is closed."""
         if self._bound is not None:
             self._bound.remove(self)
+        self._memory.unread.remove(self)
         super().connection_lost(exc)
 
+    def pause_writing(self) -> None:
+        """Note that the peer reads late."""
+        super().pause_writing()
+        if self.transport is not None:
+            unread = self.transport.get_write_buffer_size()
+            self._memory.unread.add(self, unread)
+
+    def resume_writing(self) -> None:
+        """Note that the peer has read."""
+        self._memory.unread.remove(self)
+        super().resume_writing()
+
     async def finish_response(
         self, *args: Any, **options: Any
     ) -> tuple[web.StreamResponse, bool]:
--- a/src/dandelioncleat/adapters/connection_memory.py
+++ b/src/dandelioncleat/adapters/connection_memory.py
@@ -2,17 +2,24 @@
 
 from typing import NamedTuple
 
-from dandelioncleat.core.held_bytes import DEFAULT_MEMORY_MB, HeldBytes
+from dandelioncleat.adapters.unread_answers import UnreadAnswers
+from dandelioncleat.core.held_bytes import (
+    DEFAULT_MEMORY_MB,
+    HeldBytes,
+    pool_bytes,
+)
 from dandelioncleat.ports.telemetry import NullTelemetry, Telemetry
 
 
 class ConnectionMemory(NamedTuple):
     """The pools that all connections of a process share.
 
-    ``received`` is for heads, and for bodies that nothing has read yet.
+    ``received`` is for heads, and for bodies that nothing has read yet;
+    ``unread`` for answers that their callers have not read.
     """
 
     received: HeldBytes
+    unread: UnreadAnswers
     telemetry: Telemetry
 
 
@@ -24,4 +31,8 @@
     :param memory_mb: memory of the process, in MiB
     """
     telemetry = telemetry or NullTelemetry()
-    return ConnectionMemory(HeldBytes(memory_mb), telemetry)
+    return ConnectionMemory(
+        HeldBytes(memory_mb),
+        UnreadAnswers(pool_bytes(memory_mb), telemetry),
+        telemetry,
+    )
--- a/src/dandelioncleat/platform/caller_reply.py
+++ b/src/dandelioncleat/platform/caller_reply.py
@@ -25,6 +25,8 @@
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
+# A caller that reads late leaves at most one such piece unsent, in bytes.
+PIECE_BYTES = 32 * 1024
 
 # The statuses of refusals; some differ if a target may have run the request.
 _STATUS_BY_REASON = {
@@ -99,10 +101,8 @@
 
     async def send_complete(self, answer: CompleteResponse) -> None:
         """Send a complete answer of a target."""
-        if answer.head.is_close_delimited:
-            await self.begin(answer.head)
-            await self.write(answer.body)
-            await self.finish()
+        if answer.head.is_close_delimited or len(answer.body) > PIECE_BYTES:
+            await _send_in_pieces(self, answer)
             return
         response = web.Response(
             status=answer.head.status,
@@ -125,10 +125,17 @@
             response.headers[names.RETRY_AFTER] = f'{refusal.retry_after_s:.2f}'
         await self._send(response)
 
-    async def begin(self, head: ResponseHead) -> None:
-        """Begin a stream."""
+    async def begin(
+        self, head: ResponseHead, *, length: int | None = None
+    ) -> None:
+        """Begin a stream.
+
+        :param length: of the body that follows, if it is known, in bytes
+        """
         response = _new_stream_response(head)
         _set_headers(response, head, self._request)
+        if length is not None and not head.is_close_delimited:
+            response.content_length = length
         self.response = response
         self._prepare_end(response)
         await response.prepare(self._request)
@@ -137,9 +144,10 @@
         if is_close_delimited(response):
             begin_close_delimited(self._request)
 
-    async def write(self, data: bytes) -> None:
-        """Send the next bytes of a stream."""
+    async def write(self, data: bytes | memoryview) -> None:
+        """Send the next bytes of a stream, once the caller has read enough."""
         await self._open_stream.write(data)
+        await self._request.writer.drain()
 
     async def finish(self) -> None:
         """End a complete stream."""
@@ -188,6 +196,18 @@
             self._connection.presence.probe = probe
 
 
+async def _send_in_pieces(reply: HttpReply, answer: CompleteResponse) -> None:
+    """Send an answer no faster than the caller reads it.
+
+    The transport would copy what the caller has yet to read.
+    """
+    body = memoryview(answer.body)
+    await reply.begin(answer.head, length=len(body))
+    for start in range(0, len(body), PIECE_BYTES):
+        await reply.write(body[start : start + PIECE_BYTES])
+    await reply.finish()
+
+
 def _has_requests_ahead(connection: HalfClosedConnection | None) -> bool:
     return connection is not None and connection.has_requests_ahead
 
--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -17,6 +17,7 @@
     ReceivedRequests,
     RequestProblem,
 )
+from dandelioncleat.adapters.unread_answers import UnreadAnswers
 from dandelioncleat.core.held_bytes import HeldBytes
 from dandelioncleat.platform.caller_server import new_caller_server
 from dandelioncleat.platform.callers import DEFAULT_LIMITS
@@ -134,6 +135,7 @@
     def test_head_for_which_no_memory_is_left(self):
         memory = ConnectionMemory(
             HeldBytes(SMALL_MB),
+            UnreadAnswers(1, NullTelemetry()),
             NullTelemetry(),
         )
         memory.received.take('other', 1024 * 1024 - 1, is_shared=False)
@@ -250,6 +252,48 @@
     )
 
 
+class Connection:
+    """A connection whose peer does not read."""
+
+    is_open = True
+
+    def abort(self):
+        """Close it."""
+        self.is_open = False
+
+
+class UnreadAnswersTest(testtools.TestCase):
+    """The one that has been unread for the longest time gives way."""
+
+    def setUp(self):
+        super().setUp()
+        self.unread = UnreadAnswers(100, NullTelemetry())
+        self.connections = [Connection() for _ in range(3)]
+
+    def _open(self):
+        return [each.is_open for each in self.connections]
+
+    def test_longest_unread_gives_way(self):
+        for each in self.connections:
+            self.unread.add(each, 40)
+        self.assertEqual([False, True, True], self._open())
+        self.assertEqual((80, 1), (self.unread.held, self.unread.closed))
+
+    def test_one_that_was_read_meanwhile_stays(self):
+        first, second, third = self.connections
+        self.unread.add(first, 40)
+        self.unread.add(second, 40)
+        self.unread.remove(first)
+        self.unread.add(first, 40)
+        self.unread.add(third, 40)
+        self.assertEqual([True, False, True], self._open())
+
+    def test_more_than_all_may_hold(self):
+        self.unread.add(self.connections[0], 101)
+        self.assertEqual([False, True, True], self._open())
+        self.assertEqual(0, self.unread.held)
+
+
 class ProblemTest(testtools.TestCase):
     """The status of a refusal says whether the request may be repeated."""
 
