Close connections with requests ahead when all others are in use

A hundred callers that each sent a slow request and others behind it took all 60 connections of a router with 320 descriptors for as long as they stayed: each connection had a request under way, so every new one was closed unread, and an ordinary caller that came back forty times was not answered once.

If no connection waits for a request, one gives way whose peer has sent more requests ahead. Its request under way is cut, which promises nothing; those ahead have not run. A peer that sends one request after the other is never chosen, and none is while a connection waits.

--- a/src/dandelioncleat/adapters/connection_bound.py
+++ b/src/dandelioncleat/adapters/connection_bound.py
@@ -3,7 +3,8 @@
 Connections that do nothing, or whose requests never come to their end, would
 use up the descriptors that the process needs for others. So the one that has
 been waiting for the longest time gives way to a new one; one whose last answer
-its peer has yet to read only if there is no other.
+its peer has yet to read only if there is no other. If all have requests under
+way, one gives way whose peer has sent more of them ahead.
 """
 
 from typing import Protocol
@@ -29,6 +30,10 @@
     def has_unsent(self) -> bool:
         """Return whether the peer has yet to read a part of an answer."""
 
+    @property
+    def has_requests_ahead(self) -> bool:
+        """Return whether requests have come behind the current one."""
+
     def abort(self) -> None:
         """Close the connection at once."""
 
@@ -57,7 +62,7 @@
     def add(self, connection: BoundConnection) -> None:
         """Keep a new connection; close another one if there are too many.
 
-        If all others have requests under way, the new one is closed.
+        If all others have one request under way, the new one is closed.
         """
         self._connections[connection] = None
         if len(self._connections) <= self._most:
@@ -80,14 +85,18 @@
 
     def _longest_waiting(self, new: BoundConnection) -> BoundConnection | None:
         """Return what gives way to a new connection, ``None`` if none does."""
-        longest = None
+        unsent = None
+        ahead = None
         for each in self._connections:
-            if each is new or not each.is_waiting:
+            if each is new:
                 continue
-            if not each.has_unsent:
+            if each.is_waiting and not each.has_unsent:
                 return each
-            longest = longest or each
-        return longest
+            if each.is_waiting:
+                unsent = unsent or each
+            elif each.has_requests_ahead:
+                ahead = ahead or each
+        return unsent or ahead
 
     def _count(self) -> None:
         self.closed += 1
--- a/tests/test_connection_bound.py
+++ b/tests/test_connection_bound.py
@@ -26,8 +26,11 @@
 class Connection:
     """A connection that waits for a request, or has one under way."""
 
-    def __init__(self, *, is_waiting=True, has_unsent=False):
+    def __init__(
+        self, *, is_waiting=True, has_unsent=False, has_requests_ahead=False
+    ):
         """Initialise as open."""
+        self.has_requests_ahead = has_requests_ahead
         self.is_waiting = is_waiting
         self.has_unsent = has_unsent
         self.is_open = True
@@ -72,6 +75,15 @@
         connections.append(Connection())
         self.assertEqual([False, True, True], self._open(bound, connections))
 
+    def test_one_with_requests_ahead_gives_way_if_all_others_are_in_use(self):
+        bound = ConnectionBound('callers', most=2)
+        connections = [
+            Connection(is_waiting=False),
+            Connection(is_waiting=False, has_requests_ahead=True),
+            Connection(),
+        ]
+        self.assertEqual([True, False, True], self._open(bound, connections))
+
     def test_a_new_one_is_closed_if_all_others_are_in_use(self):
         bound = ConnectionBound('callers', most=1)
         connections = [Connection(is_waiting=False), Connection()]
