Serve callers, operators and peers of routers and sidecars by the bounded server

The router and the sidecar of a fleet with sidecars ran on aiohttp's own server: no bound on connections, an error kept for each piece of bytes that are no request, and heads of a MiB. Eighty callers that sent one field without an end took 817 MiB at the callers' address, a hundred with heads over the limit ahead 2,000 MiB at the peers' address of a router.

Both use the server of the direct router and of gateways, with the same pools. New table [limits] in their settings, memory_mb (128) and max_fds (4096), as direct routers have them.

--- a/src/dandelioncleat/daemons/http_server.py
+++ b/src/dandelioncleat/daemons/http_server.py
@@ -4,9 +4,12 @@
 
 from aiohttp import web
 
+from dandelioncleat.adapters.bounded_server import BoundedAppRunner
+from dandelioncleat.adapters.connection_bound import ConnectionBound
+from dandelioncleat.adapters.connection_memory import ConnectionMemory
+from dandelioncleat.adapters.listening import BACKLOG, start_site
 from dandelioncleat.daemons.settings import Address, parse_address
 
-BACKLOG = 512
 SHUTDOWN_TIMEOUT_S = 5.0
 
 
@@ -36,16 +39,30 @@
         """Return the base URL."""
         return f'http://{self.text}'
 
-    async def start(self, application: web.Application) -> None:
-        """Serve an application; a disconnect cancels the handler."""
-        self._runner = web.AppRunner(
+    async def start(
+        self,
+        application: web.Application,
+        *,
+        memory: ConnectionMemory,
+        most_connections: int,
+    ) -> None:
+        """Serve an application; a disconnect cancels the handler.
+
+        :param memory: what all connections of the process may hold
+        :param most_connections: number of connections that are kept open
+        """
+        self._runner = BoundedAppRunner(
             application,
+            memory=memory,
+            bound=ConnectionBound(
+                self.text, most=most_connections, telemetry=memory.telemetry
+            ),
             handler_cancellation=True,
             access_log=None,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         await self._runner.setup()
-        await web.SockSite(self._runner, self._socket).start()
+        await start_site(self._runner, self._socket)
 
     async def stop(self) -> None:
         """Close the socket and every connection."""
--- a/src/dandelioncleat/daemons/router.py
+++ b/src/dandelioncleat/daemons/router.py
@@ -10,6 +10,7 @@
     new_caller_application,
 )
 from dandelioncleat.adapters.client_session import new_client_session
+from dandelioncleat.adapters.connection_memory import new_connection_memory
 from dandelioncleat.adapters.operator_http import add_operator_routes
 from dandelioncleat.adapters.system_clock import SystemClock
 from dandelioncleat.adapters.telemetry import OtelTelemetry
@@ -34,6 +35,7 @@
         self,
         process: RouterProcess,
         *,
+        settings: RouterSettings,
         session: ClientSession,
         telemetry: OtelTelemetry,
         callers: HttpServer,
@@ -41,6 +43,7 @@
     ) -> None:
         """Take the connected components from ``new_router_daemon``."""
         self.process = process
+        self._settings = settings
         self.callers = callers
         self.peers = peers
         self._session = session
@@ -55,8 +58,19 @@
         """Listen and run every task until cancelled."""
         shared = self.process.shared
         handler = self.process.handler
-        await self.peers.start(shared.peer_application(handler))
-        await self.callers.start(self._caller_application())
+        settings = self._settings
+        memory = new_connection_memory(
+            settings.limits.memory_mb, self._telemetry
+        )
+        for server, application in (
+            (self.peers, shared.peer_application(handler)),
+            (self.callers, self._caller_application()),
+        ):
+            await server.start(
+                application,
+                memory=memory,
+                most_connections=settings.most_connections,
+            )
         _logger.info(
             'listening',
             callers=self.callers.text,
@@ -130,6 +144,7 @@
     )
     return RouterDaemon(
         process,
+        settings=settings,
         session=session,
         telemetry=telemetry,
         callers=callers,
--- a/src/dandelioncleat/daemons/settings.py
+++ b/src/dandelioncleat/daemons/settings.py
@@ -19,8 +19,14 @@
 
 from dandelioncleat.core.configuration import CredentialHash
 from dandelioncleat.core.defect import Defect, defects_of
+from dandelioncleat.core.held_bytes import DEFAULT_MEMORY_MB
 from dandelioncleat.core.patch_body import KeyDigest, Name, Salt
 from dandelioncleat.daemons._settings_rules import fleet_secret_defects
+from dandelioncleat.daemons.process_limits import (
+    DEFAULT_MAX_FDS,
+    FILE_DESCRIPTORS,
+    connection_limit,
+)
 
 STOP_LIMIT_S = 60.0
 MAX_PORT = 65535
@@ -105,6 +111,15 @@
     limit_s: PositiveSeconds = STOP_LIMIT_S
 
 
+class Limits(_Table):
+    """What the process may use: memory in MiB, and descriptors."""
+
+    memory_mb: Annotated[float, Field(gt=0, allow_inf_nan=False)] = (
+        DEFAULT_MEMORY_MB
+    )
+    max_fds: Annotated[int, Field(gt=FILE_DESCRIPTORS)] = DEFAULT_MAX_FDS
+
+
 class Telemetry(_Table):
     """Where traces and metrics go and how log lines look."""
 
@@ -129,8 +144,16 @@
     platform: Platform
     fleet: Fleet
     stop: Stop = Stop()
+    limits: Limits = Limits()
     telemetry: Telemetry = Telemetry()
 
+    @property
+    def most_connections(self) -> int:
+        """Return how many connections one address may keep open."""
+        return connection_limit(
+            max_fds=self.limits.max_fds, memory_mb=self.limits.memory_mb
+        )
+
     @property
     def fleet_secret(self) -> str:
         """Return the secret, from the settings or from its file."""
--- a/src/dandelioncleat/daemons/settings_example.py
+++ b/src/dandelioncleat/daemons/settings_example.py
@@ -14,6 +14,11 @@
 # A planned stop that takes longer abandons what is unfinished.
 limit_s = 60.0
 
+[limits]
+# What the process may use; it refuses or closes what would take more.
+memory_mb = 128.0
+max_fds = 4096
+
 [telemetry]
 # otlp_endpoint = "http://10.0.0.3:4318"
 logs = "json"  # or "console"
--- a/src/dandelioncleat/daemons/sidecar.py
+++ b/src/dandelioncleat/daemons/sidecar.py
@@ -6,6 +6,7 @@
 from aiohttp import ClientSession, web
 
 from dandelioncleat.adapters.client_session import new_client_session
+from dandelioncleat.adapters.connection_memory import new_connection_memory
 from dandelioncleat.adapters.http_host_list import HttpHostList
 from dandelioncleat.adapters.http_model_target import HttpModelTarget
 from dandelioncleat.adapters.http_plain_target import HttpPlainTarget
@@ -35,6 +36,7 @@
         self,
         sidecar: Sidecar,
         *,
+        settings: SidecarSettings,
         shared: SharedParts,
         bills: BillSender,
         session: ClientSession,
@@ -44,6 +46,7 @@
     ) -> None:
         """Take the connected components from ``new_sidecar_daemon``."""
         self.sidecar = sidecar
+        self._settings = settings
         self.peers = peers
         self.shared = shared
         self._bills = bills
@@ -53,7 +56,13 @@
 
     async def run(self) -> None:
         """Listen and run every task until cancelled."""
-        await self.peers.start(self._application())
+        await self.peers.start(
+            self._application(),
+            memory=new_connection_memory(
+                self._settings.limits.memory_mb, self._telemetry
+            ),
+            most_connections=self._settings.most_connections,
+        )
         _logger.info('listening', peers=self.peers.text)
         async with asyncio.TaskGroup() as group:
             group.create_task(self.shared.configuration.run())
@@ -144,6 +153,7 @@
     )
     return SidecarDaemon(
         sidecar,
+        settings=settings,
         shared=shared,
         bills=bills,
         session=session,
