Derive the memory for bodies of callers and operators from that of the process

A router of a fleet with sidecars kept 64 MiB of callers' bodies, each up to five times on its way to a sidecar, beside its own 74 MiB, and any number of operators' patches. A hundred callers with bodies of 1 MB ahead took 266 MiB of 128, sixty with bodies of 4 MB that stopped short 158, operators' patches 134.

Callers' and operators' bodies share half a pool of the process, but always have room for the largest one. A body takes its part as it arrives, so one in chunks no longer takes 4 MiB at once. What does not fit is refused as before: 429 for callers, and 503 for operators, whose client tries again.

--- a/src/dandelioncleat/adapters/caller_http.py
+++ b/src/dandelioncleat/adapters/caller_http.py
@@ -119,8 +119,8 @@
 
     async def complete(self, request: web.Request) -> web.StreamResponse:
         caller = self._caller(request)
-        with self._memory.reserve(request):
-            body = await self._memory.read(request)
+        with self._memory.reserve(request) as reserved:
+            body = await reserved.read()
             is_chat = request.path == CHAT_PATH
             parsed = parse_completion(body, is_chat=is_chat)
             if not is_successful(parsed):
@@ -137,8 +137,9 @@
                 int(self._backend.clock.wall()),
             )
             if completion.is_streamed:
-                timeout_s = self._backend.write_timeout_s
-                relay = StreamRelay(request, encoder, timeout_s=timeout_s)
+                relay = StreamRelay(
+                    request, encoder, timeout_s=self._backend.write_timeout_s
+                )
                 return await relay.send(events)
             return await send_document(events, encoder)
 
@@ -147,8 +148,8 @@
         service = self._service(caller, request.match_info['service'])
         if service.kind is not ServiceKind.PLAIN:
             raise _not_found('the service is reached through /v1')
-        with self._memory.reserve(request):
-            body = await self._memory.read(request)
+        with self._memory.reserve(request) as reserved:
+            body = await reserved.read()
             caller_request = _plain_request(caller, service, request, body)
             return await send_raw(
                 self._serve(caller_request, request), caller.key
--- a/src/dandelioncleat/adapters/operator_http.py
+++ b/src/dandelioncleat/adapters/operator_http.py
@@ -11,6 +11,7 @@
 import msgspec
 from aiohttp import web
 
+from dandelioncleat.adapters._caller_body import BodyMemory, ReservedBody
 from dandelioncleat.app.operator import OperatorBackend
 from dandelioncleat.core.configuration_document import as_builtins, document_of
 from dandelioncleat.core.configuration_history import VersionEntry
@@ -28,7 +29,9 @@
 from dandelioncleat.core.record import Patch
 
 MAX_ID_CHARACTERS = 128
+_BODY = web.RequestKey('body', ReservedBody)
 _STATUS_BY_CODE = {  # noqa: WPS407
+    Code.CAPACITY: HTTPStatus.SERVICE_UNAVAILABLE,
     Code.CONFLICT: HTTPStatus.CONFLICT,
     Code.CREDENTIAL: HTTPStatus.UNAUTHORIZED,
     Code.INVALID: HTTPStatus.BAD_REQUEST,
@@ -73,8 +76,13 @@
 def add_operator_routes(
     application: web.Application,
     backend: OperatorBackend,
+    memory: BodyMemory | None = None,
 ) -> None:
-    """Add the operators' routes to a router's HTTP server."""
+    """Add the operators' routes to a router's HTTP server.
+
+    :param memory: limits the bodies, beside those of callers
+    """
+    memory = memory or BodyMemory()
     routes = _OperatorRoutes(backend)
     handlers: dict[tuple[str, str], _Handler] = {
         ('POST', 'patches'): routes.submit_patch,
@@ -92,7 +100,7 @@
         ('GET', 'status'): routes.show_status,
     }
     for (method, path), handler in handlers.items():
-        authenticated = _with_operator(backend, handler)
+        authenticated = _with_operator(backend, memory, handler)
         application.router.add_route(method, f'/operator/{path}', authenticated)
 
 
@@ -228,6 +236,7 @@
 
 def _with_operator(
     backend: OperatorBackend,
+    memory: BodyMemory,
     handler: _Handler,
 ) -> Callable[[web.Request], Awaitable[web.Response]]:
     async def authenticated(request: web.Request) -> web.Response:  # noqa: WPS430
@@ -241,7 +250,9 @@
                 Code.CREDENTIAL, 'authorise', 'missing or invalid operator key'
             )
         try:
-            return await handler(request, operator)
+            with memory.reserve(request, max_body_bytes=MAX_BODY_BYTES) as body:
+                request[_BODY] = body
+                return await handler(request, operator)
         except FailureError as error:
             return _failure_response(error.failure)
 
@@ -249,13 +260,7 @@
 
 
 async def _read_body(request: web.Request) -> bytes:
-    body = await request.content.read(MAX_BODY_BYTES + 1)
-    while len(body) <= MAX_BODY_BYTES and not request.content.at_eof():
-        body += await request.content.read(MAX_BODY_BYTES + 1)
-    if len(body) > MAX_BODY_BYTES:
-        text = f'the body exceeds {MAX_BODY_BYTES} bytes'
-        raise FailureError(Failure(Code.TOO_LARGE, 'read', 'router', text))
-    return body
+    return await request[_BODY].read()
 
 
 def _decode(body: bytes, order_type: type[Any]) -> Any:
--- a/src/dandelioncleat/daemons/router.py
+++ b/src/dandelioncleat/daemons/router.py
@@ -5,6 +5,7 @@
 import structlog
 from aiohttp import ClientSession, web
 
+from dandelioncleat.adapters._caller_body import BodyMemory, total_body_bytes
 from dandelioncleat.adapters.caller_http import (
     CallerBackend,
     new_caller_application,
@@ -112,8 +113,10 @@
             metrics_page=self._telemetry.metrics_page,
             clock=SystemClock(),
         )
-        application = new_caller_application(backend)
-        add_operator_routes(application, self.process.backend)
+        memory_mb = self._settings.limits.memory_mb
+        bodies = BodyMemory(max_total_bytes=total_body_bytes(memory_mb))
+        application = new_caller_application(backend, bodies)
+        add_operator_routes(application, self.process.backend, bodies)
         return application
 
     def _balance_of(self, budget: BudgetId) -> Balance:
