Bound the trailers of bodies, and heads that come in small parts

aiohttp keeps the trailers of a body in chunks like the fields of a head: 128 of them of any size within the limit of a line. Found on reading that code again; no form of the issue has them.

What comes of a body without adding to its content now counts against the same limits as a head, and in the same pool; the connection ends at the limit, as something may read the body meanwhile. Content starts the count anew, so chunks of one byte and chunk extensions meet no limit (tested with 50 KB of extensions).

With it goes a hole of the pool: parts of less than 1 KiB of one head were taken for white space behind the last request and given back (test_head_that_comes_in_small_parts_is_held failed before).

--- a/src/dandelioncleat/adapters/bounded_requests.py
+++ b/src/dandelioncleat/adapters/bounded_requests.py
@@ -122,15 +122,18 @@
         if self._upgraded:
             super().data_received(data)
             return
-        is_of_heads = not self._is_body_due
-        if is_of_heads:
+        body = self._last_body if self._is_body_due else None
+        body_bytes = 0 if body is None else body.total_bytes
+        if body is None:
             self._received.add_bytes(data)
         before = self._request_count
         super().data_received(data)
         if self._request_count > before:
             self._note_requests(self._request_count - before)
-        elif is_of_heads:
+        elif body is None:
             self._refuse_for(self._received.add_part(data), 0)
+        else:
+            self._note_body(data, has_grown=body.total_bytes > body_bytes)
 
     def discard_last(self) -> None:
         """Discard the last request, which waits."""
@@ -171,14 +174,32 @@
             self._received.forget_open()
         self._refuse_for(self._received.check_open(), 0)
 
+    def _note_body(self, data: bytes, *, has_grown: bool) -> None:
+        """Bound the trailers of a body, which its content does not grow by.
+
+        The request cannot be answered, as something may read its body.
+        """
+        if has_grown or not self._is_body_due:
+            self._received.forget_open()
+            return
+        self._received.add_bytes(data)
+        problem = self._received.add_part(data)
+        if problem is not None and self.transport is not None:
+            self._has_failed = True
+            self._count(problem)
+            self.transport.abort()
+
     def _refuse_for(self, problem: RequestProblem | None, count: int) -> bool:
         """Refuse the last requests if there is a problem with them."""
         if problem is None:
             return False
         self._fail(_error_of(problem), count)
+        self._count(problem)
+        return True
+
+    def _count(self, problem: RequestProblem) -> None:
         reason = problem.name.lower()
         self._memory.telemetry.count('connections.refused', reason=reason)
-        return True
 
     def _fail(self, error: _ErrInfo, count: int) -> None:
         """Answer with an error; discard what follows, and the bytes it quotes.
--- a/src/dandelioncleat/adapters/received_requests.py
+++ b/src/dandelioncleat/adapters/received_requests.py
@@ -84,25 +84,26 @@
         return self._hold(sum(self._costs))
 
     def add_part(self, data: bytes) -> RequestProblem | None:
-        """Note bytes of a head whose end has not come.
+        """Note bytes of a head, or of trailers, whose end has not come.
 
         Returns why the head is refused.
         """
         self._head_part_bytes += len(data)
         if self._head_part_bytes > OPEN_HEADS * self._head_bytes:
             return RequestProblem.HEAD_TOO_LARGE
-        return self.check_open()
+        return self._hold(self._cost)
 
     def check_open(self) -> RequestProblem | None:
         """Return why what has come behind the last request is refused."""
         if self._open_bytes < NEGLIGIBLE_BYTES:
-            self.forget_open()
+            self._open_bytes = 0
         return self._hold(self._cost)
 
     def forget_open(self) -> None:
         """Note that no part of a head has come."""
         self._open_bytes = 0
         self._open_lines = 0
+        self._head_part_bytes = 0
 
     def end_first(self) -> None:
         """Give back what the request held that was answered."""
--- a/tests/soak/crowd_forms.py
+++ b/tests/soak/crowd_forms.py
@@ -40,6 +40,12 @@
         'a method': Form(b'', b'G' * 65_536),
         'many fields': Form(open_head + large_fields(), count=60),
         'many whole heads': Form(open_head + large_fields() + b'\r\n'),
+        'trailers': Form(
+            head(path, b'Transfer-Encoding: chunked')
+            + b'0\r\n'
+            + large_fields(),
+            count=60,
+        ),
         'short fields': Form(open_head, b'a:\r\n' * 1000),
         'empty lines': Form(b'', b'\r\n' * LINES),
         'line feeds': Form(b'', b'\n' * LINES),
--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -92,6 +92,29 @@
         statuses = self._statuses(*[head + b'{}'] * 100)
         self.assertEqual([200] * 100, statuses)
 
+    def test_body_in_many_small_chunks_that_come_one_by_one(self):
+        async def scenario(fleet):
+            reader, writer = await fleet.connect()
+            head = request_head('/safe/a', length=0)
+            writer.write(
+                head.replace(
+                    b'Content-Length: 0', b'Transfer-Encoding: chunked'
+                )
+            )
+            for _ in range(500):
+                writer.write(b'1;' + b'e' * 100 + b'\r\n')
+                await asyncio.sleep(0)
+                writer.write(b'x\r\n')
+                await asyncio.sleep(0)
+            writer.write(b'0\r\n\r\n')
+            async with asyncio.timeout(20):
+                answer = await read_answer(reader)
+            writer.close()
+            return answer.status
+
+        document = configuration(**LIMITS)
+        self.assertEqual(200, run_with_fleet(scenario, document=document))
+
     def test_many_requests_ahead_with_bodies(self):
         request = request_head('/safe/a', length=100_000) + b' ' * 100_000
         statuses = self._statuses(*[request] * 20)
@@ -230,6 +253,14 @@
 
         self.assertEqual(0, asyncio.run(scenario()))
 
+    def test_head_that_comes_in_small_parts_is_held(self):
+        pool = HeldBytes(SMALL_MB)
+        received = ReceivedRequests(pool, head_bytes=16_384, most_fields=128)
+        for _ in range(60):
+            received.add_bytes(b'x' * 500)
+            received.add_part(b'x' * 500)
+        self.assertGreater(pool.held, 30_000)
+
     def test_bytes_behind_a_request_are_held(self):
         pool = HeldBytes(SMALL_MB)
         received = ReceivedRequests(pool, head_bytes=16_384, most_fields=128)
--- a/tests/test_crowds_of_heads.py
+++ b/tests/test_crowds_of_heads.py
@@ -33,6 +33,9 @@
     def test_fields_over_the_limit_in_sum(self):
         self._play(ROUTE, ('many fields',))
 
+    def test_trailers_over_the_limit_in_sum(self):
+        self._play(ROUTE, ('trailers',))
+
     def test_whole_heads_over_the_limit_in_sum(self):
         self._play(ROUTE, ('many whole heads',))
 
