Count the whole unread part of a body, and only until it is handled

What callers saw: nothing, or a refusal for memory that was free.

Cause: a body is read up to 32 KiB ahead, and the turn of the event loop that passes this may read 32 KiB more. The pool counted the first alone. It kept that share until the request was answered, though the handler reads the body before and counts it in the pool of bodies, or answers without it.

Evidence: bodies of 65,265 bytes in the count of what a process held.

Change: 64 KiB at most for a request that waits, none for one that is handled, so long answers to ordinary requests hold no share of it.

--- a/src/dandelioncleat/adapters/bounded_requests.py
+++ b/src/dandelioncleat/adapters/bounded_requests.py
@@ -56,7 +56,12 @@
             head together
         """
         super().__init__(server, **_parser_options(options, head_bytes))
-        self._bound_requests_ahead(auto_decompress=options['auto_decompress'])
+        # aiohttp has no option for the number of requests that wait.
+        self._max_msg_queue_size = MAX_REQUESTS_AHEAD
+        self._msg_queue_resume_size = MAX_REQUESTS_AHEAD // 2
+        self._parser = _new_parser(
+            self, auto_decompress=options['auto_decompress']
+        )
         self._has_failed = False
         self._memory = memory or new_connection_memory()
         self._received = ReceivedRequests(
@@ -123,6 +128,13 @@
         self._received.end_first()
         return finished
 
+    async def _handle_request(
+        self, *args: Any, **options: Any
+    ) -> tuple[web.StreamResponse, bool]:
+        """Handle the first request, whose handler reads its body."""
+        self._received.take_first()
+        return await super()._handle_request(*args, **options)
+
     def data_received(self, data: bytes) -> None:
         """Receive bytes of requests."""
         if self._has_failed:
@@ -150,22 +162,6 @@
         self._messages.pop()
         self._received.discard_last()
 
-    def _bound_requests_ahead(self, *, auto_decompress: bool) -> None:
-        """Let few parsed requests wait; aiohttp has no option for it."""
-        self._max_msg_queue_size = MAX_REQUESTS_AHEAD
-        self._msg_queue_resume_size = MAX_REQUESTS_AHEAD // 2
-        self._parser = HttpRequestParser(
-            self,
-            self._loop,
-            self._read_bufsize,
-            max_line_size=self.max_line_size,
-            max_field_size=self.max_field_size,
-            max_headers=self.max_headers,
-            payload_exception=RequestPayloadError,
-            auto_decompress=auto_decompress,
-            max_msg_queue_size=MAX_REQUESTS_AHEAD,
-        )
-
     def _note_requests(self, count: int) -> None:
         """Bound what was just parsed.
 
@@ -238,6 +234,22 @@
     }
 
 
+def _new_parser(
+    protocol: RequestHandler, *, auto_decompress: bool
+) -> HttpRequestParser:
+    return HttpRequestParser(
+        protocol,
+        protocol._loop,
+        protocol._read_bufsize,
+        max_line_size=protocol.max_line_size,
+        max_field_size=protocol.max_field_size,
+        max_headers=protocol.max_headers,
+        payload_exception=RequestPayloadError,
+        auto_decompress=auto_decompress,
+        max_msg_queue_size=MAX_REQUESTS_AHEAD,
+    )
+
+
 def _error_of(problem: RequestProblem) -> _ErrInfo:
     reason = HTTPStatus(problem).phrase
     return _ErrInfo(
--- a/src/dandelioncleat/adapters/received_requests.py
+++ b/src/dandelioncleat/adapters/received_requests.py
@@ -7,6 +7,7 @@
 
 from collections import deque
 from enum import IntEnum
+from typing import NamedTuple
 
 from aiohttp import StreamReader
 from aiohttp.http_parser import RawRequestMessage
@@ -32,8 +33,10 @@
 MAX_DIGITS = 9
 # A head may have its target and its fields, each of the maximum size.
 HEAD_PARTS = 2
-# A body is read from the connection up to here until a handler reads it.
+# A body is read from the connection up to here until a handler reads it. The
+# turn of the event loop that passes it may read as much again.
 READ_AHEAD_BYTES = 32 * 1024
+MAX_UNREAD_BYTES = READ_AHEAD_BYTES + READ_BYTES
 
 
 class RequestProblem(IntEnum):
@@ -43,6 +46,18 @@
     NO_MEMORY = 503
 
 
+class RequestCost(NamedTuple):
+    """What a request holds, in bytes: its head, and its unread body."""
+
+    head: int
+    body: int
+
+    @property
+    def total(self) -> int:
+        """Return both together."""
+        return self.head + self.body
+
+
 class ReceivedRequests:
     """The requests of a connection that are not answered, the first ahead."""
 
@@ -62,7 +77,7 @@
         self._open_bytes = 0
         self._open_lines = 0
         self._head_part_bytes = 0
-        self._costs: deque[int] = deque()
+        self._costs: deque[RequestCost] = deque()
 
     def add_bytes(self, data: bytes) -> None:
         """Add bytes that are of heads, or of requests that came with them."""
@@ -75,17 +90,17 @@
         """Add a request whose head has come; return why it is refused."""
         size = _fields_bytes(message)
         count = len(message.raw_headers)
-        cost = (
+        head = (
             REQUEST_OVERHEAD_BYTES
             + HEAD_COPIES * size
             + FIELD_OVERHEAD_BYTES * count
         )
-        self._costs.append(cost + _read_ahead_bytes(message, body))
+        self._costs.append(RequestCost(head, _unread_bytes(message, body)))
         self._take_open(message, size + count + body.total_bytes)
         if size > self._head_bytes:
             return RequestProblem.HEAD_TOO_LARGE
         # What has come behind it may belong to others.
-        return self._hold(sum(self._costs))
+        return self._hold(self._requests_cost)
 
     def add_part(self, data: bytes) -> RequestProblem | None:
         """Note bytes of a head, or of trailers, whose end has not come.
@@ -109,6 +124,15 @@
         self._open_lines = 0
         self._head_part_bytes = 0
 
+    def take_first(self) -> None:
+        """Give back what is held for the body of the request that is handled.
+
+        Its handler reads the body, and has a bound of its own.
+        """
+        if self._costs:
+            self._costs[0] = self._costs[0]._replace(body=0)
+            self._held.shrink_to(self._cost)
+
     def end_first(self) -> None:
         """Give back what the request held that was answered."""
         if self._costs:
@@ -145,7 +169,11 @@
             self._most_fields,
         )
         part = HEAD_COPIES * self._open_bytes + FIELD_OVERHEAD_BYTES * fields
-        return part + sum(self._costs)
+        return part + self._requests_cost
+
+    @property
+    def _requests_cost(self) -> int:
+        return sum(cost.total for cost in self._costs)
 
     def _hold(self, cost: int) -> RequestProblem | None:
         self._held.shrink_to(cost)
@@ -161,11 +189,11 @@
     )
 
 
-def _read_ahead_bytes(message: RawRequestMessage, body: StreamReader) -> int:
+def _unread_bytes(message: RawRequestMessage, body: StreamReader) -> int:
     """Return what may be read of a body before a handler reads it."""
     if body.is_eof():
-        return min(READ_AHEAD_BYTES, body.total_bytes)
+        return min(MAX_UNREAD_BYTES, body.total_bytes)
     declared = message.headers.get('Content-Length', '')
     if declared.isdecimal():
-        return min(READ_AHEAD_BYTES, int(declared[:MAX_DIGITS]))
-    return READ_AHEAD_BYTES
+        return min(MAX_UNREAD_BYTES, int(declared[:MAX_DIGITS]))
+    return MAX_UNREAD_BYTES
--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -15,11 +15,12 @@
     new_connection_memory,
 )
 from dandelioncleat.adapters.received_requests import (
+    READ_AHEAD_BYTES,
     ReceivedRequests,
     RequestProblem,
 )
 from dandelioncleat.adapters.unread_answers import UnreadAnswers
-from dandelioncleat.core.held_bytes import HeldBytes
+from dandelioncleat.core.held_bytes import FREE_BYTES, HeldBytes
 from dandelioncleat.platform.caller_server import new_caller_server
 from dandelioncleat.platform.callers import DEFAULT_LIMITS
 from dandelioncleat.ports.telemetry import NullTelemetry
@@ -235,6 +236,31 @@
 
         self.assertEqual(0, self._play(scenario))
 
+    def test_unread_part_of_a_body_is_held_until_its_request_is_handled(self):
+        body = b' ' * 100_000
+        request = request_head('/a', length=len(body)) + body
+
+        async def scenario(peer):
+            memory = peer.server.memory.received
+            peer.writer.write(request_head('/a', length=0) + request)
+            await until(lambda: unread_bytes() >= READ_AHEAD_BYTES)
+            held, unread = memory.held, unread_bytes()
+            peer.goes_on.set()
+            await until(lambda: not memory.held)
+            return held + FREE_BYTES - unread
+
+        self.assertGreater(self._play(scenario), 0)
+
+    def test_handled_request_holds_no_bytes_for_its_body(self):
+        async def scenario(peer):
+            peer.writer.write(request_head('/a', length=100_000))
+            await until(lambda: peer.server.connections)
+            (connection,) = peer.server.connections
+            await until(lambda: connection._current_request)
+            return peer.server.memory.received.held
+
+        self.assertEqual(0, self._play(scenario))
+
     def test_bytes_of_a_closed_connection_wait_for_no_garbage_collection(self):
         body = b' ' * 100_000
         request = request_head('/a', length=len(body)) + body
