--- a/src/dandelioncleat/daemons/process_limits.py
+++ b/src/dandelioncleat/daemons/process_limits.py
@@ -5,7 +5,8 @@
 FILE_DESCRIPTORS = 200
 # The rest of the descriptors is for targets, the store and other processes.
 PEERS_SHARE = 0.5
-# A connection keeps up to 128 KiB of what it has read and not passed on.
+# A connection keeps some 128 KiB at most: unread parts of a body, heads, and a
+# part of an answer that its peer has yet to read.
 CONNECTIONS_PER_MB = 4
 
 
