--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -249,6 +249,7 @@
             await until(lambda: not memory.held)
             return held + FREE_BYTES - unread
 
+        gc.collect()
         self.assertGreater(self._play(scenario), 0)
 
     def test_handled_request_holds_no_bytes_for_its_body(self):
