Send a caller's request beside crowds at the status pages again

Crowds at the addresses of readiness and metrics now ask for both. Other crowds, bounds and assertions are as they were.

--- a/tests/soak/crowds.py
+++ b/tests/soak/crowds.py
@@ -180,17 +180,24 @@
             gateway.child, control, partial(serves_peers, control, '')
         ),
     }
-    for name, process, port, path in (
-        ('ready', router, 'ready', READY_PATH),
-        ('metrics', router, 'metrics', METRICS_PATH),
-        ('gateway metrics', gateway, 'metrics', METRICS_PATH),
+    for name, process, port, path, others in (
+        ('ready', router, 'ready', READY_PATH, [serves_callers]),
+        ('metrics', router, 'metrics', METRICS_PATH, [serves_callers]),
+        ('gateway metrics', gateway, 'metrics', METRICS_PATH, []),
     ):
         address = _address(process.ports[port])
         serves_page = partial(shows_page, address, path.decode())
-        places[name] = Place(process.child, address, serves_page)
+        places[name] = Place(
+            process.child, address, partial(_all_served, serves_page, *others)
+        )
     return places
 
 
+async def _all_served(*checks):
+    """Return whether all of several ordinary requests are answered."""
+    return all([await is_served() for is_served in checks])
+
+
 def _address(port):
     return '127.0.0.1', port
 
